Set up the workspace, the design page and the shared types

Cause: the repository was empty. Several people build the parts in parallel and need one page and one set of schemas. Before: nothing. Conclusion: the parts can start from this.

--- /dev/null
+++ b/packages/core/src/stream/types.ts
@@ -0,0 +1,65 @@
+/** Types of the generic fold of a log stream. */
+import type { z } from "zod";
+import type { Issue } from "../issue.js";
+import type { Author } from "./record.js";
+
+/** What a fold knows of a record besides its body. `time` is the platform's append time in milliseconds. */
+export interface RecordContext {
+    readonly offset: number;
+    readonly time: number;
+    readonly id: string;
+    readonly author: Author;
+}
+
+/** Result of applying one record to a state. */
+export type Verdict<State> =
+    | { readonly kind: "accepted"; readonly state: State; }
+    | { readonly kind: "rejected"; readonly issue: Issue; };
+
+/** Fold of one kind of stream. `apply` is pure: the same state and record give the same verdict everywhere. */
+export interface FoldDefinition<State, Body> {
+    readonly name: string;
+    readonly body: z.ZodType<Body>;
+    readonly state: z.ZodType<State>;
+    initial(): State;
+    apply(state: State, body: Body, context: RecordContext): Verdict<State>;
+}
+
+/** What became of a record, retained for `BASIS_WINDOW` offsets after it. */
+export interface Decision {
+    readonly offset: number;
+    readonly accepted: boolean;
+    readonly issue?: Issue;
+}
+
+/** Why a fold stopped. Nothing after `offset` is folded until a daemon that understands the record takes over. */
+export interface Halt {
+    readonly offset: number;
+    readonly issue: Issue;
+}
+
+/** State of a stream after all entries below `nextOffset`. */
+export interface Folded<State> {
+    readonly nextOffset: number;
+    readonly state: State;
+    readonly decisions: ReadonlyMap<string, Decision>;
+    readonly halted?: Halt;
+}
+
+/** What applying one entry did. `past` means an offset that was folded before. */
+export type AppliedKind =
+    | "accepted"
+    | "rejected"
+    | "duplicate"
+    | "stale-basis"
+    | "malformed"
+    | "past"
+    | "gap"
+    | "halted";
+
+/** Result of applying one entry. */
+export interface Applied<State> {
+    readonly kind: AppliedKind;
+    readonly folded: Folded<State>;
+    readonly issue?: Issue;
+}
--- /dev/null
+++ b/packages/daemon/src/messages.ts
@@ -0,0 +1,72 @@
+/** Messages between daemons, sent as msgpack over WebSocket. One schema for each kind. */
+import { entrySchema, outcomeSchema, reportSchema } from "@damaskvale/core";
+import { z } from "zod";
+
+/** Version of the protocol between daemons; links of another version are closed. */
+export const PEER_PROTOCOL = 1;
+
+/** Schema of what one daemon knows of another. */
+export const memberSchema = z.object({
+    daemon: z.string().min(1),
+    dataCentre: z.string().min(1),
+    address: z.string().min(1),
+    incarnation: z.string().min(1),
+    /** Raised by a daemon to refute a suspicion about itself. */
+    revision: z.number().int().nonnegative(),
+    state: z.enum(["alive", "suspect", "dead", "left"]),
+});
+
+/** Schema of an observation of a host, with its age when the message was sent, in milliseconds. */
+export const sharedObservationSchema = z.object({ report: reportSchema, ageMilliseconds: z.number().nonnegative() });
+
+const request = z.string().min(1);
+const news = {
+    sequence: z.number().int().nonnegative(),
+    /** Monotonic time of the sender of the probe, echoed in the acknowledgement. */
+    sentAt: z.number(),
+    members: z.array(memberSchema).max(1024),
+    /** Next offset of each stream that the sender follows. */
+    offsets: z.record(z.string(), z.number().int().nonnegative()),
+    /** Requests a second that each team asked of the sender. */
+    demand: z.record(z.string(), z.number().nonnegative()),
+};
+
+/** Schema of every message between daemons. */
+export const peerMessageSchema = z.discriminatedUnion("kind", [
+    z.object({
+        kind: z.literal("hello"),
+        protocol: z.number().int(),
+        daemon: z.string().min(1),
+        dataCentre: z.string().min(1),
+        incarnation: z.string().min(1),
+    }),
+    z.object({ kind: z.literal("probe"), ...news }),
+    z.object({ kind: z.literal("acknowledge"), ...news, observations: z.array(sharedObservationSchema).max(4096) }),
+    z.object({ kind: z.literal("fetchEntries"), request, stream: z.string(), from: z.number().int().nonnegative() }),
+    z.object({ kind: z.literal("entries"), request, stream: z.string(), entries: z.array(entrySchema) }),
+    z.object({ kind: z.literal("fetchState"), request, stream: z.string() }),
+    z.object({ kind: z.literal("state"), request, stream: z.string(), snapshot: z.unknown().optional() }),
+    z.object({ kind: z.literal("fetchAnswer"), request, team: z.string(), keyHash: z.string() }),
+    z.object({
+        kind: z.literal("answer"),
+        request,
+        found: z.boolean(),
+        status: z.number().int().optional(),
+        headers: z.record(z.string(), z.string()).optional(),
+        body: z.instanceof(Uint8Array).optional(),
+        outcome: outcomeSchema.optional(),
+    }),
+    z.object({ kind: z.literal("fetchExplanation"), request, requestId: z.string() }),
+    z.object({ kind: z.literal("explanation"), request, explanation: z.unknown().optional() }),
+    z.object({ kind: z.literal("fetchStatus"), request }),
+    z.object({ kind: z.literal("status"), request, status: z.unknown() }),
+]);
+
+/** Member of the cluster as told between daemons. */
+export type Member = z.infer<typeof memberSchema>;
+/** Observation as told between daemons. */
+export type SharedObservation = z.infer<typeof sharedObservationSchema>;
+/** Message between daemons. */
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+/** Message of one kind. */
+export type PeerMessageOf<Kind extends PeerMessage["kind"]> = Extract<PeerMessage, { kind: Kind; }>;
--- /dev/null
+++ b/packages/daemon/src/ports/clock.ts
@@ -0,0 +1,9 @@
+/** Port to the clocks of the process. Timers are the global ones, so that tests can use fake timers. */
+
+/** Clocks of the process, both in milliseconds. */
+export interface Clock {
+    /** Monotonic time; starts anywhere, never goes back. */
+    monotonic(): number;
+    /** Wall time since the Unix epoch. */
+    wall(): number;
+}
--- /dev/null
+++ b/packages/daemon/src/ports/engine.ts
@@ -0,0 +1,58 @@
+/** Port to the engines on target hosts. */
+import type { Report } from "@damaskvale/core";
+import type { Result } from "ts-results";
+
+/** Why a call to a target failed. */
+export interface TargetFailure {
+    /**
+     * `not-sent`: no byte was written. `refused`: the target says that it refused before starting.
+     * `broken`: the connection failed after bytes were written. `silent`: a progress deadline passed.
+     * `failed`: the target answered with an error after starting. `cancelled`: our side gave up.
+     */
+    readonly kind: "not-sent" | "refused" | "broken" | "silent" | "failed" | "cancelled";
+    readonly message: string;
+    readonly status?: number;
+}
+
+/** One order to an engine. */
+export interface Order {
+    readonly order: "assign" | "clear";
+    readonly group: string;
+    readonly fence: number;
+    readonly model?: string;
+    readonly version?: string;
+    readonly members?: readonly { readonly host: string; readonly url: string; }[];
+    readonly leader?: string;
+}
+
+/** A request to the leader of a group. */
+export interface EngineRequest {
+    readonly url: string;
+    readonly attemptId: string;
+    readonly group: string;
+    readonly fence: number;
+    readonly priority: number;
+    /** Checked chat completion request, as the caller sent it. */
+    readonly body: Readonly<Record<string, unknown>>;
+    readonly stream: boolean;
+    readonly signal: AbortSignal;
+    readonly traceparent?: string;
+}
+
+/** What an engine sends for one attempt, in order. `index` counts data events from 0. */
+export type EngineEvent =
+    | { readonly kind: "progress"; }
+    | { readonly kind: "chunk"; readonly index: number; readonly data: Readonly<Record<string, unknown>>; }
+    | { readonly kind: "done"; }
+    | { readonly kind: "whole"; readonly status: number; readonly body: Readonly<Record<string, unknown>>; }
+    | { readonly kind: "failure"; readonly failure: TargetFailure; };
+
+/** Client of the engines. */
+export interface EngineClient {
+    report(url: string, timeoutMilliseconds: number): Promise<Result<Report, TargetFailure>>;
+    order(url: string, order: Order, timeoutMilliseconds: number): Promise<Result<void, TargetFailure>>;
+    complete(request: EngineRequest): AsyncIterable<EngineEvent>;
+    /** Continues the stream of an attempt on a new connection, from a data event index. */
+    resume(request: EngineRequest, fromIndex: number): AsyncIterable<EngineEvent>;
+    cancel(url: string, attemptId: string): Promise<void>;
+}
--- /dev/null
+++ b/packages/daemon/src/ports/peers.ts
@@ -0,0 +1,23 @@
+/** Port to the other daemons. */
+import type { PeerMessage } from "../messages.js";
+
+/** Link state of one peer. */
+export interface PeerLink {
+    readonly daemon: string;
+    readonly dataCentre: string;
+    readonly connected: boolean;
+}
+
+/** Messages to and from other daemons. Delivery is not guaranteed; order holds for each peer while connected. */
+export interface PeerNetwork {
+    /** Returns false when there is no open link to the peer. */
+    send(daemon: string, message: PeerMessage): boolean;
+    /** Registers the receiver of messages of one kind. */
+    receive<Kind extends PeerMessage["kind"]>(
+        kind: Kind,
+        receiver: (from: string, message: Extract<PeerMessage, { kind: Kind; }>) => void,
+    ): void;
+    /** Opens a link to a peer address (`ws://IP:PORT`) and keeps it open. */
+    connect(address: string): void;
+    links(): readonly PeerLink[];
+}
--- /dev/null
+++ b/packages/daemon/src/ports/service.ts
@@ -0,0 +1,29 @@
+/** Port to plain services. */
+import type { Result } from "ts-results";
+import type { TargetFailure } from "./engine.js";
+
+/** Request to a plain service. `path` starts with a slash and holds the query. */
+export interface ServiceRequest {
+    readonly url: string;
+    readonly attemptId: string;
+    readonly idempotencyKey?: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer;
+    readonly timeoutMilliseconds: number;
+    readonly signal: AbortSignal;
+    readonly traceparent?: string;
+}
+
+/** Whole answer of a plain service. */
+export interface ServiceAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer;
+}
+
+/** Client of the plain services. */
+export interface ServiceClient {
+    call(request: ServiceRequest): Promise<Result<ServiceAnswer, TargetFailure>>;
+}
--- /dev/null
+++ b/packages/daemon/src/ports/tableview.ts
@@ -0,0 +1,19 @@
+/** Port to the table in force, as the request path reads it. */
+import type { Row, RowOf } from "@damaskvale/core";
+
+/** Immutable view of the table at one offset. */
+export interface TableView {
+    /** Offset below which all configuration entries are in force. */
+    readonly nextOffset: number;
+    readonly rows: readonly { readonly key: string; readonly revision: number; readonly row: Row; }[];
+    model(name: string): RowOf<"model"> | undefined;
+    team(name: string): RowOf<"team"> | undefined;
+    /** Team that owns the key with this SHA-256 in hex. */
+    teamByKeyHash(keyHash: string): RowOf<"team"> | undefined;
+    target(name: string): RowOf<"target"> | undefined;
+    service(name: string): RowOf<"service"> | undefined;
+    /** Most specific call row for a request to a service; absent means repeatable only for GET, HEAD and OPTIONS. */
+    call(service: string, method: string, path: string): RowOf<"call"> | undefined;
+    /** Most specific rule for a combination. */
+    rule(model: string, team: string, target: string): RowOf<"rule"> | undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,149 @@
+/** Settings of the daemon: one schema gives types, checks, flags, environment variables and documentation. */
+import { type Issue, issue, IssuesError, issuesFromZod } from "@damaskvale/core";
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+
+/** What the documentation and the command line show about a setting. */
+export interface SettingDescription {
+    readonly description: string;
+    readonly example: string;
+    /** A secret is never printed. */
+    readonly secret?: boolean;
+}
+
+const address = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, "must be IP:PORT");
+const httpUrl = z.url({ protocol: /^https?$/ });
+const daemonName = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be a lower-case name");
+const list = <Item extends z.ZodType>(item: Item) =>
+    z.preprocess(
+        value =>
+            typeof value === "string" ? value.split(",").map(part => part.trim()).filter(part => part !== "") : value,
+        z.array(item),
+    );
+const count = (minimum: number, maximum: number) => z.coerce.number().int().min(minimum).max(maximum);
+const described = <Schema extends z.ZodType>(schema: Schema, description: SettingDescription) =>
+    schema.meta({ ...description });
+
+/** Schema of the settings. Keys are in camel case; flags and environment variables are derived from them. */
+export const settingsSchema = z.object({
+    name: described(daemonName, {
+        description: "Name of this daemon, unique in the deployment.",
+        example: "pta-hall-a-1",
+    }),
+    dataCentre: described(daemonName, { description: "Data centre of this daemon.", example: "pta-hall-a" }),
+    listen: described(address, { description: "Address for callers and operators.", example: "127.0.0.1:8080" }),
+    peerListen: described(address, { description: "Address for other daemons.", example: "127.0.0.1:8090" }),
+    peers: described(list(address).default([]), {
+        description: "Addresses of other daemons to start from, separated by commas.",
+        example: "127.0.0.1:8091,127.0.0.1:8092",
+    }),
+    platform: described(httpUrl, { description: "Base URL of the platform.", example: "http://127.0.0.1:7000" }),
+    operatorTokens: described(list(z.string().min(16)), {
+        description: "Tokens of operators, separated by commas.",
+        example: "TOKEN",
+        secret: true,
+    }),
+    peerSecret: described(z.string().min(16), {
+        description: "Secret shared by all daemons of the deployment.",
+        example: "SECRET",
+        secret: true,
+    }),
+    targetCredential: described(z.string().min(16), {
+        description: "Credential presented to engines and services.",
+        example: "CREDENTIAL",
+        secret: true,
+    }),
+    maximumBodyBytes: described(count(1024, 64 * 1024 * 1024).default(1024 * 1024), {
+        description: "Largest accepted request body in bytes.",
+        example: "1048576",
+    }),
+    headerTimeoutMilliseconds: described(count(100, 120_000).default(10_000), {
+        description: "Time within which a caller must have sent its request headers.",
+        example: "10000",
+    }),
+    bodyTimeoutMilliseconds: described(count(100, 600_000).default(30_000), {
+        description: "Time within which a caller must have sent its request body.",
+        example: "30000",
+    }),
+    shutdownBoundMilliseconds: described(count(0, 3_600_000).default(120_000), {
+        description: "Longest time that a graceful shutdown waits for requests in progress.",
+        example: "120000",
+    }),
+    concurrencyPerGroup: described(count(1, 4096).default(16), {
+        description: "Requests in progress per replica group that this daemon counts on when it sizes its queue.",
+        example: "16",
+    }),
+    statsdAddress: described(address.optional(), {
+        description: "StatsD receiver of the metrics.",
+        example: "127.0.0.1:8125",
+    }),
+    otlpUrl: described(httpUrl.optional(), {
+        description: "OTLP HTTP receiver of the traces.",
+        example: "http://127.0.0.1:4318/v1/traces",
+    }),
+    logLevel: described(z.enum(["debug", "info", "warn", "error"]).default("info"), {
+        description: "Lowest level of log events that is written.",
+        example: "info",
+    }),
+});
+
+/** Settings of the daemon. */
+export type Settings = z.infer<typeof settingsSchema>;
+/** Name of a setting. */
+export type SettingName = keyof Settings;
+
+/** Names of all settings, in the order of the documentation. */
+export const settingNames = Object.keys(settingsSchema.shape) as SettingName[];
+
+/** Returns the flag of a setting without dashes in front, such as `peer-listen`. */
+export function flagName(name: SettingName): string {
+    return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
+}
+
+/** Returns the environment variable of a setting, such as `DAMASKVALE_PEER_LISTEN`. */
+export function environmentName(name: SettingName): string {
+    return `DAMASKVALE_${flagName(name).replaceAll("-", "_").toUpperCase()}`;
+}
+
+/** Returns what the documentation says about a setting. */
+export function describeSetting(name: SettingName): SettingDescription {
+    return settingsSchema.shape[name].meta() as unknown as SettingDescription;
+}
+
+/** Reads settings from flags and environment variables; flags go first. Reports all findings together. */
+export function safeParseSettings(
+    flags: Readonly<Record<string, string | undefined>>,
+    environment: Readonly<Record<string, string | undefined>>,
+): Result<Settings, Issue[]> {
+    const values = Object.fromEntries(
+        settingNames
+            .map(name => [name, flags[flagName(name)] ?? environment[environmentName(name)]] as const)
+            .filter(([, value]) => value !== undefined),
+    );
+    const unknown = Object.keys(environment)
+        .filter(key => key.startsWith("DAMASKVALE_") && !settingNames.some(name => environmentName(name) === key))
+        .map(key => issue("unknown_setting", [key], "is not a setting of the daemon"));
+    const parsed = settingsSchema.safeParse(values);
+    if (parsed.success && unknown.length === 0) {
+        return Ok(parsed.data);
+    }
+    return Err([...unknown, ...(parsed.success ? [] : issuesFromZod(parsed.error).map(placed))]);
+}
+
+/** Reads settings, or throws `IssuesError` with all findings. */
+export function parseSettings(
+    flags: Readonly<Record<string, string | undefined>>,
+    environment: Readonly<Record<string, string | undefined>>,
+): Settings {
+    const result = safeParseSettings(flags, environment);
+    if (result.err) {
+        throw new IssuesError(result.val);
+    }
+    return result.val;
+}
+
+function placed(found: Issue): Issue {
+    const name = found.path[0] as SettingName;
+    const source = `--${flagName(name)} or ${environmentName(name)}`;
+    return issue(found.code, [source, ...found.path.slice(1)], found.message);
+}
