--- /dev/null
+++ b/packages/daemon/src/adapters/engineclient.ts
@@ -0,0 +1,254 @@
+/** Client of the engines on target hosts. */
+import { reportSchema } from "@damaskvale/core";
+import { Err, Ok, type Result } from "ts-results";
+import type { EngineClient, EngineEvent, EngineRequest, TargetFailure } from "../ports/engine.js";
+import { exchange, type ExchangeEvent, type ExchangeRequest } from "./exchange.js";
+import type { TargetPools } from "./pools.js";
+import { createChunkParser } from "./ssechunks.js";
+import { isForeign, parseObject, refusalOf } from "./targetanswer.js";
+
+/** Options of the client. Times in milliseconds. */
+export interface EngineClientOptions {
+    readonly pools: TargetPools;
+    readonly credential: string;
+    /** Told of each event or answer that was dropped because it belongs to another attempt. */
+    readonly onForeignData: (url: string, attemptId: string) => void;
+    /** Told of each silent connection. */
+    readonly onSilence: (url: string, lost: "connection" | "target") => void;
+    readonly firstTokenTimeoutMilliseconds?: number;
+    readonly tokenTimeoutMilliseconds?: number;
+    readonly probeTimeoutMilliseconds?: number;
+}
+
+/** Progress deadline up to the first byte of an answer. */
+export const FIRST_TOKEN_TIMEOUT_MILLISECONDS = 5_000;
+/** Progress deadline between bytes of a streamed answer. */
+export const TOKEN_TIMEOUT_MILLISECONDS = 2_000;
+/** A working engine reports within this time. */
+const PROBE_TIMEOUT_MILLISECONDS = 500;
+/** A cancellation that takes longer is given up; the engine ends the attempt when it loses the connection. */
+const CANCEL_TIMEOUT_MILLISECONDS = 1_000;
+/** Largest whole answer that is held in memory. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Statuses with which an engine rejects the content of a request; the caller gets these answers. */
+const CALLER_ERROR_STATUSES: readonly number[] = [400, 413, 422];
+
+/** Makes the client. Each request is written at most once; repeats are the dispatcher's decision. */
+export function createEngineClient(options: EngineClientOptions): EngineClient {
+    const authorization = { authorization: `Bearer ${options.credential}` };
+    return {
+        report: async (url, timeoutMilliseconds) => {
+            const answer = await control(options, { url, method: "GET", path: "/report", timeoutMilliseconds });
+            return answer.andThen(({ body }) => {
+                const parsed = reportSchema.safeParse(parseObject(body));
+                return parsed.success
+                    ? Ok(parsed.data)
+                    : Err<TargetFailure>({ kind: "failed", message: "the report of the engine does not parse" });
+            });
+        },
+        order: async (url, order, timeoutMilliseconds) => {
+            const body = JSON.stringify(order);
+            const answer = await control(options, { url, method: "POST", path: "/orders", body, timeoutMilliseconds });
+            return answer.map(() => undefined);
+        },
+        complete: request =>
+            run(options, request, {
+                method: "POST",
+                path: "/v1/chat/completions",
+                body: request.rawBody ?? JSON.stringify(request.body),
+                headers: { ...authorization, ...attemptHeaders(request), "content-type": "application/json" },
+            }, 0),
+        resume: (request, fromIndex) =>
+            run(options, request, {
+                method: "GET",
+                path: `/attempts/${encodeURIComponent(request.attemptId)}/stream?from=${fromIndex}`,
+                headers: { ...authorization, ...attemptHeaders(request) },
+            }, fromIndex),
+        cancel: async (url, attemptId) => {
+            const path = `/attempts/${encodeURIComponent(attemptId)}`;
+            await control(options, { url, method: "DELETE", path, timeoutMilliseconds: CANCEL_TIMEOUT_MILLISECONDS });
+        },
+    };
+}
+
+/** Part of an exchange that differs between a new and a resumed stream. */
+type Call = Pick<ExchangeRequest, "method" | "path" | "headers" | "body">;
+
+async function* run(
+    options: EngineClientOptions,
+    request: EngineRequest,
+    call: Call,
+    fromIndex: number,
+): AsyncGenerator<EngineEvent> {
+    const origin = new URL(request.url).origin;
+    const firstToken = options.firstTokenTimeoutMilliseconds ?? FIRST_TOKEN_TIMEOUT_MILLISECONDS;
+    const token = options.tokenTimeoutMilliseconds ?? TOKEN_TIMEOUT_MILLISECONDS;
+    const chunks = createChunkParser({
+        attemptId: request.attemptId,
+        fromIndex,
+        completionId: request.completionId,
+        onForeignData: () => options.onForeignData(request.url, request.attemptId),
+    });
+    const answer = createAnswer();
+    const waited = { milliseconds: 0 };
+    const quietAfter = (): number => chunks.started() ? token : firstToken;
+    const events = exchange(options.pools, {
+        ...call,
+        origin,
+        signal: request.signal,
+        quietAfter,
+        ...(request.mayWrite === undefined ? {} : { mayWrite: request.mayWrite }),
+    });
+
+    for await (const event of events) {
+        if (event.kind === "failure") {
+            yield event;
+            return;
+        }
+        if (event.kind === "quiet") {
+            waited.milliseconds += quietAfter();
+            const lost = await findLoss(options, origin);
+            const limit = request.stream ? 0 : request.wholeTimeoutMilliseconds ?? 0;
+            if (lost === "connection" && waited.milliseconds < limit) {
+                continue;
+            }
+            options.pools.replace(origin);
+            options.onSilence(request.url, lost);
+            yield failure({ kind: "silent", message: "the engine made no progress in time", lost });
+            return;
+        }
+        const taken = take(event, request, answer, chunks, options);
+        yield* taken;
+        if (taken.some(({ kind }) => kind === "done" || kind === "whole" || kind === "failure")) {
+            return;
+        }
+    }
+}
+
+interface Answer {
+    head?: Extract<ExchangeEvent, { kind: "head"; }>;
+    readonly body: Buffer[];
+    size: number;
+}
+
+const createAnswer = (): Answer => ({ body: [], size: 0 });
+
+function take(
+    event: Exclude<ExchangeEvent, { kind: "failure" | "quiet"; }>,
+    request: EngineRequest,
+    answer: Answer,
+    chunks: ReturnType<typeof createChunkParser>,
+    options: EngineClientOptions,
+): EngineEvent[] {
+    if (event.kind === "head") {
+        answer.head = event;
+        if (isForeign(event.headers, request.attemptId)) {
+            options.onForeignData(request.url, request.attemptId);
+            return [failure({ kind: "broken", message: "the answer belongs to another attempt" })];
+        }
+        return [{ kind: "progress" }];
+    }
+    const streamed = answer.head?.status === 200
+        && (answer.head.headers["content-type"] ?? "").startsWith("text/event-stream");
+    if (event.kind === "end") {
+        return streamed
+            ? [failure({ kind: "broken", message: "the stream ended without its end marker" })]
+            : [wholeOf(answer)];
+    }
+    if (streamed) {
+        return chunks.feed(event.data);
+    }
+    answer.body.push(event.data);
+    answer.size += event.data.length;
+    return answer.size > MAXIMUM_ANSWER_BYTES
+        ? [failure({ kind: "failed", message: "the answer of the engine is too large" })]
+        : [{ kind: "progress" }];
+}
+
+function wholeOf({ head, body }: Answer): EngineEvent {
+    const raw = Buffer.concat(body);
+    const status = head?.status ?? 0;
+    const refusal = refusalOf(status, raw);
+    if (refusal !== undefined) {
+        return failure(refusal);
+    }
+    const parsed = parseObject(raw);
+    if (parsed !== undefined && (status === 200 || CALLER_ERROR_STATUSES.includes(status))) {
+        return { kind: "whole", status, body: parsed, raw };
+    }
+    return failure({ kind: "failed", status, message: `the engine answered with status ${status}` });
+}
+
+async function findLoss(options: EngineClientOptions, origin: string): Promise<"connection" | "target"> {
+    const works = await options.pools.probe(origin, {
+        method: "GET",
+        path: "/report",
+        headers: { authorization: `Bearer ${options.credential}` },
+        timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
+    });
+    return works ? "connection" : "target";
+}
+
+/** A short call with one deadline for all of it. */
+interface ControlCall {
+    readonly url: string;
+    readonly method: string;
+    readonly path: string;
+    readonly body?: string;
+    readonly timeoutMilliseconds: number;
+}
+
+async function control(
+    options: EngineClientOptions,
+    call: ControlCall,
+): Promise<Result<{ body: Buffer; }, TargetFailure>> {
+    const deadline = AbortSignal.timeout(call.timeoutMilliseconds);
+    const answer = createAnswer();
+    const events = exchange(options.pools, {
+        origin: new URL(call.url).origin,
+        method: call.method,
+        path: call.path,
+        headers: {
+            authorization: `Bearer ${options.credential}`,
+            ...(call.body === undefined ? {} : { "content-type": "application/json" }),
+        },
+        body: call.body,
+        signal: deadline,
+        quietAfter: () => call.timeoutMilliseconds,
+    });
+    for await (const event of events) {
+        if (event.kind === "failure" || event.kind === "quiet") {
+            const late = deadline.aborted || event.kind === "quiet";
+            const given = event.kind === "failure" ? event.failure : undefined;
+            return Err(
+                late && given?.kind !== "not-sent"
+                    ? { kind: "silent", message: "the engine did not answer in time" }
+                    : given ?? { kind: "silent", message: "the engine did not answer in time" },
+            );
+        }
+        if (event.kind === "head") {
+            answer.head = event;
+        }
+        if (event.kind === "data") {
+            answer.body.push(event.data);
+        }
+    }
+    const status = answer.head?.status ?? 0;
+    const kind = status === 409 ? "refused" : "failed";
+    return status === 200
+        ? Ok({ body: Buffer.concat(answer.body) })
+        : Err({ kind, status, message: `the engine answered with status ${status}` });
+}
+
+function attemptHeaders(request: EngineRequest): Record<string, string> {
+    return {
+        "x-attempt-id": request.attemptId,
+        "x-group": request.group,
+        "x-fence": String(request.fence),
+        "x-priority": String(request.priority),
+        ...(request.idempotencyKey === undefined ? {} : { "idempotency-key": request.idempotencyKey }),
+        ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+    };
+}
+
+const failure = (given: TargetFailure): EngineEvent => ({ kind: "failure", failure: given });
--- /dev/null
+++ b/packages/daemon/src/adapters/exchange.ts
@@ -0,0 +1,148 @@
+/** One HTTP exchange with a target, as a sequence of events that tells exactly whether a byte was written. */
+import type { Dispatcher } from "undici";
+import type { TargetFailure } from "../ports/engine.js";
+import { createEventQueue } from "./eventqueue.js";
+import type { TargetPools } from "./pools.js";
+
+/** Request of an exchange. */
+export interface ExchangeRequest {
+    readonly origin: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body?: Buffer | string;
+    readonly signal: AbortSignal;
+    /** Asked immediately before the first byte is written. */
+    readonly mayWrite?: () => boolean;
+    /** Longest wait for the next event, in milliseconds; read anew before each wait. */
+    readonly quietAfter: () => number;
+}
+
+/** What happens in an exchange, in order. After `quiet` the consumer decides whether to wait on. */
+export type ExchangeEvent =
+    | { readonly kind: "head"; readonly status: number; readonly headers: Readonly<Record<string, string>>; }
+    | { readonly kind: "data"; readonly data: Buffer; }
+    | { readonly kind: "end"; }
+    | { readonly kind: "quiet"; }
+    | { readonly kind: "failure"; readonly failure: TargetFailure; };
+
+/** Events that may wait for the consumer before the connection is paused. */
+const MAXIMUM_WAITING_EVENTS = 16;
+
+/**
+ * Runs one exchange. A request counts as written from the moment at which undici hands it to a connected socket,
+ * because nothing can be taken back after that. The request is never resent. The silence timer runs only while the
+ * consumer waits, so a slow caller does not look like a silent target.
+ */
+export async function* exchange(pools: TargetPools, request: ExchangeRequest): AsyncGenerator<ExchangeEvent> {
+    const queue = createEventQueue<ExchangeEvent>();
+    const state = { written: false, stopped: false };
+    let controller: Dispatcher.DispatchController | undefined;
+
+    const stop = (failure: TargetFailure): void => {
+        queue.push({ kind: "failure", failure });
+        state.stopped = true;
+        controller?.abort(new Error(failure.message));
+    };
+    const onAbort = (): void =>
+        stop({ kind: state.written ? "cancelled" : "not-sent", message: "the request was cancelled" });
+
+    if (request.signal.aborted) {
+        yield { kind: "failure", failure: { kind: "not-sent", message: "the request was cancelled" } };
+        return;
+    }
+    request.signal.addEventListener("abort", onAbort, { once: true });
+    try {
+        start(pools, request, {
+            onRequestStart: started => {
+                controller = started;
+                const allowed = !state.stopped && !request.signal.aborted && (request.mayWrite?.() ?? true);
+                if (!allowed) {
+                    started.abort(new Error("the request was no longer allowed when it was about to be written"));
+                    return;
+                }
+                state.written = true;
+            },
+            onResponseStart: (from, status, headers) => {
+                if (status >= 200) {
+                    queue.push({ kind: "head", status, headers: flatHeaders(headers) });
+                    pauseWhenFull(from, queue.size());
+                }
+            },
+            onResponseData: (from, data) => {
+                queue.push({ kind: "data", data });
+                pauseWhenFull(from, queue.size());
+            },
+            onResponseEnd: () => queue.push({ kind: "end" }),
+            onResponseError: (...[, error]) => {
+                const kind = state.written ? "broken" : "not-sent";
+                queue.push({ kind: "failure", failure: { kind, message: error.message } });
+            },
+        });
+        yield* consume(request, queue, state, () => controller?.paused === true && controller.resume());
+    }
+    finally {
+        state.stopped = true;
+        request.signal.removeEventListener("abort", onAbort);
+        controller?.abort(new Error("the exchange is over"));
+    }
+}
+
+async function* consume(
+    request: ExchangeRequest,
+    queue: ReturnType<typeof createEventQueue<ExchangeEvent>>,
+    state: { readonly written: boolean; },
+    resume: () => void,
+): AsyncGenerator<ExchangeEvent> {
+    for (;;) {
+        if (queue.size() === 0) {
+            resume();
+        }
+        const event = await queue.next(request.quietAfter());
+        if (event === undefined) {
+            if (!state.written) {
+                yield { kind: "failure", failure: { kind: "not-sent", message: "no connection was made in time" } };
+                return;
+            }
+            yield { kind: "quiet" };
+            continue;
+        }
+        yield event;
+        if (event.kind === "end" || event.kind === "failure") {
+            return;
+        }
+    }
+}
+
+function start(pools: TargetPools, request: ExchangeRequest, handler: Dispatcher.DispatchHandler): void {
+    pools.of(request.origin).dispatch({
+        path: request.path,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: { ...request.headers },
+        body: request.body,
+        idempotent: false,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    }, handler);
+}
+
+function pauseWhenFull(controller: Dispatcher.DispatchController, waiting: number): void {
+    if (waiting > MAXIMUM_WAITING_EVENTS && !controller.paused) {
+        controller.pause();
+    }
+}
+
+function flatHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
+    return Object.fromEntries(
+        Object.entries(headers).flatMap(([name, value]) =>
+            value === undefined
+                ? []
+                : [[name.toLowerCase(), Array.isArray(value) ? value.join(separatorOf(name)) : value]]
+        ),
+    );
+}
+
+/** Cookies hold commas, so that they are joined by a line feed, which no header value can hold. */
+function separatorOf(name: string): string {
+    return name.toLowerCase() === "set-cookie" ? "\n" : ", ";
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/serviceclient.ts
@@ -0,0 +1,108 @@
+/** Client of the plain services. */
+import { Err, Ok, type Result } from "ts-results";
+import type { TargetFailure } from "../ports/engine.js";
+import type { ServiceAnswer, ServiceClient, ServiceRequest } from "../ports/service.js";
+import { exchange, type ExchangeEvent } from "./exchange.js";
+import type { TargetPools } from "./pools.js";
+import { isForeign, refusalOf } from "./targetanswer.js";
+
+/** Options of the client. */
+export interface ServiceClientOptions {
+    readonly pools: TargetPools;
+    readonly credential: string;
+    /** Told of each answer that was dropped because it belongs to another attempt. */
+    readonly onForeignData: (url: string, attemptId: string) => void;
+    /** Told of each silent connection. */
+    readonly onSilence: (url: string, lost: "connection" | "target") => void;
+    readonly probeTimeoutMilliseconds?: number;
+    readonly maximumAnswerBytes?: number;
+}
+
+/** A working target answers a probe within this time. */
+const PROBE_TIMEOUT_MILLISECONDS = 500;
+/** Largest answer that is held in memory. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Makes the client. Each call is written at most once; repeats are the dispatcher's decision. */
+export function createServiceClient(options: ServiceClientOptions): ServiceClient {
+    const silent = async (request: ServiceRequest): Promise<TargetFailure> => {
+        const works = await options.pools.probe(originOf(request.url), {
+            method: "HEAD",
+            path: "/",
+            headers: { authorization: `Bearer ${options.credential}` },
+            timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
+        });
+        const lost = works ? "connection" : "target";
+        options.pools.replace(originOf(request.url));
+        options.onSilence(request.url, lost);
+        return { kind: "silent", message: "the service did not answer in time", lost };
+    };
+
+    return {
+        call: async request => {
+            const chunks: Buffer[] = [];
+            let head: Extract<ExchangeEvent, { kind: "head"; }> | undefined;
+            let size = 0;
+            for await (const event of exchange(options.pools, exchangeOf(request, options.credential))) {
+                if (event.kind === "quiet") {
+                    return Err(await silent(request));
+                }
+                if (event.kind === "failure") {
+                    return Err(event.failure);
+                }
+                if (event.kind === "head") {
+                    head = event;
+                }
+                if (event.kind === "data") {
+                    chunks.push(event.data);
+                    size += event.data.length;
+                }
+                if (size > (options.maximumAnswerBytes ?? MAXIMUM_ANSWER_BYTES)) {
+                    return Err({ kind: "failed", message: "the answer of the service is too large" });
+                }
+            }
+            return finish(request, options, head, Buffer.concat(chunks));
+        },
+    };
+}
+
+function finish(
+    request: ServiceRequest,
+    options: ServiceClientOptions,
+    head: Extract<ExchangeEvent, { kind: "head"; }> | undefined,
+    body: Buffer,
+): Result<ServiceAnswer, TargetFailure> {
+    if (head === undefined) {
+        return Err({ kind: "broken", message: "the connection ended without an answer" });
+    }
+    if (isForeign(head.headers, request.attemptId)) {
+        options.onForeignData(request.url, request.attemptId);
+        return Err({ kind: "broken", message: "the answer belongs to another attempt" });
+    }
+    const refusal = refusalOf(head.status, body);
+    return refusal === undefined ? Ok({ status: head.status, headers: head.headers, body }) : Err(refusal);
+}
+
+function exchangeOf(request: ServiceRequest, credential: string): Parameters<typeof exchange>[1] {
+    const base = new URL(request.url).pathname.replace(/\/$/, "");
+    return {
+        origin: originOf(request.url),
+        method: request.method,
+        path: `${base}${request.path}`,
+        headers: {
+            ...request.headers,
+            "authorization": `Bearer ${credential}`,
+            "x-attempt-id": request.attemptId,
+            ...(request.idempotencyKey === undefined ? {} : { "idempotency-key": request.idempotencyKey }),
+            ...(request.traceparent === undefined ? {} : { traceparent: request.traceparent }),
+        },
+        ...(request.body.length === 0 ? {} : { body: request.body }),
+        signal: request.signal,
+        ...(request.mayWrite === undefined ? {} : { mayWrite: request.mayWrite }),
+        quietAfter: () => request.timeoutMilliseconds,
+    };
+}
+
+function originOf(url: string): string {
+    return new URL(url).origin;
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/chat.ts
@@ -0,0 +1,112 @@
+/** Runs a chat completion request: choice of a group, attempts, and forwarding when there is no group. */
+import type { RouteRequest } from "@damaskvale/core";
+import type { DispatchableGroup } from "../ports/groupview.js";
+import { groupCandidates } from "./candidates.js";
+import { attemptOnGroup } from "./chatattempt.js";
+import { forwardChat } from "./forward.js";
+import { hashPrefixes } from "./prefixes.js";
+import { stopped } from "./refusals.js";
+import type { RuleLimits } from "./rulelimits.js";
+import { attemptsFailed, mayRetry, nextAttemptId, recordAttempt, type Run, type RunResult } from "./run.js";
+import type { ChatRequest } from "./types.js";
+
+/** Runs the request until it has its answer or must not be tried again. */
+export async function runChat(run: Run<ChatRequest>, limits: RuleLimits): Promise<RunResult> {
+    const { context, request, lifetime } = run;
+    const prefixes = hashPrefixes(request.model, request.body["messages"]);
+    // Only the first daemon that holds a request repeats work that may have run.
+    const repeatable = request.forwardedBy === undefined;
+    for (;;) {
+        if (lifetime.reason() !== undefined) {
+            return { error: stopped(lifetime, run.maybeRan), tokens: 0 };
+        }
+        if (!await mayRetry(run, repeatable, lifetime.signal)) {
+            return { error: attemptsFailed(run), tokens: 0 };
+        }
+        if (lifetime.reason() !== undefined) {
+            continue;
+        }
+        const routing = context.tracer.start("routing", request.traceparent);
+        const found = findGroup(run, limits, prefixes);
+        routing.setAttribute("target", found.group?.group ?? "none");
+        routing.end();
+        if (found.group === undefined) {
+            return await withoutGroup(run, found.limited);
+        }
+        const finish = limits.begin(found.rule, context.clock.monotonic());
+        const tokens = await tryGroup(run, { ...found, group: found.group }).finally(finish);
+        if (tokens !== undefined) {
+            return { tokens };
+        }
+    }
+}
+
+function findGroup(run: Run<ChatRequest>, limits: RuleLimits, prefixes: readonly string[]) {
+    const { context, request } = run;
+    const now = context.clock.monotonic();
+    const groups = context.groups.dispatchable(request.model);
+    const found = groupCandidates(context.table.current(), limits, request.team.name, groups, now);
+    const ask = (excluded: readonly string[]): RouteRequest => ({ prefixes, priority: request.priority, excluded });
+    const router = context.router(request.model);
+    const first = router.choose(found.candidates, ask(run.tried), now);
+    // A group that was tried is tried again only if there is no other and its target has not refused.
+    const again = first.target === undefined && run.tried.length > 0 && run.lastFailure?.kind !== "refused";
+    const choice = again ? router.choose(found.candidates, ask([]), now) : first;
+    const chosen = found.targets.get(choice.target ?? "");
+    return { group: chosen?.target, rule: chosen?.rule, choice, route: ask(run.tried), limited: found.limited };
+}
+
+async function withoutGroup(run: Run<ChatRequest>, limited: boolean): Promise<RunResult> {
+    if (run.attempts > 0) {
+        return { error: attemptsFailed(run), tokens: 0 };
+    }
+    if (limited) {
+        return { error: { code: "rate_limited", message: "A rule limits the requests to this model." }, tokens: 0 };
+    }
+    return await forwardChat(run) ?? {
+        error: { code: "no_ready_group", message: `No replica group of model ${run.request.model} is ready.` },
+        tokens: 0,
+    };
+}
+
+/** Returns the tokens of a complete answer, or `undefined` after a failure. */
+async function tryGroup(
+    run: Run<ChatRequest>,
+    found: ReturnType<typeof findGroup> & { readonly group: DispatchableGroup; },
+): Promise<number | undefined> {
+    const { context, request } = run;
+    const { group, choice, route } = found;
+    const router = context.router(request.model);
+    const startedAt = context.clock.monotonic();
+    const attemptId = nextAttemptId(run);
+    const span = context.tracer.start("attempt", request.traceparent);
+    span.setAttribute("attempt", attemptId);
+    span.setAttribute("group", group.group);
+    router.sent(group.group, route, startedAt);
+    const result = await attemptOnGroup(run, group, attemptId, span.traceparent);
+    const refused = result.failure?.kind === "refused" || result.failure?.kind === "not-sent";
+    router.finished({
+        target: group.group,
+        finishedAt: context.clock.monotonic(),
+        result: result.failure === undefined
+            ? "complete"
+            : run.lifetime.signal.aborted
+            ? "cancelled"
+            : refused
+            ? "refused"
+            : "failed",
+        ...(result.firstTokenAt === undefined ? {} : { firstTokenMilliseconds: result.firstTokenAt - startedAt }),
+    });
+    recordAttempt(run, {
+        attemptId,
+        target: group.group,
+        fence: group.fence,
+        weighed: choice.weighed,
+        startedAt,
+        failure: result.failure,
+        resumes: result.resumes,
+    });
+    run.maybeRan ||= result.maybeRan;
+    span.end(result.failure?.message);
+    return result.failure === undefined ? result.tokens : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/delivery.ts
@@ -0,0 +1,41 @@
+/** Delivery of one answer: exactly one final answer, whatever the parts of the dispatcher do. */
+import type { AnswerSink, CallerError, WholeAnswer } from "./types.js";
+
+/** Delivery of one answer. Calls after the final one have no effect. */
+export interface Delivery {
+    /** Whether a stream has been started. */
+    started(): boolean;
+    finished(): boolean;
+    chunk(data: string): Promise<void> | undefined;
+    whole(answer: WholeAnswer): void;
+    done(): void;
+    fail(error: CallerError): void;
+}
+
+/** Makes the delivery to one sink. */
+export function createDelivery(sink: AnswerSink): Delivery {
+    const state = { started: false, finished: false };
+    const finishWith = (action: () => void): void => {
+        if (!state.finished) {
+            state.finished = true;
+            action();
+        }
+    };
+    return {
+        started: () => state.started,
+        finished: () => state.finished,
+        chunk: data => {
+            if (state.finished) {
+                return undefined;
+            }
+            state.started = true;
+            return sink.chunk(data);
+        },
+        whole: answer => finishWith(() => sink.whole(answer)),
+        done: () => finishWith(() => sink.done()),
+        fail: error =>
+            finishWith(() =>
+                sink.fail(state.started ? { ...error, code: "stream_incomplete", outcome: "unknown" } : error)
+            ),
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/forwarder.ts
@@ -0,0 +1,25 @@
+/** Port to daemons of other data centres, which take a request when no own group is dispatchable. */
+import type { EngineEvent } from "../ports/engine.js";
+import type { CallerError, ChatRequest, WholeAnswer } from "./types.js";
+
+/** What another daemon sends for a forwarded request. */
+export type ForwardEvent =
+    | Exclude<EngineEvent, { kind: "whole"; }>
+    | { readonly kind: "answer"; readonly answer: WholeAnswer; }
+    | { readonly kind: "error"; readonly error: CallerError; };
+
+/** Request to another daemon. */
+export interface ForwardRequest {
+    readonly address: string;
+    readonly request: ChatRequest;
+    readonly attemptId: string;
+    readonly remainingMilliseconds: number;
+    readonly signal: AbortSignal;
+    readonly mayWrite: () => boolean;
+    readonly traceparent?: string;
+}
+
+/** Sends a request to another daemon once. */
+export interface Forwarder {
+    forward(request: ForwardRequest): AsyncIterable<ForwardEvent>;
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/keys.ts
@@ -0,0 +1,25 @@
+/** Identity of not repeatable requests. */
+import { createHash } from "node:crypto";
+import type { ClaimRequest } from "../ports/claims.js";
+import type { ServiceCallRequest } from "./types.js";
+
+/**
+ * Returns the identity of a request. Without an `idempotency-key` the request id stands in for it; the two are hashed
+ * apart, so that no key of a caller equals a request id.
+ */
+export function claimRequestOf(request: ServiceCallRequest): ClaimRequest {
+    const key = request.idempotencyKey === undefined ? `request\n${request.id}` : `key\n${request.idempotencyKey}`;
+    return {
+        team: request.team.name,
+        keyHash: sha256(key),
+        bodyHash: createHash("sha256")
+            .update(`${request.service.name}\n${request.method}\n${request.path}\n`)
+            .update(request.body)
+            .digest("hex"),
+        deadlineAt: request.deadlineAt,
+    };
+}
+
+function sha256(text: string): string {
+    return createHash("sha256").update(text).digest("hex");
+}
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -35,6 +35,26 @@
         "Raise the shutdown bound if callers lost answers.",
     ),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
+    foreignData: define(
+        301,
+        "warn",
+        "A target sent data of another attempt; the data was dropped.",
+        "Check the target: it mixes up the answers of its requests.",
+    ),
+    outcomeUnknown: define(
+        302,
+        "warn",
+        "A request that must not be repeated ended with an unknown outcome.",
+        "Compare the request id with the journal of the service.",
+    ),
+    connectionLost: define(
+        303,
+        "warn",
+        "A connection to a target stopped delivering while a new connection works; the old ones are replaced.",
+        "Check the network path to the target if this repeats.",
+    ),
+    targetLost: define(304, "warn", "A target stopped answering on new connections too.", "Check the target host."),
+    requestFailed: define(305, "error", "A request failed inside the daemon.", "Report the error with its stack."),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- /dev/null
+++ b/packages/daemon/src/front/body.ts
@@ -0,0 +1,46 @@
+/** Reads request bodies within limits of size and time. */
+import type { IncomingMessage } from "node:http";
+import { Err, Ok, type Result } from "ts-results";
+import type { CallerError } from "../dispatch/types.js";
+
+/** Limits of a body. */
+export interface BodyLimits {
+    readonly maximumBodyBytes: number;
+    readonly bodyTimeoutMilliseconds: number;
+}
+
+/** Reads the body. A body that is too long or too late is not read to its end. */
+export function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer, CallerError>> {
+    const tooLarge: CallerError = {
+        code: "body_too_large",
+        message: `The body is longer than ${limits.maximumBodyBytes} bytes.`,
+    };
+    if (Number(request.headers["content-length"] ?? 0) > limits.maximumBodyBytes) {
+        return Promise.resolve(Err(tooLarge));
+    }
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        const finish = (result: Result<Buffer, CallerError>): void => {
+            clearTimeout(timer);
+            request.off("data", onData).off("end", onEnd).off("error", onBroken).off("close", onBroken);
+            request.on("error", () => undefined);
+            resolve(result);
+        };
+        const onData = (chunk: Buffer): void => {
+            size += chunk.length;
+            chunks.push(chunk);
+            if (size > limits.maximumBodyBytes) {
+                finish(Err(tooLarge));
+            }
+        };
+        const onEnd = (): void => finish(Ok(Buffer.concat(chunks)));
+        const onBroken = (): void =>
+            finish(Err({ code: "malformed_body", message: "The connection ended within the body." }));
+        const timer = setTimeout(
+            () => finish(Err({ code: "request_timeout", message: "The body did not arrive in time." })),
+            limits.bodyTimeoutMilliseconds,
+        );
+        request.on("data", onData).on("end", onEnd).on("error", onBroken).on("close", onBroken);
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/front/errors.ts
@@ -0,0 +1,48 @@
+/** Errors in the shape of the OpenAI API, as responses, as stream events, and as raw bytes for connections that failed to parse. */
+import { errorCodes } from "@damaskvale/core";
+import { type ServerResponse, STATUS_CODES } from "node:http";
+import type { CallerError } from "../dispatch/types.js";
+
+/** The OpenAI API states an absent parameter as a JSON null. */
+const jsonNull: unknown = JSON.parse("null");
+/** `Retry-After` of an error that names no time, in milliseconds. */
+const DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
+
+/** Returns the JSON text of an error. */
+export function formatErrorBody(error: CallerError): string {
+    const { type } = errorCodes[error.code];
+    return JSON.stringify({
+        error: { message: error.message, type, code: error.code, param: error.param ?? jsonNull },
+    });
+}
+
+/** Returns the headers of an error response. */
+export function errorHeaders(error: CallerError, requestId: string): Record<string, string> {
+    const definition = errorCodes[error.code];
+    const retryAfter = error.retryAfterMilliseconds ?? DEFAULT_RETRY_AFTER_MILLISECONDS;
+    return {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(formatErrorBody(error))),
+        "x-damaskvale-request-id": requestId,
+        "x-damaskvale-outcome": error.outcome ?? definition.outcome,
+        ...(definition.retryAfter ? { "retry-after": String(Math.max(1, Math.ceil(retryAfter / 1_000))) } : {}),
+    };
+}
+
+/** Writes an error response. */
+export function writeError(response: ServerResponse, requestId: string, error: CallerError): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    response.writeHead(errorCodes[error.code].status, errorHeaders(error, requestId));
+    response.end(formatErrorBody(error));
+}
+
+/** Returns a whole error response as text, for a connection that has no response object. It closes the connection. */
+export function formatRawError(error: CallerError, requestId: string): string {
+    const { status } = errorCodes[error.code];
+    const headers = Object.entries({ ...errorHeaders(error, requestId), connection: "close" });
+    const head = [`HTTP/1.1 ${status} ${STATUS_CODES[status]}`, ...headers.map(([name, value]) => `${name}: ${value}`)];
+    return `${head.join("\r\n")}\r\n\r\n${formatErrorBody(error)}`;
+}
--- /dev/null
+++ b/packages/daemon/src/front/servicepath.ts
@@ -0,0 +1,38 @@
+/** Checks the paths of requests to plain services. */
+import { Err, Ok, type Result } from "ts-results";
+import type { CallerError } from "../dispatch/types.js";
+
+/** Service and the path for it. */
+export interface ServicePath {
+    readonly service: string;
+    /** Starts with a slash. */
+    readonly path: string;
+}
+
+/** Characters that need no percent encoding, and separators whose encoded form some servers take for the plain one. */
+const AMBIGUOUS_WHEN_ENCODED = /^[A-Za-z0-9\-._~/\\;%]$/;
+
+/**
+ * Splits `/services/NAME/PATH`. The table marks calls as not repeatable by path prefix, so a path is refused if a
+ * service could read it as another one: dot segments, empty segments, backslashes, and needless percent encoding.
+ */
+export function parseServicePath(text: string): Result<ServicePath, CallerError> {
+    const [, , service = "", ...segments] = text.split("/");
+    const path = `/${segments.join("/")}`;
+    if (service === "" || !isUnambiguous(path)) {
+        return Err({ code: "route_not_found", message: "The path is not in normal form." });
+    }
+    return Ok({ service, path });
+}
+
+function isUnambiguous(path: string): boolean {
+    const segments = path.slice(1).split("/");
+    const encoded = path.match(/%.{0,2}/g) ?? [];
+    return /^[\x21\x23-\x5b\x5d\x5f\x61-\x7a\x7e]*$/.test(path)
+        && !segments.some(segment => segment === "." || segment === "..")
+        && !segments.slice(0, -1).some(segment => segment === "")
+        && encoded.every(part => {
+            const code = /^%[0-9A-Fa-f]{2}$/.test(part) ? Number.parseInt(part.slice(1), 16) : 0;
+            return code >= 0x20 && code !== 0x7f && !AMBIGUOUS_WHEN_ENCODED.test(String.fromCharCode(code));
+        });
+}
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -32,6 +32,9 @@
     "requests": counter("Requests answered, by outcome and error code.", ["route", "outcome", "code"]),
     "request.duration": timing("Time from the first byte of a request to the last byte of its answer.", ["route"]),
     "request.first_token": timing("Time from a request to the first token of its answer.", ["model"]),
+    "attempts": counter("Attempts sent to targets, by kind of work and result.", ["route", "result"]),
+    "attempts.foreign_data": counter("Answers or stream events dropped because they belong to another attempt."),
+    "requests.forwarded": counter("Requests forwarded to a daemon of another data centre.", ["model"]),
     "requests.in_progress": gauge("requests", "Requests in progress at this daemon."),
 } as const satisfies Record<string, MetricDefinition>;
 
--- a/packages/daemon/src/ports/engine.ts
+++ b/packages/daemon/src/ports/engine.ts
@@ -12,6 +12,8 @@
     readonly kind: "not-sent" | "refused" | "broken" | "silent" | "failed" | "cancelled";
     readonly message: string;
     readonly status?: number;
+    /** Of a silent connection: whether a new connection to the target answered (`connection` lost) or not (`target`). */
+    readonly lost?: "connection" | "target";
 }
 
 /** One order to an engine. */
@@ -37,14 +39,33 @@
     readonly stream: boolean;
     readonly signal: AbortSignal;
     readonly traceparent?: string;
+    /** Body as the caller sent it, byte for byte; takes the place of `body` on the wire. */
+    readonly rawBody?: Buffer;
+    readonly idempotencyKey?: string;
+    /** Asked immediately before the first byte is written; on false nothing is written and the failure is `not-sent`. */
+    readonly mayWrite?: () => boolean;
+    /** Longest silence before a whole answer while the target answers on other connections, in milliseconds. */
+    readonly wholeTimeoutMilliseconds?: number;
+    /** Of a resumed stream: the `id` that its earlier chunks carried. */
+    readonly completionId?: string;
 }
 
 /** What an engine sends for one attempt, in order. `index` counts data events from 0. */
 export type EngineEvent =
     | { readonly kind: "progress"; }
-    | { readonly kind: "chunk"; readonly index: number; readonly data: Readonly<Record<string, unknown>>; }
+    | {
+        readonly kind: "chunk";
+        readonly index: number;
+        readonly data: Readonly<Record<string, unknown>>;
+        readonly raw?: string;
+    }
     | { readonly kind: "done"; }
-    | { readonly kind: "whole"; readonly status: number; readonly body: Readonly<Record<string, unknown>>; }
+    | {
+        readonly kind: "whole";
+        readonly status: number;
+        readonly body: Readonly<Record<string, unknown>>;
+        readonly raw?: Buffer;
+    }
     | { readonly kind: "failure"; readonly failure: TargetFailure; };
 
 /** Client of the engines. */
--- a/packages/daemon/src/ports/service.ts
+++ b/packages/daemon/src/ports/service.ts
@@ -14,6 +14,8 @@
     readonly timeoutMilliseconds: number;
     readonly signal: AbortSignal;
     readonly traceparent?: string;
+    /** Asked immediately before the first byte is written; on false nothing is written and the failure is `not-sent`. */
+    readonly mayWrite?: () => boolean;
 }
 
 /** Whole answer of a plain service. */
