Add stand-ins of the platform, the engine and the plain service

Cause: the demo and the failure tests need outside systems that are separate processes and can be made to fail on demand. Ruled out: one process for all engines, because tests must kill and pause a single host.

--- /dev/null
+++ b/packages/stand-ins/src/engine/cache.ts
@@ -0,0 +1,81 @@
+/** Prefix cache in limited memory. Its events are published late and some of them are lost. */
+
+/** Event of the cache: blocks that it stored or evicted. */
+export interface CacheEvent {
+    readonly offset: number;
+    readonly stored: readonly string[];
+    readonly evicted: readonly string[];
+}
+
+/** Limits of the cache and its event stream. */
+export interface CacheOptions {
+    readonly blocks: number;
+    readonly lagMilliseconds: number;
+    /** Events retained; older ones are a gap for a slow reader. */
+    readonly retainedEvents: number;
+    /** Every so many events one is lost; 0 loses none. */
+    readonly loseEvery: number;
+}
+
+/** Prefix cache of one engine. */
+export interface PrefixCache {
+    /** Returns how many leading blocks were cached, and caches them all. */
+    use(hashes: readonly string[], now: number): number;
+    clear(now: number): void;
+    events(from: number, now: number): {
+        readonly firstOffset: number;
+        readonly nextOffset: number;
+        readonly events: readonly CacheEvent[];
+    };
+}
+
+/** Makes an empty cache. */
+export function createPrefixCache(options: CacheOptions): PrefixCache {
+    // A Set iterates in insertion order, so its first element is the least recently used block.
+    const blocks = new Set<string>();
+    let events: (CacheEvent & { readonly at: number; })[] = [];
+    let nextOffset = 0;
+
+    const publish = (stored: readonly string[], evicted: readonly string[], now: number): void => {
+        const offset = nextOffset++;
+        if (options.loseEvery === 0 || (offset + 1) % options.loseEvery !== 0) {
+            events = [...events, { offset, stored, evicted, at: now }].slice(-options.retainedEvents);
+        }
+    };
+    return {
+        use: (hashes, now) => {
+            const missing = hashes.findIndex(hash => !blocks.has(hash));
+            const hits = missing === -1 ? hashes.length : missing;
+            const stored = hashes.filter(hash => !blocks.has(hash));
+            hashes.forEach(hash => {
+                blocks.delete(hash);
+                blocks.add(hash);
+            });
+            const evicted = [...blocks].slice(0, Math.max(0, blocks.size - options.blocks));
+            evicted.forEach(hash => blocks.delete(hash));
+            if (stored.length > 0 || evicted.length > 0) {
+                publish(stored, evicted, now);
+            }
+            return hits;
+        },
+        clear: now => {
+            const evicted = [...blocks];
+            blocks.clear();
+            if (evicted.length > 0) {
+                publish([], evicted, now);
+            }
+        },
+        events: (from, now) => {
+            const visible = events.filter(({ at }) => at + options.lagMilliseconds <= now);
+            return {
+                firstOffset: events[0]?.offset ?? nextOffset,
+                nextOffset: (visible.at(-1)?.offset ?? (events[0]?.offset ?? nextOffset) - 1) + 1,
+                events: visible.filter(({ offset }) => offset >= from).map(({ offset, stored, evicted }) => ({
+                    offset,
+                    stored,
+                    evicted,
+                })),
+            };
+        },
+    };
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/chunks.ts
@@ -0,0 +1,66 @@
+/** Chat completion answers of the engine stand-in in the OpenAI shapes. */
+import { answerTokens, type Chat, promptOf } from "./answer.js";
+
+// The protocol requires a null `finish_reason` in all chunks but the last.
+// eslint-disable-next-line no-restricted-syntax
+const NOT_FINISHED = null;
+/** Rough length of one token, for the usage figures. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Whole answer of one attempt, computed before its tokens are released one by one. */
+export interface Answer {
+    readonly tokens: readonly string[];
+    /** Data events of the stream that are complete once `produced` tokens are. */
+    eventCount(produced: number): number;
+    event(index: number): unknown;
+    whole(): unknown;
+}
+
+/** Makes the answer to a request. Data events: the role, each token, the finish reason, and usage if asked for. */
+export function createAnswer(id: string, chat: Chat): Answer {
+    const tokens = answerTokens(chat);
+    const created = Math.floor(Date.now() / 1000);
+    const promptTokens = Math.ceil(promptOf(chat).length / CHARACTERS_PER_TOKEN);
+    const usage = {
+        prompt_tokens: promptTokens,
+        completion_tokens: tokens.length,
+        total_tokens: promptTokens + tokens.length,
+    };
+    const withUsage = chat.stream_options?.include_usage === true;
+    const total = tokens.length + (withUsage ? 3 : 2);
+    const chunk = (delta: unknown, finishReason: string | typeof NOT_FINISHED): unknown => ({
+        id: `chatcmpl-${id}`,
+        object: "chat.completion.chunk",
+        created,
+        model: chat.model,
+        choices: [{ index: 0, delta, finish_reason: finishReason }],
+    });
+    return {
+        tokens,
+        eventCount: produced => produced === 0 ? 0 : produced < tokens.length ? produced + 1 : total,
+        event: index => {
+            if (index === 0) {
+                return chunk({ role: "assistant", content: "" }, NOT_FINISHED);
+            }
+            if (index <= tokens.length) {
+                return chunk({ content: tokens[index - 1] }, NOT_FINISHED);
+            }
+            if (index === tokens.length + 1) {
+                return chunk({}, "stop");
+            }
+            return { ...chunk({}, "stop") as object, choices: [], usage };
+        },
+        whole: () => ({
+            id: `chatcmpl-${id}`,
+            object: "chat.completion",
+            created,
+            model: chat.model,
+            choices: [{
+                index: 0,
+                message: { role: "assistant", content: tokens.join("") },
+                finish_reason: "stop",
+            }],
+            usage,
+        }),
+    };
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./engine/answer.js";
+export * from "./shared/faults.js";
+export type { JournalEntry } from "./shared/journal.js";
--- /dev/null
+++ b/packages/stand-ins/src/platform/hosts.ts
@@ -0,0 +1,40 @@
+/** The platform's list of hosts, which readers see with a lag. */
+import { z } from "zod";
+
+/** Schema of one listed host. */
+export const hostSchema = z.object({
+    host: z.string(),
+    dataCentre: z.string(),
+    fabricDomain: z.string(),
+    url: z.string(),
+    state: z.enum(["live", "leaving"]).default("live"),
+    accelerators: z.number().int().positive().default(1),
+});
+
+/** Schema of the body of `POST /stand-in/hosts`: the whole truth. */
+export const hostsSchema = z.object({ hosts: z.array(hostSchema) });
+
+/** One listed host. */
+export type Host = z.infer<typeof hostSchema>;
+
+/** List of hosts with a lag. */
+export interface HostList {
+    set(hosts: readonly Host[], now: number): void;
+    /** The list as it was `lagMilliseconds` ago. */
+    seen(now: number): readonly Host[];
+}
+
+/** Makes an empty list. */
+export function createHostList(lagMilliseconds: number): HostList {
+    let versions: { readonly at: number; readonly hosts: readonly Host[]; }[] = [];
+    return {
+        set: (hosts, now) => {
+            versions = [...versions, { at: now, hosts }];
+        },
+        seen: now => {
+            const visible = versions.filter(({ at }) => at + lagMilliseconds <= now);
+            versions = versions.slice(Math.max(0, visible.length - 1));
+            return visible.at(-1)?.hosts ?? [];
+        },
+    };
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/log.ts
@@ -0,0 +1,126 @@
+/** Streams of the append-only log: offsets, retention by count and age, an append rate, and waiting readers. */
+
+/** Entry of a stream; `time` is the append time in wall milliseconds. */
+export interface LogEntry {
+    readonly offset: number;
+    readonly time: number;
+    readonly value: unknown;
+}
+
+/** Page of a stream. */
+export interface LogPage {
+    readonly firstOffset: number;
+    readonly nextOffset: number;
+    readonly entries: readonly LogEntry[];
+}
+
+/** Retention and rate of the log. */
+export interface LogOptions {
+    readonly retentionCount: number;
+    readonly retentionMilliseconds: number;
+    readonly appendsPerSecond: number;
+}
+
+interface Stream {
+    firstOffset: number;
+    entries: LogEntry[];
+    waiting: Set<() => void>;
+}
+
+/** The log of one platform. */
+export interface Log {
+    /** Takes one append from the rate; returns the milliseconds to wait if there is none left. */
+    admit(now: number): number;
+    append(stream: string, value: unknown, now: number): number;
+    read(stream: string, from: number, limit: number, now: number): LogPage;
+    /** Resolves at the next append to the stream, after `milliseconds`, or when `release` is called. */
+    wait(stream: string, milliseconds: number): Promise<void>;
+    /** Ends all waits. */
+    release(): void;
+    /** Drops all but the newest entries of every stream. */
+    cut(keep: number): void;
+}
+
+/** Makes an empty log. */
+export function createLog(options: LogOptions): Log {
+    const streams = new Map<string, Stream>();
+    let tokens = options.appendsPerSecond;
+    let filledAt = 0;
+
+    const streamOf = (name: string): Stream => {
+        const found = streams.get(name) ?? { firstOffset: 0, entries: [], waiting: new Set() };
+        streams.set(name, found);
+        return found;
+    };
+
+    return {
+        admit: now => {
+            tokens = Math.min(
+                options.appendsPerSecond,
+                tokens + (now - filledAt) / 1000 * options.appendsPerSecond,
+            );
+            filledAt = now;
+            if (tokens < 1) {
+                return Math.ceil((1 - tokens) / options.appendsPerSecond * 1000);
+            }
+            tokens -= 1;
+            return 0;
+        },
+        append: (name, value, now) => {
+            const stream = streamOf(name);
+            const offset = stream.firstOffset + stream.entries.length;
+            stream.entries.push({ offset, time: now, value });
+            retain(stream, options, now);
+            wake(stream);
+            return offset;
+        },
+        read: (name, from, limit, now) => {
+            const stream = streamOf(name);
+            retain(stream, options, now);
+            const start = Math.max(0, from - stream.firstOffset);
+            return {
+                firstOffset: stream.firstOffset,
+                nextOffset: stream.firstOffset + stream.entries.length,
+                entries: stream.entries.slice(start, start + limit),
+            };
+        },
+        wait: (name, milliseconds) =>
+            new Promise(resolve => {
+                const stream = streamOf(name);
+                const done = (): void => {
+                    clearTimeout(timer);
+                    stream.waiting.delete(done);
+                    resolve();
+                };
+                const timer = setTimeout(done, milliseconds);
+                stream.waiting.add(done);
+            }),
+        release: () => streams.forEach(wake),
+        cut: keep => streams.forEach(stream => keepNewest(stream, keep)),
+    };
+}
+
+function keepNewest(stream: Stream, keep: number): void {
+    const drop = Math.max(0, stream.entries.length - keep);
+    if (drop > 0) {
+        stream.entries = stream.entries.slice(drop);
+        stream.firstOffset += drop;
+    }
+}
+
+function retain(stream: Stream, options: LogOptions, now: number): void {
+    // A tenth of slack keeps the cost of an append constant instead of copying the array each time.
+    if (stream.entries.length > options.retentionCount * 1.1) {
+        keepNewest(stream, options.retentionCount);
+    }
+    const oldest = stream.entries[0];
+    if (oldest !== undefined && now - oldest.time > options.retentionMilliseconds) {
+        keepNewest(stream, stream.entries.filter(({ time }) => now - time <= options.retentionMilliseconds).length);
+    }
+}
+
+function wake(stream: Stream): void {
+    const waiting = [...stream.waiting];
+    stream.waiting.clear();
+    waiting.forEach(resume => resume());
+}
