Add the generic fold, the table and the claims

The replicated state needs one deterministic fold. The state of a claims stream and the window of decisions are persistent maps of the library immutable, because a stream retains up to 100,000 keys; copying them for each entry was ruled out. The revision of a row is its offset plus one, since a row written at offset 0 would otherwise look absent to an edit with base revision 0.

--- /dev/null
+++ b/packages/core/src/claims/fold.ts
@@ -0,0 +1,122 @@
+/** Fold of a claims stream: the first claim of a key holds it until its lifetime has passed. */
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import { type Outcome, outcomeSchema } from "../outcome.js";
+import type { FoldDefinition, RecordContext } from "../stream/types.js";
+import { type ClaimsDraft, ClaimsState, claimsStateSchema, type HeldKey } from "./state.js";
+
+/** How long a key is retained after its claim, in milliseconds of the platform's append time. */
+export const CLAIM_LIFETIME_MILLISECONDS = 24 * 60 * 60 * 1000;
+/** Number of claims streams. */
+export const CLAIM_PARTITIONS = 4;
+/** Maximum number of each list in one record. */
+export const MAXIMUM_CLAIMS_PER_RECORD = 64;
+
+const hash = z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in hex");
+const key = { claim: z.string().min(1).max(200), team: z.string().min(1).max(63), keyHash: hash };
+const batch = <Item extends z.ZodType>(item: Item) => z.array(item).max(MAXIMUM_CLAIMS_PER_RECORD).default([]);
+
+/** Schema of the body of a claims record. */
+export const claimsBodySchema = z.object({
+    kind: z.literal("claims"),
+    claims: batch(z.object({ ...key, bodyHash: hash })),
+    releases: batch(z.object(key)),
+    outcomes: batch(z.object({ ...key, status: z.number().int(), outcome: outcomeSchema })),
+});
+
+/** Body of a claims record. Releases are applied first, then outcomes, then claims. */
+export type ClaimsBody = z.infer<typeof claimsBodySchema>;
+
+/** A claim as its author asks for it, or a repeat as another daemon looks it up. */
+export interface ClaimQuestion {
+    /** Id of the claim, unique across daemons and restarts; absent for a look-up. */
+    readonly claim?: string;
+    readonly team: string;
+    readonly keyHash: string;
+    readonly bodyHash: string;
+}
+
+/** What the state says of a claim. `claimedAt` is the platform's append time in milliseconds. */
+export type ClaimJudgement =
+    | { readonly kind: "held"; }
+    | {
+        readonly kind: "in-progress";
+        readonly owner: string;
+        readonly incarnation: string;
+        readonly claimedAt: number;
+    }
+    | {
+        readonly kind: "completed";
+        readonly owner: string;
+        readonly incarnation: string;
+        readonly outcome: Outcome;
+        readonly status: number;
+    }
+    | { readonly kind: "mismatch"; }
+    | { readonly kind: "absent"; };
+
+/** Fold of a claims stream. */
+export const claimsFold: FoldDefinition<ClaimsState, ClaimsBody> = {
+    name: "claims",
+    body: claimsBodySchema,
+    state: claimsStateSchema,
+    initial: () => ClaimsState.empty,
+    apply: (state, body, context) => ({
+        kind: "accepted",
+        state: state.update(context.time, CLAIM_LIFETIME_MILLISECONDS, draft => {
+            applyBody(draft, body, context, Math.max(state.maximumTime, context.time));
+        }),
+    }),
+};
+
+/** Judges a claim by the state. Only `held` permits dispatch, and only at the author of the claim. */
+export function judgeClaim(state: ClaimsState, { claim, team, keyHash, bodyHash }: ClaimQuestion): ClaimJudgement {
+    const held = state.get(team, keyHash);
+    if (held === undefined) {
+        return { kind: "absent" };
+    }
+    if (held.bodyHash !== bodyHash) {
+        return { kind: "mismatch" };
+    }
+    const { daemon: owner, incarnation, claimedAt, outcome, status } = held;
+    if (outcome !== undefined && status !== undefined) {
+        return { kind: "completed", owner, incarnation, outcome, status };
+    }
+    return claim === held.claim ? { kind: "held" } : { kind: "in-progress", owner, incarnation, claimedAt };
+}
+
+/** Returns the number of the claims stream that holds a key. */
+export function claimPartition(team: string, keyHash: string, partitions = CLAIM_PARTITIONS): number {
+    return createHash("sha256").update(`${team} ${keyHash}`).digest().readUInt32BE(0) % partitions;
+}
+
+/** Returns the name of a claims stream. */
+export function claimsStream(partition: number): string {
+    return `claims.${partition}`;
+}
+
+function applyBody(draft: ClaimsDraft, body: ClaimsBody, context: RecordContext, claimedAt: number): void {
+    body.releases.forEach(release => {
+        const held = draft.get(release.team, release.keyHash);
+        if (held !== undefined && isOpen(held, release.claim, context)) {
+            draft.remove(held);
+        }
+    });
+    body.outcomes.forEach(({ claim, team, keyHash, status, outcome }) => {
+        const held = draft.get(team, keyHash);
+        if (held !== undefined && isOpen(held, claim, context)) {
+            draft.replace({ ...held, status, outcome });
+        }
+    });
+    body.claims.forEach(({ claim, team, keyHash, bodyHash }) => {
+        if (draft.get(team, keyHash) === undefined) {
+            draft.add({ team, keyHash, bodyHash, claim, ...context.author, claimedAt });
+        }
+    });
+}
+
+/** Only the process that holds a claim may release it or record its outcome, and only once. */
+function isOpen(held: HeldKey, claim: string, { author }: RecordContext): boolean {
+    return held.claim === claim && held.daemon === author.daemon && held.incarnation === author.incarnation
+        && held.outcome === undefined;
+}
--- /dev/null
+++ b/packages/core/src/claims/tests/fold.test.ts
@@ -0,0 +1,108 @@
+import { expect } from "chai";
+import { applyEntry, initialFolded } from "../../stream/fold.js";
+import { decodeSnapshot, encodeSnapshot } from "../../stream/snapshot.js";
+import type { Folded } from "../../stream/types.js";
+import { CLAIM_LIFETIME_MILLISECONDS, claimPartition, claimsFold, judgeClaim } from "../fold.js";
+import type { ClaimsState } from "../state.js";
+
+const key = (claim: string) => ({ claim, team: "fees", keyHash: "a".repeat(64) });
+const claims = (claim: string) => ({ claims: [{ ...key(claim), bodyHash: "b".repeat(64) }] });
+const releases = (claim: string) => ({ releases: [key(claim)] });
+const outcomes = (claim: string, status = 200) => ({ outcomes: [{ ...key(claim), status, outcome: "complete" }] });
+
+interface Step {
+    readonly body: object;
+    readonly by?: string;
+    readonly time?: number;
+}
+
+function fold(steps: readonly Step[], from = initialFolded(claimsFold)): Folded<ClaimsState> {
+    return steps.reduce<Folded<ClaimsState>>((folded, { body, by = "a", time = 0 }) => {
+        const author = { daemon: by, incarnation: "1" };
+        const offset = folded.nextOffset;
+        const value = { version: 1, id: `r${offset}`, author, basis: 0, body: { kind: "claims", ...body } };
+        return applyEntry(claimsFold, folded, { offset, time, value }).folded;
+    }, from);
+}
+
+const judge = (folded: Folded<ClaimsState>, claim?: string, bodyHash = "b".repeat(64)) =>
+    judgeClaim(folded.state, { ...key(claim ?? ""), claim, bodyHash }).kind;
+
+describe("claims fold", () => {
+    const late = CLAIM_LIFETIME_MILLISECONDS;
+    const cases: { guards: string; steps: Step[]; claim?: string; kind: string; }[] = [
+        { guards: "the holder is not told", steps: [{ body: claims("1") }], claim: "1", kind: "held" },
+        {
+            guards: "two claims hold one key",
+            steps: [{ body: claims("1") }, { body: claims("2") }],
+            claim: "2",
+            kind: "in-progress",
+        },
+        { guards: "the owner cannot release", steps: [{ body: claims("1") }, { body: releases("1") }], kind: "absent" },
+        {
+            guards: "another daemon releases",
+            steps: [{ body: claims("1") }, { body: releases("1"), by: "b" }],
+            kind: "in-progress",
+        },
+        {
+            guards: "a release of an earlier claim counts",
+            steps: [{ body: claims("1") }, { body: releases("0") }],
+            kind: "in-progress",
+        },
+        {
+            guards: "a completed key is released",
+            steps: [{ body: claims("1") }, { body: outcomes("1") }, { body: releases("1") }],
+            kind: "completed",
+        },
+        {
+            guards: "another daemon records",
+            steps: [{ body: claims("1") }, { body: outcomes("1"), by: "b" }],
+            kind: "in-progress",
+        },
+        {
+            guards: "a key is dropped before its lifetime",
+            steps: [{ body: claims("1") }, { body: {}, time: late - 1 }],
+            kind: "in-progress",
+        },
+        {
+            guards: "a key is retained for ever",
+            steps: [{ body: claims("1") }, { body: {}, time: late }],
+            kind: "absent",
+        },
+        {
+            guards: "a clock that goes back drops keys early",
+            steps: [{ body: {}, time: 5 }, { body: claims("1"), time: 1 }, { body: {}, time: late + 4 }],
+            kind: "in-progress",
+        },
+        {
+            guards: "a hole in the order stops expiry",
+            steps: [{ body: claims("1") }, { body: releases("1") }, { body: claims("2") }, { body: {}, time: late }],
+            kind: "absent",
+        },
+    ];
+
+    cases.forEach(({ guards, steps, claim, kind }) => {
+        it(`does not fail like this: ${guards}`, () => {
+            expect(judge(fold(steps), claim)).to.equal(kind);
+        });
+    });
+
+    it("tells of a key that is used again with another body", () => {
+        expect(judge(fold([{ body: claims("1") }]), "1", "c".repeat(64))).to.equal("mismatch");
+    });
+
+    it("gives equal text and equal expiry after a snapshot, whose sequence numbers differ", () => {
+        const before = fold([{ body: claims("1") }, { body: releases("1") }, { body: claims("2"), time: 3 }]);
+        const decoded = decodeSnapshot(claimsFold, "claims.0", encodeSnapshot("claims.0", before)).unwrap();
+        const rest = [{ body: {}, time: late + 3 }];
+        expect(encodeSnapshot("claims.0", fold(rest, decoded))).to.deep.equal(
+            encodeSnapshot("claims.0", fold(rest, before)),
+        );
+        expect(judge(before), "the older state is unchanged").to.equal("in-progress");
+    });
+
+    it("spreads keys over the partitions", () => {
+        const used = new Set([...Array(64).keys()].map(index => claimPartition("fees", String(index))));
+        expect(used).to.deep.equal(new Set([0, 1, 2, 3]));
+    });
+});
--- /dev/null
+++ b/packages/core/src/stream/snapshot.ts
@@ -0,0 +1,93 @@
+/**
+ * Snapshots of a folded stream. A snapshot holds the decisions of the window as well as the state; without them a new
+ * reader would accept a duplicate record that the other daemons drop.
+ */
+import { Err, Ok, type Result } from "ts-results";
+import { z } from "zod";
+import { type Issue, issue, issueSchema, issuesFromZod } from "../issue.js";
+import { canonicalText, sha256Hex } from "./canonical.js";
+import type { FoldDefinition, Folded } from "./types.js";
+import { DecisionWindow } from "./window.js";
+
+/** Version of the snapshot text that this code writes and reads. */
+export const SNAPSHOT_VERSION = 1;
+
+/** Schema of a snapshot: `text` is canonical JSON, `sha256` its hash in hex. */
+export const snapshotSchema = z.object({
+    version: z.literal(SNAPSHOT_VERSION),
+    stream: z.string().min(1),
+    nextOffset: z.number().int().nonnegative(),
+    sha256: z.string().length(64),
+    text: z.string(),
+});
+
+/** Snapshot of a stream after all entries below `nextOffset`. */
+export type Snapshot = z.infer<typeof snapshotSchema>;
+
+const decisionSchema = z.object({
+    offset: z.number().int().nonnegative(),
+    accepted: z.boolean(),
+    issue: issueSchema.optional(),
+});
+
+const contentSchema = z.object({
+    stream: z.string(),
+    nextOffset: z.number().int().nonnegative(),
+    state: z.unknown(),
+    decisions: z.array(z.tuple([z.string(), decisionSchema])),
+});
+
+/** Encodes the state of the stream `stream`. A halt is not part of it: each reader finds out for itself. */
+export function encodeSnapshot<State>(stream: string, folded: Folded<State>): Snapshot {
+    const { nextOffset, state } = folded;
+    const text = canonicalText({ stream, nextOffset, state, decisions: [...folded.decisions] });
+    return { version: SNAPSHOT_VERSION, stream, nextOffset, sha256: sha256Hex(text), text };
+}
+
+/**
+ * Decodes a snapshot of the stream `stream` and checks its hash. A state that this version cannot represent exactly
+ * (it encodes to another text) is refused, because the daemons would then differ at equal offsets.
+ */
+export function decodeSnapshot<State, Body>(
+    definition: FoldDefinition<State, Body>,
+    stream: string,
+    value: unknown,
+): Result<Folded<State>, Issue> {
+    const snapshot = snapshotSchema.safeParse(value);
+    if (!snapshot.success) {
+        return Err(firstIssue(snapshot.error));
+    }
+    const { text, sha256, nextOffset } = snapshot.data;
+    if (sha256Hex(text) !== sha256) {
+        return Err(issue("snapshot_corrupt", ["sha256"], "hash does not match the text"));
+    }
+    const content = contentSchema.safeParse(parseJson(text));
+    if (!content.success) {
+        return Err(firstIssue(content.error));
+    }
+    if (content.data.stream !== stream || content.data.nextOffset !== nextOffset) {
+        return Err(issue("snapshot_foreign", ["stream"], `is of stream ${content.data.stream}, not of ${stream}`));
+    }
+    const state = definition.state.safeParse(content.data.state);
+    if (!state.success) {
+        return Err(firstIssue(state.error));
+    }
+    const decisions = DecisionWindow.from(new Map(content.data.decisions));
+    const folded = { nextOffset, state: state.data, decisions };
+    return encodeSnapshot(stream, folded).text === text
+        ? Ok(folded)
+        : Err(issue("snapshot_unknown", ["text"], "holds a state of an unknown version"));
+}
+
+function firstIssue(error: z.ZodError): Issue {
+    return issuesFromZod(error)[0] ?? issue("snapshot_malformed", [], "is malformed");
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/core/src/stream/tests/fold.test.ts
@@ -0,0 +1,122 @@
+import { expect } from "chai";
+import { z } from "zod";
+import { applyEntry, initialFolded } from "../fold.js";
+import type { Entry } from "../record.js";
+import { decodeSnapshot, encodeSnapshot } from "../snapshot.js";
+import type { FoldDefinition, Folded } from "../types.js";
+import { BASIS_WINDOW } from "../window.js";
+
+const body = z.discriminatedUnion("kind", [z.object({ kind: z.literal("add"), by: z.number() })]);
+const sum: FoldDefinition<{ sum: number; }, z.infer<typeof body>> = {
+    name: "sum",
+    body,
+    state: z.object({ sum: z.number() }),
+    initial: () => ({ sum: 0 }),
+    apply: (state, { by }) => ({ kind: "accepted", state: { sum: state.sum + by } }),
+};
+const author = { daemon: "a", incarnation: "1" };
+const add = (id: string, basis = 0, by = 1) => ({ version: 1, id, author, basis, body: { kind: "add", by } });
+const entry = (offset: number, value: unknown): Entry => ({ offset, time: 0, value });
+
+function fold(values: readonly unknown[], from = initialFolded(sum)): Folded<{ sum: number; }> {
+    return values.reduce<Folded<{ sum: number; }>>(
+        (folded, value) => applyEntry(sum, folded, entry(folded.nextOffset, value)).folded,
+        from,
+    );
+}
+
+describe("fold", () => {
+    const cases: { guards: string; before: unknown[]; entry: Entry; kind: string; sum: number; }[] = [
+        {
+            guards: "a resent record counts twice",
+            before: [add("x")],
+            entry: entry(1, add("x")),
+            kind: "duplicate",
+            sum: 1,
+        },
+        { guards: "an entry is folded twice", before: [add("x")], entry: entry(0, add("x")), kind: "past", sum: 1 },
+        { guards: "the fold goes on across a gap", before: [add("x")], entry: entry(2, add("y")), kind: "gap", sum: 1 },
+        { guards: "a foreign entry stops the fold", before: [], entry: entry(0, "x"), kind: "malformed", sum: 0 },
+        {
+            guards: "a basis above the offset escapes the window",
+            before: [],
+            entry: entry(0, add("x", 1)),
+            kind: "rejected",
+            sum: 0,
+        },
+        {
+            guards: "a wrong body of a known kind halts",
+            before: [],
+            entry: entry(0, { ...add("x"), body: { kind: "add" } }),
+            kind: "rejected",
+            sum: 0,
+        },
+        {
+            guards: "an unknown version is skipped",
+            before: [],
+            entry: entry(0, { version: 2 }),
+            kind: "halted",
+            sum: 0,
+        },
+        {
+            guards: "an unknown kind is skipped",
+            before: [],
+            entry: entry(0, { ...add("x"), body: { kind: "new" } }),
+            kind: "halted",
+            sum: 0,
+        },
+        {
+            guards: "a halted fold goes on",
+            before: [{ version: 9 }],
+            entry: entry(0, add("x")),
+            kind: "halted",
+            sum: 0,
+        },
+    ];
+
+    cases.forEach(({ guards, before, entry: next, kind, sum: expected }) => {
+        it(`does not fail like this: ${guards}`, () => {
+            const applied = applyEntry(sum, fold(before), next);
+            expect({ kind: applied.kind, sum: applied.folded.state.sum }).to.deep.equal({ kind, sum: expected });
+        });
+    });
+
+    it("rejects a copy that is delayed until after its id has left the window", () => {
+        const noise = [...Array(BASIS_WINDOW).keys()].map(() => "noise");
+        const within = fold([add("x"), ...noise.slice(1), add("x")]);
+        const after = fold([add("x"), ...noise, add("x")]);
+        expect([within.state.sum, after.state.sum, fold(["noise"], after).decisions.size]).to.deep.equal([1, 1, 0]);
+    });
+
+    it("keeps an older window unchanged when a newer one is made", () => {
+        const before = fold([add("x")]);
+        fold([add("y")], before);
+        expect([...before.decisions.keys()]).to.deep.equal(["x"]);
+    });
+});
+
+describe("snapshot", () => {
+    it("carries the decisions, so that a new reader drops a duplicate", () => {
+        const decoded = decodeSnapshot(sum, "s", encodeSnapshot("s", fold([add("x")]))).unwrap();
+        expect(fold([add("x")], decoded).state.sum).to.equal(1);
+    });
+
+    const snapshot = encodeSnapshot("s", fold([add("x")]));
+    const unknown = encodeSnapshot("s", { ...fold([]), state: { sum: 0, later: 1 } });
+    const refused = [
+        {
+            guards: "a changed text is loaded",
+            value: { ...snapshot, text: snapshot.text.replace("1", "2") },
+            code: "snapshot_corrupt",
+        },
+        { guards: "another stream's state is loaded", value: encodeSnapshot("t", fold([])), code: "snapshot_foreign" },
+        { guards: "a state of a later version is loaded in part", value: unknown, code: "snapshot_unknown" },
+        { guards: "a wrong offset is believed", value: { ...snapshot, nextOffset: 9 }, code: "snapshot_foreign" },
+    ];
+
+    refused.forEach(({ guards, value, code }) => {
+        it(`does not fail like this: ${guards}`, () => {
+            expect(decodeSnapshot(sum, "s", value).val).to.have.property("code", code);
+        });
+    });
+});
--- /dev/null
+++ b/packages/core/src/stream/window.ts
@@ -0,0 +1,82 @@
+/**
+ * Decisions of the last `BASIS_WINDOW` offsets. Each change gives a new window that shares its structure with the old
+ * one (persistent maps), because copying 4,096 decisions for each entry would dominate the cost of the fold.
+ */
+import { Map as PersistentMap } from "immutable";
+import type { Decision } from "./types.js";
+
+/** How far behind its own offset the basis of a record may be, and how long ids and decisions are retained. */
+export const BASIS_WINDOW = 4_096;
+
+/** Persistent window of decisions by record id. */
+export class DecisionWindow implements ReadonlyMap<string, Decision> {
+    static readonly empty = new DecisionWindow(PersistentMap(), PersistentMap());
+
+    private constructor(
+        private readonly byId: PersistentMap<string, Decision>,
+        private readonly byOffset: PersistentMap<number, string>,
+    ) {}
+
+    /** Makes a window from any map of decisions. */
+    static from(decisions: ReadonlyMap<string, Decision>): DecisionWindow {
+        if (decisions instanceof DecisionWindow) {
+            return decisions;
+        }
+        const pairs = [...decisions];
+        return new DecisionWindow(
+            PersistentMap(pairs),
+            PersistentMap(pairs.map(([id, { offset }]) => [offset, id] as const)),
+        );
+    }
+
+    get size(): number {
+        return this.byId.size;
+    }
+
+    get(id: string): Decision | undefined {
+        return this.byId.get(id);
+    }
+
+    has(id: string): boolean {
+        return this.byId.has(id);
+    }
+
+    /** Adds the decision of a record; an offset has at most one. */
+    add(id: string, decision: Decision): DecisionWindow {
+        return new DecisionWindow(this.byId.set(id, decision), this.byOffset.set(decision.offset, id));
+    }
+
+    /** Drops the decision that leaves the window when the entry at `offset` is folded. */
+    advance(offset: number): DecisionWindow {
+        const leaving = offset - BASIS_WINDOW - 1;
+        const id = this.byOffset.get(leaving);
+        return id === undefined ? this : new DecisionWindow(this.byId.delete(id), this.byOffset.delete(leaving));
+    }
+
+    forEach(visit: (value: Decision, key: string, map: ReadonlyMap<string, Decision>) => void): void {
+        this.byId.forEach((value, key) => {
+            visit(value, key, this);
+        });
+    }
+
+    entries(): MapIterator<[string, Decision]> {
+        return this.toMap().entries();
+    }
+
+    keys(): MapIterator<string> {
+        return this.toMap().keys();
+    }
+
+    values(): MapIterator<Decision> {
+        return this.toMap().values();
+    }
+
+    [Symbol.iterator](): MapIterator<[string, Decision]> {
+        return this.entries();
+    }
+
+    /** Copies the window into a map in order of offset. */
+    private toMap(): Map<string, Decision> {
+        return new Map([...this.byId].sort(([, left], [, right]) => left.offset - right.offset));
+    }
+}
--- /dev/null
+++ b/packages/core/src/table/csv.ts
@@ -0,0 +1,181 @@
+/** The table as CSV, to be opened in a spreadsheet. One line for each row of the table, columns of all kinds. */
+import { type Info, parse } from "csv-parse/sync";
+import { stringify } from "csv-stringify/sync";
+import { Err, Ok, type Result } from "ts-results";
+import { type Issue, issue, IssuesError, issuesFromZod, type Place } from "../issue.js";
+import type { TableEntry } from "./fold.js";
+import { type Row, type RowKey, rowKey, rowSchema } from "./row.js";
+
+/** Row of a table file. `revision` is 0 for a row that is not in force; `line` counts from 1 with the header. */
+export interface FileRow {
+    readonly key: RowKey;
+    readonly revision: number;
+    readonly row: Row;
+    readonly line: number;
+}
+
+type ColumnType = "text" | "number" | "list";
+
+/** Columns in order. The revision lets an edited file be applied only to the rows that it was exported from. */
+const columnTypes = {
+    kind: "text",
+    name: "text",
+    revision: "number",
+    version: "text",
+    members: "number",
+    replicas: "number",
+    dataCentres: "list",
+    spares: "number",
+    downtimeWeight: "number",
+    strandedWeight: "number",
+    keyHashes: "list",
+    models: "list",
+    services: "list",
+    weight: "number",
+    requestsPerSecond: "number",
+    tokensPerSecond: "number",
+    concurrency: "number",
+    queueLength: "number",
+    state: "text",
+    fencing: "text",
+    model: "text",
+    team: "text",
+    target: "text",
+    urls: "list",
+    dataCentre: "text",
+    timeoutMilliseconds: "number",
+    service: "text",
+    method: "text",
+    path: "text",
+    repeatable: "text",
+} as const satisfies Record<string, ColumnType>;
+
+type Column = keyof typeof columnTypes;
+const columns = Object.keys(columnTypes) as Column[];
+const kinds = new Map(rowSchema.options.map(option => [option.shape.kind.value as string, option]));
+
+/** A cell that a spreadsheet would run as a formula, possibly after white space, or that has the protecting quote. */
+const FORMULA = /^\s*[=+\-@＝＋－＠'\t\r]/;
+
+/** Formats rows; `parseTable` gives exactly the same rows back. */
+export function formatTable(entries: readonly Pick<TableEntry, "row" | "revision">[]): string {
+    const records = entries.map(({ row, revision }) => {
+        const fields: Readonly<Record<string, unknown>> = { ...row, revision };
+        return columns.map(column => formatCell(fields[column]));
+    });
+    return stringify([columns, ...records], { quoted_match: /[;\r\n]/ });
+}
+
+/**
+ * Reads rows of a file. The separator is the comma, or the semicolon if the header has no comma, as spreadsheets in
+ * Germany and South Africa write it. Reports all findings together.
+ */
+export function safeParseTable(text: string, file = "table.csv"): Result<FileRow[], Issue[]> {
+    const lines = readLines(text, file);
+    if (lines.err) {
+        return Err(lines.val);
+    }
+    const [header = [], ...records] = lines.val;
+    const findings = checkHeader(header, file);
+    const results = records.map((cells, index) => parseRow(header, cells, { file, row: index + 2 }));
+    const found = [...findings, ...results.flatMap(result => result.err ? result.val : [])];
+    return found.length === 0 ? Ok(results.flatMap(result => result.ok ? [result.val] : [])) : Err(found);
+}
+
+/** Reads rows of a file, or throws `IssuesError` with all findings. */
+export function parseTable(text: string, file?: string): FileRow[] {
+    const result = safeParseTable(text, file);
+    if (result.err) {
+        throw new IssuesError(result.val);
+    }
+    return result.val;
+}
+
+function readLines(text: string, file: string): Result<string[][], Issue[]> {
+    const header = text.split(/\r?\n/, 1)[0] ?? "";
+    const delimiter = header.includes(";") && !header.includes(",") ? ";" : ",";
+    try {
+        return Ok(parse(text, { bom: true, delimiter, relax_column_count: true, skip_empty_lines: true }));
+    }
+    catch (error) {
+        const { message, records } = error as Error & Partial<Info>;
+        const place = { file, row: (records ?? 0) + 1 };
+        return Err([issue("invalid_csv", [], message, place)]);
+    }
+}
+
+function checkHeader(header: readonly string[], file: string): Issue[] {
+    const required: Column[] = ["kind", "name"];
+    const place = (column: string) => ({ file, row: 1, column });
+    return [
+        ...header.filter(column => !isColumn(column))
+            .map(column => issue("unknown_column", [], `there is no column "${column}"`, place(column))),
+        ...header.filter((column, index) => header.indexOf(column) !== index)
+            .map(column => issue("duplicate_column", [], `column "${column}" appears twice`, place(column))),
+        ...required.filter(column => !header.includes(column))
+            .map(column => issue("missing_column", [], `column "${column}" is missing`, place(column))),
+    ];
+}
+
+function parseRow(header: readonly string[], cells: readonly string[], place: Place): Result<FileRow, Issue[]> {
+    const filled = cells.flatMap((cell, index) => cell === "" ? [] : [{ column: header[index], cell }]);
+    const values = Object.fromEntries(
+        filled.flatMap(({ column, cell }) =>
+            column !== undefined && isColumn(column) ? [[column, parseCell(columnTypes[column], cell)]] : []
+        ),
+    );
+    const { revision = 0, ...fields } = values;
+    const used = kinds.get(String(fields["kind"]));
+    const surplus = filled.flatMap(({ column, cell }) =>
+        column === undefined
+            ? [issue("surplus_cell", [], `"${cell}" is in no column`, place)]
+            : used !== undefined && isColumn(column) && column !== "revision" && !(column in used.shape)
+            ? [issue("unused_column", [column], `a ${fields["kind"]} has no "${column}"`, { ...place, column })]
+            : []
+    );
+    const revisionIssues = Number.isInteger(revision) && Number(revision) >= 0
+        ? []
+        : [issue("invalid_revision", ["revision"], "must be a whole number", { ...place, column: "revision" })];
+    const row = rowSchema.safeParse(fields);
+    const found = [
+        ...surplus,
+        ...revisionIssues,
+        ...(row.success
+            ? []
+            : issuesFromZod(row.error).map(one => ({
+                ...one,
+                place: { ...place, column: String(one.path[0] ?? "") },
+            }))),
+    ];
+    return row.success && found.length === 0
+        ? Ok({ key: rowKey(row.data), revision: Number(revision), row: row.data, line: place.row ?? 0 })
+        : Err(found);
+}
+
+function isColumn(name: string): name is Column {
+    return Object.hasOwn(columnTypes, name);
+}
+
+function formatCell(value: unknown): string {
+    const text = Array.isArray(value) ? value.map(item => escapeItem(String(item))).join(" ") : String(value ?? "");
+    return FORMULA.test(text) ? `'${text}` : text;
+}
+
+function parseCell(type: ColumnType, cell: string): unknown {
+    const text = cell.startsWith("'") && FORMULA.test(cell.slice(1)) ? cell.slice(1) : cell;
+    const parsers: Record<ColumnType, () => unknown> = {
+        text: () => text,
+        number: () => Number(text),
+        list: () => text.split(" ").filter(item => item !== "").map(unescapeItem),
+    };
+    return parsers[type]();
+}
+
+/** Items of a list are separated by spaces, so a space inside an item is written `\s`. */
+function escapeItem(item: string): string {
+    return item.replaceAll("\\", "\\\\").replaceAll(" ", "\\s");
+}
+
+function unescapeItem(item: string): string {
+    return item.replace(/\\[\\s]/g, pair => pair === "\\s" ? " " : "\\");
+}
--- /dev/null
+++ b/packages/core/src/table/fold.ts
@@ -0,0 +1,98 @@
+/** Fold of the operators' table: edits are conditional on the revision of their row. */
+import { Map as PersistentMap, OrderedMap } from "immutable";
+import { z } from "zod";
+import { type Issue, issue } from "../issue.js";
+import { authorSchema } from "../stream/record.js";
+import type { FoldDefinition, RecordContext, Verdict } from "../stream/types.js";
+import { BASIS_WINDOW } from "../stream/window.js";
+import { type RowKey, rowKey, rowSchema } from "./row.js";
+
+const keySchema = z.string().regex(/^(model|team|target|rule|service|call):[a-z0-9][a-z0-9._-]{0,62}$/);
+const revision = z.number().int().nonnegative();
+const changeSchema = z.object({ revision, author: authorSchema, id: z.string() });
+const tableEntrySchema = changeSchema.extend({ key: z.string(), row: rowSchema });
+
+/** Schema of the body of an edit. Without a row it deletes. `baseRevision` is 0 for a row that does not exist. */
+export const editSchema = z.object({
+    kind: z.literal("edit"),
+    key: keySchema,
+    baseRevision: revision,
+    row: rowSchema.optional(),
+});
+
+/** Body of an edit. */
+export type Edit = z.infer<typeof editSchema>;
+/** Who changed a row last. The revision is one above the offset of the record, so that 0 can mean absent. */
+export type RowChange = z.infer<typeof changeSchema>;
+/** Row in force, with its last change. */
+export type TableEntry = z.infer<typeof tableEntrySchema>;
+
+/** State of the table. Deletions are retained for `BASIS_WINDOW` offsets, so that a conflict can name its winner. */
+export interface TableState {
+    readonly rows: PersistentMap<RowKey, TableEntry>;
+    readonly deletions: OrderedMap<RowKey, RowChange>;
+}
+
+const serializedSchema = z.object({
+    rows: z.array(tableEntrySchema),
+    deletions: z.array(z.tuple([z.string(), changeSchema])),
+});
+
+/** Fold of the stream `configuration`. */
+export const tableFold: FoldDefinition<TableState, Edit> = {
+    name: "configuration",
+    body: editSchema,
+    state: serializedSchema.transform(({ rows, deletions }) =>
+        makeState(PersistentMap(rows.map(entry => [entry.key, entry] as const)), OrderedMap(deletions))
+    ),
+    initial: () => makeState(PersistentMap(), OrderedMap()),
+    apply: applyEdit,
+};
+
+/** Returns the rows in force in order of their keys. */
+export function tableEntries(state: TableState): TableEntry[] {
+    return [...state.rows.values()].sort((left, right) => left.key < right.key ? -1 : 1);
+}
+
+function makeState(rows: TableState["rows"], deletions: TableState["deletions"]): TableState {
+    const state = { rows, deletions };
+    const toJSON = () => ({ rows: tableEntries(state), deletions: [...deletions] });
+    return Object.defineProperty(state, "toJSON", { value: toJSON, enumerable: false });
+}
+
+function applyEdit(state: TableState, edit: Edit, context: RecordContext): Verdict<TableState> {
+    const current = state.rows.get(edit.key);
+    if (edit.row !== undefined && rowKey(edit.row) !== edit.key) {
+        return rejected(issue("key_mismatch", ["key"], `${edit.key} is not the key of row ${rowKey(edit.row)}`));
+    }
+    if ((current?.revision ?? 0) !== edit.baseRevision) {
+        return rejected(conflict(edit, current ?? state.deletions.get(edit.key)));
+    }
+    if (edit.row === undefined && current === undefined) {
+        return rejected(issue("row_absent", ["key"], `${edit.key} does not exist`));
+    }
+    const change = { revision: context.offset + 1, author: context.author, id: context.id };
+    const rows = edit.row === undefined
+        ? state.rows.delete(edit.key)
+        : state.rows.set(edit.key, { ...change, key: edit.key, row: edit.row });
+    const others = dropOld(state.deletions, context.offset).delete(edit.key);
+    return {
+        kind: "accepted",
+        state: makeState(rows, edit.row === undefined ? others.set(edit.key, change) : others),
+    };
+}
+
+function dropOld(deletions: TableState["deletions"], offset: number): TableState["deletions"] {
+    return deletions.skipWhile(change => change.revision + BASIS_WINDOW < offset);
+}
+
+function rejected(found: Issue): Verdict<TableState> {
+    return { kind: "rejected", issue: found };
+}
+
+function conflict(edit: Edit, winner: RowChange | undefined): Issue {
+    const reason = winner === undefined
+        ? "the row does not exist"
+        : `${winner.author.daemon} changed the row first with record ${winner.id} at offset ${winner.revision - 1}`;
+    return issue("edit_conflict", ["baseRevision"], `${edit.key} is not at revision ${edit.baseRevision}: ${reason}`);
+}
--- /dev/null
+++ b/packages/core/src/table/tests/table.test.ts
@@ -0,0 +1,165 @@
+import { expect } from "chai";
+import { applyEntry, initialFolded } from "../../stream/fold.js";
+import type { Applied } from "../../stream/types.js";
+import { checkTable } from "../check.js";
+import { formatTable, parseTable, safeParseTable } from "../csv.js";
+import { diffTables } from "../diff.js";
+import { tableFold, type TableState } from "../fold.js";
+import { callFor, indexTable, ruleFor } from "../lookup.js";
+import { type Row, rowKey, rowSchema } from "../row.js";
+
+const row = (fields: object): Row => rowSchema.parse(fields);
+const keyed = (fields: object) => ({ key: rowKey(row(fields)), row: row(fields) });
+const target = (weight: number) => row({ kind: "target", name: "t", weight });
+
+interface Step {
+    readonly base: number;
+    readonly row?: Row;
+}
+
+function edit(steps: readonly Step[]): Applied<TableState> {
+    return steps.reduce<Applied<TableState>>(({ folded }, { base, row: changed }) => {
+        const offset = folded.nextOffset;
+        const body = { kind: "edit", key: "target:t", baseRevision: base, row: changed };
+        const value = {
+            version: 1,
+            id: `r${offset}`,
+            author: { daemon: `d${offset}`, incarnation: "1" },
+            basis: 0,
+            body,
+        };
+        return applyEntry(tableFold, folded, { offset, time: 0, value });
+    }, { kind: "past", folded: initialFolded(tableFold) });
+}
+
+describe("table fold", () => {
+    const cases: { guards: string; steps: Step[]; code?: string; text?: string; }[] = [
+        {
+            guards: "a row at offset 0 looks absent",
+            steps: [{ base: 0, row: target(1) }, { base: 0, row: target(2) }],
+            code: "edit_conflict",
+            text: "d0 changed the row first with record r0 at offset 0",
+        },
+        {
+            guards: "the second of two edits wins",
+            steps: [{ base: 0, row: target(1) }, { base: 1, row: target(2) }, { base: 1, row: target(3) }],
+            code: "edit_conflict",
+            text: "d1 changed",
+        },
+        {
+            guards: "the winner of a deletion is not named",
+            steps: [{ base: 0, row: target(1) }, { base: 1 }, { base: 1, row: target(3) }],
+            code: "edit_conflict",
+            text: "d1 changed",
+        },
+        { guards: "an absent row is deleted", steps: [{ base: 0 }], code: "row_absent" },
+        {
+            guards: "a key of another row is used",
+            steps: [{ base: 0, row: row({ kind: "target", name: "u" }) }],
+            code: "key_mismatch",
+        },
+        { guards: "a fresh edit is refused", steps: [{ base: 0, row: target(1) }, { base: 1, row: target(2) }] },
+    ];
+
+    cases.forEach(({ guards, steps, code, text }) => {
+        it(`does not fail like this: ${guards}`, () => {
+            const { issue } = edit(steps);
+            expect(issue?.code).to.equal(code);
+            expect(issue?.message ?? "").to.contain(text ?? "");
+        });
+    });
+});
+
+describe("table look-ups", () => {
+    const index = indexTable([
+        { kind: "call", name: "all", service: "fees", repeatable: "yes" },
+        { kind: "call", name: "stat", service: "fees", path: "/stat", repeatable: "yes" },
+        { kind: "call", name: "pay", service: "fees", method: "POST", path: "/stat", repeatable: "no" },
+        { kind: "rule", name: "any" },
+        { kind: "rule", name: "team", team: "b" },
+        { kind: "rule", name: "target", target: "c" },
+        { kind: "rule", name: "two", model: "a", team: "b" },
+    ].map(keyed));
+
+    const calls = [["GET", "/stat", "stat"], ["POST", "/stat/1?x=/", "pay"], ["POST", "/statements", "all"]];
+    calls.forEach(([method = "", path = "", name]) => {
+        it(`finds call ${name} for ${method} ${path}`, () => {
+            expect(callFor(index, "fees", method, path)?.name).to.equal(name);
+        });
+    });
+
+    const rules = [["a", "b", "c", "two"], ["x", "b", "c", "target"], ["x", "b", "y", "team"], ["x", "y", "z", "any"]];
+    rules.forEach(([model = "", team = "", host = "", name]) => {
+        it(`finds rule ${name} for ${model}, ${team}, ${host}`, () => {
+            expect(ruleFor(index, model, team, host)?.name).to.equal(name);
+        });
+    });
+});
+
+describe("table as CSV", () => {
+    const rows = [
+        row({ kind: "model", name: "m", version: "=1+1", members: 2, replicas: 1, dataCentres: ["a", "b"] }),
+        row({ kind: "model", name: "n", version: '\'quoted, "x"\n; y', members: 2, replicas: 1 }),
+        row({ kind: "service", name: "s", urls: ["http://h/a b", "http://h/\\s"] }),
+        row({ kind: "call", name: "c", service: "s", path: "/ x", repeatable: "no" }),
+        row({ kind: "team", name: "t", weight: 0.1 }),
+    ];
+    const entries = rows.map((one, revision) => ({ row: one, revision }));
+
+    it("gives exactly the same rows back", () => {
+        const back = parseTable(formatTable(entries)).map(({ row: one, revision }) => ({ row: one, revision }));
+        expect(back).to.deep.equal(entries);
+    });
+
+    it("has no cell that a spreadsheet would run", () => {
+        expect(formatTable(entries)).to.contain(",'=1+1,").and.not.match(/(^|,)"?[=+@-]/m);
+    });
+
+    it("is read from a spreadsheet that writes a byte order mark, semicolons and line ends of Windows", () => {
+        expect(parseTable("\uFEFFkind;name;weight\r\ntarget;t;2\r\n")[0]?.row).to.deep.equal(target(2));
+    });
+
+    it("reports all findings together with row and column", () => {
+        const text = "kind,name,weight,colour\ntarget,t,much,\ntarget,u,,red\nmodel,m,1,,9\ntarget,v,,,\nbus,x,,";
+        const found = safeParseTable(text, "f.csv").val as { code: string; place: object; }[];
+        const places = found.map(({ code, place }) => `${code} ${Object.values(place).slice(1).join(" ")}`);
+        expect(places).to.include.members(["unknown_column 1 colour", "invalid_type 2 weight", "surplus_cell 4"]);
+        expect(places).to.include.members(["unused_column 4 weight", "invalid_type 4 version", "invalid_union 6 kind"]);
+        expect(safeParseTable('kind,name\n"target', "f.csv").val).to.have.nested.property("[0].code", "invalid_csv");
+    });
+
+    const checks: { code: string; rows: object[]; }[] = [
+        { code: "duplicate_key", rows: [{ kind: "target", name: "t" }, { kind: "target", name: "t" }] },
+        { code: "duplicate_rule", rows: [{ kind: "rule", name: "a" }, { kind: "rule", name: "b" }] },
+        {
+            code: "duplicate_key_hash",
+            rows: ["a", "b"].map(name => ({ kind: "team", name, keyHashes: ["0".repeat(64)] })),
+        },
+        {
+            code: "duplicate_call",
+            rows: ["a", "b"].map(name => ({ kind: "call", name, service: "x", repeatable: "no" })),
+        },
+        {
+            code: "unknown_model",
+            rows: [{ kind: "target", name: "t" }, { kind: "team", name: "a", models: ["*", "m"] }],
+        },
+        { code: "unknown_team", rows: [{ kind: "target", name: "t" }, { kind: "rule", name: "a", team: "b" }] },
+        {
+            code: "unknown_service",
+            rows: [{ kind: "target", name: "t" }, { kind: "team", name: "a", services: ["b"] }],
+        },
+    ];
+    checks.forEach(({ code, rows: checked }) => {
+        it(`reports ${code} with file, row and column`, () => {
+            const found = checkTable(checked.map((fields, index) => ({ ...keyed(fields), line: index + 2 })), "f.csv");
+            expect(found.find(one => one.code === code)?.place).to.include({ file: "f.csv", row: 3 });
+        });
+    });
+
+    it("shows which columns of a row differ", () => {
+        const before = [keyed({ kind: "target", name: "a" }), keyed({ kind: "target", name: "b" })];
+        const after = [keyed({ kind: "target", name: "b", weight: 2 }), keyed({ kind: "target", name: "c" })];
+        const found = diffTables(before, after).map(one => [one.key, one.kind === "changed" ? one.columns : one.kind]);
+        expect(found).to.deep.equal([["target:a", "removed"], ["target:b", ["weight"]], ["target:c", "added"]]);
+    });
+});
--- /dev/null
+++ b/packages/proofs/src/fuzz/index.ts
@@ -0,0 +1,5 @@
+/** Registry of the fuzz modules that `npm run proofs` runs. */
+import type { Fuzz } from "./types.js";
+
+/** All fuzz modules, in the order in which they run. */
+export const fuzzes: readonly Fuzz[] = [];
--- /dev/null
+++ b/packages/proofs/src/fuzz/types.ts
@@ -0,0 +1,63 @@
+/** Types of the stateful fuzz modules and the common runner. */
+import fc from "fast-check";
+
+/** Result of one fuzz module. */
+export interface FuzzResult {
+    readonly name: string;
+    readonly seed: number;
+    readonly runs: number;
+    readonly passed: boolean;
+    /** Smallest scenario found that fails, as text. */
+    readonly counterexample?: string;
+    /** Error of the failing scenario. */
+    readonly error?: string;
+    /** What happened in the failing scenario, one line for each step. */
+    readonly trace?: readonly string[];
+}
+
+/** One fuzz module. The same seed and number of runs give the same scenarios. */
+export interface Fuzz {
+    readonly name: string;
+    run(seed: number, runs: number): Promise<FuzzResult>;
+}
+
+/** Writes one line of the trace. */
+export type Trace = (line: string) => void;
+
+/**
+ * Makes a fuzz module from a generator of scenarios and a function that plays one and throws if an invariant fails.
+ * On failure the smallest scenario is played again to obtain its trace.
+ */
+export function createFuzz<Scenario>(
+    name: string,
+    scenarios: fc.Arbitrary<Scenario>,
+    play: (scenario: Scenario, trace: Trace) => Promise<void>,
+): Fuzz {
+    return {
+        name,
+        run: async (seed, runs) => {
+            const property = fc.asyncProperty(scenarios, scenario => play(scenario, () => undefined));
+            const details = await fc.check(property, { seed, numRuns: runs });
+            if (!details.failed) {
+                return { name, seed, runs, passed: true };
+            }
+            const counterexample = details.counterexample?.[0];
+            const trace: string[] = [];
+            const error = counterexample === undefined
+                ? details.errorInstance
+                : await play(counterexample, line => trace.push(line)).then(
+                    () => `not reproduced; the first failure was ${String(details.errorInstance)}`,
+                    (failure: unknown) => failure,
+                );
+            return {
+                name,
+                seed,
+                runs: details.numRuns,
+                passed: false,
+                counterexample: fc.stringify(counterexample),
+                error: error instanceof Error ? error.stack ?? error.message : String(error),
+                trace,
+            };
+        },
+    };
+}
