--- /dev/null
+++ b/packages/core/src/routing/options.ts
@@ -0,0 +1,54 @@
+/** Options of the router with their defaults. */
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+
+/** Options of `createRouter`. Times are milliseconds, shares are between 0 and 1. */
+export interface RouterOptions {
+    /** Seeded generator; the router advances it. Each daemon needs its own seed. */
+    readonly random: RandomGenerator;
+    /** How many candidates are drawn at random for each choice, besides the holders of the prompt's prefix. */
+    readonly choices?: number;
+    /** Requests of load that a complete prefix hit outweighs. */
+    readonly prefixBonus?: number;
+    /** Prefix blocks remembered over all targets. */
+    readonly prefixBlocks?: number;
+    /** Time over which a target that returns reaches its whole weight. */
+    readonly slowStartMilliseconds?: number;
+    /** Largest share of the candidates that may be ejected at a time; one of two or three always may. */
+    readonly ejectedShare?: number;
+    /** Duration of a target's first ejection; doubles with each further one. */
+    readonly ejectionMilliseconds?: number;
+    readonly maximumEjectionMilliseconds?: number;
+    /** Time without an ejection after which one former ejection no longer counts. */
+    readonly ejectionMemoryMilliseconds?: number;
+    /** Failures in a row that eject a target. */
+    readonly failuresToEject?: number;
+    /** A target is a straggler when its first-token time is this many times the median of the targets. */
+    readonly stragglerFactor?: number;
+    /** First-token times above the median by less than this never make a straggler. */
+    readonly stragglerFloorMilliseconds?: number;
+    /** First-token times that must be known of a target before it is judged. */
+    readonly stragglerSamples?: number;
+}
+
+/** Options with all defaults filled in. */
+export type CompleteRouterOptions = Required<RouterOptions>;
+
+const defaults: Omit<CompleteRouterOptions, "random"> = {
+    choices: 2,
+    prefixBonus: 4,
+    prefixBlocks: 65_536,
+    slowStartMilliseconds: 10_000,
+    ejectedShare: 0.34,
+    ejectionMilliseconds: 5_000,
+    maximumEjectionMilliseconds: 300_000,
+    ejectionMemoryMilliseconds: 60_000,
+    failuresToEject: 3,
+    stragglerFactor: 3,
+    stragglerFloorMilliseconds: 200,
+    stragglerSamples: 10,
+};
+
+/** Fills in the defaults. */
+export function completeRouterOptions(options: RouterOptions): CompleteRouterOptions {
+    return { ...defaults, ...options };
+}
