--- /dev/null
+++ b/packages/proofs/src/cluster/control.ts
@@ -0,0 +1,117 @@
+/** Client of the operators' API and of the stand-ins' test routes. */
+import { type Row, rowKey } from "@damaskvale/core";
+import type { FaultRequest, JournalEntry } from "@damaskvale/stand-ins";
+
+/** Row as the table shows it. */
+export interface TableRow {
+    readonly key: string;
+    readonly revision: number;
+    readonly row: Row;
+}
+
+/** Answer to a JSON request. */
+export interface JsonAnswer<Body = unknown> {
+    readonly status: number;
+    readonly headers: Headers;
+    readonly body: Body;
+}
+
+/** One edit of the table as it is posted. */
+export interface Edit {
+    readonly id: string;
+    readonly key: string;
+    readonly baseRevision: number;
+    readonly row?: Row;
+}
+
+/** Client of the operators' API of one daemon. */
+export interface Control {
+    get<Body = unknown>(path: string): Promise<JsonAnswer<Body>>;
+    table(): Promise<readonly TableRow[]>;
+    edit(edits: readonly Edit[], wait: "accepted" | "everywhere"): Promise<JsonAnswer>;
+    /** Sets rows on top of the revisions that the daemon shows now. */
+    setRows(rows: readonly Row[], wait: "accepted" | "everywhere"): Promise<JsonAnswer>;
+}
+
+const REQUEST_MILLISECONDS = 30_000;
+let edits = 0;
+
+/** Sends a request with a JSON body, if any, and reads the JSON answer. */
+export async function fetchJson<Body = unknown>(
+    url: string,
+    options: { readonly method?: string; readonly token?: string; readonly body?: unknown; } = {},
+): Promise<JsonAnswer<Body>> {
+    const response = await fetch(url, {
+        method: options.method ?? (options.body === undefined ? "GET" : "POST"),
+        headers: {
+            ...(options.body === undefined ? {} : { "content-type": "application/json" }),
+            ...(options.token === undefined ? {} : { authorization: `Bearer ${options.token}` }),
+        },
+        body: options.body === undefined ? undefined : JSON.stringify(options.body),
+        signal: AbortSignal.timeout(REQUEST_MILLISECONDS),
+    });
+    const text = await response.text();
+    return { status: response.status, headers: response.headers, body: parseJson(text) as Body };
+}
+
+/** Makes a client of the operators' API. */
+export function createControl(url: string, token: string): Control {
+    const control: Control = {
+        get: path => fetchJson(`${url}/control/v1/${path}`, { token }),
+        table: async () => (await control.get<{ rows: TableRow[]; }>("table")).body.rows,
+        edit: (changes, wait) => fetchJson(`${url}/control/v1/table/edits`, { token, body: { edits: changes, wait } }),
+        setRows: async (rows, wait) => {
+            const present = await control.table();
+            const revisions = new Map(present.map(({ key, revision }) => [key, revision]));
+            return control.edit(
+                rows.map(row => ({
+                    id: editId(),
+                    key: rowKey(row),
+                    baseRevision: revisions.get(rowKey(row)) ?? 0,
+                    row,
+                })),
+                wait,
+            );
+        },
+    };
+    return control;
+}
+
+/** Returns an edit id that is unique in this process and across its restarts. */
+export function editId(): string {
+    edits += 1;
+    return `proofs-${process.pid}-${Date.now()}-${edits}`;
+}
+
+/** Sets a fault of a stand-in. */
+export async function setFault(url: string, fault: FaultRequest): Promise<void> {
+    await expectOk(fetchJson(`${url}/stand-in/faults`, { body: fault }));
+}
+
+/** Ends all faults of a stand-in. */
+export function clearFaults(url: string): Promise<void> {
+    return setFault(url, { fault: "clear" });
+}
+
+/** Reads the journal of a stand-in. */
+export async function readJournal(url: string): Promise<readonly JournalEntry[]> {
+    return (await fetchJson<{ entries: JournalEntry[]; }>(`${url}/stand-in/journal`)).body.entries;
+}
+
+/** Rejects unless the answer is a success. */
+export async function expectOk<Body>(answer: Promise<JsonAnswer<Body>>): Promise<Body> {
+    const { status, body } = await answer;
+    if (status >= 300) {
+        throw new Error(`Unexpected answer ${status}: ${JSON.stringify(body)}`);
+    }
+    return body;
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return text;
+    }
+}
--- a/packages/stand-ins/src/shared/faults.ts
+++ b/packages/stand-ins/src/shared/faults.ts
@@ -26,6 +26,8 @@
 
 /** One fault. */
 export type Fault = z.infer<typeof faultSchema>;
+/** Fault as a test posts it. */
+export type FaultRequest = z.input<typeof faultSchema>;
 /** Name of a fault. */
 export type FaultName = Fault["fault"];
 
