Add the request path: front, dispatcher, engine and service clients

Callers need one way to every target, with one final answer each. Tests run over HTTP against small servers on the loopback interface.

--- /dev/null
+++ b/packages/daemon/src/dispatch/active.ts
@@ -0,0 +1,45 @@
+/** Requests in progress at this daemon. */
+import type { Delivery } from "./delivery.js";
+import type { Lifetime } from "./lifetime.js";
+
+/** Request in progress. */
+export interface ActiveRequest {
+    readonly lifetime: Lifetime;
+    readonly delivery: Delivery;
+}
+
+/** Registry of requests in progress. */
+export interface ActiveRequests {
+    add(id: string, request: ActiveRequest): void;
+    remove(id: string): void;
+    size(): number;
+    /** Resolves when no request is in progress. */
+    idle(): Promise<void>;
+    /** Stops all requests and returns their ids. */
+    cutOff(): string[];
+}
+
+/** Makes an empty registry. */
+export function createActiveRequests(): ActiveRequests {
+    const active = new Map<string, ActiveRequest>();
+    const waiting = new Set<() => void>();
+    return {
+        add: (id, request) => {
+            active.set(id, request);
+        },
+        remove: id => {
+            active.delete(id);
+            if (active.size === 0) {
+                [...waiting].forEach(resolve => resolve());
+                waiting.clear();
+            }
+        },
+        size: () => active.size,
+        idle: () => active.size === 0 ? Promise.resolve() : new Promise(resolve => waiting.add(resolve)),
+        cutOff: () => {
+            const ids = [...active.keys()];
+            [...active.values()].forEach(({ lifetime }) => lifetime.stop("cut"));
+            return ids;
+        },
+    };
+}
--- a/packages/daemon/src/dispatch/chat.ts
+++ b/packages/daemon/src/dispatch/chat.ts
@@ -13,7 +13,7 @@
 /** Runs the request until it has its answer or must not be tried again. */
 export async function runChat(run: Run<ChatRequest>, limits: RuleLimits): Promise<RunResult> {
     const { context, request, lifetime } = run;
-    const prefixes = hashPrefixes(request.model, request.body["messages"]);
+    const prefixes = hashPrefixes(request.body["messages"]);
     // Only the first daemon that holds a request repeats work that may have run.
     const repeatable = request.forwardedBy === undefined;
     for (;;) {
--- a/packages/daemon/src/dispatch/options.ts
+++ b/packages/daemon/src/dispatch/options.ts
@@ -15,6 +15,8 @@
 
 /** State of a request after a failed attempt. */
 export interface FailedAttempt {
+    /** Model or service whose budget pays for another attempt. */
+    readonly subject: string;
     readonly failure: TargetFailure;
     /** Attempts made so far, at least 1. */
     readonly attempts: number;
@@ -34,7 +36,7 @@
 /** Decision about another attempt, with the retry budget behind it. */
 export interface RetryPolicy {
     /** Counts a first attempt, from which the budget is filled. */
-    started(now: number): void;
+    started(subject: string, now: number): void;
     decide(failed: FailedAttempt): RetryAnswer;
 }
 
--- /dev/null
+++ b/packages/daemon/src/dispatch/pipeline.ts
@@ -0,0 +1,108 @@
+/** Stages of one request after the front: duplicate check, admission, attempts. */
+import type { ActiveRequest } from "./active.js";
+import { createCapacityRefresh, estimateTokens } from "./capacity.js";
+import { runChat } from "./chat.js";
+import { runClaimed } from "./claimed.js";
+import { createDuplicateCheck } from "./duplicates.js";
+import { claimRequestOf } from "./keys.js";
+import type { DispatchContext } from "./options.js";
+import { stopped } from "./refusals.js";
+import { createRuleLimits } from "./rulelimits.js";
+import { createRun, type RunResult } from "./run.js";
+import { runRepeatable } from "./service.js";
+import type { CallerError, DispatchRequest } from "./types.js";
+import { type AdmissionResult, createWaiting } from "./waiting.js";
+
+/** Stages of the requests of one daemon. */
+export interface Pipeline {
+    run(request: DispatchRequest, entry: ActiveRequest): Promise<RunResult>;
+    close(): void;
+}
+
+const refusalTexts = {
+    rate_limited: "The team has used its rate limit.",
+    queue_full: "The queue of the team is full.",
+    deadline_exceeded: "The request would wait beyond its deadline.",
+} as const;
+/** Makes the stages. */
+export function createPipeline(context: DispatchContext): Pipeline {
+    const { admission, clock, shares } = context;
+    const limits = createRuleLimits();
+    const once = createDuplicateCheck();
+    const refreshCapacity = createCapacityRefresh(context);
+    const waiting = createWaiting(admission, clock, refreshCapacity);
+    admission.configure(shares.current(), clock.monotonic());
+    const unsubscribe = shares.subscribe(changed => {
+        admission.configure(changed, clock.monotonic());
+        waiting.poll();
+    });
+
+    const runAdmitted = (request: DispatchRequest, { delivery, lifetime }: ActiveRequest): Promise<RunResult> => {
+        if (request.kind === "chat") {
+            return runChat(createRun(context, request, delivery, lifetime), limits);
+        }
+        const run = createRun(context, request, delivery, lifetime);
+        return request.repeatable ? runRepeatable(run, limits) : runClaimed(run, claimRequestOf(request), limits);
+    };
+
+    const admitAndRun = async (request: DispatchRequest, entry: ActiveRequest): Promise<RunResult> => {
+        refreshCapacity();
+        const span = context.tracer.start("admission", request.traceparent);
+        const admitted = await waiting.admit({
+            id: request.id,
+            team: request.team.name,
+            priority: request.priority,
+            tokens: estimateTokens(request),
+            deadlineAt: request.deadlineAt,
+        }, entry.lifetime.signal);
+        span.setAttribute("decision", admitted.kind);
+        span.end();
+        context.explanations.update(request.id, () => ({ admission: admitted.kind }));
+        if (admitted.kind !== "admitted") {
+            return { error: notAdmitted(admitted, entry), tokens: 0 };
+        }
+        const used = { tokens: 0 };
+        try {
+            const result = await runAdmitted(request, entry);
+            used.tokens = result.tokens;
+            return result;
+        }
+        finally {
+            waiting.finish(request.id, used.tokens);
+        }
+    };
+
+    const runOnce = (request: DispatchRequest, entry: ActiveRequest): Promise<RunResult> =>
+        request.kind === "chat" || request.repeatable
+            ? admitAndRun(request, entry)
+            : once(request, () => admitAndRun(request, entry));
+
+    return {
+        run: async (request, entry) => {
+            try {
+                return await runOnce(request, entry);
+            }
+            catch (error) {
+                const stack = (error as Error).stack ?? String(error);
+                context.log.emit("requestFailed", { requestId: request.id, error: stack });
+                const message = "The request failed inside the daemon.";
+                return { error: { code: "internal_error", message }, tokens: 0 };
+            }
+        },
+        close: () => {
+            unsubscribe();
+            waiting.close();
+        },
+    };
+}
+
+function notAdmitted(
+    result: Exclude<AdmissionResult, { kind: "admitted"; }>,
+    { lifetime }: ActiveRequest,
+): CallerError {
+    if (result.kind === "withdrawn") {
+        return stopped(lifetime, false);
+    }
+    const { code, retryAfterMilliseconds } = result;
+    return { code, message: refusalTexts[code], retryAfterMilliseconds, spread: false };
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/retries.ts
@@ -0,0 +1,23 @@
+/** Retry policy: the decision of the core with one budget for each model or service. */
+import { createRetryBudget, decideAttempt, type RetryBudget } from "@damaskvale/core";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { RetryPolicy } from "./options.js";
+
+/** Makes the policy of one daemon. */
+export function createRetryPolicy(random: RandomGenerator): RetryPolicy {
+    const budgets = new Map<string, RetryBudget>();
+    const budgetOf = (subject: string): RetryBudget => {
+        const budget = budgets.get(subject) ?? createRetryBudget();
+        budgets.set(subject, budget);
+        return budget;
+    };
+    return {
+        started: (subject, now) => budgetOf(subject).noteFirst(now),
+        decide: ({ failure, subject, ...state }) => {
+            const decision = decideAttempt({ ...state, failure: failure.kind }, { budget: budgetOf(subject), random });
+            return decision.kind === "again"
+                ? { again: true, delayMilliseconds: decision.afterMilliseconds }
+                : { again: false, delayMilliseconds: 0 };
+        },
+    };
+}
--- a/packages/daemon/src/dispatch/run.ts
+++ b/packages/daemon/src/dispatch/run.ts
@@ -52,6 +52,9 @@
 /** Returns the id of the next attempt, unique across daemons and restarts. */
 export function nextAttemptId(run: Run<DispatchRequest>): string {
     run.attempts += 1;
+    if (run.attempts === 1) {
+        run.context.retries.started(subjectOf(run.request), run.context.clock.monotonic());
+    }
     return `${run.request.id}-${run.attempts}`;
 }
 
@@ -84,6 +87,7 @@
     }
     const now = run.context.clock.monotonic();
     const answer = run.context.retries.decide({
+        subject: subjectOf(run.request),
         failure: run.lastFailure,
         attempts: run.attempts,
         repeatable,
@@ -107,3 +111,7 @@
         outcome: run.maybeRan ? "unknown" : "not-run",
     };
 }
+
+function subjectOf(request: DispatchRequest): string {
+    return request.kind === "chat" ? `model ${request.model}` : `service ${request.service.name}`;
+}
--- a/packages/daemon/src/dispatch/types.ts
+++ b/packages/daemon/src/dispatch/types.ts
@@ -47,6 +47,8 @@
     /** Takes the place of the outcome that belongs to the code. */
     readonly outcome?: Outcome;
     readonly retryAfterMilliseconds?: number;
+    /** False when the time is computed for this caller alone, and must stay as it is. */
+    readonly spread?: boolean;
     readonly param?: string;
 }
 
--- a/packages/daemon/src/front/chatbody.ts
+++ b/packages/daemon/src/front/chatbody.ts
@@ -33,7 +33,7 @@
     if (stream === true && (n ?? 1) > 1) {
         return Err({ code: "malformed_body", message: "A streamed answer has one choice.", param: "n" });
     }
-    return Ok({ model, stream: stream === true, body: parsed.data });
+    return Ok({ model, stream: stream === true, body: value as Record<string, unknown> });
 }
 
 function parseJson(bytes: Buffer): unknown {
--- a/packages/daemon/src/front/exchange.ts
+++ b/packages/daemon/src/front/exchange.ts
@@ -1,5 +1,5 @@
 /** One request of a caller and its response, as the handlers of the front see them. */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Dispatcher } from "../dispatch/dispatcher.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -47,5 +47,12 @@
     readonly forwarded?: { readonly daemon: string; readonly team: string; };
 }
 
+/** State of the front that its parts share. */
+export interface FrontState {
+    draining: boolean;
+    /** Handler of the paths under `/control/`. */
+    control?: RequestListener;
+}
+
 /** Handler of a route. Resolves when the response is finished. */
 export type RouteHandler = (exchange: Exchange) => Promise<void> | void;
--- /dev/null
+++ b/packages/daemon/src/front/routetable.ts
@@ -0,0 +1,43 @@
+/** Routes of the front. */
+import { handleChat, handleModels, handleService, refuse, writeJson } from "./callerroutes.js";
+import type { FrontOptions, FrontState, RouteHandler } from "./exchange.js";
+import type { Routes } from "./routes.js";
+
+/** Makes the lookup table. */
+export function createRoutes(options: FrontOptions, state: FrontState): Routes {
+    const control: RouteHandler = exchange => {
+        const { request, response, requestId } = exchange;
+        if (state.control === undefined) {
+            return refuse(exchange, { code: "route_not_found", message: "There is no such path." });
+        }
+        response.setHeader("x-damaskvale-request-id", requestId);
+        response.setHeader("x-damaskvale-outcome", "complete");
+        const finished = new Promise<void>(resolve => response.on("close", resolve));
+        state.control(request, response);
+        return finished;
+    };
+    return {
+        exact: {
+            "/v1/chat/completions": { methods: { POST: handleChat }, drained: true },
+            "/v1/models": { methods: { GET: handleModels }, drained: false },
+            "/healthz": {
+                methods: { GET: exchange => writeJson(exchange, 200, { status: "ok" }) },
+                drained: false,
+            },
+            "/readyz": {
+                methods: {
+                    GET: exchange =>
+                        state.draining || !options.ready()
+                            ? refuse(exchange, { code: "shutting_down", message: "The daemon is not ready." })
+                            : writeJson(exchange, 200, { status: "ready" }),
+                },
+                drained: false,
+            },
+        },
+        prefixes: {
+            "/v1/models/": { methods: { GET: handleModels }, drained: false },
+            "/services/": { methods: { "*": handleService }, drained: true },
+            "/control/": { methods: { "*": control }, drained: false },
+        },
+    };
+}
--- a/packages/daemon/src/front/servicepath.ts
+++ b/packages/daemon/src/front/servicepath.ts
@@ -14,7 +14,7 @@
 
 /**
  * Splits `/services/NAME/PATH`. The table marks calls as not repeatable by path prefix, so a path is refused if a
- * service could read it as another one: dot segments, empty segments, backslashes, and needless percent encoding.
+ * service could read it as another one: dot segments, empty segments, parameters, backslashes, and needless percent encoding.
  */
 export function parseServicePath(text: string): Result<ServicePath, CallerError> {
     const [, , service = "", ...segments] = text.split("/");
@@ -28,7 +28,7 @@
 function isUnambiguous(path: string): boolean {
     const segments = path.slice(1).split("/");
     const encoded = path.match(/%.{0,2}/g) ?? [];
-    return /^[\x21\x23-\x5b\x5d\x5f\x61-\x7a\x7e]*$/.test(path)
+    return /^[\x21\x23-\x3a\x3c-\x5b\x5d\x5f\x61-\x7a\x7e]*$/.test(path)
         && !segments.some(segment => segment === "." || segment === "..")
         && !segments.slice(0, -1).some(segment => segment === "")
         && encoded.every(part => {
--- /dev/null
+++ b/packages/daemon/src/front/tests/chat.test.ts
@@ -0,0 +1,136 @@
+import { expect } from "chai";
+import type { RequestListener } from "node:http";
+import {
+    answerWhole,
+    chat,
+    chunkOf,
+    type Path,
+    type PathOptions,
+    send,
+    startPath,
+    streamOf,
+    wholeAnswer,
+} from "./path.js";
+
+const withPath = async (options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> => {
+    const path = await startPath(options);
+    try {
+        await run(path);
+    }
+    finally {
+        await path.close();
+    }
+};
+const contents = (text: string): string =>
+    [...text.matchAll(/"content":"([^"]*)"/g)].map(([, content]) => content).join("");
+
+describe("chat completions over HTTP", () => {
+    it("passes a whole request and its answer through byte for byte", () =>
+        withPath({}, async path => {
+            const answer = await chat(path, { n: 2, seed: 1, unknown_field: [1] }, { "idempotency-key": "k1" });
+
+            expect(answer.status).to.equal(200);
+            expect(answer.outcome).to.equal("complete");
+            expect(answer.text).to.equal(JSON.stringify(wholeAnswer));
+            const [seen] = path.engines[0]!.seen;
+            expect(JSON.parse(seen!.body)).to.deep.include({ n: 2, unknown_field: [1] });
+            expect(seen!.headers).to.deep.include({
+                "authorization": "Bearer credential",
+                "x-attempt-id": `${answer.requestId}-1`,
+                "x-group": "group-0",
+                "x-fence": "7",
+                "x-priority": "5",
+                "idempotency-key": "k1",
+            });
+        }));
+
+    it("passes a stream through with its end marker", () =>
+        withPath({ engines: [streamOf(["a", "b"], "done")] }, async path => {
+            const { text, status } = await chat(path, { stream: true });
+
+            expect(status).to.equal(200);
+            expect(text).to.equal(`data: ${chunkOf("a")}\n\ndata: ${chunkOf("b")}\n\ndata: [DONE]\n\n`);
+        }));
+
+    it("lists the models of the team, and tells health and readiness", () =>
+        withPath({}, async path => {
+            const models = JSON.parse((await send(path, "/v1/models")).text);
+            expect(models.data.map(({ id }: { id: string; }) => id)).to.deep.equal(["notes"]);
+            expect((await send(path, "/healthz")).status).to.equal(200);
+            expect((await send(path, "/readyz")).status).to.equal(200);
+        }));
+
+    it("resumes a cut stream on the same group at the next event", () =>
+        withPath({ engines: [streamOf(["a", "b"], "cut"), answerWhole] }, async path => {
+            const original = streamOf(["a", "b"], "cut");
+            path.engines.forEach(engine => {
+                engine.handle = (request, response) =>
+                    request.url!.startsWith("/attempts/")
+                        ? streamOf(["c"], "done")(request, response)
+                        : original(request, response);
+            });
+
+            const { text } = await chat(path, { stream: true });
+
+            expect(contents(text)).to.equal("abc");
+            expect(text.endsWith("data: [DONE]\n\n")).to.equal(true);
+            const urls = path.engines.flatMap(({ seen }) => seen.map(({ url }) => url.replace(/daemon.*-1\//, "ID/")));
+            expect(path.engines.map(({ seen }) => seen.length).toSorted()).to.deep.equal([0, 2]);
+            expect(urls).to.deep.equal(["/v1/chat/completions", "/attempts/ID/stream?from=2"]);
+        }));
+
+    it("ends a stream that cannot be completed with an error event and without the end marker", () =>
+        withPath({ engines: [streamOf(["a"], "cut")] }, async path => {
+            const engine = path.engines[0]!;
+            const original = engine.handle;
+            engine.handle = (request, response) =>
+                request.url!.startsWith("/attempts/")
+                    ? void response.writeHead(404).end("{}")
+                    : original(request, response);
+
+            const { text } = await chat(path, { stream: true });
+
+            expect(contents(text)).to.equal("a");
+            expect(text).to.contain('"code":"stream_incomplete"');
+            expect(text).not.to.contain("[DONE]");
+        }));
+
+    const failovers: { guards: string; first: RequestListener; }[] = [
+        {
+            guards: "a group refuses with 409 wrong_group",
+            first: (...[, response]) => response.writeHead(409).end('{"error":{"code":"wrong_group"}}'),
+        },
+        {
+            guards: "a group refuses with 503 not_started",
+            first: (...[, response]) => response.writeHead(503).end('{"error":{"code":"not_started"}}'),
+        },
+        { guards: "the connection breaks", first: (...[, response]) => response.destroy() },
+        { guards: "the engine fails", first: (...[, response]) => response.writeHead(500).end("{}") },
+        {
+            guards: "the answer is for another attempt",
+            first: (...[, response]) =>
+                response.writeHead(200, { "x-attempt-id": "other", "content-type": "application/json" }).end("{}"),
+        },
+    ];
+    failovers.forEach(({ guards, first }) => {
+        it(`answers from another group when ${guards}`, () =>
+            withPath({ engines: [answerWhole, answerWhole] }, async path => {
+                // The first engine asked fails, whichever it is.
+                const state = { failed: false };
+                path.engines.forEach(engine => {
+                    engine.handle = (request, response) => {
+                        const handle = state.failed ? answerWhole : first;
+                        state.failed = true;
+                        handle(request, response);
+                    };
+                });
+
+                const answer = await chat(path);
+
+                expect(answer.text).to.equal(JSON.stringify(wholeAnswer));
+                expect(path.engines.map(({ seen }) => seen.length)).to.deep.equal([1, 1]);
+                const attempts = path.engines.flatMap(({ seen }) => seen.map(({ headers }) => headers["x-attempt-id"]));
+                expect(attempts.toSorted()).to.deep.equal([`${answer.requestId}-1`, `${answer.requestId}-2`]);
+            }));
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/front/tests/path.ts
@@ -0,0 +1,219 @@
+/** Whole request path over HTTP: front, dispatcher and clients, with small servers as targets. */
+import { createServer, type IncomingMessage, type RequestListener, type Server } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { createEngineClient } from "../../adapters/engineclient.js";
+import { createTargetPools } from "../../adapters/pools.js";
+import { createServiceClient } from "../../adapters/serviceclient.js";
+import { createDispatcher } from "../../dispatch/dispatcher.js";
+import type { DispatcherOptions } from "../../dispatch/options.js";
+import {
+    baseRows,
+    createClaims,
+    createGroup,
+    createGroups,
+    createOptions,
+    createTable,
+    TEAM_KEY,
+} from "../../dispatch/tests/fakes.js";
+import type { FrontOptions } from "../exchange.js";
+import { createFront } from "../front.js";
+
+/** Request as a target saw it. */
+export interface Seen {
+    readonly method: string;
+    readonly url: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+/** Small server as a target; probes and cancellations are answered apart from `handle`. */
+export interface FakeTarget {
+    readonly url: string;
+    readonly seen: Seen[];
+    readonly cancelled: string[];
+    handle: RequestListener;
+    close(): void;
+}
+
+const isPlumbing = ({ method, url }: IncomingMessage): boolean =>
+    url === "/report" || method === "DELETE" || method === "HEAD";
+
+/** Starts a target. */
+export async function startTarget(handle: RequestListener): Promise<FakeTarget> {
+    const seen: Seen[] = [];
+    const cancelled: string[] = [];
+    const server = createServer((request, response) => {
+        const chunks: Buffer[] = [];
+        request.on("data", chunk => chunks.push(chunk)).on("end", () => {
+            if (isPlumbing(request)) {
+                cancelled.push(...(request.method === "DELETE" ? [request.url ?? ""] : []));
+                response.end("{}");
+                return;
+            }
+            const { method = "", url = "", headers } = request;
+            seen.push({ method, url, headers, body: Buffer.concat(chunks).toString() });
+            target.handle(request, response);
+        });
+    });
+    const url = await listen(server);
+    const target: FakeTarget = {
+        url,
+        seen,
+        cancelled,
+        handle,
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+    return target;
+}
+
+export const chunkOf = (content: string, id = "chatcmpl-1"): string =>
+    JSON.stringify({ id, object: "chat.completion.chunk", choices: [{ index: 0, delta: { content } }] });
+
+/** Streams data events, and then does what is asked: the end marker, a cut, or nothing. */
+export const streamOf =
+    (contents: readonly string[], then: "done" | "cut" | "hang", id?: string): RequestListener => (...[, response]) => {
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        contents.forEach(content => response.write(`data: ${chunkOf(content, id)}\n\n`));
+        if (then === "done") {
+            response.end("data: [DONE]\n\n");
+        }
+        if (then === "cut") {
+            setTimeout(() => response.destroy(), 20);
+        }
+    };
+
+export const wholeAnswer = {
+    id: "chatcmpl-1",
+    object: "chat.completion",
+    choices: [{ index: 0, finish_reason: "stop" }],
+};
+export const answerWhole: RequestListener = (...[, response]) => {
+    response.setHeader("content-type", "application/json").end(JSON.stringify(wholeAnswer));
+};
+
+/** What differs from the usual path. */
+export interface PathOptions {
+    readonly engines?: readonly RequestListener[];
+    readonly service?: RequestListener;
+    readonly front?: Partial<FrontOptions>;
+    readonly dispatcher?: Partial<DispatcherOptions>;
+    readonly rows?: readonly Record<string, unknown>[];
+}
+
+/** Starts the path; `close` ends everything. */
+export async function startPath(options: PathOptions = {}) {
+    const counts: Record<string, number> = {};
+    const engines = await Promise.all((options.engines ?? [answerWhole]).map(startTarget));
+    const service = await startTarget(options.service ?? answerWhole);
+    const groups = createGroups(engines.map(({ url }, index) => createGroup(`group-${index}`, url)));
+    const claims = createClaims();
+    const pools = createTargetPools();
+    const onForeignData = (): void => {
+        counts["foreign"] = (counts["foreign"] ?? 0) + 1;
+    };
+    const onSilence = (...[, lost]: [string, string]): void => {
+        counts[`lost ${lost}`] = (counts[`lost ${lost}`] ?? 0) + 1;
+    };
+    const shared = { pools, credential: "credential", onForeignData, onSilence, probeTimeoutMilliseconds: 200 };
+    const dispatcherOptions = {
+        ...createOptions({
+            engines: createEngineClient({
+                ...shared,
+                firstTokenTimeoutMilliseconds: 150,
+                tokenTimeoutMilliseconds: 100,
+            }),
+            services: createServiceClient(shared),
+            groups,
+            claims,
+            table: createTable([...baseRows(service.url), ...options.rows ?? []]),
+            counts,
+        }),
+        ...options.dispatcher,
+    };
+    const dispatcher = createDispatcher(dispatcherOptions);
+    const front = createFront({
+        daemon: "daemon-1",
+        incarnation: "i1",
+        listen: "127.0.0.1:0",
+        headerTimeoutMilliseconds: 200,
+        bodyTimeoutMilliseconds: 200,
+        maximumBodyBytes: 2_000,
+        peerSecret: "secret-of-daemons",
+        dispatcher,
+        table: dispatcherOptions.table,
+        ready: () => true,
+        clock: dispatcherOptions.clock,
+        tracer: dispatcherOptions.tracer,
+        metrics: dispatcherOptions.metrics,
+        log: dispatcherOptions.log,
+        ...options.front,
+    });
+    const { port } = await front.listen();
+    return {
+        port,
+        url: `http://127.0.0.1:${port}`,
+        front,
+        dispatcher,
+        engines,
+        service,
+        groups,
+        claims,
+        counts,
+        close: async () => {
+            front.cutOff();
+            await front.close();
+            dispatcher.close();
+            await pools.close();
+            [...engines, service].forEach(target => target.close());
+        },
+    };
+}
+
+/** Started path. */
+export type Path = Awaited<ReturnType<typeof startPath>>;
+
+/** Sends a request with the key of the team. */
+export async function send(path: Path, target: string, init: RequestInit = {}) {
+    const response = await fetch(`${path.url}${target}`, {
+        ...init,
+        headers: { authorization: `Bearer ${TEAM_KEY}`, ...init.headers },
+    });
+    const text = await response.text();
+    const { status, headers } = response;
+    return {
+        status,
+        text,
+        code: (/"code":"([a-z_]+)"/.exec(text) ?? [])[1],
+        outcome: headers.get("x-damaskvale-outcome"),
+        requestId: headers.get("x-damaskvale-request-id"),
+        retryAfter: headers.get("retry-after"),
+    };
+}
+
+export const chat = (path: Path, body: Record<string, unknown> = {}, headers: Record<string, string> = {}) =>
+    send(path, "/v1/chat/completions", {
+        method: "POST",
+        headers: { "content-type": "application/json", ...headers },
+        body: JSON.stringify({ model: "notes", messages: [{ role: "user", content: "hello" }], ...body }),
+    });
+
+/** Sends bytes on a connection of their own and returns all that comes back until it closes. */
+export function sendRaw(path: Path, text: string): Promise<string> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        const socket = connect(path.port, "127.0.0.1", () => socket.write(text));
+        socket.on("data", chunk => chunks.push(chunk));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(Buffer.concat(chunks).toString()));
+        socket.setTimeout(2_000, () => socket.destroy());
+    });
+}
+
+function listen(server: Server): Promise<string> {
+    return new Promise(resolve => {
+        server.listen(0, "127.0.0.1", () => resolve(`http://127.0.0.1:${(server.address() as AddressInfo).port}`));
+    });
+}
