Add the command line, the operators' HTTP interface and the generated pages

Ruled out: an edit without the operator's name, because the loser of a race could then only be told a daemon. Change: packages/cli, packages/daemon/src/control and documents, edits carry the operator, docs/glossary.md.

--- /dev/null
+++ b/packages/cli/src/client.ts
@@ -0,0 +1,100 @@
+/** Client of the operators' HTTP interface of the daemons. */
+import { type Issue, issue, issuesFromZod } from "@damaskvale/core";
+import { Err, Ok, type Result } from "ts-results";
+import { request } from "undici";
+import { z } from "zod";
+
+/** Why a call failed: no daemon answered, or one answered with an error. */
+export interface ControlFailure {
+    readonly kind: "unreachable" | "refused";
+    readonly status?: number;
+    readonly code?: string;
+    readonly issues: readonly Issue[];
+}
+
+/** Which daemons to ask, in order, and the operator's token. */
+export interface ControlClientOptions {
+    readonly daemons: readonly string[];
+    readonly token: string;
+    readonly timeoutMilliseconds: number;
+}
+
+/** One call of the operators' interface. */
+export interface ControlCall<Schema extends z.ZodType> {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: unknown;
+    readonly schema: Schema;
+}
+
+const errorSchema = z.object({
+    error: z.object({
+        message: z.string(),
+        code: z.string(),
+        issues: z.array(
+            z.object({ code: z.string(), path: z.array(z.union([z.string(), z.number()])), message: z.string() }),
+        )
+            .default([]),
+    }),
+});
+
+/**
+ * Asks the daemons in turn until one answers. Edits carry an id, so asking a second daemon after a lost answer does
+ * not make an edit twice.
+ */
+export async function callControl<Schema extends z.ZodType>(
+    options: ControlClientOptions,
+    call: ControlCall<Schema>,
+): Promise<Result<z.infer<Schema>, ControlFailure>> {
+    const unreachable: Issue[] = [];
+    for (const daemon of options.daemons) {
+        const answer = await callDaemon(options, daemon, call);
+        if (answer.ok || answer.val.kind === "refused") {
+            return answer;
+        }
+        unreachable.push(...answer.val.issues);
+    }
+    return Err({ kind: "unreachable", issues: unreachable });
+}
+
+async function callDaemon<Schema extends z.ZodType>(
+    options: ControlClientOptions,
+    daemon: string,
+    call: ControlCall<Schema>,
+): Promise<Result<z.infer<Schema>, ControlFailure>> {
+    try {
+        const response = await request(new URL(call.path, daemon), {
+            method: call.method,
+            headers: { "authorization": `Bearer ${options.token}`, "content-type": "application/json" },
+            body: call.body === undefined ? undefined : JSON.stringify(call.body),
+            headersTimeout: options.timeoutMilliseconds,
+            bodyTimeout: options.timeoutMilliseconds,
+        });
+        return readAnswer(response.statusCode, await response.body.json(), call.schema);
+    }
+    catch (error) {
+        return Err({ kind: "unreachable", issues: [issue("daemon_unreachable", [daemon], messageOf(error))] });
+    }
+}
+
+function readAnswer<Schema extends z.ZodType>(
+    status: number,
+    body: unknown,
+    schema: Schema,
+): Result<z.infer<Schema>, ControlFailure> {
+    if (status === 200) {
+        const parsed = schema.safeParse(body);
+        return parsed.success
+            ? Ok(parsed.data)
+            : Err({ kind: "refused", status, code: "malformed_answer", issues: issuesFromZod(parsed.error) });
+    }
+    const parsed = errorSchema.safeParse(body);
+    const { code, message, issues } = parsed.data?.error
+        ?? { code: "unknown", message: `status ${status}`, issues: [] };
+    return Err({ kind: "refused", status, code, issues: issues.length > 0 ? issues : [issue(code, [], message)] });
+}
+
+function messageOf(error: unknown): string {
+    const { code, message } = error as { code?: string; message?: string; };
+    return message || code || String(error);
+}
--- /dev/null
+++ b/packages/cli/src/commands/groups.ts
@@ -0,0 +1,32 @@
+/** `damaskvale groups`. */
+import { groupsAnswerSchema, type GroupStatus } from "@damaskvale/core";
+import { ControlCommand } from "../base.js";
+import { renderTable } from "../render.js";
+
+/** Shows the replica groups as one daemon sees them. */
+export default class Groups extends ControlCommand {
+    static override summary = "Shows the replica groups of the daemon's data centre and why one gets no requests.";
+    static override examples = ["<%= config.bin %> <%= command.id %>"];
+
+    async run(): Promise<{ groups: GroupStatus[]; }> {
+        const { flags } = await this.parse(Groups);
+        const answer = await this.call(flags, {
+            method: "GET",
+            path: "/control/v1/groups",
+            schema: groupsAnswerSchema,
+        });
+        this.log(renderTable(
+            ["GROUP", "MODEL", "VERSION", "FENCE", "HOLDER", "SERVING", "MEMBERS"],
+            answer.groups.map(group => [
+                group.group,
+                group.model,
+                group.version,
+                group.fence,
+                group.holder,
+                group.dispatchable ? "yes" : `no: ${group.reason ?? "unknown"}`,
+                group.members.join(" "),
+            ]),
+        ));
+        return answer;
+    }
+}
--- /dev/null
+++ b/packages/cli/src/commands/hosts.ts
@@ -0,0 +1,30 @@
+/** `damaskvale hosts`. */
+import { hostsAnswerSchema, type HostStatus } from "@damaskvale/core";
+import { ControlCommand } from "../base.js";
+import { renderTable } from "../render.js";
+
+/** Shows the target hosts as one daemon sees them. */
+export default class Hosts extends ControlCommand {
+    static override summary =
+        "Shows the target hosts of the daemon's data centre: listing, table state, group, report.";
+    static override examples = ["<%= config.bin %> <%= command.id %> --daemon http://127.0.0.1:8080"];
+
+    async run(): Promise<{ hosts: HostStatus[]; }> {
+        const { flags } = await this.parse(Hosts);
+        const answer = await this.call(flags, { method: "GET", path: "/control/v1/hosts", schema: hostsAnswerSchema });
+        this.log(renderTable(
+            ["HOST", "DATA CENTRE", "FABRIC DOMAIN", "LISTED", "TABLE", "GROUP", "REPORTED", "AGE MS"],
+            answer.hosts.map(host => [
+                host.host,
+                host.dataCentre,
+                host.fabricDomain,
+                host.listed,
+                host.tableState,
+                host.group,
+                host.reported,
+                host.reportAgeMilliseconds === undefined ? undefined : Math.round(host.reportAgeMilliseconds),
+            ]),
+        ));
+        return answer;
+    }
+}
--- /dev/null
+++ b/packages/cli/src/rowchange.ts
@@ -0,0 +1,17 @@
+/** Changes of single columns, as given on the command line. */
+
+const LIST_COLUMNS = new Set(["dataCentres", "keyHashes", "models", "services", "urls"]);
+const TEXT_COLUMNS = new Set(["version", "name", "path"]);
+
+/** Turns `COLUMN=VALUE` into a cell; an empty value clears the cell. Items of a list are split at spaces and commas. */
+export function parseChange(change: string): [column: string, value: unknown] {
+    const column = change.slice(0, change.indexOf("="));
+    const value = change.slice(change.indexOf("=") + 1);
+    if (LIST_COLUMNS.has(column)) {
+        return [column, value.split(/[ ,]+/).filter(item => item !== "")];
+    }
+    if (value === "") {
+        return [column, undefined];
+    }
+    return [column, /^-?\d+(\.\d+)?$/.test(value) && !TEXT_COLUMNS.has(column) ? Number(value) : value];
+}
--- /dev/null
+++ b/packages/cli/src/tablecommand.ts
@@ -0,0 +1,72 @@
+/** Base of the commands that read or change the table. */
+import {
+    type EditRequest,
+    type EditsAnswer,
+    editsAnswerSchema,
+    type TableAnswer,
+    tableAnswerSchema,
+} from "@damaskvale/core";
+import { Flags } from "@oclif/core";
+import { ControlCommand } from "./base.js";
+import { type ExitCode, exitCodes } from "./exitcodes.js";
+
+/** Flags of the daemons to ask. */
+export interface ConnectionFlags {
+    readonly daemon: string[];
+    readonly token: string;
+}
+
+/** Flag of the commands that change the table. */
+export const waitFlag = {
+    wait: Flags.boolean({
+        description: "Waits until the change is in force on every live daemon.",
+        default: false,
+    }),
+};
+
+/** Command that reads or changes the table. */
+export abstract class TableCommand extends ControlCommand {
+    /** Reads the table in force. */
+    protected readTable(flags: ConnectionFlags): Promise<TableAnswer> {
+        return this.call(flags, { method: "GET", path: "/control/v1/table", schema: tableAnswerSchema });
+    }
+
+    /** Sends edits, prints what became of each, and sets the exit code. */
+    protected async sendEdits(
+        flags: ConnectionFlags,
+        edits: readonly EditRequest[],
+        wait: boolean,
+    ): Promise<EditsAnswer> {
+        if (edits.length === 0) {
+            this.log("Nothing to change.");
+            return { results: [], inForceOn: [], missing: [] };
+        }
+        const answer = await this.call(flags, {
+            method: "POST",
+            path: "/control/v1/table/edits",
+            body: { edits, wait: wait ? "everywhere" : "accepted" },
+            schema: editsAnswerSchema,
+        });
+        answer.results.forEach(({ key, result, revision, issue }) => {
+            const detail = issue === undefined ? `revision ${revision ?? "-"}` : issue.message;
+            this.log(`${key}: ${result}: ${detail}`);
+        });
+        if (wait) {
+            this.log(
+                `In force on ${answer.inForceOn.length} daemons${
+                    answer.missing.length === 0 ? "." : `; not yet on ${answer.missing.join(", ")}.`
+                }`,
+            );
+        }
+        process.exitCode = exitCodeOf(answer);
+        return answer;
+    }
+}
+
+function exitCodeOf({ results, missing }: EditsAnswer): ExitCode {
+    if (results.some(({ issue }) => issue?.code === "edit_conflict")) {
+        return exitCodes.lostRace;
+    }
+    const incomplete = results.some(({ result }) => result !== "accepted") || missing.length > 0;
+    return incomplete ? exitCodes.failure : exitCodes.done;
+}
--- /dev/null
+++ b/packages/cli/src/tests/rowchange.test.ts
@@ -0,0 +1,18 @@
+import { expect } from "chai";
+import { parseChange } from "../rowchange.js";
+
+describe("parseChange", () => {
+    const cases: { change: string; cell: [string, unknown]; }[] = [
+        { change: "weight=2.5", cell: ["weight", 2.5] },
+        { change: "version=1", cell: ["version", "1"] },
+        { change: "models=a, b c", cell: ["models", ["a", "b", "c"]] },
+        { change: "requestsPerSecond=", cell: ["requestsPerSecond", undefined] },
+        { change: "path=/a=b", cell: ["path", "/a=b"] },
+    ];
+
+    cases.forEach(({ change, cell }) => {
+        it(`reads ${change}`, () => {
+            expect(parseChange(change)).to.deep.equal(cell);
+        });
+    });
+});
--- /dev/null
+++ b/packages/cli/src/tests/tablefile.test.ts
@@ -0,0 +1,57 @@
+import type { FileRow, RevisedRow, Row } from "@damaskvale/core";
+import { expect } from "chai";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { planEdits, safeReadTableFile } from "../tablefile.js";
+
+const rule = (weight: number): Row => ({ kind: "rule", name: "r", model: "*", team: "*", target: "*", weight });
+const inForce = (revision: number, weight: number): RevisedRow[] => [{ key: "rule:r", revision, row: rule(weight) }];
+const file = (revision: number, weight: number): FileRow[] => [{ key: "rule:r", revision, row: rule(weight), line: 2 }];
+
+describe("planEdits", () => {
+    const cases: {
+        guards: string;
+        before: RevisedRow[];
+        after: FileRow[];
+        prune?: boolean;
+        current?: boolean;
+        base: number[];
+    }[] = [
+        {
+            guards: "overwrites a row that changed since the export",
+            before: inForce(7, 1),
+            after: file(3, 2),
+            base: [3],
+        },
+        { guards: "ignores --current", before: inForce(7, 1), after: file(3, 2), current: true, base: [7] },
+        { guards: "edits a row that does not differ", before: inForce(7, 1), after: file(3, 1), base: [] },
+        { guards: "deletes without --prune", before: inForce(7, 1), after: [], base: [] },
+        { guards: "keeps a row despite --prune", before: inForce(7, 1), after: [], prune: true, base: [7] },
+    ];
+
+    cases.forEach(({ guards, before, after, prune = false, current = false, base }) => {
+        it(`does not fail like this: ${guards}`, () => {
+            expect(planEdits(before, after, { prune, current }).map(edit => edit.baseRevision)).to.deep.equal(base);
+        });
+    });
+});
+
+describe("safeReadTableFile", () => {
+    it("reports findings of several rows together, with file, row and column", () => {
+        const path = join(mkdtempSync(join(tmpdir(), "table-")), "table.csv");
+        writeFileSync(path, "kind,name,weight,models\nrule,r,-1,\nteam,t,1,absent\nrule,s,many,\n");
+
+        const result = safeReadTableFile(path);
+
+        const places = (result.val as { place?: { row?: number; column?: string; }; }[]).map(({ place }) => place);
+        expect(places.map(place => [place?.row, place?.column])).to.deep.include.members([[2, "weight"], [
+            4,
+            "weight",
+        ]]);
+    });
+
+    it("reports a missing file as a finding", () => {
+        expect(safeReadTableFile("absent.csv").err).to.equal(true);
+    });
+});
--- a/packages/core/src/table/fold.ts
+++ b/packages/core/src/table/fold.ts
@@ -9,15 +9,20 @@
 
 const keySchema = z.string().regex(/^(model|team|target|rule|service|call):[a-z0-9][a-z0-9._-]{0,62}$/);
 const revision = z.number().int().nonnegative();
-const changeSchema = z.object({ revision, author: authorSchema, id: z.string() });
+const operatorName = z.string().min(1).max(63).optional();
+const changeSchema = z.object({ revision, author: authorSchema, id: z.string(), operator: operatorName });
 const tableEntrySchema = changeSchema.extend({ key: z.string(), row: rowSchema });
 
-/** Schema of the body of an edit. Without a row it deletes. `baseRevision` is 0 for a row that does not exist. */
+/**
+ * Schema of the body of an edit. Without a row it deletes. `baseRevision` is 0 for a row that does not exist.
+ * `operator` names who made the edit, so that the loser of a race can be told.
+ */
 export const editSchema = z.object({
     kind: z.literal("edit"),
     key: keySchema,
     baseRevision: revision,
     row: rowSchema.optional(),
+    operator: operatorName,
 });
 
 /** Body of an edit. */
@@ -71,7 +76,7 @@
     if (edit.row === undefined && current === undefined) {
         return rejected(issue("row_absent", ["key"], `${edit.key} does not exist`));
     }
-    const change = { revision: context.offset + 1, author: context.author, id: context.id };
+    const change = { revision: context.offset + 1, author: context.author, id: context.id, operator: edit.operator };
     const rows = edit.row === undefined
         ? state.rows.delete(edit.key)
         : state.rows.set(edit.key, { ...change, key: edit.key, row: edit.row });
@@ -93,6 +98,10 @@
 function conflict(edit: Edit, winner: RowChange | undefined): Issue {
     const reason = winner === undefined
         ? "the row does not exist"
-        : `${winner.author.daemon} changed the row first with record ${winner.id} at offset ${winner.revision - 1}`;
+        : `${winnerName(winner)} changed the row first with record ${winner.id} at offset ${winner.revision - 1}`;
     return issue("edit_conflict", ["baseRevision"], `${edit.key} is not at revision ${edit.baseRevision}: ${reason}`);
 }
+
+function winnerName({ operator, author }: RowChange): string {
+    return operator === undefined ? author.daemon : `${operator} (through ${author.daemon})`;
+}
--- /dev/null
+++ b/packages/daemon/src/control/control.ts
@@ -0,0 +1,81 @@
+/** The operators' HTTP interface under `/control/v1`. */
+import { editsRequestSchema } from "@damaskvale/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { applyEdits } from "./edits.js";
+import { readHistory } from "./history.js";
+import { authenticate, type ControlAnswer, errorAnswer, readBody, sendAnswer } from "./http.js";
+import type { ControlOptions } from "./types.js";
+
+/** Handles one request under `/control/`. */
+export type ControlHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+type Route = (request: IncomingMessage, operator: string, path: string) => Promise<ControlAnswer>;
+
+const EXPLAIN_PREFIX = "/control/v1/requests/";
+
+/** Makes the handler of the operators' interface. */
+export function createControl(options: ControlOptions): ControlHandler {
+    const routes = createRoutes(options);
+    return async (request, response) => {
+        const path = new URL(request.url ?? "/", "http://control").pathname;
+        const operator = authenticate(request, options.operators);
+        if (operator === undefined) {
+            sendAnswer(
+                response,
+                errorAnswer(401, "invalid_operator_token", "The operator token is missing or unknown."),
+            );
+            return;
+        }
+        sendAnswer(response, await answer(options, routes, request, operator, path));
+    };
+}
+
+async function answer(
+    options: ControlOptions,
+    routes: Readonly<Record<string, Route>>,
+    request: IncomingMessage,
+    operator: string,
+    path: string,
+): Promise<ControlAnswer> {
+    const name = path.startsWith(EXPLAIN_PREFIX) ? EXPLAIN_PREFIX : path;
+    const route = routes[`${request.method} ${name}`];
+    if (route === undefined) {
+        return errorAnswer(404, "route_not_found", `There is no ${request.method} ${path}.`);
+    }
+    try {
+        return await route(request, operator, path);
+    }
+    catch (error) {
+        options.events.emit("controlFailed", { error, path });
+        return errorAnswer(503, "control_failed", `The request failed: ${(error as Error).message}.`);
+    }
+}
+
+function createRoutes(options: ControlOptions): Readonly<Record<string, Route>> {
+    const ok = (body: unknown): ControlAnswer => ({ status: 200, body });
+    return {
+        "GET /control/v1/table": async () => {
+            const { nextOffset, rows } = options.table();
+            return ok({ nextOffset, rows });
+        },
+        "POST /control/v1/table/edits": async (request, operator) => {
+            const body = await readBody(request, editsRequestSchema, options.maximumBodyBytes);
+            return body.err ? body.val : ok(await applyEdits(options, body.val, operator));
+        },
+        "GET /control/v1/table/history": async () => ok(await readHistory(options)),
+        "GET /control/v1/status": async () => ok(await options.allStatus()),
+        "GET /control/v1/hosts": async () => ok({ hosts: options.hosts() }),
+        "GET /control/v1/groups": async () => ok({ groups: options.groups() }),
+        [`GET ${EXPLAIN_PREFIX}`]: async (...[, , path]) => {
+            const requestId = decodeURIComponent(path.slice(EXPLAIN_PREFIX.length));
+            const explanation = await options.explain(requestId);
+            return explanation === undefined
+                ? errorAnswer(
+                    404,
+                    "explanation_unavailable",
+                    `No reachable daemon holds an explanation of ${requestId}.`,
+                )
+                : ok(explanation);
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/control/history.ts
@@ -0,0 +1,60 @@
+/** History of the table, read from what the log retains of the configuration stream. */
+import { editSchema, type Entry, type HistoryAnswer, type HistoryEntry, recordSchema } from "@damaskvale/core";
+import type { ControlOptions } from "./types.js";
+
+const PAGE_ENTRIES = 500;
+const READ_LIMIT_PAGES = 20;
+
+/**
+ * Reads the retained edits, oldest first. The result of an edit is `unknown` once its decision is no longer retained.
+ * Throws when the log cannot be read.
+ */
+export async function readHistory(options: ControlOptions): Promise<HistoryAnswer> {
+    const entries: Entry[] = [];
+    let firstOffset: number | undefined;
+    let from = 0;
+    for (let page = 0; page < READ_LIMIT_PAGES; page += 1) {
+        const read = await options.platformLog.read("configuration", from, {
+            limit: PAGE_ENTRIES,
+            waitMilliseconds: 0,
+        });
+        if (read.err) {
+            throw new Error(read.val.message);
+        }
+        firstOffset ??= read.val.firstOffset;
+        entries.push(...read.val.entries);
+        const last = read.val.entries.at(-1);
+        if (last === undefined || last.offset + 1 >= read.val.nextOffset) {
+            break;
+        }
+        from = last.offset + 1;
+    }
+    return { firstOffset: firstOffset ?? 0, entries: entries.flatMap(entry => describe(options, entry)) };
+}
+
+function describe(options: ControlOptions, entry: Entry): HistoryEntry[] {
+    const record = recordSchema.safeParse(entry.value);
+    const body = editSchema.safeParse(record.data?.body);
+    if (!record.success || !body.success) {
+        return [];
+    }
+    const { id, author } = record.data;
+    const { key, row, operator } = body.data;
+    const decision = options.configuration.folded.current().decisions.get(id);
+    const result = decision === undefined
+        ? "unknown"
+        : decision.accepted && decision.offset === entry.offset
+        ? "accepted"
+        : "rejected";
+    return [{
+        offset: entry.offset,
+        time: entry.time,
+        id,
+        author: author.daemon,
+        operator,
+        key,
+        change: row === undefined ? "delete" : "set",
+        result,
+        row,
+    }];
+}
--- /dev/null
+++ b/packages/daemon/src/control/types.ts
@@ -0,0 +1,28 @@
+/** Types of the operators' HTTP interface. Schemas are shared with the command line through `@damaskvale/core`. */
+import type { DaemonStatus, Edit, GroupStatus, HostStatus, StatusAnswer, TableState } from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { PlatformLog } from "../ports/platformlog.js";
+import type { Stream } from "../ports/stream.js";
+import type { TableView } from "../ports/tableview.js";
+
+/** What the operators' interface reads and changes. */
+export interface ControlOptions {
+    /** Names of operators by their tokens. */
+    readonly operators: ReadonlyMap<string, string>;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly table: () => TableView;
+    readonly configuration: Stream<TableState, Edit>;
+    readonly platformLog: PlatformLog;
+    readonly maximumBodyBytes: number;
+    /** Live daemons and the next configuration offset that each told of. */
+    readonly configurationOffsets: () => ReadonlyMap<string, number>;
+    readonly ownStatus: () => DaemonStatus;
+    /** Status of all daemons that answer, and the names of those that do not. */
+    readonly allStatus: () => Promise<StatusAnswer>;
+    readonly hosts: () => readonly HostStatus[];
+    readonly groups: () => readonly GroupStatus[];
+    /** Explanation of a request, from this daemon or the one that served it. */
+    readonly explain: (requestId: string) => Promise<unknown>;
+}
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -34,6 +34,7 @@
         "The shutdown bound or a second signal cut off requests in progress.",
         "Raise the shutdown bound if callers lost answers.",
     ),
+    controlFailed: define(107, "warn", "A request of an operator failed.", "Look at the error; retry the command."),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
 } as const satisfies Record<string, EventDefinition>;
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -14,6 +14,8 @@
 const address = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, "must be IP:PORT");
 const httpUrl = z.url({ protocol: /^https?$/ });
 const daemonName = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "must be a lower-case name");
+const operatorToken = z.string().regex(/^[a-z0-9][a-z0-9-]*:\S{16,}$/, "must be NAME:TOKEN with 16 characters or more")
+    .transform(text => ({ name: text.slice(0, text.indexOf(":")), token: text.slice(text.indexOf(":") + 1) }));
 const list = <Item extends z.ZodType>(item: Item) =>
     z.preprocess(
         value =>
@@ -38,9 +40,9 @@
         example: "127.0.0.1:8091,127.0.0.1:8092",
     }),
     platform: described(httpUrl, { description: "Base URL of the platform.", example: "http://127.0.0.1:7000" }),
-    operatorTokens: described(list(z.string().min(16)), {
-        description: "Tokens of operators, separated by commas.",
-        example: "TOKEN",
+    operatorTokens: described(list(operatorToken), {
+        description: "Names of operators with their tokens, separated by commas.",
+        example: "anna:TOKEN",
         secret: true,
     }),
     peerSecret: described(z.string().min(16), {
--- a/packages/daemon/src/tests/settings.test.ts
+++ b/packages/daemon/src/tests/settings.test.ts
@@ -7,7 +7,7 @@
     "listen": "127.0.0.1:8080",
     "peer-listen": "127.0.0.1:8090",
     "platform": "http://127.0.0.1:7000",
-    "operator-tokens": "operator-token-0001",
+    "operator-tokens": "anna:operator-token-0001",
     "peer-secret": "peer-secret-000001",
     "target-credential": "credential-000001",
 };
