--- /dev/null
+++ b/packages/daemon/src/adapters/forwardclient.ts
@@ -0,0 +1,149 @@
+/** Client of daemons of other data centres: forwards a chat completion request once. */
+import { type ErrorCode, errorCodes, type Outcome, outcomeSchema } from "@damaskvale/core";
+import type { Forwarder, ForwardEvent, ForwardRequest } from "../dispatch/forwarder.js";
+import { exchange, type ExchangeEvent } from "./exchange.js";
+import type { TargetPools } from "./pools.js";
+import { type ChunkParser, createChunkParser } from "./ssechunks.js";
+import { parseObject } from "./targetanswer.js";
+
+/** Options of the client. Times in milliseconds. */
+export interface ForwardClientOptions {
+    /** Pools of connections to daemons. */
+    readonly pools: TargetPools;
+    /** Name of this daemon. */
+    readonly daemon: string;
+    readonly peerSecret: string;
+    readonly quietMilliseconds?: number;
+    readonly probeTimeoutMilliseconds?: number;
+}
+
+/** Longer than the progress deadlines that the other daemon applies to its engines. */
+const QUIET_MILLISECONDS = 6_000;
+const PROBE_TIMEOUT_MILLISECONDS = 500;
+/** Bounds of the deadline header. */
+const MINIMUM_DEADLINE_MILLISECONDS = 100;
+const MAXIMUM_DEADLINE_MILLISECONDS = 600_000;
+
+type Head = Extract<ExchangeEvent, { kind: "head"; }>;
+
+/** Makes the client. */
+export function createForwarder(options: ForwardClientOptions): Forwarder {
+    return { forward: request => run(options, request) };
+}
+
+async function* run(options: ForwardClientOptions, request: ForwardRequest): AsyncGenerator<ForwardEvent> {
+    const origin = `http://${request.address.replace(/^[a-z]+:\/\//, "").replace(/\/.*$/, "")}`;
+    const answer: { head?: Head; readonly body: Buffer[]; } = { body: [] };
+    const chunks = createChunkParser({
+        attemptId: request.attemptId,
+        fromIndex: 0,
+        onForeignData: () => undefined,
+    });
+    const events = exchange(options.pools, {
+        origin,
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: headersOf(options, request),
+        body: request.request.rawBody,
+        signal: request.signal,
+        mayWrite: request.mayWrite,
+        quietAfter: () => options.quietMilliseconds ?? QUIET_MILLISECONDS,
+    });
+    for await (const event of events) {
+        if (event.kind === "quiet") {
+            // Before the answer starts the other daemon may queue the request; it says nothing meanwhile.
+            if (!chunks.started() && await works(options, request, origin)) {
+                continue;
+            }
+            options.pools.replace(origin);
+            yield { kind: "failure", failure: { kind: "silent", message: "the other daemon made no progress" } };
+            return;
+        }
+        const taken = take(event, answer, chunks);
+        yield* taken;
+        if (taken.some(({ kind }) => kind !== "progress" && kind !== "chunk")) {
+            return;
+        }
+    }
+}
+
+function take(
+    event: Exclude<ExchangeEvent, { kind: "quiet"; }>,
+    answer: { head?: Head; readonly body: Buffer[]; },
+    chunks: ChunkParser,
+): ForwardEvent[] {
+    if (event.kind === "failure") {
+        return [event];
+    }
+    if (event.kind === "head") {
+        answer.head = event;
+        return [];
+    }
+    const streamed = (answer.head?.headers["content-type"] ?? "").startsWith("text/event-stream");
+    if (event.kind === "end") {
+        return streamed
+            ? [{ kind: "failure", failure: { kind: "broken", message: "the stream ended without its end marker" } }]
+            : [wholeOf(answer.head, Buffer.concat(answer.body))];
+    }
+    if (streamed) {
+        return chunks.feed(event.data).flatMap(found => found.kind === "whole" ? [] : [found]);
+    }
+    answer.body.push(event.data);
+    return [];
+}
+
+function wholeOf(head: Head | undefined, body: Buffer): ForwardEvent {
+    const outcome: Outcome = outcomeSchema.catch("unknown").parse(head?.headers["x-damaskvale-outcome"]);
+    const error = parseObject(body)?.["error"] as { code?: unknown; message?: unknown; } | undefined;
+    const code = typeof error?.code === "string" && Object.hasOwn(errorCodes, error.code)
+        ? error.code as ErrorCode
+        : undefined;
+    const status = head?.status ?? 502;
+    if (outcome !== "complete") {
+        const retryAfter = Number(head?.headers["retry-after"]);
+        return {
+            kind: "error",
+            error: {
+                code: code ?? "target_failed",
+                message: typeof error?.message === "string" ? error.message : "The other daemon failed.",
+                outcome,
+                ...(retryAfter > 0 ? { retryAfterMilliseconds: retryAfter * 1_000, spread: false } : {}),
+            },
+        };
+    }
+    return { kind: "answer", answer: { status, headers: { "content-type": "application/json" }, body, outcome } };
+}
+
+function headersOf(
+    options: ForwardClientOptions,
+    { request, remainingMilliseconds, traceparent }: ForwardRequest,
+): Record<string, string> {
+    const deadline = Math.floor(remainingMilliseconds);
+    return {
+        ...peerHeaders(options, request.team.name),
+        "content-type": "application/json",
+        "x-damaskvale-priority": String(request.priority),
+        "x-damaskvale-deadline-ms": String(
+            Math.min(MAXIMUM_DEADLINE_MILLISECONDS, Math.max(MINIMUM_DEADLINE_MILLISECONDS, deadline)),
+        ),
+        ...(request.idempotencyKey === undefined ? {} : { "idempotency-key": request.idempotencyKey }),
+        ...(traceparent === undefined || traceparent === "" ? {} : { traceparent }),
+    };
+}
+
+function peerHeaders({ daemon, peerSecret }: ForwardClientOptions, team: string): Record<string, string> {
+    return {
+        "authorization": `Bearer ${peerSecret}`,
+        "x-damaskvale-forwarded": daemon,
+        "x-damaskvale-team": team,
+    };
+}
+
+function works(options: ForwardClientOptions, { request }: ForwardRequest, origin: string): Promise<boolean> {
+    return options.pools.probe(origin, {
+        method: "GET",
+        path: "/healthz",
+        headers: peerHeaders(options, request.team.name),
+        timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
+    });
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./adapters/engineclient.js";
+export * from "./adapters/forwardclient.js";
 export * from "./adapters/pools.js";
 export * from "./adapters/serviceclient.js";
 export * from "./dispatch/dispatcher.js";
