--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./admission/types.js";
 export * from "./claims/fold.js";
 export * from "./claims/state.js";
+export * from "./control/messages.js";
 export * from "./groups/confirm.js";
 export * from "./groups/constants.js";
 export * from "./groups/firstfit.js";
