--- a/packages/proofs/src/demo/serving.ts
+++ b/packages/proofs/src/cluster/serving.ts
@@ -1,6 +1,6 @@
-/** Progress of the demo's groups, from the reports of the engines. */
-import { secrets } from "../cluster/cluster.js";
-import { fetchJson } from "../cluster/control.js";
+/** Ready replica groups, from the reports of the engines. */
+import { secrets } from "./cluster.js";
+import { fetchJson } from "./control.js";
 
 /** Groups of one model whose members are all ready under the same fencing number. */
 export interface ServingGroups {
--- a/packages/proofs/src/demo/main.ts
+++ b/packages/proofs/src/demo/main.ts
@@ -3,10 +3,10 @@
 import { writeFile } from "node:fs/promises";
 import { type Cluster, secrets, startCluster } from "../cluster/cluster.js";
 import { expectOk, fetchJson } from "../cluster/control.js";
+import { readServing } from "../cluster/serving.js";
 import { waitFor } from "../cluster/wait.js";
 import { type DemoAnswer, sendDemoRequests } from "./requests.js";
 import { callerKeys, demoCluster, demoModels, demoRows } from "./scenario.js";
-import { readServing } from "./serving.js";
 
 const SERVING_MILLISECONDS = 60_000;
 const OUTPUT_LINES = 20;
--- /dev/null
+++ b/packages/proofs/src/failures/tests/claims.test.ts
@@ -0,0 +1,135 @@
+/** One daemon is killed, paused or cut off at each step of a request that may not run twice; then the key is repeated. */
+import { expect } from "chai";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Cluster, Daemon } from "../../cluster/cluster.js";
+import { setFault } from "../../cluster/control.js";
+import { sendChange, type Told } from "../callers.js";
+import { healCluster, readChanges, startSmallCluster, waitUntilMet, waitUntilServing } from "../fixture.js";
+
+const DEADLINE_MILLISECONDS = 1000;
+const PAUSE_MILLISECONDS = 1800;
+const REPEATS = 3;
+const size = { daemons: 2, engines: 0, members: 1, replicas: 0, relays: true };
+
+type Step = (cluster: Cluster) => Promise<void>;
+
+const service = (cluster: Cluster): string => cluster.services[0]!.url;
+
+/** Faults that stop a request at a step, set before it is sent, and the wait until it has got there. */
+const steps: Readonly<Record<string, { readonly before: Step; readonly reached: Step; }>> = {
+    "the claim is on its way": {
+        before: ({ platform }) =>
+            setFault(platform.url, { fault: "freeze", route: "/log/claims", method: "POST", count: 1 }),
+        reached: ({ platform }) => waitUntilMet(platform.url, "freeze").then(() => undefined),
+    },
+    "the claim is taken and its answer is on its way": {
+        before: ({ platform }) =>
+            setFault(platform.url, { fault: "holdAnswer", route: "/log/claims", method: "POST", count: 1 }),
+        reached: ({ platform }) => waitUntilMet(platform.url, "holdAnswer").then(() => undefined),
+    },
+    "the read-back of the claim is on its way": {
+        before: ({ platform }) => setFault(platform.url, { fault: "holdAnswer", route: "/log/claims", method: "GET" }),
+        reached: ({ platform }) => waitUntilMet(platform.url, "holdAnswer").then(() => delay(100)),
+    },
+    "the request is dispatched and not executed": {
+        before: cluster => setFault(service(cluster), { fault: "freeze", method: "POST" }),
+        reached: cluster => waitUntilMet(service(cluster), "freeze").then(() => undefined),
+    },
+    "the request is executed and its answer is on its way": {
+        before: cluster => setFault(service(cluster), { fault: "holdAnswer", method: "POST" }),
+        reached: cluster => waitUntilMet(service(cluster), "holdAnswer").then(() => undefined),
+    },
+    "the request is executed and its answer is lost": {
+        before: cluster => setFault(service(cluster), { fault: "dropAnswer", method: "POST", count: 1 }),
+        reached: cluster => waitUntilMet(service(cluster), "dropAnswer").then(() => undefined),
+    },
+    "the record of the outcome is on its way": {
+        before: cluster => setFault(service(cluster), { fault: "holdAnswer", method: "POST" }),
+        reached: async cluster => {
+            await waitUntilMet(service(cluster), "holdAnswer");
+            await setFault(cluster.platform.url, { fault: "freeze", route: "/log/claims", method: "POST" });
+            await setFault(service(cluster), { fault: "clear" });
+            await waitUntilMet(cluster.platform.url, "freeze");
+        },
+    },
+};
+
+/** What happens to the first daemon, and how it ends. */
+const events: Readonly<Record<string, { strike(daemon: Daemon): void; heal(cluster: Cluster): Promise<void>; }>> = {
+    "is killed": {
+        strike: ({ child }) => child.signal("SIGKILL"),
+        heal: async cluster => {
+            await cluster.daemons[0]!.child.exited;
+            await cluster.restartDaemon(cluster.daemons[0]!.name);
+        },
+    },
+    "is paused past the deadline": {
+        strike: ({ child }) => child.signal("SIGSTOP"),
+        heal: async ({ daemons }) => {
+            await delay(PAUSE_MILLISECONDS);
+            daemons[0]!.child.signal("SIGCONT");
+        },
+    },
+    "is cut off from the platform": {
+        strike: ({ platformLink }) => platformLink!.set("cut"),
+        heal: async () => {
+            await delay(DEADLINE_MILLISECONDS);
+        },
+    },
+};
+
+describe("a request that may not run twice", function() {
+    this.timeout(60_000);
+    let cluster: Cluster;
+    before(async () => {
+        cluster = await startSmallCluster(size);
+    });
+    after(() => cluster?.stop());
+    afterEach(async function() {
+        if (this.currentTest?.state === "failed") {
+            console.error(cluster.output(15));
+        }
+        await healCluster(cluster);
+    });
+
+    Object.entries(events).forEach(([event, { strike, heal }]) =>
+        Object.entries(steps).forEach(([step, { before: prepare, reached }]) =>
+            it(`runs at most once if its daemon ${event} when ${step}`, async () => {
+                const key = `${event}, ${step}`;
+                const [struck, other] = cluster.daemons as [Daemon, Daemon];
+                await waitUntilServing(struck, size);
+                await waitUntilServing(other, size);
+                await prepare(cluster);
+                const change = { key, deadlineMilliseconds: DEADLINE_MILLISECONDS };
+                const first = sendChange(struck, change);
+                await reached(cluster);
+                strike(struck);
+                const early = sendChange(other, change);
+                await heal(cluster);
+                await healCluster(cluster);
+                const told = [await first, await early];
+                for (let repeat = 0; repeat < REPEATS; repeat += 1) {
+                    told.push(await sendChange(cluster.daemons[(repeat + 1) % 2]!, change));
+                    await delay(200);
+                }
+
+                await expectConsistent(cluster, key, told);
+            })
+        )
+    );
+});
+
+/** At most one execution; none for a request whose answer said so; and at least one if an answer said complete. */
+async function expectConsistent(cluster: Cluster, key: string, told: readonly Told[]): Promise<void> {
+    const report = JSON.stringify(told, undefined, 1);
+    const changes = (await readChanges(cluster)).filter(entry => entry.key === key);
+    expect(changes.length, report).to.be.at.most(1);
+    const notRun = told.filter(({ outcome }) => outcome === "not-run").map(({ requestId }) => requestId!);
+    expect(notRun.filter(id => changes.some(({ attempt }) => attempt!.startsWith(id))), report).to.deep.equal([]);
+    if (told.some(({ outcome }) => outcome === "complete")) {
+        expect(changes.length, report).to.equal(1);
+    }
+    told.filter(({ status }) => status >= 400).forEach(({ outcome }) =>
+        expect(outcome, report).to.be.oneOf(["not-run", "unknown"])
+    );
+}
--- /dev/null
+++ b/packages/proofs/src/failures/tests/table.test.ts
@@ -0,0 +1,78 @@
+import { type Row, rowKey } from "@damaskvale/core";
+import { expect } from "chai";
+import { createHash } from "node:crypto";
+import type { Cluster } from "../../cluster/cluster.js";
+import { editId, expectOk } from "../../cluster/control.js";
+import { waitFor } from "../../cluster/wait.js";
+import { startSmallCluster } from "../fixture.js";
+
+const IN_FORCE_MILLISECONDS = 3000;
+const ROUNDS = 10;
+
+const teamOf = (name: string, key: string): Row => ({
+    kind: "team",
+    name,
+    keyHashes: [createHash("sha256").update(key).digest("hex")],
+    models: ["*"],
+    services: [],
+    weight: 1,
+    queueLength: 10,
+});
+
+describe("the operators' table", function() {
+    this.timeout(60_000);
+    let cluster: Cluster;
+    before(async () => {
+        cluster = await startSmallCluster({ daemons: 3, engines: 0, members: 1, replicas: 0 });
+    });
+    after(() => cluster?.stop());
+
+    it("is in force on every daemon within 3 s of an accepted edit", async () => {
+        for (let round = 0; round < ROUNDS; round += 1) {
+            const key = `key-of-round-${round}`;
+            const { control } = cluster.daemons[round % 3]!;
+            await expectOk(control.setRows([teamOf("changing", key)], "accepted"));
+            const acceptedAt = performance.now();
+            await Promise.all(
+                cluster.daemons.map(({ name, url }) =>
+                    waitFor(`new key at ${name}`, IN_FORCE_MILLISECONDS, async () => {
+                        const response = await fetch(`${url}/v1/models`, {
+                            headers: { authorization: `Bearer ${key}` },
+                        });
+                        return response.status === 200;
+                    })
+                ),
+            );
+            expect(performance.now() - acceptedAt).to.be.below(IN_FORCE_MILLISECONDS);
+        }
+    });
+
+    it("lets exactly one of two racing operators win, tells the other who won, and shows both the same row", async () => {
+        const [one, other] = cluster.daemons;
+        for (let round = 0; round < ROUNDS; round += 1) {
+            const key = rowKey({ kind: "team", name: "contested" });
+            const present = await one!.control.table();
+            const baseRevision = present.find(row => row.key === key)?.revision ?? 0;
+            const edits = [one, other].map((daemon, index) => ({
+                daemon: daemon!,
+                edit: { id: editId(), key, baseRevision, row: teamOf("contested", `operator ${index} round ${round}`) },
+            }));
+            const answers = await Promise.all(edits.map(({ daemon, edit }) => daemon.control.edit([edit], "accepted")));
+
+            const texts = answers.map(({ body }) => JSON.stringify(body));
+            const lost = texts.findIndex(text => text.includes("edit_conflict"));
+            expect(texts.filter(text => text.includes("edit_conflict")).length, texts.join("\n")).to.equal(1);
+            const winner = edits[1 - lost]!;
+            expect(texts[lost]).to.contain(winner.daemon.name);
+            await Promise.all(
+                cluster.daemons.map(({ name, control }) =>
+                    waitFor(`row of the winner at ${name}`, IN_FORCE_MILLISECONDS, async () => {
+                        const row = (await control.table()).find(found => found.key === key);
+                        return JSON.stringify((row?.row as { keyHashes: string[]; } | undefined)?.keyHashes)
+                            === JSON.stringify((winner.edit.row as { keyHashes: string[]; }).keyHashes);
+                    })
+                ),
+            );
+        }
+    });
+});
--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -87,7 +87,7 @@
     };
     const laggedLoad = startLoadSamples(batch.load, Number(flags["load-lag-milliseconds"]));
     setInterval(() => {
-        if (!faults.holds("freeze", "/v1/chat/completions")) {
+        if (!faults.holds("freeze", "POST", "/v1/chat/completions")) {
             batch.tick(Date.now());
         }
     }, Number(flags["token-milliseconds"]));
--- a/packages/stand-ins/src/platform/routes.ts
+++ b/packages/stand-ins/src/platform/routes.ts
@@ -83,8 +83,8 @@
             return { status: 200, body: page };
         }
         await log.wait(stream, waitMs);
-        await faults.thawed(request.path);
-        if (faults.holds("outage", request.path)) {
+        await faults.ended("freeze", "GET", request.path);
+        if (faults.holds("outage", "GET", request.path)) {
             return refuse(503, "outage", "the log is unavailable");
         }
         return { status: 200, body: log.read(stream, from, limit, Date.now()) };
--- a/packages/stand-ins/src/service/routes.ts
+++ b/packages/stand-ins/src/service/routes.ts
@@ -38,7 +38,7 @@
         const item: Change = { number: items.length + 1, attempt, key, value };
         items.push(item);
         await delay(workMilliseconds);
-        await faults.thawed(request.path);
+        await faults.ended("freeze", request.method, request.path);
         journal.finish(entry, "done");
         return { status: 201, body: { collection, number: item.number, value } };
     };
--- a/packages/stand-ins/src/shared/server.ts
+++ b/packages/stand-ins/src/shared/server.ts
@@ -130,6 +130,12 @@
                 return { status: 200, body: { entries: journal.entries().filter(({ sequence }) => sequence >= from) } };
             },
         },
+        {
+            method: "GET",
+            pattern: /^\/stand-in\/faults$/,
+            control: true,
+            handle: () => ({ status: 200, body: { faults: faults.active() } }),
+        },
         {
             method: "POST",
             pattern: /^\/stand-in\/faults$/,
@@ -184,6 +190,9 @@
     const dropped = found.control === true ? undefined : faults.take("dropAnswer", method, path);
     if (dropped === undefined) {
         const reply = await found.handle(request);
+        if (found.control !== true) {
+            await faults.ended("holdAnswer", method, path);
+        }
         return reply === undefined ? undefined : send(response, reply);
     }
     if (dropped.milliseconds > 0) {
@@ -205,12 +214,7 @@
         message.socket.destroy();
         return "closed";
     }
-    if (faults.holds("freeze", path)) {
-        await faults.thawed(path);
-        if (message.socket.destroyed) {
-            return "closed";
-        }
-    }
+    await faults.ended("freeze", method, path);
     const slow = faults.take("slow", method, path);
     if (slow !== undefined) {
         await delay(slow.milliseconds);
