--- a/packages/proofs/src/cluster/control.ts
+++ b/packages/proofs/src/cluster/control.ts
@@ -1,14 +1,14 @@
 /** Client of the operators' API and of the stand-ins' test routes. */
-import { type Row, rowKey } from "@damaskvale/core";
+import {
+    type EditRequest,
+    type EditsAnswer,
+    type EditsRequest,
+    type RevisedRow,
+    type Row,
+    rowKey,
+} from "@damaskvale/core";
 import type { FaultRequest, JournalEntry } from "@damaskvale/stand-ins";
 
-/** Row as the table shows it. */
-export interface TableRow {
-    readonly key: string;
-    readonly revision: number;
-    readonly row: Row;
-}
-
 /** Answer to a JSON request. */
 export interface JsonAnswer<Body = unknown> {
     readonly status: number;
@@ -16,21 +16,13 @@
     readonly body: Body;
 }
 
-/** One edit of the table as it is posted. */
-export interface Edit {
-    readonly id: string;
-    readonly key: string;
-    readonly baseRevision: number;
-    readonly row?: Row;
-}
-
 /** Client of the operators' API of one daemon. */
 export interface Control {
     get<Body = unknown>(path: string): Promise<JsonAnswer<Body>>;
-    table(): Promise<readonly TableRow[]>;
-    edit(edits: readonly Edit[], wait: "accepted" | "everywhere"): Promise<JsonAnswer>;
-    /** Sets rows on top of the revisions that the daemon shows now. */
-    setRows(rows: readonly Row[], wait: "accepted" | "everywhere"): Promise<JsonAnswer>;
+    table(): Promise<readonly RevisedRow[]>;
+    edit(edits: readonly EditRequest[], wait: EditsRequest["wait"]): Promise<JsonAnswer<EditsAnswer>>;
+    /** Sets rows on top of the revisions that the daemon shows now; rejects unless all edits are accepted. */
+    setRows(rows: readonly Row[], wait: EditsRequest["wait"]): Promise<EditsAnswer>;
 }
 
 const REQUEST_MILLISECONDS = 30_000;
@@ -58,20 +50,23 @@
 export function createControl(url: string, token: string): Control {
     const control: Control = {
         get: path => fetchJson(`${url}/control/v1/${path}`, { token }),
-        table: async () => (await control.get<{ rows: TableRow[]; }>("table")).body.rows,
+        table: async () => (await control.get<{ rows: RevisedRow[]; }>("table")).body.rows,
         edit: (changes, wait) => fetchJson(`${url}/control/v1/table/edits`, { token, body: { edits: changes, wait } }),
         setRows: async (rows, wait) => {
             const present = await control.table();
             const revisions = new Map(present.map(({ key, revision }) => [key, revision]));
-            return control.edit(
-                rows.map(row => ({
-                    id: editId(),
-                    key: rowKey(row),
-                    baseRevision: revisions.get(rowKey(row)) ?? 0,
-                    row,
-                })),
-                wait,
-            );
+            const edits = rows.map(row => ({
+                id: editId(),
+                key: rowKey(row),
+                baseRevision: revisions.get(rowKey(row)) ?? 0,
+                row,
+            }));
+            const answer = await expectOk(control.edit(edits, wait));
+            const failed = answer.results.filter(({ result }) => result !== "accepted");
+            if (failed.length > 0) {
+                throw new Error(`Edits were not accepted: ${JSON.stringify(failed)}`);
+            }
+            return answer;
         },
     };
     return control;
--- a/packages/proofs/src/demo/main.ts
+++ b/packages/proofs/src/demo/main.ts
@@ -2,7 +2,7 @@
 import { Command, CommandHelp, Flags, flush, handle } from "@oclif/core";
 import { writeFile } from "node:fs/promises";
 import { type Cluster, secrets, startCluster } from "../cluster/cluster.js";
-import { expectOk, fetchJson } from "../cluster/control.js";
+import { fetchJson } from "../cluster/control.js";
 import { readServing } from "../cluster/serving.js";
 import { waitFor } from "../cluster/wait.js";
 import { type DemoAnswer, sendDemoRequests } from "./requests.js";
@@ -55,7 +55,7 @@
     private async serve(cluster: Cluster, stateFile: string | undefined): Promise<readonly DemoAnswer[]> {
         const entry = cluster.daemons[0]!;
         this.log(`${cluster.daemons.length} daemons and ${cluster.engines.length} engines run. Loading the table.`);
-        await expectOk(entry.control.setRows(demoRows(cluster.services), "everywhere"));
+        await entry.control.setRows(demoRows(cluster.services), "everywhere");
         await this.waitUntilServing(cluster);
         if (stateFile !== undefined) {
             await writeFile(stateFile, `${JSON.stringify(describe(cluster), undefined, 4)}\n`);
--- a/packages/proofs/src/failures/fixture.ts
+++ b/packages/proofs/src/failures/fixture.ts
@@ -3,7 +3,7 @@
 import { answerTokens } from "@damaskvale/stand-ins";
 import { createHash } from "node:crypto";
 import { type Cluster, type ClusterSpec, type Daemon, type Engine, startCluster } from "../cluster/cluster.js";
-import { clearFaults, expectOk, fetchJson, readJournal } from "../cluster/control.js";
+import { clearFaults, fetchJson, readJournal } from "../cluster/control.js";
 import { readServing } from "../cluster/serving.js";
 import { waitFor } from "../cluster/wait.js";
 import { CALLER_KEY, MODEL, sendChat, SERVICE } from "./callers.js";
@@ -27,7 +27,7 @@
 export async function startSmallCluster(size: SmallCluster): Promise<Cluster> {
     const cluster = await startCluster(specOf(size));
     try {
-        await expectOk(cluster.daemons[0]!.control.setRows(rowsOf(cluster, size), "everywhere"));
+        await cluster.daemons[0]!.control.setRows(rowsOf(cluster, size), "everywhere");
         await waitFor(
             "ready groups",
             SERVING_MILLISECONDS,
--- a/packages/proofs/src/failures/tests/table.test.ts
+++ b/packages/proofs/src/failures/tests/table.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { createHash } from "node:crypto";
 import type { Cluster } from "../../cluster/cluster.js";
-import { editId, expectOk } from "../../cluster/control.js";
+import { editId } from "../../cluster/control.js";
 import { waitFor } from "../../cluster/wait.js";
 import { startSmallCluster } from "../fixture.js";
 
@@ -31,7 +31,7 @@
         for (let round = 0; round < ROUNDS; round += 1) {
             const key = `key-of-round-${round}`;
             const { control } = cluster.daemons[round % 3]!;
-            await expectOk(control.setRows([teamOf("changing", key)], "accepted"));
+            await control.setRows([teamOf("changing", key)], "accepted");
             const acceptedAt = performance.now();
             await Promise.all(
                 cluster.daemons.map(({ name, url }) =>
@@ -59,11 +59,13 @@
             }));
             const answers = await Promise.all(edits.map(({ daemon, edit }) => daemon.control.edit([edit], "accepted")));
 
-            const texts = answers.map(({ body }) => JSON.stringify(body));
-            const lost = texts.findIndex(text => text.includes("edit_conflict"));
-            expect(texts.filter(text => text.includes("edit_conflict")).length, texts.join("\n")).to.equal(1);
+            const results = answers.map(({ body }) => body.results[0]!);
+            const report = JSON.stringify(results);
+            expect(results.map(({ result }) => result).sort(), report).to.deep.equal(["accepted", "rejected"]);
+            const lost = results.findIndex(({ result }) => result === "rejected");
             const winner = edits[1 - lost]!;
-            expect(texts[lost]).to.contain(winner.daemon.name);
+            expect(results[lost]!.issue!.code, report).to.equal("edit_conflict");
+            expect(results[lost]!.issue!.message, report).to.contain(winner.daemon.name);
             await Promise.all(
                 cluster.daemons.map(({ name, control }) =>
                     waitFor(`row of the winner at ${name}`, IN_FORCE_MILLISECONDS, async () => {
