--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -35,6 +35,35 @@
         "Raise the shutdown bound if callers lost answers.",
     ),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
+    groupFormed: define(401, "info", "A replica group was formed."),
+    groupDissolved: define(402, "info", "A replica group was dissolved."),
+    groupTakenOver: define(403, "warn", "A replica group was taken over from a holder whose lease expired."),
+    orderFailed: define(
+        404,
+        "warn",
+        "An order to an engine failed or was not answered; its effect is read back.",
+        "Check the engine if the event repeats for the same host.",
+    ),
+    orderWithheld: define(405, "warn", "An order to an engine was not sent because the lease of this daemon expired."),
+    hostCleared: define(406, "info", "A host with an old role was ordered to clear it."),
+    groupsRecordRejected: define(407, "info", "A record of the groups stream was rejected."),
+    planningPaused: define(
+        408,
+        "warn",
+        "Planning of groups is paused because the groups stream is not followed.",
+        "Check the platform's log.",
+    ),
+    hostListFailed: define(409, "warn", "The platform's list of hosts could not be read.", "Check the platform."),
+    peerConnected: define(501, "info", "A link to another daemon opened."),
+    peerDisconnected: define(502, "info", "A link to another daemon closed."),
+    peerRefused: define(503, "warn", "A connection to the peer address was refused.", "Check the shared secret."),
+    peerMessageRefused: define(
+        504,
+        "warn",
+        "A message of another daemon did not parse and its link was closed.",
+        "Check that both daemons run compatible versions.",
+    ),
+    memberChanged: define(505, "info", "The state of another daemon changed."),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -33,6 +33,18 @@
     "request.duration": timing("Time from the first byte of a request to the last byte of its answer.", ["route"]),
     "request.first_token": timing("Time from a request to the first token of its answer.", ["model"]),
     "requests.in_progress": gauge("requests", "Requests in progress at this daemon."),
+    "groups.actions": counter("Records of the groups stream by their decision.", ["kind", "decision"]),
+    "groups.dispatchable": gauge("groups", "Replica groups that may be dispatched to."),
+    "groups.known": gauge("groups", "Replica groups in the state of the groups stream."),
+    "groups.orders": counter("Orders to engines by result.", ["order", "result"]),
+    "hosts.free": gauge("hosts", "Hosts that report and belong to no group."),
+    "hosts.listed": gauge("hosts", "Hosts of the data centre in the platform's list."),
+    "hosts.list_age": gauge("ms", "Age of the newest list of hosts that was read."),
+    "hosts.reports": counter("Polls of engine reports by result.", ["result"]),
+    "members": gauge("daemons", "Known daemons by state.", ["state"]),
+    "peers.links": gauge("links", "Open links to other daemons."),
+    "peers.messages_refused": counter("Messages of other daemons that did not parse.", ["reason"]),
+    "peers.refused": counter("Connections to the peer address that were refused.", ["reason"]),
 } as const satisfies Record<string, MetricDefinition>;
 
 /** Name of a metric. */
