Add the membership, hosts, observer, groups and group view tasks

Cause: nothing planned or confirmed replica groups, and daemons did not find each other. Change: probing with piggybacked news, shared observations whose age counts from the probe that was answered; polling of reports by two observers a host; planning, forming, ordering under the lease with read-back, renewal, takeover and dissolution; a view of the groups that may be dispatched to. A first version of the rolling replacement retired the second old group between dissolving and forming the first; a test on the minimum of dispatchable groups found it, and retirement now waits until no missing replica can be formed. Not covered yet: two daemons on both sides of a cut, pauses of the holder.

--- a/packages/core/src/groups/constants.ts
+++ b/packages/core/src/groups/constants.ts
@@ -16,8 +16,3 @@
 export const CONFIRMATION_BOUND_MILLISECONDS = 2_000;
 /** Longest lease that a renewal may ask for; a longer one would block takeovers. */
 export const MAXIMUM_LEASE_MILLISECONDS = 60_000;
-/**
- * How many offsets the ownership revision of a free host is retained. A record whose basis is older is rejected by
- * the generic fold, so no accepted record can name a revision from before the retained range.
- */
-export const OWNERSHIP_RETENTION_OFFSETS = 4_096;
--- a/packages/core/src/groups/fold.ts
+++ b/packages/core/src/groups/fold.ts
@@ -3,7 +3,8 @@
 import { issue } from "../issue.js";
 import type { Author } from "../stream/record.js";
 import type { FoldDefinition, RecordContext, Verdict } from "../stream/types.js";
-import { LEASE_MILLISECONDS, MAXIMUM_LEASE_MILLISECONDS, OWNERSHIP_RETENTION_OFFSETS } from "./constants.js";
+import { BASIS_WINDOW } from "../stream/window.js";
+import { LEASE_MILLISECONDS, MAXIMUM_LEASE_MILLISECONDS } from "./constants.js";
 import { groupSchema } from "./types.js";
 
 const name = z.string().min(1).max(200);
@@ -218,9 +219,12 @@
     return { ...state, renewals: { ...state.renewals, [holderKey(context.author)]: renewal } };
 }
 
-/** Accepts a state without the free hosts and the renewals of holders of nothing that are past their retention. */
+/**
+ * Accepts a state without the free hosts and the renewals of holders of nothing that are older than the basis window.
+ * A record with an older basis is rejected, so none that is accepted can name a revision from before it.
+ */
 function accepted(state: GroupsState, context: RecordContext): Verdict<GroupsState> {
-    const oldest = context.offset - OWNERSHIP_RETENTION_OFFSETS;
+    const oldest = context.offset - BASIS_WINDOW;
     const expired =
         Object.entries(state.hosts).some(([, owned]) => owned.group === undefined && owned.revision < oldest)
         || Object.values(state.renewals).some(renewal => renewal.offset < oldest);
--- a/packages/core/src/groups/plan.ts
+++ b/packages/core/src/groups/plan.ts
@@ -102,6 +102,9 @@
         state: input.state,
         models: plannedModels(input),
         leaving: leavingNames(input),
+        unowned: input.hosts.filter(host =>
+            isUsable(host) && groupOf(input.state, host.listed.host) === undefined
+        ).length,
         isReady: group => group.members.every(host => reportsReady(group, reports.get(host))),
     });
     return input.groups.filter(group => group.held).flatMap(planned => {
--- a/packages/core/src/groups/retire.ts
+++ b/packages/core/src/groups/retire.ts
@@ -9,6 +9,8 @@
     readonly models: readonly RowOf<"model">[];
     /** Hosts that are leaving by the platform's list or draining by the table. */
     readonly leaving: ReadonlySet<string>;
+    /** Number of hosts that report, are not leaving, and belong to no group. */
+    readonly unowned: number;
     /** Whether all members of a group report it as ready. */
     isReady(group: HeldGroup): boolean;
 }
@@ -40,8 +42,8 @@
 }
 
 /**
- * Groups of an older version or size are replaced one at a time, and only while all current groups are ready, so
- * that an edit of the version does not take all replicas down together.
+ * Groups of an older version or size are replaced one at a time, and only while all current groups are ready and no
+ * missing replica can be formed, so that an edit of the version does not take all replicas down together.
  */
 function retiringOf(
     input: RetireInput,
@@ -53,9 +55,8 @@
     const surplus = current.slice(model.replicas).map(group =>
         [group.group, "the table asks for fewer replicas"] as const
     );
-    const outdated = current.every(group => input.isReady(group))
-        ? changed.slice(0, 1)
-        : [];
+    const complete = current.length + changed.length >= model.replicas || input.unowned < model.members;
+    const outdated = complete && current.every(group => input.isReady(group)) ? changed.slice(0, 1) : [];
     return [...surplus, ...outdated.map(group => [group.group, "the table names another version or size"] as const)];
 }
 
--- /dev/null
+++ b/packages/core/src/membership/fold.ts
@@ -0,0 +1,43 @@
+/** Fold of the members stream: where daemons announce themselves, for daemons that know no peer. */
+import { z } from "zod";
+import { issue } from "../issue.js";
+import type { FoldDefinition } from "../stream/types.js";
+
+/** Announcements kept; the oldest are dropped, because replaced daemons do not withdraw theirs. */
+export const MAXIMUM_ANNOUNCEMENTS = 1_024;
+
+const announcementSchema = z.object({
+    daemon: z.string().min(1).max(100),
+    dataCentre: z.string().min(1).max(100),
+    address: z.string().min(1).max(200),
+    incarnation: z.string().min(1).max(200),
+});
+
+/** Schema of a record body of the members stream. */
+export const membersBodySchema = announcementSchema.extend({ kind: z.literal("announce") });
+
+/** Schema of the state: the newest announcement of each daemon, the oldest first. */
+export const membersStateSchema = z.object({ announcements: z.array(announcementSchema) });
+
+/** Record body of the members stream. */
+export type MembersBody = z.infer<typeof membersBodySchema>;
+/** State of the members stream. */
+export type MembersState = z.infer<typeof membersStateSchema>;
+
+/** Fold of the members stream. A daemon announces only itself. */
+export const membersFold: FoldDefinition<MembersState, MembersBody> = {
+    name: "members",
+    body: membersBodySchema,
+    state: membersStateSchema,
+    initial: () => ({ announcements: [] }),
+    apply: (state, body, { author }) => {
+        if (body.daemon !== author.daemon || body.incarnation !== author.incarnation) {
+            const found = issue("not_author", ["daemon"], `${author.daemon} announces ${body.daemon}`);
+            return { kind: "rejected", issue: found };
+        }
+        const { daemon, dataCentre, address, incarnation } = body;
+        const others = state.announcements.filter(announcement => announcement.daemon !== daemon);
+        const announcements = [...others, { daemon, dataCentre, address, incarnation }].slice(-MAXIMUM_ANNOUNCEMENTS);
+        return { kind: "accepted", state: { announcements } };
+    },
+};
--- a/packages/daemon/src/messages.ts
+++ b/packages/daemon/src/messages.ts
@@ -29,6 +29,8 @@
     offsets: z.record(z.string(), z.number().int().nonnegative()),
     /** Requests a second that each team asked of the sender. */
     demand: z.record(z.string(), z.number().nonnegative()),
+    /** Models of which the sender's data centre has dispatchable groups. */
+    models: z.array(z.string()).max(256).optional(),
 };
 
 /** Schema of every message between daemons. */
--- /dev/null
+++ b/packages/daemon/src/tasks/groupview.ts
@@ -0,0 +1,153 @@
+/** Groups that may be dispatched to, computed from the groups stream, the observations, the host list and the table. */
+import {
+    type Confirmation,
+    confirmGroup,
+    type Folded,
+    type GroupsState,
+    type HeldGroup,
+    type Observation,
+} from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { DispatchableGroup, GroupView } from "../ports/groupview.js";
+import type { Metrics } from "../ports/metrics.js";
+import type { TableView } from "../ports/tableview.js";
+import type { HostsView } from "./hosts.js";
+import type { MembersView } from "./membership.js";
+import { retiringNow } from "./planinput.js";
+import type { Published } from "./published.js";
+
+/** What the view is computed from. */
+export interface GroupViewOptions {
+    readonly dataCentre: string;
+    readonly folded: Published<Folded<GroupsState>>;
+    readonly observations: Published<ReadonlyMap<string, Observation>>;
+    readonly hosts: Published<HostsView>;
+    readonly table: Published<TableView>;
+    readonly members: Published<MembersView>;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+}
+
+/** State of one group, for status and metrics. */
+export interface GroupStatus {
+    readonly group: HeldGroup;
+    readonly confirmation: Confirmation;
+    /** Why the group gets no new work although it may be confirmed. */
+    readonly retiring?: string;
+}
+
+interface Confirmed {
+    readonly view: DispatchableGroup;
+    readonly validUntil: number;
+}
+
+/** The view of the groups of the own data centre. */
+export class GroupViewTask implements GroupView {
+    private confirmed: ReadonlyMap<string, Confirmed> = new Map();
+    private statuses: readonly GroupStatus[] = [];
+    private readonly unsubscribe: readonly (() => void)[];
+
+    constructor(private readonly options: GroupViewOptions) {
+        const { folded, observations, hosts, table } = options;
+        const refresh = () => this.refresh();
+        this.unsubscribe = [folded, observations, hosts, table].map(published => published.subscribe(refresh));
+        this.refresh();
+    }
+
+    /** Stops following its inputs. */
+    stop(): void {
+        this.unsubscribe.forEach(stop => stop());
+    }
+
+    dispatchable(model: string): readonly DispatchableGroup[] {
+        const now = this.options.clock.monotonic();
+        return [...this.confirmed.values()]
+            .filter(({ view, validUntil }) => view.model === model && validUntil >= now)
+            .map(({ view }) => view);
+    }
+
+    mayDispatch(group: string, fence: number): boolean {
+        const confirmed = this.confirmed.get(group);
+        return confirmed?.view.fence === fence && confirmed.validUntil >= this.options.clock.monotonic();
+    }
+
+    elsewhere(model: string): ReturnType<GroupView["elsewhere"]> {
+        return this.options.members.current().others
+            .filter(({ news, models }) =>
+                news.state === "alive" && news.dataCentre !== this.options.dataCentre && models.includes(model)
+            )
+            .map(({ news: { dataCentre, daemon, address } }) => ({ dataCentre, daemon, address }));
+    }
+
+    /** Returns the models that have a dispatchable group now. */
+    models(): readonly string[] {
+        const now = this.options.clock.monotonic();
+        const ready = [...this.confirmed.values()].filter(({ validUntil }) => validUntil >= now);
+        return [...new Set(ready.map(({ view }) => view.model))];
+    }
+
+    /** Returns the state of every group, for the operators. */
+    status(): readonly GroupStatus[] {
+        return this.statuses;
+    }
+
+    private refresh(): void {
+        const { folded, observations, hosts, table, clock, metrics, dataCentre } = this.options;
+        const now = clock.monotonic();
+        const { state } = folded.current();
+        const observed = observations.current();
+        const confirm = (group: HeldGroup) => confirmGroup(group, observed, now);
+        const sources = {
+            dataCentre,
+            state,
+            hosts: hosts.current(),
+            observations: observed,
+            table: table.current(),
+            now,
+        };
+        const retiring = retiringNow(sources);
+        this.statuses = Object.values(state.groups).map(group => ({
+            group,
+            confirmation: confirm(group),
+            retiring: retiring.get(group.group),
+        }));
+        this.confirmed = new Map(this.statuses.flatMap(status => {
+            const confirmed = this.confirmedGroup(status, observed, now);
+            return confirmed === undefined ? [] : [[status.group.group, confirmed]];
+        }));
+        metrics.gauge("groups.known", this.statuses.length);
+        metrics.gauge("groups.dispatchable", this.confirmed.size);
+    }
+
+    private confirmedGroup(
+        { group, confirmation, retiring }: GroupStatus,
+        observed: ReadonlyMap<string, Observation>,
+        now: number,
+    ): Confirmed | undefined {
+        const leader = this.options.hosts.current().hosts.get(group.leader);
+        if (confirmation.kind !== "dispatchable" || retiring !== undefined || leader === undefined) {
+            return undefined;
+        }
+        const before = this.confirmed.get(group.group);
+        const unbroken = before?.view.fence === group.fence && before.validUntil >= now;
+        const report = observed.get(group.leader);
+        const load = report === undefined ? undefined : {
+            running: report.report.load.running,
+            queued: report.report.load.queued,
+            reportedAt: report.observedAt - report.report.load.ageMilliseconds,
+        };
+        const { group: id, model, fence, members } = group;
+        const readySince = unbroken ? before.view.readySince : now;
+        const view = {
+            group: id,
+            model,
+            fence,
+            members,
+            leader: group.leader,
+            leaderUrl: leader.url,
+            readySince,
+            load,
+        };
+        return { view, validUntil: confirmation.validUntil };
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/hosts.ts
@@ -0,0 +1,97 @@
+/** Task that reads the platform's lagging list of hosts for the own data centre. */
+import type { ListedHost } from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { HostList } from "../ports/hostlist.js";
+import type { Metrics } from "../ports/metrics.js";
+import type { TableView } from "../ports/tableview.js";
+import { createPublished, type Published } from "./published.js";
+
+/** Time between two reads. Leaving hosts must get no new work within 3 s of being listed as leaving. */
+export const HOST_LIST_INTERVAL_MILLISECONDS = 1_000;
+
+/** Hosts of the data centre by name, and when the list was read (monotonic milliseconds). */
+export interface HostsView {
+    readonly hosts: ReadonlyMap<string, ListedHost>;
+    readonly readAt?: number;
+}
+
+/** Returns the hosts that leave by the platform's list or by the table. */
+export function leavingHosts(hosts: HostsView, table: TableView): ReadonlySet<string> {
+    return new Set(
+        [...hosts.hosts.values()]
+            .filter(({ host, state }) => state === "leaving" || table.target(host)?.state === "draining")
+            .map(({ host }) => host),
+    );
+}
+
+/** What the task needs. */
+export interface HostsOptions {
+    readonly dataCentre: string;
+    readonly list: HostList;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly eventLog: EventLog;
+    /** Hosts that belong to groups. They are kept as leaving when the list no longer has them. */
+    owned(): ReadonlySet<string>;
+}
+
+/** The hosts task. While the platform does not answer, the newest list stays in force. */
+export class HostsTask {
+    private readonly published = createPublished<HostsView>({ hosts: new Map() });
+    private timer: NodeJS.Timeout | undefined;
+    private reading = false;
+    private failing = false;
+
+    constructor(private readonly options: HostsOptions) {}
+
+    /** Hosts as listed last. */
+    get hosts(): Published<HostsView> {
+        return this.published;
+    }
+
+    /** Starts reading. */
+    start(): void {
+        void this.read();
+        this.timer = setInterval(() => void this.read(), HOST_LIST_INTERVAL_MILLISECONDS);
+    }
+
+    /** Stops reading. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    private async read(): Promise<void> {
+        if (this.reading) {
+            return;
+        }
+        this.reading = true;
+        const { list, clock, eventLog, metrics } = this.options;
+        const result = await list.list().finally(() => {
+            this.reading = false;
+        });
+        const now = clock.monotonic();
+        if (result.err) {
+            if (!this.failing) {
+                eventLog.emit("hostListFailed", { message: result.val });
+            }
+            this.failing = true;
+        }
+        else {
+            this.failing = false;
+            this.published.publish({ hosts: this.merge(result.val), readAt: now });
+        }
+        const { hosts, readAt } = this.published.current();
+        metrics.gauge("hosts.listed", hosts.size);
+        metrics.gauge("hosts.list_age", readAt === undefined ? 0 : now - readAt);
+    }
+
+    private merge(listed: readonly ListedHost[]): ReadonlyMap<string, ListedHost> {
+        const own = listed.filter(host => host.dataCentre === this.options.dataCentre);
+        const owned = this.options.owned();
+        const kept = [...this.published.current().hosts.values()]
+            .filter(host => owned.has(host.host) && !own.some(other => other.host === host.host))
+            .map(host => ({ ...host, state: "leaving" as const }));
+        return new Map([...own, ...kept].map(host => [host.host, host]));
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/memberlinks.ts
@@ -0,0 +1,69 @@
+/** The links and the announcement of the membership task. */
+import { chooseLinks, type MemberNews, type MembersBody, type Membership, type MembersState } from "@damaskvale/core";
+import type { EventLog } from "../ports/eventlog.js";
+import type { PeerNetwork } from "../ports/peers.js";
+import type { Stream } from "../ports/stream.js";
+
+const ANNOUNCE_TIMEOUT_MILLISECONDS = 5_000;
+const ANNOUNCE_INTERVAL_MILLISECONDS = 30_000;
+
+/** Network whose links can also be given up. */
+export interface LinkedNetwork extends PeerNetwork {
+    /** Stops dialling an address. */
+    disconnect(address: string): void;
+}
+
+/** What the links need. */
+export interface MemberLinksOptions {
+    /** Peer addresses from the settings, `IP:PORT`. */
+    readonly seeds: readonly string[];
+    readonly network: LinkedNetwork;
+    readonly eventLog: EventLog;
+    /** The stream `members`, if it is followed. */
+    readonly stream?: Stream<MembersState, MembersBody>;
+}
+
+/** Keeps links open to the right daemons, and this daemon announced. */
+export class MemberLinks {
+    private readonly dialled = new Set<string>();
+    private announcedAt = Number.NEGATIVE_INFINITY;
+
+    constructor(private readonly options: MemberLinksOptions) {}
+
+    /**
+     * Dials the chosen links of live daemons, the ones that would be chosen if the dead were alive, and addresses
+     * from the settings and the members stream that belong to no live daemon.
+     */
+    keep({ self, members }: Membership, live: readonly MemberNews[]): void {
+        const known = [...members.values()].map(({ news }) => news).filter(news => news.state !== "left");
+        const announced = this.options.stream?.folded.current().state.announcements ?? [];
+        const found = [...this.options.seeds, ...(live.length === 1 ? announced.map(({ address }) => address) : [])]
+            .filter(address => address !== self.address && !live.some(news => news.address === address));
+        const chosen = [...chooseLinks(self, live), ...chooseLinks(self, known)].map(news => news.address);
+        const wanted = new Set([...chosen, ...found]);
+        [...this.dialled].filter(address => !wanted.has(address)).forEach(address => {
+            this.dialled.delete(address);
+            this.options.network.disconnect(`ws://${address}`);
+        });
+        wanted.forEach(address => {
+            this.dialled.add(address);
+            this.options.network.connect(`ws://${address}`);
+        });
+    }
+
+    /** Announces this daemon in the members stream: at the start, and now and then while it knows no live daemon. */
+    announce({ self }: Membership, live: readonly MemberNews[], now: number): void {
+        const { stream, eventLog } = this.options;
+        const first = this.announcedAt === Number.NEGATIVE_INFINITY;
+        const due = first || (live.length === 1 && now - this.announcedAt >= ANNOUNCE_INTERVAL_MILLISECONDS);
+        if (stream === undefined || !due) {
+            return;
+        }
+        this.announcedAt = now;
+        const { daemon, dataCentre, address, incarnation } = self;
+        stream.append(
+            { kind: "announce", daemon, dataCentre, address, incarnation },
+            { timeoutMilliseconds: ANNOUNCE_TIMEOUT_MILLISECONDS },
+        ).catch((error: unknown) => eventLog.emit("taskFailed", { task: "membership", kind: "announce", error }));
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/membership.ts
@@ -0,0 +1,270 @@
+/** Task that knows the other daemons: probes them, shares news with them, and keeps the links. */
+import {
+    chooseLinks,
+    chooseNews,
+    chooseProbes,
+    createMembership,
+    hearAnswer,
+    hearNews,
+    leave,
+    liveMembers,
+    type MemberNews,
+    type Membership,
+    tick,
+} from "@damaskvale/core";
+import type { PeerMessageOf, SharedObservation } from "../messages.js";
+import type { Clock } from "../ports/clock.js";
+import type { Metrics } from "../ports/metrics.js";
+import { createMailbox } from "./mailbox.js";
+import { MemberLinks, type MemberLinksOptions } from "./memberlinks.js";
+import { createPublished, type Published } from "./published.js";
+
+/** Time between two steps of the task. */
+export const MEMBERSHIP_STEP_MILLISECONDS = 250;
+/** Daemons of other data centres that are probed in a second. */
+export const PROBES_PER_SECOND = 3;
+/**
+ * Time between two probes of a daemon of the own data centre. Its observations of hosts must arrive well within
+ * `CONFIRMATION_BOUND_MILLISECONDS`, with room for one lost answer.
+ */
+export const NEAR_PROBE_MILLISECONDS = 500;
+const LINK_INTERVAL_MILLISECONDS = 1_000;
+const PENDING_MILLISECONDS = 10_000;
+
+/** What a daemon tells the others about itself besides its membership. */
+export interface SharedState {
+    offsets(): Readonly<Record<string, number>>;
+    demand(): Readonly<Record<string, number>>;
+    /** Models of which the own data centre has dispatchable groups. */
+    models(): readonly string[];
+    /** Own observations of hosts, with their age now. */
+    observations(): readonly SharedObservation[];
+}
+
+/** What the task needs. */
+export interface MembershipOptions extends MemberLinksOptions {
+    readonly self: Pick<MemberNews, "daemon" | "dataCentre" | "address" | "incarnation">;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly seed: number;
+    readonly shared: SharedState;
+    /** Offsets of streams that a peer told. */
+    onOffsets(daemon: string, offsets: Readonly<Record<string, number>>): void;
+    /** Observations of a peer; each was true `ageMilliseconds` before `sentAt` of this daemon's clock, or later. */
+    onObservations(daemon: string, observations: readonly SharedObservation[], sentAt: number): void;
+}
+
+/** What is known of one daemon. */
+export interface MemberView {
+    readonly news: MemberNews;
+    readonly demand: Readonly<Record<string, number>>;
+    readonly models: readonly string[];
+}
+
+/** Members as the other tasks read them. */
+export interface MembersView {
+    readonly self: MemberNews;
+    /** Daemons that are neither dead nor left, this one included, in name order. */
+    readonly live: readonly MemberNews[];
+    /** All other daemons that are known, with what they told last. */
+    readonly others: readonly MemberView[];
+}
+
+type Message =
+    | { readonly kind: "step"; }
+    | { readonly kind: "probe"; readonly from: string; readonly message: PeerMessageOf<"probe">; }
+    | { readonly kind: "acknowledge"; readonly from: string; readonly message: PeerMessageOf<"acknowledge">; };
+
+interface Told {
+    readonly demand: Readonly<Record<string, number>>;
+    readonly models: readonly string[];
+}
+
+/** The membership task. */
+export class MembershipTask {
+    private membership: Membership;
+    private sequence = 0;
+    private linkedAt = Number.NEGATIVE_INFINITY;
+    private draws = 0;
+    private timer: NodeJS.Timeout | undefined;
+    private readonly pending = new Map<number, { readonly daemon: string; readonly sentAt: number; }>();
+    private readonly probedAt = new Map<string, number>();
+    private readonly told = new Map<string, Told>();
+    private readonly links;
+    private readonly published;
+    private readonly mailbox;
+
+    constructor(private readonly options: MembershipOptions) {
+        const { network, clock, eventLog, self } = options;
+        this.membership = createMembership({ ...self, revision: 0, state: "alive" }, clock.monotonic());
+        this.links = new MemberLinks(options);
+        this.published = createPublished<MembersView>(this.view());
+        this.mailbox = createMailbox<Message>({
+            step: () => this.step(),
+            probe: ({ from, message }) => this.answer(from, message),
+            acknowledge: ({ from, message }) => this.acknowledged(from, message),
+        }, (error, kind) => eventLog.emit("taskFailed", { task: "membership", kind, error }));
+        network.receive("probe", (from, message) => this.mailbox.post({ kind: "probe", from, message }));
+        network.receive("acknowledge", (from, message) => this.mailbox.post({ kind: "acknowledge", from, message }));
+    }
+
+    /** Members as known now. */
+    get members(): Published<MembersView> {
+        return this.published;
+    }
+
+    /** Starts probing. */
+    start(): void {
+        this.mailbox.post({ kind: "step" });
+        this.timer = setInterval(() => this.mailbox.post({ kind: "step" }), MEMBERSHIP_STEP_MILLISECONDS);
+    }
+
+    /** Tells the others that this daemon leaves on purpose, and stops. */
+    async stop(): Promise<void> {
+        clearInterval(this.timer);
+        await this.mailbox.close();
+        this.membership = leave(this.membership);
+        this.options.network.links().forEach(link => this.probe(link.daemon, this.options.clock.monotonic()));
+    }
+
+    private step(): void {
+        const now = this.options.clock.monotonic();
+        this.change(tick(this.membership, now));
+        [...this.pending].filter(([, { sentAt }]) => now - sentAt > PENDING_MILLISECONDS)
+            .forEach(([sequence]) => this.pending.delete(sequence));
+        if (now - this.linkedAt >= LINK_INTERVAL_MILLISECONDS) {
+            this.linkedAt = now;
+            const live = liveMembers(this.membership);
+            this.links.keep(this.membership, live);
+            this.links.announce(this.membership, live, now);
+        }
+        this.probeNear(now);
+        this.probeFar(now);
+        this.gauges();
+    }
+
+    /** Probes the own data centre, and peers that a link is open to but that are not known yet. */
+    private probeNear(now: number): void {
+        const { dataCentre } = this.options.self;
+        const due = this.options.network.links()
+            .filter(link => link.dataCentre === dataCentre || !this.membership.members.has(link.daemon))
+            .filter(link =>
+                now - (this.probedAt.get(link.daemon) ?? Number.NEGATIVE_INFINITY) >= NEAR_PROBE_MILLISECONDS
+            )
+            .map(link => link.daemon);
+        const chosen = chooseProbes({ ...this.membership, round: due }, new Set(due), due.length, 0, now);
+        this.membership = { ...chosen.membership, round: this.membership.round };
+        due.forEach(daemon => this.probe(daemon, now));
+    }
+
+    /** Probes linked daemons of other data centres in turn, live daemons of the own one without a link, and dead ones. */
+    private probeFar(now: number): void {
+        const near = new Set(
+            this.options.network.links()
+                .filter(link => link.dataCentre === this.options.self.dataCentre).map(link => link.daemon),
+        );
+        const wanted = chooseLinks(this.membership.self, liveMembers(this.membership)).map(news => news.daemon);
+        const reachable = new Set(wanted.filter(daemon => !near.has(daemon)));
+        const due = Math.floor(now * PROBES_PER_SECOND / 1_000)
+            - Math.floor((now - MEMBERSHIP_STEP_MILLISECONDS) * PROBES_PER_SECOND / 1_000);
+        const chosen = chooseProbes(this.membership, reachable, due, this.nextSeed(), now);
+        this.membership = chosen.membership;
+        chosen.targets.forEach(daemon => this.probe(daemon, now));
+    }
+
+    private probe(daemon: string, now: number): void {
+        this.sequence += 1;
+        this.probedAt.set(daemon, now);
+        const message = { kind: "probe" as const, sequence: this.sequence, sentAt: now, ...this.news(daemon) };
+        if (this.options.network.send(daemon, message)) {
+            this.pending.set(this.sequence, { daemon, sentAt: now });
+        }
+    }
+
+    private answer(from: string, { sequence, sentAt, members, offsets, demand, models }: PeerMessageOf<"probe">): void {
+        this.hear(from, members, offsets, { demand, models: models ?? [] });
+        const near = this.membership.members.get(from)?.news.dataCentre === this.options.self.dataCentre;
+        this.options.network.send(from, {
+            kind: "acknowledge",
+            sequence,
+            sentAt,
+            ...this.news(from),
+            observations: near ? [...this.options.shared.observations()] : [],
+        });
+    }
+
+    private acknowledged(from: string, message: PeerMessageOf<"acknowledge">): void {
+        const pending = this.pending.get(message.sequence);
+        if (pending?.daemon !== from) {
+            return;
+        }
+        this.pending.delete(message.sequence);
+        this.membership = hearAnswer(this.membership, from);
+        this.hear(from, message.members, message.offsets, { demand: message.demand, models: message.models ?? [] });
+        this.options.onObservations(from, message.observations, pending.sentAt);
+    }
+
+    private hear(
+        from: string,
+        members: readonly MemberNews[],
+        offsets: Readonly<Record<string, number>>,
+        told: Told,
+    ): void {
+        const held = this.told.get(from);
+        this.told.set(from, told);
+        this.change(hearNews(this.membership, members, this.options.clock.monotonic()));
+        if (JSON.stringify(held) !== JSON.stringify(told)) {
+            this.published.publish(this.view());
+        }
+        this.options.onOffsets(from, offsets);
+    }
+
+    private news(peer: string): Pick<PeerMessageOf<"probe">, "members" | "offsets" | "demand" | "models"> {
+        const { shared } = this.options;
+        const chosen = chooseNews(this.membership, peer, this.nextSeed());
+        this.membership = chosen.membership;
+        return {
+            members: [...chosen.news],
+            offsets: { ...shared.offsets() },
+            demand: { ...shared.demand() },
+            models: [...shared.models()],
+        };
+    }
+
+    private change(next: Membership): void {
+        const before = this.membership;
+        this.membership = next;
+        const changed = [...next.members.values()].filter(({ news }) =>
+            before.members.get(news.daemon)?.news.state !== news.state
+        );
+        changed.forEach(({ news }) =>
+            this.options.eventLog.emit("memberChanged", { daemon: news.daemon, state: news.state })
+        );
+        const same = before.self === next.self && before.members.size === next.members.size
+            && [...next.members.values()].every(({ news }) => before.members.get(news.daemon)?.news === news);
+        if (!same) {
+            this.published.publish(this.view());
+        }
+    }
+
+    private view(): MembersView {
+        const others = [...this.membership.members.values()].map(({ news }) => ({
+            news,
+            demand: this.told.get(news.daemon)?.demand ?? {},
+            models: this.told.get(news.daemon)?.models ?? [],
+        }));
+        return { self: this.membership.self, live: liveMembers(this.membership), others };
+    }
+
+    private gauges(): void {
+        const states = [...this.membership.members.values()].map(({ news }) => news.state);
+        (["alive", "suspect", "dead", "left"] as const).forEach(state =>
+            this.options.metrics.gauge("members", states.filter(one => one === state).length, { state })
+        );
+    }
+
+    private nextSeed(): number {
+        this.draws += 1;
+        return this.options.seed + this.draws;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/tests/scene.ts
@@ -0,0 +1,132 @@
+/** A data centre with fake engines, a fake log and real tasks of several daemons, on a fake clock. */
+import { type GroupsBody, groupsFold, type GroupsState, type ListedHost, type MemberNews } from "@damaskvale/core";
+import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
+import { Err, Ok } from "ts-results";
+import { type GroupsOptions, GroupsTask } from "../groups.js";
+import { GroupViewTask } from "../groupview.js";
+import { HostsTask } from "../hosts.js";
+import type { MembersView } from "../membership.js";
+import { ObserverTask } from "../observer.js";
+import { createPublished } from "../published.js";
+import { FakeEngine, fakeEngineClient, fakeHosts, FakeLog, type FakeStream, fakeTable, noMetrics } from "./fakes.js";
+
+/** One daemon of the scene. */
+export interface SceneDaemon {
+    readonly name: string;
+    readonly stream: FakeStream<GroupsState, GroupsBody>;
+    readonly groups: GroupsTask;
+    readonly view: GroupViewTask;
+    readonly observer: ObserverTask;
+    /** Sets which daemons this one takes for live. */
+    sees(...names: string[]): void;
+    readonly logged: string[];
+}
+
+/** Options of a scene. */
+export interface SceneOptions {
+    readonly hosts: readonly string[];
+    readonly daemons?: readonly string[];
+    readonly model?: Parameters<typeof fakeTable>[0];
+    readonly groups?: Partial<GroupsOptions>;
+}
+
+/** A data centre. Observations are shared between daemons that see each other, as the membership task does it. */
+export class Scene {
+    readonly fake: FakeClock = install();
+    readonly engines: ReadonlyMap<string, FakeEngine>;
+    readonly log = new FakeLog(groupsFold);
+    readonly table = createPublished(fakeTable({}));
+    readonly daemons: readonly SceneDaemon[];
+    listed: ListedHost[];
+    listFails = false;
+    private readonly stops: (() => unknown)[] = [];
+
+    constructor(options: SceneOptions) {
+        this.engines = new Map(options.hosts.map(host => [host, new FakeEngine(host)]));
+        this.listed = fakeHosts(options.hosts);
+        this.table.publish(fakeTable(options.model ?? {}));
+        const names = options.daemons ?? ["d1"];
+        this.daemons = names.map(name => this.daemon(name, names, options.groups ?? {}));
+    }
+
+    engine(host: string): FakeEngine {
+        return this.engines.get(host) as FakeEngine;
+    }
+
+    daemonNamed(name: string): SceneDaemon {
+        return this.daemons.find(daemon => daemon.name === name) as SceneDaemon;
+    }
+
+    /** Groups of the log, as a reader without cuts folds them. */
+    groups(): GroupsState["groups"] {
+        return this.log.follow("reader", "1").folded.current().state.groups;
+    }
+
+    async run(milliseconds: number): Promise<void> {
+        await this.fake.tickAsync(milliseconds);
+    }
+
+    async stop(): Promise<void> {
+        const stopping = this.stops.map(stop => stop());
+        await this.run(5_000);
+        await Promise.all(stopping);
+        this.fake.uninstall();
+    }
+
+    private daemon(name: string, names: readonly string[], overrides: Partial<GroupsOptions>): SceneDaemon {
+        const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
+        const logged: string[] = [];
+        const eventLog = {
+            emit: (event: string, fields?: unknown) => logged.push(`${event} ${JSON.stringify(fields)}`),
+        };
+        const stream = this.log.follow(name, "1");
+        const members = createPublished<MembersView>(view(name, names));
+        const engine = fakeEngineClient(name, this.engines);
+        const list = { list: async () => this.listFails ? Err("down") : Ok(this.listed) };
+        const common = { dataCentre: "dc", clock, metrics: noMetrics, eventLog, table: this.table, members, engine };
+        const hostsTask = new HostsTask({ ...common, list, owned: () => new Set(ownedHosts(stream)) });
+        const observer = new ObserverTask({ ...common, hosts: hostsTask.hosts });
+        const shared = { ...common, hosts: hostsTask.hosts, observations: observer.observations };
+        const groups = new GroupsTask({ ...shared, daemon: name, incarnation: "1", stream, ...overrides });
+        const groupView = new GroupViewTask({ ...shared, folded: stream.folded });
+        [hostsTask, observer, groups].forEach(task => task.start());
+        const sharing = setInterval(() => {
+            const sentAt = clock.monotonic();
+            members.current().live.filter(({ daemon }) => daemon !== name).forEach(({ daemon }) =>
+                observer.merge(this.daemonNamed(daemon).observer.shared(), sentAt)
+            );
+        }, 500);
+        this.stops.push(
+            () => hostsTask.stop(),
+            () => observer.stop(),
+            () => groups.stop(),
+            () => clearInterval(sharing),
+        );
+        return {
+            name,
+            stream,
+            groups,
+            view: groupView,
+            observer,
+            logged,
+            sees: (...seen) => members.publish(view(name, seen)),
+        };
+    }
+}
+
+function ownedHosts(stream: FakeStream<GroupsState, GroupsBody>): string[] {
+    return Object.values(stream.folded.current().state.groups).flatMap(group => group.members);
+}
+
+function view(name: string, names: readonly string[]): MembersView {
+    const live = names.map((daemon): MemberNews => ({
+        daemon,
+        dataCentre: "dc",
+        address: daemon,
+        incarnation: "1",
+        revision: 0,
+        state: "alive",
+    }));
+    const self = live.find(({ daemon }) => daemon === name) as MemberNews;
+    return { self, live, others: [] };
+}
