--- a/packages/daemon/src/front/tests/chat.test.ts
+++ b/packages/daemon/src/front/tests/chat.test.ts
@@ -1,28 +1,6 @@
 import { expect } from "chai";
 import type { RequestListener } from "node:http";
-import {
-    answerWhole,
-    chat,
-    chunkOf,
-    type Path,
-    type PathOptions,
-    send,
-    startPath,
-    streamOf,
-    wholeAnswer,
-} from "./path.js";
-
-const withPath = async (options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> => {
-    const path = await startPath(options);
-    try {
-        await run(path);
-    }
-    finally {
-        await path.close();
-    }
-};
-const contents = (text: string): string =>
-    [...text.matchAll(/"content":"([^"]*)"/g)].map(([, content]) => content).join("");
+import { answerWhole, chat, chunkOf, contentsOf, send, streamOf, wholeAnswer, withPath } from "./path.js";
 
 describe("chat completions over HTTP", () => {
     it("passes a whole request and its answer through byte for byte", () =>
@@ -72,7 +50,7 @@
 
             const { text } = await chat(path, { stream: true });
 
-            expect(contents(text)).to.equal("abc");
+            expect(contentsOf(text)).to.equal("abc");
             expect(text.endsWith("data: [DONE]\n\n")).to.equal(true);
             const urls = path.engines.flatMap(({ seen }) => seen.map(({ url }) => url.replace(/daemon.*-1\//, "ID/")));
             expect(path.engines.map(({ seen }) => seen.length).toSorted()).to.deep.equal([0, 2]);
@@ -90,7 +68,7 @@
 
             const { text } = await chat(path, { stream: true });
 
-            expect(contents(text)).to.equal("a");
+            expect(contentsOf(text)).to.equal("a");
             expect(text).to.contain('"code":"stream_incomplete"');
             expect(text).not.to.contain("[DONE]");
         }));
--- /dev/null
+++ b/packages/daemon/src/front/tests/forward.test.ts
@@ -0,0 +1,90 @@
+import { expect } from "chai";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createForwarder } from "../../adapters/forwardclient.js";
+import { createTargetPools } from "../../adapters/pools.js";
+import { answerWhole, chat, contentsOf, type Path, startPath, streamOf, until, wholeAnswer } from "./path.js";
+
+describe("forwarding to another data centre", () => {
+    const pools = createTargetPools();
+    const forwarder = createForwarder({ pools, daemon: "daemon-here", peerSecret: "secret-of-daemons" });
+    let here: Path;
+    let there: Path;
+    let server: Server;
+
+    const start = async (engine: RequestListener): Promise<void> => {
+        there = await startPath({ engines: [engine] });
+        server = createServer(there.front.forwarded);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        here = await startPath({ engines: [], dispatcher: { forwarder } });
+        const address = `ws://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        here.groups.others = [{ dataCentre: "jhb-annex", daemon: "daemon-there", address }];
+    };
+    afterEach(async () => {
+        server.close();
+        server.closeAllConnections();
+        await Promise.all([here.close(), there.close()]);
+    });
+    after(() => pools.close());
+
+    it("passes a whole answer and a stream through, under the request id of the first daemon", async () => {
+        await start((request, response) =>
+            there.engines[0]!.seen.length === 1
+                ? answerWhole(request, response)
+                : streamOf(["a", "b"], "done")(request, response)
+        );
+        const whole = await chat(here, {}, { "x-damaskvale-priority": "8" });
+        const stream = await chat(here, { stream: true });
+
+        expect(whole).to.deep.include({ status: 200, text: JSON.stringify(wholeAnswer), outcome: "complete" });
+        expect(contentsOf(stream.text)).to.equal("ab");
+        expect(stream.text.endsWith("data: [DONE]\n\n")).to.equal(true);
+        expect(there.engines[0]!.seen[0]!.headers["x-priority"]).to.equal("8");
+        expect(here.dispatcher.explain(whole.requestId!)!.attempts[0]!.target).to.equal("daemon daemon-there");
+    });
+
+    it("passes a refusal of the other daemon on with its outcome, and never forwards twice", async () => {
+        await start(answerWhole);
+        there.groups.list = [];
+        there.groups.others = here.groups.others;
+
+        const answer = await chat(here);
+
+        expect(answer).to.deep.include({ status: 503, code: "no_ready_group", outcome: "not-run" });
+        expect(Number(answer.retryAfter)).to.be.greaterThan(0);
+        expect(there.counts).not.to.have.property("requests.forwarded");
+    });
+
+    it("does not repeat work that may have run at the daemon that it was forwarded to", async () => {
+        await start((...[, response]) => void response.destroy());
+        const answer = await chat(here);
+
+        expect(answer).to.deep.include({ code: "target_failed", outcome: "unknown" });
+        expect(there.engines[0]!.seen).to.have.length(1);
+    });
+
+    it("cancels at the engine of the other data centre when the caller disconnects", async () => {
+        await start(streamOf(["a"], "hang"));
+        const caller = new AbortController();
+        const body = JSON.stringify({ model: "notes", messages: [{ role: "user" }], stream: true });
+        const headers = { "authorization": "Bearer key-of-legal-team", "content-type": "application/json" };
+        const init = { method: "POST", headers, body, signal: caller.signal };
+        const response = await fetch(`${here.url}/v1/chat/completions`, init);
+        await response.body!.getReader().read();
+        caller.abort();
+
+        await until(() => there.engines[0]!.cancelled.length === 1);
+    });
+
+    it("is refused without the secret of the daemons", async () => {
+        await start(answerWhole);
+        const { port } = server.address() as AddressInfo;
+        const answer = await fetch(`http://127.0.0.1:${port}/v1/chat/completions`, {
+            method: "POST",
+            headers: { "x-damaskvale-forwarded": "daemon-9", "x-damaskvale-team": "legal" },
+        });
+
+        expect(answer.status).to.equal(401);
+        expect(answer.headers.get("x-damaskvale-outcome")).to.equal("not-run");
+    });
+});
--- a/packages/daemon/src/front/tests/path.ts
+++ b/packages/daemon/src/front/tests/path.ts
@@ -217,3 +217,28 @@
         server.listen(0, "127.0.0.1", () => resolve(`http://127.0.0.1:${(server.address() as AddressInfo).port}`));
     });
 }
+
+/** Runs a test on a path of its own. */
+export async function withPath(options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> {
+    const path = await startPath(options);
+    try {
+        await run(path);
+    }
+    finally {
+        await path.close();
+    }
+}
+
+/** Waits until a condition holds, or throws after 2 s. */
+export async function until(condition: () => boolean): Promise<void> {
+    for (let waited = 0; !condition(); waited += 5) {
+        if (waited > 2_000) {
+            throw new Error(`still not true: ${condition.toString()}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 5));
+    }
+}
+
+/** Joins the contents of the chunks of a stream. */
+export const contentsOf = (text: string): string =>
+    [...text.matchAll(/"content":"([^"]*)"/g)].map(([, content]) => content).join("");
--- a/packages/daemon/src/front/tests/services.test.ts
+++ b/packages/daemon/src/front/tests/services.test.ts
@@ -1,27 +1,12 @@
 import { expect } from "chai";
-import { type Path, type PathOptions, send, startPath } from "./path.js";
-
-const withPath = async (options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> => {
-    const path = await startPath(options);
-    try {
-        await run(path);
-    }
-    finally {
-        await path.close();
-    }
-};
+import { type Path, type PathOptions, send, until, withPath } from "./path.js";
+
 const record = (path: Path, key?: string, body = "{}", headers: Record<string, string> = {}) =>
     send(path, "/services/fees/receipts?a=%20b", {
         method: "POST",
         body,
         headers: { ...(key === undefined ? {} : { "idempotency-key": key }), ...headers },
     });
-const until = async (condition: () => boolean): Promise<void> => {
-    for (let waited = 0; !condition() && waited < 2_000; waited += 5) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
-    expect(condition()).to.equal(true);
-};
 
 describe("services over HTTP", () => {
     it("passes a request and its answer through", () =>
