Fuzz admission, fairness, shares, routing and retries against oracles

Cause: the policy decisions had examples only. Ruled out: fast-check's default sizes (scenarios of about ten steps let an ordering fault pass) and bounds imported from the code under test (a changed bound went unnoticed); the bounds are literals now. Change: five fuzz modules in the registry; the prefix map reserves memory for 1,024 targets instead of one per block, which took most of the time of a run.

--- a/packages/core/src/routing/options.ts
+++ b/packages/core/src/routing/options.ts
@@ -9,7 +9,7 @@
     readonly choices?: number;
     /** Requests of load that a complete prefix hit outweighs. */
     readonly prefixBonus?: number;
-    /** Prefix blocks remembered over all targets. */
+    /** Prefix blocks remembered over all targets; memory for them is reserved at once. Small for a plain service. */
     readonly prefixBlocks?: number;
     /** Time over which a target that returns reaches its whole weight. */
     readonly slowStartMilliseconds?: number;
--- a/packages/core/src/routing/prefixes.ts
+++ b/packages/core/src/routing/prefixes.ts
@@ -3,6 +3,8 @@
 
 /** Holders that are remembered of one block; more would not widen the choice. */
 const HOLDERS_PER_BLOCK = 8;
+/** Targets whose blocks are remembered; above the groups of a model in all data centres. */
+const TARGETS = 1_024;
 
 /** Placement of prefix blocks. */
 export interface PrefixMap {
@@ -21,7 +23,7 @@
  */
 export function createPrefixMap(capacity: number): PrefixMap {
     const holders = new LRUCache<string, Map<string, number>>({ max: capacity });
-    const generations = new LRUCache<string, number>({ max: capacity });
+    const generations = new LRUCache<string, number>({ max: TARGETS });
     let generation = 0;
 
     const generationOf = (target: string): number => {
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,5 +1,8 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { admissionFuzz } from "./limits.js";
+import { retryFuzz, routingFuzz } from "./routing.js";
+import { fairnessFuzz, sharesFuzz } from "./shares.js";
 import type { Fuzz } from "./types.js";
 
 /** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [];
+export const fuzzes: readonly Fuzz[] = [admissionFuzz, fairnessFuzz, sharesFuzz, routingFuzz, retryFuzz];
--- /dev/null
+++ b/packages/proofs/src/fuzz/limits.ts
@@ -0,0 +1,232 @@
+/**
+ * Fuzzing of limits: the admission of one daemon, fairness between backlogged teams, and the shares of many daemons.
+ * The oracle recounts every admission from the ledger of what happened.
+ */
+import { type AdmissionDecision, createAdmission, type TeamShare } from "@damaskvale/core";
+import fc from "fast-check";
+import { deepStrictEqual as same, ok } from "node:assert/strict";
+import { createFuzz, type Trace } from "./types.js";
+
+const TEAMS = ["a", "b", "c"] as const;
+const BURST_SECONDS = 1;
+const PRIORITY_STEP_MILLISECONDS = 2_000;
+/** Rounding of sums of rates. */
+const TOLERANCE = 1e-6;
+
+const optional = <Value>(value: fc.Arbitrary<Value>) => fc.option(value, { nil: undefined });
+const shares = fc.tuple(...TEAMS.map(team =>
+    fc.record({
+        team: fc.constant(team),
+        weight: fc.constantFrom(0, 0.5, 1, 4),
+        requestsPerSecond: optional(fc.constantFrom(0.2, 1, 5, 50)),
+        tokensPerSecond: optional(fc.constantFrom(50, 1_000, 20_000)),
+        concurrency: optional(fc.integer({ min: 1, max: 4 })),
+        queueLength: fc.integer({ min: 0, max: 8 }),
+    })
+));
+const step = fc.oneof(
+    {
+        weight: 6,
+        arbitrary: fc.record({
+            kind: fc.constant("offer" as const),
+            team: fc.constantFrom(...TEAMS),
+            priority: fc.integer({ min: 0, max: 9 }),
+            tokens: fc.integer({ min: 0, max: 2_000 }),
+            patience: fc.constantFrom(0, 200, 5_000, 100_000),
+        }),
+    },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constant("finish" as const),
+            pick: fc.nat(50),
+            tokens: fc.integer({ min: 0, max: 3_000 }),
+        }),
+    },
+    { weight: 4, arbitrary: fc.record({ kind: fc.constant("wait" as const), milliseconds: fc.nat(3_000) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("withdraw" as const), pick: fc.nat(50) }) },
+    {
+        weight: 1,
+        arbitrary: fc.record({ kind: fc.constant("capacity" as const), capacity: fc.integer({ min: 0, max: 6 }) }),
+    },
+);
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+type Scenario = { readonly shares: readonly TeamShare[]; readonly steps: readonly Step[]; };
+type StepOf<Kind extends Step["kind"]> = Extract<Step, { kind: Kind; }>;
+
+interface Entry {
+    readonly id: string;
+    readonly team: string;
+    readonly priority: number;
+    readonly tokens: number;
+    readonly offeredAt: number;
+    state: "queued" | "running" | "ended";
+}
+
+/** Recounts what the admission did and checks each decision against the limits. */
+class Ledger {
+    readonly entries: Entry[] = [];
+    readonly admissions: { readonly entry: Entry; readonly at: number; }[] = [];
+    private readonly takes: { readonly team: string; readonly at: number; readonly tokens: number; }[] = [];
+
+    constructor(private readonly shares: readonly TeamShare[]) {}
+
+    find(id: string): Entry {
+        return this.entries.find(entry => entry.id === id) as Entry;
+    }
+
+    in(state: Entry["state"]): Entry[] {
+        return this.entries.filter(entry => entry.state === state);
+    }
+
+    admit(entry: Entry, now: number, capacity: number): void {
+        same(entry.state, "queued", `${entry.id} was admitted in state ${entry.state}`);
+        entry.state = "running";
+        this.admissions.push({ entry, at: now });
+        this.takes.push({ team: entry.team, at: now, tokens: entry.tokens });
+        ok(this.in("running").length <= capacity, `${this.in("running").length} run with capacity ${capacity}`);
+        const share = this.shares.find(({ team }) => team === entry.team) as TeamShare;
+        const running = this.in("running").filter(({ team }) => team === entry.team).length;
+        ok(running <= (share.concurrency ?? Infinity), `${running} of ${entry.team} run above its concurrency`);
+        this.checkRates(share, entry, now);
+    }
+
+    end(entry: Entry, tokens: number, now: number): void {
+        entry.state = "ended";
+        this.takes.push({ team: entry.team, at: now, tokens: tokens - entry.tokens });
+    }
+
+    /** In every window that ends now: at most the rate x window + burst, and for tokens the newest cost as well. */
+    private checkRates({ team, requestsPerSecond, tokensPerSecond }: TeamShare, { tokens }: Entry, now: number): void {
+        const admissions = this.admissions.filter(({ entry }) => entry.team === team);
+        admissions.forEach(({ at }, index) => {
+            const bound = requestsPerSecond === undefined
+                ? Infinity
+                : requestsPerSecond * (now - at) / 1_000 + Math.max(1, requestsPerSecond * BURST_SECONDS);
+            ok(admissions.length - index <= bound + TOLERANCE, `${team} is above its request rate since ${at}`);
+        });
+        const takes = this.takes.filter(take => take.team === team);
+        takes.forEach(({ at }, index) => {
+            const taken = takes.slice(index).reduce((sum, take) => sum + take.tokens, 0);
+            const bound = tokensPerSecond === undefined
+                ? Infinity
+                : tokensPerSecond * ((now - at) / 1_000 + BURST_SECONDS) + tokens;
+            ok(taken <= bound + TOLERANCE, `${team} is above its token rate since ${at}`);
+        });
+    }
+
+    /** A request is not overtaken by one of its team that came later than its advance in priority allows. */
+    checkOrder(): void {
+        this.admissions.forEach(({ entry, at }, index) => {
+            const overtaking = this.admissions.slice(0, index).filter(({ entry: other, at: otherAt }) =>
+                other.team === entry.team && otherAt >= entry.offeredAt
+                && other.offeredAt - entry.offeredAt
+                    > Math.max(0, (other.priority - entry.priority) * PRIORITY_STEP_MILLISECONDS)
+            );
+            same(overtaking.map(({ entry: other }) => other.id), [], `${entry.id} was overtaken before ${at}`);
+        });
+    }
+}
+
+/** One scenario in progress. */
+class Play {
+    readonly ledger: Ledger;
+    private readonly admission = createAdmission({ capacity: 3 });
+    private capacity = 3;
+    private now = 0;
+    private readonly handlers: { [Kind in Step["kind"]]: (step: StepOf<Kind>) => void; } = {
+        offer: step => this.offer(step),
+        finish: ({ pick, tokens }) => this.finish(pickOf(this.ledger.in("running"), pick), tokens),
+        wait: ({ milliseconds }) => {
+            this.now += milliseconds;
+        },
+        withdraw: ({ pick }) => this.withdraw(pickOf(this.ledger.in("queued"), pick)),
+        capacity: ({ capacity }) => {
+            this.capacity = capacity;
+            this.admission.setCapacity(capacity, this.now);
+        },
+    };
+
+    constructor(shares: readonly TeamShare[], private readonly trace: Trace) {
+        this.ledger = new Ledger(shares);
+        this.admission.configure(shares, this.now);
+    }
+
+    step(step: Step): void {
+        (this.handlers[step.kind] as (step: Step) => void)(step);
+        this.poll();
+    }
+
+    /** Ends all requests until the last deadline has passed; by then none may be left in the queue. */
+    drain(): void {
+        Array.from({ length: 30 }).forEach(() => {
+            this.ledger.in("running").forEach(entry => this.finish(entry, entry.tokens));
+            this.poll();
+            this.now += 5_000;
+        });
+        same(this.ledger.in("queued").map(({ id }) => id), [], "requests were lost in the queue");
+    }
+
+    private poll(): void {
+        const { admitted, refused } = this.admission.poll(this.now);
+        this.trace(`${this.now}: poll admitted ${admitted.join(",")} refused ${refused.map(({ id }) => id).join(",")}`);
+        refused.forEach(({ id, decision }) => this.refuse(this.ledger.find(id), decision));
+        admitted.forEach(id => this.ledger.admit(this.ledger.find(id), this.now, this.capacity));
+    }
+
+    private offer({ team, priority, tokens, patience }: StepOf<"offer">): void {
+        const id = `${team}${this.ledger.entries.length}`;
+        const entry: Entry = { id, team, priority, tokens, offeredAt: this.now, state: "queued" };
+        this.ledger.entries.push(entry);
+        const request = { id, team, priority, tokens, deadlineAt: this.now + patience };
+        const decision = this.admission.offer(request, this.now);
+        this.trace(`${this.now}: offer ${id} ${JSON.stringify(decision)}`);
+        if (decision.kind === "admitted") {
+            this.ledger.admit(entry, this.now, this.capacity);
+        }
+        if (decision.kind === "refused") {
+            this.refuse(entry, decision);
+        }
+    }
+
+    private refuse(entry: Entry, decision: AdmissionDecision): void {
+        same(entry.state, "queued", `${entry.id} was refused in state ${entry.state}`);
+        ok(decision.kind === "refused" && decision.retryAfterMilliseconds > 0, `${entry.id} has no time to come back`);
+        entry.state = "ended";
+    }
+
+    private finish(entry: Entry | undefined, tokens: number): void {
+        if (entry !== undefined) {
+            this.admission.finish(entry.id, tokens, this.now);
+            this.ledger.end(entry, tokens, this.now);
+            this.trace(`${this.now}: finish ${entry.id} with ${tokens} tokens`);
+        }
+    }
+
+    private withdraw(entry: Entry | undefined): void {
+        if (entry !== undefined) {
+            this.admission.withdraw(entry.id);
+            entry.state = "ended";
+            this.trace(`${this.now}: withdraw ${entry.id}`);
+        }
+    }
+}
+
+function pickOf(entries: readonly Entry[], pick: number): Entry | undefined {
+    return entries[pick % Math.max(1, entries.length)];
+}
+
+async function playAdmission(scenario: Scenario, trace: Trace): Promise<void> {
+    const play = new Play(scenario.shares, trace);
+    scenario.steps.forEach(next => play.step(next));
+    play.drain();
+    play.ledger.checkOrder();
+}
+
+/** Fuzz of one daemon's admission. */
+export const admissionFuzz = createFuzz<Scenario>(
+    "limits",
+    fc.record({ shares, steps: fc.array(step, { maxLength: 100, size: "max" }) }),
+    playAdmission,
+);
--- /dev/null
+++ b/packages/proofs/src/fuzz/shares.ts
@@ -0,0 +1,197 @@
+/**
+ * Fuzzing of fairness between backlogged teams, and of the shares that daemons compute of the teams' limits while
+ * their messages are late, lost, or cut off.
+ */
+import { createAdmission, createDemandBook } from "@damaskvale/core";
+import fc from "fast-check";
+import { ok } from "node:assert/strict";
+import { createFuzz, type Trace } from "./types.js";
+
+const ROUNDS = 120;
+/** Stated bounds of the shares, see docs/decisions/limits.md. */
+const CUT_OFF_FACTOR = 2;
+const FLOOR_SHARE = 0.1;
+
+interface Backlog {
+    readonly capacity: number;
+    readonly teams: readonly { readonly weight: number; readonly costs: readonly number[]; }[];
+    readonly finishing: readonly number[];
+}
+
+/** Plays teams that always have requests waiting; the served cost by weight may differ by one request of each. */
+async function playFairness({ capacity, teams, finishing }: Backlog, trace: Trace): Promise<void> {
+    const admission = createAdmission({ capacity });
+    const names = [...teams.keys()].map(index => `t${index}`);
+    admission.configure(names.map((team, index) => ({ team, weight: teams[index]?.weight ?? 1, queueLength: 99 })), 0);
+    const served = names.map(() => 0);
+    const waiting = names.map(() => 0);
+    const running: { readonly id: string; readonly cost: number; }[] = [];
+    const costs = new Map<string, number>();
+    let count = 0;
+
+    const fill = (now: number): void =>
+        names.forEach((team, index) => {
+            Array.from({ length: 2 - (waiting[index] ?? 0) }).forEach(() => {
+                count += 1;
+                const cost = teams[index]?.costs[count % (teams[index]?.costs.length ?? 1)] ?? 1;
+                const request = { id: `${team}-${count}`, team, priority: 5, tokens: cost, deadlineAt: 1e12 };
+                costs.set(request.id, cost);
+                const { kind } = admission.offer(request, now);
+                ok(kind === "queued", `${request.id} was ${kind} although all places are taken`);
+                waiting[index] = (waiting[index] ?? 0) + 1;
+            });
+        });
+    occupy();
+    [...Array(ROUNDS).keys()].forEach(round => {
+        fill(round);
+        const [ended] = running.splice((finishing[round % finishing.length] ?? 0) % running.length, 1);
+        if (ended !== undefined) {
+            admission.finish(ended.id, ended.cost, round);
+        }
+        admission.poll(round).admitted.forEach(id => {
+            const index = names.findIndex(team => id.startsWith(`${team}-`));
+            const cost = costs.get(id) ?? 0;
+            running.push({ id, cost });
+            waiting[index] = (waiting[index] ?? 0) - 1;
+            served[index] = (served[index] ?? 0) + cost;
+            trace(`${round}: admitted ${id} cost ${cost}`);
+        });
+        checkFairness();
+    });
+
+    /** Takes all places with requests of a team that does not compete, so that all teams become backlogged together. */
+    function occupy(): void {
+        admission.configure([
+            { team: "x", weight: 1, queueLength: 0 },
+            ...names.map((team, index) => ({ team, weight: teams[index]?.weight ?? 1, queueLength: 99 })),
+        ], 0);
+        [...Array(capacity).keys()].forEach(index => {
+            const request = { id: `x-${index}`, team: "x", priority: 5, tokens: 1, deadlineAt: 1e12 };
+            admission.offer(request, 0);
+            running.push({ id: request.id, cost: 1 });
+        });
+    }
+
+    function checkFairness(): void {
+        teams.forEach((left, i) =>
+            teams.slice(0, i).forEach((right, j) => {
+                const difference = (served[i] ?? 0) / left.weight - (served[j] ?? 0) / right.weight;
+                const bound = Math.max(...left.costs) / left.weight + Math.max(...right.costs) / right.weight;
+                ok(Math.abs(difference) <= bound + 1e-6, `t${i} and t${j} differ by ${difference}, bound ${bound}`);
+            })
+        );
+    }
+}
+
+/** Fuzz of the weighted fair queue with teams that are backlogged all the time. */
+export const fairnessFuzz = createFuzz<Backlog>(
+    "fairness",
+    fc.record({
+        capacity: fc.integer({ min: 1, max: 5 }),
+        teams: fc.array(
+            fc.record({
+                weight: fc.constantFrom(0.25, 1, 2, 7),
+                costs: fc.array(fc.integer({ min: 1, max: 500 }), { minLength: 1, maxLength: 4 }),
+            }),
+            { minLength: 2, maxLength: 5 },
+        ),
+        finishing: fc.array(fc.nat(20), { minLength: 1, maxLength: 10 }),
+    }),
+    playFairness,
+);
+
+interface Spread {
+    readonly daemons: number;
+    readonly limit: number;
+    readonly concurrency: number;
+    /** For each second, the demand of each daemon and which side of a partition it is on. */
+    readonly seconds: readonly { readonly demand: readonly number[]; readonly side: readonly number[]; }[];
+    /** Delay of each link in milliseconds, at most the second that the book allows for. */
+    readonly delays: readonly number[];
+    /** Links that lose everything, whatever the side. */
+    readonly lost: readonly number[];
+}
+
+/** Plays daemons that state demand every second; the sum of their shares may not exceed the stated bound. */
+async function playShares(spread: Spread, trace: Trace): Promise<void> {
+    const { daemons, limit, concurrency, seconds } = spread;
+    const team = { team: "a", weight: 1, queueLength: 1, requestsPerSecond: limit, concurrency };
+    const books = Array.from({ length: daemons }, () => createDemandBook());
+    const heardAt = books.map(() => books.map(() => Number.NEGATIVE_INFINITY));
+    const mail: { readonly at: number; readonly deliver: () => void; }[] = [];
+
+    seconds.forEach(({ demand, side }, second) => {
+        const now = second * 1_000;
+        books.forEach((book, from) => {
+            const stated = new Map([["a", demand[from % demand.length] ?? 0]]);
+            book.stated(stated, now);
+            books.forEach((other, to) => {
+                const link = from * daemons + to;
+                const cut = side[from % side.length] !== side[to % side.length] || spread.lost.includes(link);
+                if (from !== to && !cut) {
+                    const at = now + (spread.delays[link % spread.delays.length] ?? 0);
+                    mail.push({
+                        at,
+                        deliver: () => {
+                            other.heard(`d${from}`, stated, at);
+                            (heardAt[to] as number[])[from] = at;
+                        },
+                    });
+                }
+            });
+        });
+        mail.sort((left, right) => left.at - right.at);
+        const due = mail.findIndex(({ at }) => at > now + 999);
+        mail.splice(0, due < 0 ? mail.length : due).forEach(({ deliver }) => deliver());
+        check(now + 999);
+    });
+
+    function check(now: number): void {
+        const shares = books.map(book => book.shares([team], daemons, now)[0] ?? team);
+        const heard = heardAt.map(times => times.map(at => at > now - 5_000));
+        const rates = shares.map(({ requestsPerSecond = 0 }) => requestsPerSecond);
+        const total = rates.reduce((sum, rate) => sum + rate, 0);
+        const missing = heard.filter(row => row.filter(Boolean).length < daemons - 1).length;
+        const bound = limit * (isPartition(heard) ? 1 : 1 + CUT_OFF_FACTOR * missing / daemons);
+        trace(`${now}: shares ${rates.map(rate => rate.toFixed(2)).join(" ")} total ${total} bound ${bound}`);
+        ok(total <= bound * (1 + 1e-9), `the shares add up to ${total}, the bound is ${bound}`);
+        rates.forEach((rate, index) => {
+            const complete = heard[index]?.filter(Boolean).length === daemons - 1;
+            const most = complete ? limit : CUT_OFF_FACTOR * limit / daemons;
+            ok(rate <= most * (1 + 1e-9), `the share ${rate} of d${index} is above its bound ${most}`);
+            ok(rate >= FLOOR_SHARE * limit / daemons * (1 - 1e-9), `the share ${rate} of d${index} is below the floor`);
+        });
+        const places = shares.reduce((sum, share) => sum + (share.concurrency ?? 0), 0);
+        ok(places <= concurrency * bound / limit + daemons, `the shares of concurrency add up to ${places}`);
+    }
+}
+
+/** Whether daemons fall into sides in which all hear each other and nobody else. */
+function isPartition(heard: readonly (readonly boolean[])[]): boolean {
+    const rows = heard.map((row, index) => row.map((hears, other) => hears || other === index));
+    return rows.every((row, index) =>
+        row.every((hears, other) =>
+            !hears || rows[other]?.every((otherHears, third) => otherHears === rows[index]?.[third])
+        )
+    );
+}
+
+/** Fuzz of the shares of many daemons. */
+export const sharesFuzz = createFuzz<Spread>(
+    "shares",
+    fc.record({
+        daemons: fc.integer({ min: 1, max: 8 }),
+        limit: fc.constantFrom(1, 10, 300),
+        concurrency: fc.integer({ min: 1, max: 40 }),
+        seconds: fc.array(
+            fc.record({
+                demand: fc.array(fc.constantFrom(0, 0.1, 2, 40, 1_000), { minLength: 1, maxLength: 8 }),
+                side: fc.oneof(fc.constant([0]), fc.array(fc.nat(2), { minLength: 1, maxLength: 8 })),
+            }),
+            { maxLength: 30, size: "max" },
+        ),
+        delays: fc.array(fc.nat(999), { minLength: 1, maxLength: 9 }),
+        lost: fc.oneof(fc.constant([]), fc.array(fc.nat(63), { maxLength: 40, size: "max" })),
+    }),
+    playShares,
+);
