--- a/packages/proofs/src/fuzz/shares.ts
+++ b/packages/proofs/src/fuzz/shares.ts
@@ -104,8 +104,12 @@
     readonly daemons: number;
     readonly limit: number;
     readonly concurrency: number;
-    /** For each second, the demand of each daemon and which side of a partition it is on. */
-    readonly seconds: readonly { readonly demand: readonly number[]; readonly side: readonly number[]; }[];
+    /** Phases of some seconds, with the demand of each daemon and which side of a partition it is on. */
+    readonly phases: readonly {
+        readonly seconds: number;
+        readonly demand: readonly number[];
+        readonly side: readonly number[];
+    }[];
     /** Delay of each link in milliseconds, at most the second that the book allows for. */
     readonly delays: readonly number[];
     /** Links that lose everything, whatever the side. */
@@ -114,7 +118,8 @@
 
 /** Plays daemons that state demand every second; the sum of their shares may not exceed the stated bound. */
 async function playShares(spread: Spread, trace: Trace): Promise<void> {
-    const { daemons, limit, concurrency, seconds } = spread;
+    const { daemons, limit, concurrency, phases } = spread;
+    const seconds = phases.flatMap(phase => Array.from({ length: phase.seconds }, () => phase));
     const team = { team: "a", weight: 1, queueLength: 1, requestsPerSecond: limit, concurrency };
     const books = Array.from({ length: daemons }, () => createDemandBook());
     const heardAt = books.map(() => books.map(() => Number.NEGATIVE_INFINITY));
@@ -183,12 +188,13 @@
         daemons: fc.integer({ min: 1, max: 8 }),
         limit: fc.constantFrom(1, 10, 300),
         concurrency: fc.integer({ min: 1, max: 40 }),
-        seconds: fc.array(
+        phases: fc.array(
             fc.record({
+                seconds: fc.integer({ min: 1, max: 12 }),
                 demand: fc.array(fc.constantFrom(0, 0.1, 2, 40, 1_000), { minLength: 1, maxLength: 8 }),
                 side: fc.oneof(fc.constant([0]), fc.array(fc.nat(2), { minLength: 1, maxLength: 8 })),
             }),
-            { maxLength: 30, size: "max" },
+            { maxLength: 8, size: "max" },
         ),
         delays: fc.array(fc.nat(999), { minLength: 1, maxLength: 9 }),
         lost: fc.oneof(fc.constant([]), fc.array(fc.nat(63), { maxLength: 40, size: "max" })),
