--- /dev/null
+++ b/packages/proofs/src/bench/index.ts
@@ -0,0 +1,6 @@
+/** Registry of the benchmarks that `npm run bench` runs. */
+import { routingBench } from "./routing/bench.js";
+import type { Bench } from "./types.js";
+
+/** All benchmarks, in the order in which they run. */
+export const benches: readonly Bench[] = [routingBench];
