--- /dev/null
+++ b/packages/daemon/src/control/status.ts
@@ -0,0 +1,130 @@
+/** What the operators' interface shows of this daemon and of the others. */
+import {
+    type DaemonStatus,
+    daemonStatusSchema,
+    type GroupStatus,
+    type HostStatus,
+    type Observation,
+    type StatusAnswer,
+} from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { PeerNetwork } from "../ports/peers.js";
+import type { StreamHealth } from "../ports/stream.js";
+import type { TableView } from "../ports/tableview.js";
+import type { PeerQuestions } from "../tasks/answers.js";
+import type { GroupStatus as ViewedGroup } from "../tasks/groupview.js";
+import type { HostsView } from "../tasks/hosts.js";
+import type { MembersView } from "../tasks/membership.js";
+import type { Published } from "../tasks/published.js";
+
+/** What the status is read from. */
+export interface StatusSources {
+    readonly daemon: string;
+    readonly dataCentre: string;
+    readonly incarnation: string;
+    readonly clock: Clock;
+    readonly state: () => DaemonStatus["state"];
+    readonly table: Published<TableView>;
+    readonly streams: () => readonly StreamHealth[];
+    readonly members: Published<MembersView>;
+    readonly network: PeerNetwork;
+    readonly questions: PeerQuestions;
+    readonly hosts: Published<HostsView>;
+    readonly observations: Published<ReadonlyMap<string, Observation>>;
+    readonly groups: () => readonly ViewedGroup[];
+    readonly requestsInProgress: () => number;
+}
+
+/** Returns the status of this daemon. */
+export function readOwnStatus(sources: StatusSources): DaemonStatus {
+    const now = sources.clock.monotonic();
+    const streams = sources.streams();
+    const unreachable = sources.members.current().others
+        .filter(({ news }) => news.state === "suspect" || news.state === "dead")
+        .map(({ news }) => news.daemon);
+    return {
+        daemon: sources.daemon,
+        dataCentre: sources.dataCentre,
+        incarnation: sources.incarnation,
+        state: sources.state(),
+        configurationOffset: sources.table.current().nextOffset,
+        requestsInProgress: sources.requestsInProgress(),
+        streams: streams.map(({ stream, nextOffset, platformReachable, source, freshAt, halted }) => ({
+            stream,
+            nextOffset,
+            platformReachable,
+            source,
+            ageMilliseconds: Math.max(0, Math.round(now - freshAt)),
+            halted,
+        })),
+        cannotReach: [...(streams.some(stream => !stream.platformReachable) ? ["platform"] : []), ...unreachable],
+    };
+}
+
+/** Asks all daemons that are not known to have left. */
+export async function readAllStatus(sources: StatusSources): Promise<StatusAnswer> {
+    const names = sources.members.current().others
+        .filter(({ news }) => news.state !== "left")
+        .map(({ news }) => news.daemon);
+    const answers = await Promise.all(names.map(async name => {
+        const answer = await sources.questions.ask<"fetchStatus">(name, { kind: "fetchStatus" });
+        return { name, status: daemonStatusSchema.safeParse(answer?.status).data };
+    }));
+    const others = answers.flatMap(({ status }) => status === undefined ? [] : [status]);
+    return {
+        daemons: [readOwnStatus(sources), ...others].sort((one, other) => one.daemon < other.daemon ? -1 : 1),
+        unreachable: answers.filter(({ status }) => status === undefined).map(({ name }) => name).sort(),
+    };
+}
+
+/** Returns the hosts of the own data centre, listed or reporting. */
+export function readHosts(sources: StatusSources): HostStatus[] {
+    const { hosts } = sources.hosts.current();
+    const observations = sources.observations.current();
+    const table = sources.table.current();
+    const now = sources.clock.monotonic();
+    const groups = new Map(sources.groups().flatMap(({ group }) => group.members.map(host => [host, group.group])));
+    return [...hosts.values()]
+        .filter(({ dataCentre }) => dataCentre === sources.dataCentre)
+        .map(({ host, dataCentre, fabricDomain, state }) => {
+            const observation = observations.get(host);
+            return {
+                host,
+                dataCentre,
+                fabricDomain,
+                listed: state,
+                tableState: table.target(host)?.state ?? "active",
+                group: groups.get(host),
+                reported: observation === undefined ? undefined : describeReport(observation),
+                reportAgeMilliseconds: observation === undefined
+                    ? undefined
+                    : Math.max(0, now - observation.observedAt),
+            };
+        });
+}
+
+/** Returns the groups of the own data centre and why one gets no requests. */
+export function readGroups(sources: StatusSources): GroupStatus[] {
+    return sources.groups().map(({ group: held, confirmation, retiring }) => {
+        const { group, model, version, fence, holder, leader, members } = held;
+        const dispatchable = confirmation.kind === "dispatchable" && retiring === undefined;
+        const blocked = confirmation.kind === "dispatchable"
+            ? undefined
+            : `${confirmation.reason} ${confirmation.host}`;
+        return {
+            group,
+            model,
+            version,
+            fence,
+            holder,
+            leader,
+            members: [...members],
+            dispatchable,
+            reason: retiring ?? blocked,
+        };
+    });
+}
+
+function describeReport({ report }: Observation): string {
+    return report.group === undefined ? report.state : `${report.state} ${report.group}#${report.fence}`;
+}
