--- /dev/null
+++ b/packages/daemon/src/adapters/platformlog.ts
@@ -0,0 +1,152 @@
+/** Adapter of the platform's log over HTTP. */
+import { entrySchema } from "@damaskvale/core";
+import { Err, Ok, type Result } from "ts-results";
+import { Agent, type Dispatcher, errors, request } from "undici";
+import { z } from "zod";
+import type { LogFailure, LogPage, PlatformLog } from "../ports/platformlog.js";
+
+/** Options of the adapter. Times are in milliseconds. */
+export interface PlatformLogOptions {
+    /** Base URL of the platform. */
+    readonly url: string;
+    readonly connectTimeoutMilliseconds?: number;
+    /** Longest wait for an answer, in addition to the wait that a read asks for. */
+    readonly answerTimeoutMilliseconds?: number;
+}
+
+/** Adapter of the platform's log, with its connections. */
+export interface PlatformLogAdapter extends PlatformLog {
+    close(): Promise<void>;
+}
+
+const DEFAULT_CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+const DEFAULT_ANSWER_TIMEOUT_MILLISECONDS = 1_500;
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
+const appendedSchema = z.object({ offset: z.number().int().nonnegative() });
+const pageSchema = z.object({
+    firstOffset: z.number().int().nonnegative(),
+    nextOffset: z.number().int().nonnegative(),
+    entries: z.array(entrySchema),
+});
+
+interface Answer {
+    readonly status: number;
+    readonly retryAfterMilliseconds?: number;
+    readonly body: unknown;
+}
+
+interface Call {
+    readonly method: "GET" | "POST";
+    readonly path: string;
+    readonly body?: string;
+    readonly timeoutMilliseconds: number;
+    readonly signal?: AbortSignal;
+}
+
+/** Makes the adapter. Connections are kept open and replaced when an answer is overdue. */
+export function createPlatformLog(options: PlatformLogOptions): PlatformLogAdapter {
+    const answerTimeout = options.answerTimeoutMilliseconds ?? DEFAULT_ANSWER_TIMEOUT_MILLISECONDS;
+    const agent = new Agent({
+        connect: { timeout: options.connectTimeoutMilliseconds ?? DEFAULT_CONNECT_TIMEOUT_MILLISECONDS },
+        pipelining: 1,
+    });
+    const streamUrl = (stream: string) => `${options.url.replace(/\/$/, "")}/log/${encodeURIComponent(stream)}`;
+
+    return {
+        append: async (stream, value) => {
+            const answer = await send(agent, {
+                method: "POST",
+                path: `${streamUrl(stream)}/append`,
+                body: JSON.stringify({ value }),
+                timeoutMilliseconds: answerTimeout,
+            });
+            return answer.andThen(parseAppended);
+        },
+        read: async (stream, from, { limit, waitMilliseconds, signal }) => {
+            const answer = await send(agent, {
+                method: "GET",
+                path: `${streamUrl(stream)}/entries?from=${from}&limit=${limit}&waitMs=${waitMilliseconds}`,
+                timeoutMilliseconds: waitMilliseconds + answerTimeout,
+                signal,
+            });
+            return answer.andThen(parsePage);
+        },
+        close: () => agent.destroy(),
+    };
+}
+
+async function send(dispatcher: Dispatcher, call: Call): Promise<Result<Answer, LogFailure>> {
+    const timeout = AbortSignal.timeout(call.timeoutMilliseconds);
+    try {
+        const { statusCode, headers, body } = await request(call.path, {
+            dispatcher,
+            method: call.method,
+            body: call.body,
+            headers: call.body === undefined ? {} : { "content-type": "application/json" },
+            signal: call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]),
+        });
+        const text = await readText(body);
+        const retryAfter = Number(headers["retry-after"]);
+        return Ok({
+            status: statusCode,
+            body: parseJson(text),
+            ...(Number.isFinite(retryAfter) ? { retryAfterMilliseconds: retryAfter * 1000 } : {}),
+        });
+    }
+    catch (error) {
+        return Err(failureOf(error as Error));
+    }
+}
+
+async function readText(body: Dispatcher.ResponseData["body"]): Promise<string> {
+    const parts: Buffer[] = [];
+    let length = 0;
+    for await (const part of body as AsyncIterable<Buffer>) {
+        length += part.length;
+        if (length > MAXIMUM_ANSWER_BYTES) {
+            throw new Error("the answer is too large");
+        }
+        parts.push(part);
+    }
+    return Buffer.concat(parts).toString();
+}
+
+/**
+ * A request was certainly not sent only if its connection could not be made. The same error code on an open connection
+ * says nothing about the request, so the failing system call counts.
+ */
+function failureOf(error: Error & { syscall?: string; }): LogFailure {
+    const notSent = error.syscall === "connect" || error instanceof errors.ConnectTimeoutError;
+    return { kind: notSent ? "refused" : "ambiguous", message: error.message };
+}
+
+/** 429 and 503 are the platform's own refusals; any other server error may come after the append took effect. */
+function parseAppended({ status, body, retryAfterMilliseconds }: Answer): Result<number, LogFailure> {
+    const appended = appendedSchema.safeParse(body);
+    if (status < 300 && appended.success) {
+        return Ok(appended.data.offset);
+    }
+    const refused = status === 503 || (status >= 400 && status < 500 && status !== 408);
+    return Err({
+        kind: refused ? "refused" : "ambiguous",
+        message: `the platform answered ${status}`,
+        retryAfterMilliseconds,
+    });
+}
+
+function parsePage({ status, body, retryAfterMilliseconds }: Answer): Result<LogPage, LogFailure> {
+    const page = pageSchema.safeParse(body);
+    return status < 300 && page.success
+        ? Ok(page.data)
+        : Err({ kind: "refused", message: `the platform answered ${status} to a read`, retryAfterMilliseconds });
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
