--- a/packages/core/src/stream/chunk.ts
+++ b/packages/core/src/stream/chunk.ts
@@ -6,6 +6,8 @@
 
 /** Maximum size of one snapshot record in bytes of JSON. */
 export const SNAPSHOT_CHUNK_BYTES = 64 * 1024;
+/** A snapshot is due when the newest one is this many offsets behind, or half of the retained range. */
+export const SNAPSHOT_INTERVAL_OFFSETS = 1_024;
 /** Room for all fields of a chunk apart from its data. */
 const CHUNK_FIELD_BYTES = 1024;
 /** Maximum size of an uncompressed snapshot; guards against a corrupt chunk that expands without bound. */
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -33,6 +33,9 @@
     "request.duration": timing("Time from the first byte of a request to the last byte of its answer.", ["route"]),
     "request.first_token": timing("Time from a request to the first token of its answer.", ["model"]),
     "requests.in_progress": gauge("requests", "Requests in progress at this daemon."),
+    "stream.entries": counter("Entries folded, by what became of them.", ["stream", "kind"]),
+    "stream.offset": gauge("entries", "Next offset of a stream.", ["stream"]),
+    "claims.results": counter("Claims answered, by kind of answer.", ["kind"]),
 } as const satisfies Record<string, MetricDefinition>;
 
 /** Name of a metric. */
--- a/packages/daemon/src/ports/stream.ts
+++ b/packages/daemon/src/ports/stream.ts
@@ -15,6 +15,8 @@
     readonly source: "platform" | "peer" | "snapshot" | "none";
     /** Why the fold stopped, if it did. */
     readonly halted?: string;
+    /** Whether the whole history up to the end of the log was folded once, and no gap or halt came after it. */
+    readonly caughtUp: boolean;
 }
 
 /**
--- /dev/null
+++ b/packages/daemon/src/tasks/answers.ts
@@ -0,0 +1,95 @@
+/** Answers of completed keys, kept in bounded memory, and fetched from their owner. */
+import { type Outcome, outcomeSchema } from "@damaskvale/core";
+import type { RecordedAnswer } from "../ports/claims.js";
+import type { PeerNetwork } from "../ports/peers.js";
+
+/** Answers of this daemon, and of others over their links. */
+export interface AnswerStore {
+    /** Keeps the answer of a key; without an answer an older one is dropped. */
+    keep(team: string, keyHash: string, outcome: Outcome, answer: RecordedAnswer | undefined): void;
+    find(team: string, keyHash: string): RecordedAnswer | undefined;
+    /** Asks the owner of a key. Gives `undefined` if it does not answer in time or has dropped the answer. */
+    fetch(owner: string, team: string, keyHash: string): Promise<RecordedAnswer | undefined>;
+}
+
+interface Kept {
+    readonly answer: RecordedAnswer;
+    readonly outcome: Outcome;
+    readonly bytes: number;
+}
+
+const FETCH_TIMEOUT_MILLISECONDS = 500;
+/** Estimated memory of a kept answer apart from its body. */
+const ANSWER_OVERHEAD_BYTES = 512;
+
+/** Makes the store. When the answers exceed `maximumBytes`, the oldest are dropped. */
+export function createAnswerStore(network: PeerNetwork, maximumBytes: number): AnswerStore {
+    const answers = new Map<string, Kept>();
+    const waiting = new Map<string, (answer: RecordedAnswer | undefined) => void>();
+    let total = 0;
+    let requests = 0;
+
+    const drop = (key: string): void => {
+        total -= answers.get(key)?.bytes ?? 0;
+        answers.delete(key);
+    };
+    const settle = (request: string, answer: RecordedAnswer | undefined): void => {
+        const resolve = waiting.get(request);
+        waiting.delete(request);
+        resolve?.(answer);
+    };
+
+    network.receive("fetchAnswer", (from, { request, team, keyHash }) => {
+        const kept = answers.get(keyOf(team, keyHash));
+        network.send(
+            from,
+            kept === undefined
+                ? { kind: "answer", request, found: false }
+                : {
+                    kind: "answer",
+                    request,
+                    found: true,
+                    outcome: kept.outcome,
+                    ...kept.answer,
+                    body: new Uint8Array(kept.answer.body),
+                },
+        );
+    });
+    network.receive("answer", (...[, { request, found, status, headers, body, outcome }]) => {
+        const isWhole = found && status !== undefined && body !== undefined && outcomeSchema.safeParse(outcome).success;
+        settle(request, isWhole ? { status, headers: headers ?? {}, body: Buffer.from(body) } : undefined);
+    });
+
+    return {
+        keep: (team, keyHash, outcome, answer) => {
+            const key = keyOf(team, keyHash);
+            drop(key);
+            const bytes = (answer?.body.length ?? 0) + ANSWER_OVERHEAD_BYTES;
+            if (answer !== undefined && bytes <= maximumBytes) {
+                answers.set(key, { answer, outcome, bytes });
+                total += bytes;
+            }
+            while (total > maximumBytes) {
+                drop(answers.keys().next().value ?? "");
+            }
+        },
+        find: (team, keyHash) => answers.get(keyOf(team, keyHash))?.answer,
+        fetch: (owner, team, keyHash) =>
+            new Promise(resolve => {
+                requests += 1;
+                const request = String(requests);
+                const timer = setTimeout(() => settle(request, undefined), FETCH_TIMEOUT_MILLISECONDS);
+                waiting.set(request, answer => {
+                    clearTimeout(timer);
+                    resolve(answer);
+                });
+                if (!network.send(owner, { kind: "fetchAnswer", request, team, keyHash })) {
+                    settle(request, undefined);
+                }
+            }),
+    };
+}
+
+function keyOf(team: string, keyHash: string): string {
+    return `${team} ${keyHash}`;
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/snapshotwriter.ts
@@ -0,0 +1,76 @@
+/** Decides when a snapshot of a stream is due, and writes it. */
+import { type Author, type Folded, type Snapshot, SNAPSHOT_INTERVAL_OFFSETS } from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { LogPage } from "../ports/platformlog.js";
+import { sleep } from "./sleep.js";
+import type { SnapshotStore } from "./snapshots.js";
+
+/** Options of the writer of one stream. */
+export interface SnapshotWriterOptions<State> {
+    readonly name: string;
+    readonly author: Author;
+    readonly snapshots: SnapshotStore;
+    readonly clock: Clock;
+    readonly events: EventLog;
+    readonly random: () => number;
+    readonly signal: AbortSignal;
+    /** Newest state; `undefined` while the stream is not read up to its end. */
+    readonly current: () => Folded<State> | undefined;
+    readonly encode: (folded: Folded<State>) => Snapshot;
+}
+
+/** Writer of the snapshots of one stream. */
+export interface SnapshotWriter {
+    /** Starts to write if a snapshot is due by the bounds of a page. */
+    writeWhenDue(page: LogPage): void;
+}
+
+const DELAY_MILLISECONDS = 2_000;
+/** How often the newest snapshot is looked up on a quiet stream; retention may have removed it. */
+const CHECK_MILLISECONDS = 60_000;
+
+/** Makes the writer. */
+export function createSnapshotWriter<State>(options: SnapshotWriterOptions<State>): SnapshotWriter {
+    const { name, author, snapshots, clock, events, random, signal, current } = options;
+    let newest = 0;
+    let checkedAt = clock.monotonic();
+    let count = 0;
+    let isWriting = false;
+
+    /** Waits a random time and looks again, because usually another daemon has written a snapshot by then. */
+    const write = async (interval: number): Promise<void> => {
+        await sleep(DELAY_MILLISECONDS * random(), signal);
+        const offset = await snapshots.newestOffset();
+        const folded = current();
+        if (offset === undefined || folded === undefined || signal.aborted) {
+            return;
+        }
+        newest = offset;
+        if (folded.nextOffset - newest < interval) {
+            return;
+        }
+        count += 1;
+        const isWritten = await snapshots.write(
+            `${author.daemon}.${author.incarnation}.${count}`,
+            options.encode(folded),
+        );
+        newest = isWritten ? folded.nextOffset : newest;
+        events.emit(isWritten ? "snapshotWritten" : "snapshotFailed", { stream: name, nextOffset: folded.nextOffset });
+    };
+
+    return {
+        writeWhenDue: ({ firstOffset, nextOffset }) => {
+            const interval = Math.min(SNAPSHOT_INTERVAL_OFFSETS, Math.max(1, (nextOffset - firstOffset) / 2));
+            const behind = (current()?.nextOffset ?? 0) - newest;
+            const now = clock.monotonic();
+            if (!isWriting && (behind >= interval || now - checkedAt >= CHECK_MILLISECONDS)) {
+                isWriting = true;
+                checkedAt = now;
+                void write(interval).finally(() => {
+                    isWriting = false;
+                });
+            }
+        },
+    };
+}
