--- a/packages/daemon/src/control/status.ts
+++ b/packages/daemon/src/control/status.ts
@@ -11,11 +11,11 @@
 import type { PeerNetwork } from "../ports/peers.js";
 import type { StreamHealth } from "../ports/stream.js";
 import type { TableView } from "../ports/tableview.js";
-import type { PeerQuestions } from "../tasks/questions.js";
 import type { GroupStatus as ViewedGroup } from "../tasks/groupview.js";
 import type { HostsView } from "../tasks/hosts.js";
 import type { MembersView } from "../tasks/membership.js";
 import type { Published } from "../tasks/published.js";
+import type { PeerQuestions } from "../tasks/questions.js";
 
 /** What the status is read from. */
 export interface StatusSources {
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -1,5 +1,5 @@
 /** Types of the operators' HTTP interface. Schemas are shared with the command line through `@damaskvale/core`. */
-import type { DaemonStatus, Edit, GroupStatus, HostStatus, StatusAnswer, TableState } from "@damaskvale/core";
+import type { Edit, GroupStatus, HostStatus, StatusAnswer, TableState } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PlatformLog } from "../ports/platformlog.js";
@@ -18,7 +18,6 @@
     readonly maximumBodyBytes: number;
     /** Live daemons and the next configuration offset that each told of. */
     readonly configurationOffsets: () => ReadonlyMap<string, number>;
-    readonly ownStatus: () => DaemonStatus;
     /** Status of all daemons that answer, and the names of those that do not. */
     readonly allStatus: () => Promise<StatusAnswer>;
     readonly hosts: () => readonly HostStatus[];
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -35,6 +35,7 @@
         "Raise the shutdown bound if callers lost answers.",
     ),
     controlFailed: define(107, "warn", "A request of an operator failed.", "Look at the error; retry the command."),
+    metricsFailed: define(108, "warn", "The metrics could not be sent.", "Check the address of the StatsD receiver."),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
     foreignData: define(
         301,
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/** Entry point of `damaskvaled`. */
+import { execute } from "@oclif/core";
+
+void execute({ dir: __dirname });
--- a/packages/daemon/src/tasks/follower.ts
+++ b/packages/daemon/src/tasks/follower.ts
@@ -2,7 +2,7 @@
  * Follows one stream of the log: folds entries from the platform or from peers, restores the state over gaps, and
  * writes snapshots. The state only ever moves to a higher offset.
  */
-import { applyEntry, type Author, type Entry, type FoldDefinition, type Folded, initialFolded } from "@damaskvale/core";
+import { applyEntry, type Entry, type Folded, initialFolded } from "@damaskvale/core";
 import type { LogPage } from "../ports/platformlog.js";
 import type { Stream, StreamHealth } from "../ports/stream.js";
 import { createAppender } from "./append.js";
--- a/packages/daemon/src/tasks/limits.ts
+++ b/packages/daemon/src/tasks/limits.ts
@@ -22,8 +22,6 @@
     readonly shares: Published<readonly TeamShare[]>;
     /** Demand as this daemon states it to the others. */
     stated(): Readonly<Record<string, number>>;
-    /** Notes the demand that another daemon states. */
-    heard(daemon: string, demand: Readonly<Record<string, number>>): void;
     start(): void;
     stop(): void;
 }
@@ -42,6 +40,9 @@
     const step = (): void => {
         stated = takeDemand();
         book.stated(stated, clock.monotonic());
+        members.current().others.filter(({ news }) => news.state === "alive").forEach(({ news, demand }) =>
+            book.heard(news.daemon, new Map(Object.entries(demand)), clock.monotonic())
+        );
         publish();
     };
     const unsubscribe = table.subscribe(publish);
@@ -49,7 +50,6 @@
     return {
         shares,
         stated: () => Object.fromEntries(stated),
-        heard: (daemon, demand) => book.heard(daemon, new Map(Object.entries(demand)), clock.monotonic()),
         start: () => {
             step();
             timer = setInterval(step, SHARES_INTERVAL_MILLISECONDS);
--- a/packages/daemon/src/tasks/tests/fakes.ts
+++ b/packages/daemon/src/tasks/tests/fakes.ts
@@ -69,6 +69,7 @@
             stream: this.name,
             nextOffset: this.folded.current().nextOffset,
             platformReachable: !this.cut,
+            caughtUp: true,
             freshAt: performance.now(),
             source: "platform",
         };
--- a/packages/proofs/src/cluster/cluster.ts
+++ b/packages/proofs/src/cluster/cluster.ts
@@ -117,6 +117,10 @@
     await publishHosts();
     const launches = await prepareDaemons(spec, platform.url);
     const daemons = await Promise.all(launches.map(launch => launchDaemon(start, launch)));
+    await waitFor("readiness of all daemons", READY_MILLISECONDS, async () => {
+        const answers = await Promise.all(daemons.map(({ url }) => fetch(`${url}/readyz`)));
+        return answers.every(answer => answer.ok);
+    });
     const all = (): readonly Child[] => [platform, ...engines, ...services, ...daemons].map(({ child }) => child);
     return {
         platform,
@@ -181,7 +185,7 @@
                     ...["--platform", platformLink?.url ?? platformUrl, ...args],
                 ],
                 environment: {
-                    DAMASKVALE_OPERATOR_TOKENS: secrets.operatorToken,
+                    DAMASKVALE_OPERATOR_TOKENS: `proofs:${secrets.operatorToken}`,
                     DAMASKVALE_PEER_SECRET: secrets.peerSecret,
                     DAMASKVALE_TARGET_CREDENTIAL: secrets.targetCredential,
                 },
