Ask daemons without a link for their offset, and mend the command line's settings

The daemon list in DAMASKVALE_DAEMON was split into characters by the flag parser, and the daemon took the command's variables for misspelt settings. Ruled out: a full mesh of links, which grows with the square of the daemons.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,7 +11,7 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "packages/*/bin/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["packages/**/*.ts"],
--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -5,6 +5,13 @@
 import { callControl, type ControlCall, type ControlFailure } from "./client.js";
 import { type ExitCode, exitCodes } from "./exitcodes.js";
 
+/** Which daemons to ask, and the operator's token. */
+export interface ConnectionFlags {
+    /** Base URLs, separated by commas. */
+    readonly daemon: string;
+    readonly token: string;
+}
+
 const TIMEOUT_MILLISECONDS = 20_000;
 
 /** Command that talks to the daemons. */
@@ -13,22 +20,24 @@
 
     static override baseFlags = {
         daemon: Flags.string({
-            description: "Base URL of a daemon; give several to try them in turn.",
+            description: "Base URL of a daemon; several, separated by commas, are tried in turn.",
             env: "DAMASKVALE_DAEMON",
-            multiple: true,
-            delimiter: ",",
-            default: ["http://127.0.0.1:8080"],
+            default: "http://127.0.0.1:8080",
         }),
         token: Flags.string({ description: "Operator token.", env: "DAMASKVALE_OPERATOR_TOKEN", default: "" }),
     };
 
     /** Calls the operators' interface, or reports the failure and exits. */
     protected async call<Schema extends z.ZodType>(
-        flags: { readonly daemon: string[]; readonly token: string; },
+        flags: ConnectionFlags,
         call: ControlCall<Schema>,
     ): Promise<z.infer<Schema>> {
         const result = await callControl(
-            { daemons: flags.daemon, token: flags.token, timeoutMilliseconds: TIMEOUT_MILLISECONDS },
+            {
+                daemons: flags.daemon.split(",").map(url => url.trim()),
+                token: flags.token,
+                timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+            },
             call,
         );
         if (result.ok) {
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Entry point of `damaskvale`. */
 import { execute } from "@oclif/core";
 
--- a/packages/cli/src/tablecommand.ts
+++ b/packages/cli/src/tablecommand.ts
@@ -7,15 +7,9 @@
     tableAnswerSchema,
 } from "@damaskvale/core";
 import { Flags } from "@oclif/core";
-import { ControlCommand } from "./base.js";
+import { type ConnectionFlags, ControlCommand } from "./base.js";
 import { type ExitCode, exitCodes } from "./exitcodes.js";
 
-/** Flags of the daemons to ask. */
-export interface ConnectionFlags {
-    readonly daemon: string[];
-    readonly token: string;
-}
-
 /** Flag of the commands that change the table. */
 export const waitFlag = {
     wait: Flags.boolean({
--- a/packages/daemon/src/control/edits.ts
+++ b/packages/daemon/src/control/edits.ts
@@ -21,10 +21,8 @@
 ): Promise<EditsAnswer> {
     const results = await Promise.all(request.edits.map(edit => applyEdit(options, edit, operator)));
     const newest = Math.max(0, ...results.filter(isAccepted).map(result => result.revision ?? 0));
-    if (request.wait === "everywhere" && newest > 0) {
-        await waitUntilEverywhere(options, newest);
-    }
-    const offsets = [...options.configurationOffsets()];
+    const everywhere = request.wait === "everywhere" && newest > 0;
+    const offsets = [...everywhere ? await waitUntilEverywhere(options, newest) : options.configurationOffsets()];
     return {
         results,
         inForceOn: offsets.filter(([, offset]) => offset >= newest).map(([daemon]) => daemon).sort(),
@@ -56,10 +54,24 @@
     return { id, key, result: accepted ? "accepted" : "rejected", revision: offset + 1, issue };
 }
 
-async function waitUntilEverywhere(options: ControlOptions, offset: number): Promise<void> {
+/** Asks the live daemons whose offset is not known to be high enough, until all are or the time is over. */
+async function waitUntilEverywhere(options: ControlOptions, offset: number): Promise<ReadonlyMap<string, number>> {
     const until = options.clock.monotonic() + EVERYWHERE_TIMEOUT_MILLISECONDS;
-    const behind = () => [...options.configurationOffsets().values()].some(known => known < offset);
-    while (behind() && options.clock.monotonic() < until) {
+    const asked = new Map<string, number>();
+    const known = () =>
+        new Map(
+            [...options.configurationOffsets()].map(([daemon, heard]) =>
+                [daemon, Math.max(heard, asked.get(daemon) ?? 0)] as const
+            ),
+        );
+    const behind = () => [...known()].filter(([, heard]) => heard < offset).map(([daemon]) => daemon);
+    while (behind().length > 0 && options.clock.monotonic() < until) {
+        await Promise.all(
+            behind().map(async daemon => {
+                asked.set(daemon, await options.askConfigurationOffset(daemon) ?? 0);
+            }),
+        );
         await delay(EVERYWHERE_POLL_MILLISECONDS);
     }
+    return known();
 }
--- a/packages/daemon/src/control/status.ts
+++ b/packages/daemon/src/control/status.ts
@@ -66,10 +66,7 @@
     const names = sources.members.current().others
         .filter(({ news }) => news.state !== "left")
         .map(({ news }) => news.daemon);
-    const answers = await Promise.all(names.map(async name => {
-        const answer = await sources.questions.ask<"fetchStatus">(name, { kind: "fetchStatus" });
-        return { name, status: daemonStatusSchema.safeParse(answer?.status).data };
-    }));
+    const answers = await Promise.all(names.map(async name => ({ name, status: await readStatusOf(sources, name) })));
     const others = answers.flatMap(({ status }) => status === undefined ? [] : [status]);
     return {
         daemons: [readOwnStatus(sources), ...others].sort((one, other) => one.daemon < other.daemon ? -1 : 1),
@@ -77,6 +74,28 @@
     };
 }
 
+/**
+ * Asks one daemon over its link. Data centres are joined by a few links only, so a daemon without one is asked
+ * through a linked daemon of its data centre.
+ */
+export async function readStatusOf(sources: StatusSources, daemon: string): Promise<DaemonStatus | undefined> {
+    const { network, members, questions } = sources;
+    const dataCentre = members.current().others.find(({ news }) => news.daemon === daemon)?.news.dataCentre;
+    const links = network.links().filter(({ connected }) => connected);
+    const direct = links.some(link => link.daemon === daemon);
+    const via = direct ? daemon : links.find(link => link.dataCentre === dataCentre)?.daemon;
+    if (via === undefined) {
+        return undefined;
+    }
+    const answer = await questions.ask<"fetchStatus">(
+        via,
+        direct
+            ? { kind: "fetchStatus" }
+            : { kind: "fetchStatus", daemon },
+    );
+    return daemonStatusSchema.safeParse(answer?.status).data;
+}
+
 /** Returns the hosts of the own data centre, listed or reporting. */
 export function readHosts(sources: StatusSources): HostStatus[] {
     const { hosts } = sources.hosts.current();
--- a/packages/daemon/src/control/types.ts
+++ b/packages/daemon/src/control/types.ts
@@ -18,6 +18,8 @@
     readonly maximumBodyBytes: number;
     /** Live daemons and the next configuration offset that each told of. */
     readonly configurationOffsets: () => ReadonlyMap<string, number>;
+    /** Asks a daemon for its next configuration offset; `undefined` if it does not answer. */
+    readonly askConfigurationOffset: (daemon: string) => Promise<number | undefined>;
     /** Status of all daemons that answer, and the names of those that do not. */
     readonly allStatus: () => Promise<StatusAnswer>;
     readonly hosts: () => readonly HostStatus[];
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Entry point of `damaskvaled`. */
 import { execute } from "@oclif/core";
 
--- a/packages/daemon/src/messages.ts
+++ b/packages/daemon/src/messages.ts
@@ -60,7 +60,12 @@
     }),
     z.object({ kind: z.literal("fetchExplanation"), request, requestId: z.string() }),
     z.object({ kind: z.literal("explanation"), request, explanation: z.unknown().optional() }),
-    z.object({ kind: z.literal("fetchStatus"), request }),
+    z.object({
+        kind: z.literal("fetchStatus"),
+        request,
+        /** Daemon whose status is asked for, if not the receiver; the receiver asks it over its own link. */
+        daemon: z.string().optional(),
+    }),
     z.object({ kind: z.literal("status"), request, status: z.unknown() }),
 ]);
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -89,6 +89,10 @@
     }),
 });
 
+const PREFIX = "DAMASKVALE_";
+/** Variables of the operators' command, which an operator may have set in the same shell. */
+const COMMAND_LINE_VARIABLES: readonly string[] = ["DAMASKVALE_DAEMON", "DAMASKVALE_OPERATOR_TOKEN"];
+
 /** Settings of the daemon. */
 export type Settings = z.infer<typeof settingsSchema>;
 /** Name of a setting. */
@@ -104,7 +108,7 @@
 
 /** Returns the environment variable of a setting, such as `DAMASKVALE_PEER_LISTEN`. */
 export function environmentName(name: SettingName): string {
-    return `DAMASKVALE_${flagName(name).replaceAll("-", "_").toUpperCase()}`;
+    return `${PREFIX}${flagName(name).replaceAll("-", "_").toUpperCase()}`;
 }
 
 /** Returns what the documentation says about a setting. */
@@ -123,13 +127,17 @@
             .filter(([, value]) => value !== undefined),
     );
     const unknown = Object.keys(environment)
-        .filter(key => key.startsWith("DAMASKVALE_") && !settingNames.some(name => environmentName(name) === key))
+        .filter(key =>
+            key.startsWith(PREFIX) && !COMMAND_LINE_VARIABLES.includes(key)
+            && !settingNames.some(name => environmentName(name) === key)
+        )
         .map(key => issue("unknown_setting", [key], "is not a setting of the daemon"));
     const parsed = settingsSchema.safeParse(values);
     if (parsed.success && unknown.length === 0) {
         return Ok(parsed.data);
     }
-    return Err([...unknown, ...(parsed.success ? [] : issuesFromZod(parsed.error).map(placed))]);
+    const findings = parsed.success ? [] : issuesFromZod(parsed.error).map(found => placed(found, values));
+    return Err([...unknown, ...findings]);
 }
 
 /** Reads settings, or throws `IssuesError` with all findings. */
@@ -144,8 +152,11 @@
     return result.val;
 }
 
-function placed(found: Issue): Issue {
+function placed(found: Issue, values: Readonly<Record<string, unknown>>): Issue {
     const name = found.path[0] as SettingName;
     const source = `--${flagName(name)} or ${environmentName(name)}`;
+    if (values[name] === undefined) {
+        return issue("required", [source], "is required");
+    }
     return issue(found.code, [source, ...found.path.slice(1)], found.message);
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -27,7 +27,14 @@
 import { createServiceClient } from "./adapters/serviceclient.js";
 import { createStatsd } from "./adapters/statsd.js";
 import { createControl } from "./control/control.js";
-import { readAllStatus, readGroups, readHosts, readOwnStatus, type StatusSources } from "./control/status.js";
+import {
+    readAllStatus,
+    readGroups,
+    readHosts,
+    readOwnStatus,
+    readStatusOf,
+    type StatusSources,
+} from "./control/status.js";
 import { createDispatcher } from "./dispatch/dispatcher.js";
 import { createRetryPolicy } from "./dispatch/retries.js";
 import { createFront } from "./front/front.js";
@@ -254,6 +261,7 @@
         platformLog: adapters.platformLog,
         maximumBodyBytes: settings.maximumBodyBytes,
         configurationOffsets: () => liveOffsets(cluster, daemon),
+        askConfigurationOffset: async peer => (await readStatusOf(sources, peer))?.configurationOffset,
         allStatus: () => readAllStatus(sources),
         hosts: () => readHosts(sources),
         groups: () => readGroups(sources),
