Fuzz the request path, and test a daemon that pauses between claim and dispatch

Invariants of the fuzz: one final answer each, its own, whole or marked incomplete; not-run only without an execution; a not repeatable key at most once; nothing written after the deadline; no claim left open.

--- /dev/null
+++ b/packages/proofs/src/fuzz/requests/caller.ts
@@ -0,0 +1,67 @@
+/** Caller of one request, which keeps what it received. */
+import type { ErrorCode, Outcome } from "@damaskvale/core";
+import { errorCodes } from "@damaskvale/core";
+import type { AnswerSink } from "@damaskvale/daemon";
+import type { Trace } from "../types.js";
+import type { SubmitStep } from "./scenario.js";
+
+/** Final answer of a request. */
+export interface FinalAnswer {
+    readonly kind: "whole" | "done" | "fail";
+    readonly outcome: Outcome;
+    readonly body?: string;
+    readonly code?: ErrorCode;
+    readonly retryAfterMilliseconds?: number;
+}
+
+/** Caller of one request. */
+export interface Caller {
+    readonly id: string;
+    /** Text that its answer must hold. */
+    readonly marker: string;
+    readonly step: SubmitStep;
+    readonly sink: AnswerSink;
+    readonly finals: readonly FinalAnswer[];
+    readonly chunks: readonly string[];
+    disconnect(): void;
+    watch(ended: Promise<void>): void;
+    /** Whether nothing of the request goes on any more. */
+    settled(): boolean;
+}
+
+/** Makes a caller. */
+export function createCaller(id: string, marker: string, step: SubmitStep, trace: Trace): Caller {
+    const gone = new AbortController();
+    const finals: FinalAnswer[] = [];
+    const chunks: string[] = [];
+    const state = { settled: false };
+    const finish = (answer: FinalAnswer): void => {
+        trace(`${id} is answered: ${answer.kind} ${answer.outcome} ${answer.code ?? ""}`);
+        finals.push(answer);
+    };
+    return {
+        id,
+        marker,
+        step,
+        finals,
+        chunks,
+        disconnect: () => gone.abort(),
+        watch: ended => {
+            ended.then(() => {
+                state.settled = true;
+            }, () => undefined);
+        },
+        settled: () => state.settled,
+        sink: {
+            gone: gone.signal,
+            whole: ({ body, outcome }) => finish({ kind: "whole", outcome, body: body.toString() }),
+            chunk: data => {
+                chunks.push(data);
+                return undefined;
+            },
+            done: () => finish({ kind: "done", outcome: "complete" }),
+            fail: ({ code, outcome, retryAfterMilliseconds }) =>
+                finish({ kind: "fail", code, outcome: outcome ?? errorCodes[code].outcome, retryAfterMilliseconds }),
+        },
+    };
+}
--- /dev/null
+++ b/packages/proofs/src/fuzz/requests/claims.ts
@@ -0,0 +1,97 @@
+/** Claims of several daemons on one fake log. */
+import type { Claims } from "@damaskvale/daemon/dist/ports/claims.js";
+import type { Trace } from "../types.js";
+
+/** State of the fake log: `losing-answers` takes claims but does not answer. */
+export type LogState = "up" | "refusing" | "losing-answers";
+
+/** Claims of all daemons. */
+export interface SharedClaims {
+    /** Claims as one daemon sees them. */
+    of(daemon: string): Claims;
+    set(state: LogState): void;
+    /** Claims that were neither released nor completed. */
+    open(): readonly string[];
+}
+
+interface Held {
+    readonly claim: string;
+    readonly owner: string;
+    readonly bodyHash: string;
+    completed?: Extract<Awaited<ReturnType<Claims["claim"]>>, { kind: "completed"; }>;
+}
+
+const APPEND_MILLISECONDS = 40;
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+/** Makes the claims. A release whose log is down is written when it answers again. */
+export function createSharedClaims(trace: Trace): SharedClaims {
+    const keys = new Map<string, Held>();
+    const byClaim = new Map<string, string>();
+    let releases: string[] = [];
+    let state: LogState = "up";
+    let count = 0;
+
+    const release = (claim: string): void => {
+        if (state !== "up") {
+            releases.push(claim);
+            return;
+        }
+        const key = byClaim.get(claim) ?? "";
+        if (keys.get(key)?.claim === claim) {
+            trace(`${claim} is released`);
+            keys.delete(key);
+        }
+    };
+
+    const of = (daemon: string): Claims => ({
+        claim: async ({ team, keyHash, bodyHash }) => {
+            await new Promise(resolve => setTimeout(resolve, APPEND_MILLISECONDS));
+            const unavailable = { kind: "unavailable", retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS } as const;
+            if (state === "refusing") {
+                return unavailable;
+            }
+            const key = `${team} ${keyHash}`;
+            const known = keys.get(key);
+            if (known === undefined) {
+                count += 1;
+                const claim = `claim-${count}`;
+                keys.set(key, { claim, owner: daemon, bodyHash });
+                byClaim.set(claim, key);
+                trace(`${daemon} holds ${claim}`);
+                if (state === "losing-answers") {
+                    releases.push(claim);
+                    return unavailable;
+                }
+                return { kind: "held", claim };
+            }
+            if (state === "losing-answers") {
+                return unavailable;
+            }
+            if (known.bodyHash !== bodyHash) {
+                return { kind: "mismatch" };
+            }
+            return known.completed ?? { kind: "in-progress", owner: known.owner, claimedAt: 0 };
+        },
+        release,
+        record: (claim, outcome, status, answer) => {
+            const known = keys.get(byClaim.get(claim) ?? "");
+            if (known?.claim === claim) {
+                known.completed = { kind: "completed", outcome, status, ...(answer === undefined ? {} : { answer }) };
+            }
+        },
+    });
+
+    return {
+        of,
+        open: () => [...keys.values()].flatMap(({ claim, completed }) => completed === undefined ? [claim] : []),
+        set: next => {
+            state = next;
+            if (state === "up") {
+                const waiting = releases;
+                releases = [];
+                waiting.forEach(release);
+            }
+        },
+    };
+}
