--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,13 +1,16 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
-import { requestsFuzz } from "./requests.js";
-import type { Fuzz } from "./types.js";
-
-/** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [requestsFuzz];
 import { admissionFuzz } from "./limits.js";
+import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
 import type { Fuzz } from "./types.js";
 
 /** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [admissionFuzz, fairnessFuzz, sharesFuzz, routingFuzz, retryFuzz];
+export const fuzzes: readonly Fuzz[] = [
+    admissionFuzz,
+    fairnessFuzz,
+    sharesFuzz,
+    routingFuzz,
+    retryFuzz,
+    requestsFuzz,
+];
