Answer a refused upload once, and refuse unservable models without queueing

A refused body that was still arriving could get a second response when Node's request timeout fired later, because only open handlers were looked up; the newest response of each connection is now tracked. The refusal also lingers for a short time, so that the caller reads it before the connection is reset. Requests for a model without any group no longer wait in the queue when the daemon has no capacity at all.

--- a/packages/daemon/src/dispatch/capacity.ts
+++ b/packages/daemon/src/dispatch/capacity.ts
@@ -34,7 +34,8 @@
 function capacityOf({ table, groups, concurrencyPerGroup }: DispatcherOptions): number {
     return table.current().rows.reduce((total, { row }) => {
         if (row.kind === "model") {
-            return total + groups.dispatchable(row.name).length * concurrencyPerGroup;
+            const own = groups.dispatchable(row.name).length;
+            return total + (own > 0 ? own : groups.elsewhere(row.name).length) * concurrencyPerGroup;
         }
         return row.kind === "service" ? total + (row.concurrency ?? row.urls.length * concurrencyPerGroup) : total;
     }, 0);
--- a/packages/daemon/src/dispatch/chat.ts
+++ b/packages/daemon/src/dispatch/chat.ts
@@ -5,7 +5,7 @@
 import { attemptOnGroup } from "./chatattempt.js";
 import { forwardChat } from "./forward.js";
 import { hashPrefixes } from "./prefixes.js";
-import { stopped } from "./refusals.js";
+import { noReadyGroup, stopped } from "./refusals.js";
 import type { RuleLimits } from "./rulelimits.js";
 import { attemptsFailed, mayRetry, nextAttemptId, recordAttempt, type Run, type RunResult } from "./run.js";
 import type { ChatRequest } from "./types.js";
@@ -64,7 +64,7 @@
         return { error: { code: "rate_limited", message: "A rule limits the requests to this model." }, tokens: 0 };
     }
     return await forwardChat(run) ?? {
-        error: { code: "no_ready_group", message: `No replica group of model ${run.request.model} is ready.` },
+        error: noReadyGroup(run.request.model),
         tokens: 0,
     };
 }
@@ -107,6 +107,10 @@
         resumes: result.resumes,
     });
     run.maybeRan ||= result.maybeRan;
+    if (result.firstTokenAt !== undefined) {
+        const waited = result.firstTokenAt - request.receivedAt;
+        context.metrics.timing("request.first_token", waited, { model: request.model });
+    }
     span.end(result.failure?.message);
     return result.failure === undefined ? result.tokens : undefined;
 }
--- a/packages/daemon/src/dispatch/pipeline.ts
+++ b/packages/daemon/src/dispatch/pipeline.ts
@@ -6,11 +6,11 @@
 import { createDuplicateCheck } from "./duplicates.js";
 import { claimRequestOf } from "./keys.js";
 import type { DispatchContext } from "./options.js";
-import { stopped } from "./refusals.js";
+import { noReadyGroup, stopped } from "./refusals.js";
 import { createRuleLimits } from "./rulelimits.js";
 import { createRun, type RunResult } from "./run.js";
 import { runRepeatable } from "./service.js";
-import type { CallerError, DispatchRequest } from "./types.js";
+import type { CallerError, ChatRequest, DispatchRequest } from "./types.js";
 import { type AdmissionResult, createWaiting } from "./waiting.js";
 
 /** Stages of the requests of one daemon. */
@@ -72,10 +72,12 @@
         }
     };
 
-    const runOnce = (request: DispatchRequest, entry: ActiveRequest): Promise<RunResult> =>
-        request.kind === "chat" || request.repeatable
-            ? admitAndRun(request, entry)
-            : once(request, () => admitAndRun(request, entry));
+    const runOnce = async (request: DispatchRequest, entry: ActiveRequest): Promise<RunResult> => {
+        if (request.kind === "chat") {
+            return unservable(context, request) ?? await admitAndRun(request, entry);
+        }
+        return request.repeatable ? admitAndRun(request, entry) : once(request, () => admitAndRun(request, entry));
+    };
 
     return {
         run: async (request, entry) => {
@@ -96,6 +98,13 @@
     };
 }
 
+/** A request for a model that no data centre can serve is refused at once, and does not wait in the queue. */
+function unservable({ groups }: DispatchContext, { model, forwardedBy }: ChatRequest): RunResult | undefined {
+    const servable = groups.dispatchable(model).length > 0
+        || (forwardedBy === undefined && groups.elsewhere(model).length > 0);
+    return servable ? undefined : { error: noReadyGroup(model), tokens: 0 };
+}
+
 function notAdmitted(
     result: Exclude<AdmissionResult, { kind: "admitted"; }>,
     { lifetime }: ActiveRequest,
--- a/packages/daemon/src/dispatch/refusals.ts
+++ b/packages/daemon/src/dispatch/refusals.ts
@@ -22,3 +22,8 @@
         ? { code: "shutting_down", message: "The daemon stopped before the request was finished.", outcome }
         : { code: "deadline_exceeded", message: "The deadline of the request has passed.", outcome };
 }
+
+/** Returns the error of a request for a model that has no dispatchable group. */
+export function noReadyGroup(model: string): CallerError {
+    return { code: "no_ready_group", message: `No replica group of model ${model} is ready.` };
+}
--- a/packages/daemon/src/dispatch/run.ts
+++ b/packages/daemon/src/dispatch/run.ts
@@ -105,6 +105,9 @@
 
 /** Returns the error after the last attempt. */
 export function attemptsFailed(run: Run<DispatchRequest>): CallerError {
+    if (run.lastFailure?.kind === "refused" && !run.maybeRan) {
+        return { code: "no_ready_group", message: "All targets refused the request before starting it." };
+    }
     return {
         code: "target_failed",
         message: `No target completed the request: ${run.lastFailure?.message ?? "no attempt was made"}.`,
--- a/packages/daemon/src/front/callerroutes.ts
+++ b/packages/daemon/src/front/callerroutes.ts
@@ -4,7 +4,7 @@
 import type { CallerError, CheckedRequest } from "../dispatch/types.js";
 import { readBody } from "./body.js";
 import { safeParseChatBody } from "./chatbody.js";
-import { writeError } from "./errors.js";
+import { writeError, writeErrorAndLinger } from "./errors.js";
 import type { Exchange } from "./exchange.js";
 import { requestHeaders } from "./forwardedheaders.js";
 import { authenticate } from "./headers.js";
@@ -116,10 +116,12 @@
 /** Refuses a request before it was dispatched. A body that was not read to its end closes the connection. */
 export function refuse({ request, response, requestId, span }: Exchange, error: CallerError): void {
     span.setAttribute("code", error.code);
-    if (!request.complete && !response.headersSent) {
-        response.setHeader("connection", "close");
+    if (request.complete || response.headersSent || response.destroyed) {
+        writeError(response, requestId, error);
+        return;
     }
-    writeError(response, requestId, error);
+    response.setHeader("connection", "close");
+    writeErrorAndLinger(request, response, requestId, error);
 }
 
 function teamOf({ request, options, forwarded }: Exchange): Result<RowOf<"team">, CallerError> {
--- a/packages/daemon/src/front/errors.ts
+++ b/packages/daemon/src/front/errors.ts
@@ -1,6 +1,6 @@
 /** Errors in the shape of the OpenAI API, as responses, as stream events, and as raw bytes for connections that failed to parse. */
 import { errorCodes } from "@damaskvale/core";
-import { type ServerResponse, STATUS_CODES } from "node:http";
+import { type IncomingMessage, type ServerResponse, STATUS_CODES } from "node:http";
 import type { CallerError } from "../dispatch/types.js";
 
 /** The OpenAI API states an absent parameter as a JSON null. */
@@ -8,6 +8,9 @@
 /** `Retry-After` of an error that names no time, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
 
+/** Time for which the rest of a refused body is read. */
+const LINGER_MILLISECONDS = 500;
+
 /** Returns the JSON text of an error. */
 export function formatErrorBody(error: CallerError): string {
     const { type } = errorCodes[error.code];
@@ -39,6 +42,27 @@
     response.end(formatErrorBody(error));
 }
 
+/**
+ * Writes an error response to a caller that is still sending its body, and reads on for a short time. A connection that
+ * is closed with unread data is reset, and the caller may lose the response.
+ */
+export function writeErrorAndLinger(
+    request: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+    error: CallerError,
+): void {
+    response.writeHead(errorCodes[error.code].status, errorHeaders(error, requestId));
+    response.write(formatErrorBody(error));
+    const finish = (): void => {
+        clearTimeout(timer);
+        request.off("end", finish).off("close", finish);
+        response.end();
+    };
+    const timer = setTimeout(finish, LINGER_MILLISECONDS);
+    request.on("end", finish).on("close", finish).resume();
+}
+
 /** Returns a whole error response as text, for a connection that has no response object. It closes the connection. */
 export function formatRawError(error: CallerError, requestId: string): string {
     const { status } = errorCodes[error.code];
--- a/packages/daemon/src/front/front.ts
+++ b/packages/daemon/src/front/front.ts
@@ -29,6 +29,9 @@
     inProgress(): number;
 }
 
+/** Time that connections without a request get to close by themselves. */
+const CLOSE_MILLISECONDS = 500;
+
 /** Makes the front. */
 export function createFront(options: FrontOptions): Front {
     const nextRequestId = createRequestIds(options.daemon, options.incarnation);
@@ -47,10 +50,13 @@
             await idle();
             options.dispatcher.beginDrain();
             await options.dispatcher.idle();
+            // Connections that never sent a whole request do not count as idle for Node.
+            const rest = setTimeout(() => server.closeAllConnections(), CLOSE_MILLISECONDS);
             await new Promise(resolve => {
                 server.close(resolve);
                 server.closeIdleConnections();
             });
+            clearTimeout(rest);
         },
         cutOff: () => {
             state.draining = true;
--- a/packages/daemon/src/front/parsererrors.ts
+++ b/packages/daemon/src/front/parsererrors.ts
@@ -18,20 +18,20 @@
 export function refuseConnection(
     socket: Socket,
     error: NodeJS.ErrnoException | CallerError,
-    current: readonly [string, ServerResponse] | undefined,
-    nextRequestId: () => string,
+    response: ServerResponse | undefined,
+    requestId: string,
 ): void {
-    const response = current?.[1];
-    const bodyIncomplete = response !== undefined && !response.req.complete;
+    const answered = response !== undefined && response.writableFinished && response.req.complete;
+    const waitsForBody = response !== undefined && !response.headersSent && !response.req.complete;
     if (!socket.writable || (error as NodeJS.ErrnoException).code === "ECONNRESET") {
         socket.destroy();
         return;
     }
-    if (response !== undefined && (response.headersSent || !bodyIncomplete)) {
+    if (response !== undefined && !answered && !waitsForBody) {
         socket.destroy();
         return;
     }
-    socket.end(formatRawError(describe(error), current?.[0] ?? nextRequestId()));
+    socket.end(formatRawError(describe(error), requestId));
 }
 
 function describe(error: NodeJS.ErrnoException | CallerError): CallerError {
--- a/packages/daemon/src/front/server.ts
+++ b/packages/daemon/src/front/server.ts
@@ -33,13 +33,17 @@
     nextRequestId: () => string,
     open: ReadonlyMap<string, ServerResponse>,
 ): void {
+    /** Newest response of each connection, also after its handler has ended. */
+    const newest = new WeakMap<Socket, ServerResponse>();
+    server.on("request", (request, response) => newest.set(request.socket, response));
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-        const current = [...open].find(([, response]) => response.socket === socket);
-        refuseConnection(socket as Socket, error, current, nextRequestId);
+        const response = newest.get(socket as Socket);
+        const requestId = [...open].find(([, other]) => other === response)?.[0] ?? nextRequestId();
+        refuseConnection(socket as Socket, error, response, requestId);
     });
     server.on("connect", (...[, socket]) => {
         const error: CallerError = { code: "method_not_allowed", message: "CONNECT is not supported." };
-        refuseConnection(socket as Socket, error, undefined, nextRequestId);
+        refuseConnection(socket as Socket, error, newest.get(socket as Socket), nextRequestId());
     });
     server.on("checkExpectation", (...[, response]: [IncomingMessage, ServerResponse]) => {
         const error: CallerError = { code: "invalid_header", message: "Header expect is not supported." };
--- a/packages/daemon/src/front/tests/chat.test.ts
+++ b/packages/daemon/src/front/tests/chat.test.ts
@@ -73,6 +73,26 @@
             expect(text).not.to.contain("[DONE]");
         }));
 
+    it("repeats a whole request whose connection went silent before the deadline is near", () =>
+        withPath({ engines: [() => undefined] }, async path => {
+            const engine = path.engines[0]!;
+            engine.handle = (request, response) => {
+                if (engine.seen.length > 1) {
+                    answerWhole(request, response);
+                }
+            };
+            const answer = await chat(path, {}, { "x-damaskvale-deadline-ms": "900" });
+
+            expect(answer.text).to.equal(JSON.stringify(wholeAnswer));
+            expect(engine.cancelled).to.deep.equal([`/attempts/${answer.requestId}-1`]);
+        }));
+
+    it("waits for a whole answer that takes longer than the first-token timeout while the engine works", () =>
+        withPath({ engines: [(...all) => void setTimeout(() => answerWhole(...all), 400)] }, async path => {
+            expect((await chat(path)).status).to.equal(200);
+            expect(path.engines[0]!.seen).to.have.length(1);
+        }));
+
     const failovers: { guards: string; first: RequestListener; }[] = [
         {
             guards: "a group refuses with 409 wrong_group",
--- a/packages/daemon/src/front/tests/refusals.test.ts
+++ b/packages/daemon/src/front/tests/refusals.test.ts
@@ -61,6 +61,12 @@
             code: "body_too_large",
             run: () => post(path, "x".repeat(3_000)),
         },
+        {
+            guards: "a refusal is lost because the caller still sends its body",
+            status: 413,
+            code: "body_too_large",
+            run: () => post(path, "x".repeat(8_000_000)),
+        },
         {
             guards: "malformed JSON is dispatched",
             status: 400,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./adapters/forwardclient.js";
 export * from "./adapters/pools.js";
 export * from "./adapters/serviceclient.js";
+export * from "./adapters/targetreports.js";
 export * from "./dispatch/dispatcher.js";
 export * from "./dispatch/forwarder.js";
 export * from "./dispatch/options.js";
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -34,6 +34,7 @@
     "request.first_token": timing("Time from a request to the first token of its answer.", ["model"]),
     "attempts": counter("Attempts sent to targets, by kind of work and result.", ["route", "result"]),
     "attempts.foreign_data": counter("Answers or stream events dropped because they belong to another attempt."),
+    "connections.silent": counter("Connections to targets that went silent, by what was lost.", ["lost"]),
     "requests.forwarded": counter("Requests forwarded to a daemon of another data centre.", ["model"]),
     "requests.in_progress": gauge("requests", "Requests in progress at this daemon."),
     "groups.actions": counter("Records of the groups stream by their decision.", ["kind", "decision"]),
