--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -49,6 +49,9 @@
     "peers.links": gauge("links", "Open links to other daemons."),
     "peers.messages_refused": counter("Messages of other daemons that did not parse.", ["reason"]),
     "peers.refused": counter("Connections to the peer address that were refused.", ["reason"]),
+    "stream.entries": counter("Entries folded, by what became of them.", ["stream", "kind"]),
+    "stream.offset": gauge("entries", "Next offset of a stream.", ["stream"]),
+    "claims.results": counter("Claims answered, by kind of answer.", ["kind"]),
 } as const satisfies Record<string, MetricDefinition>;
 
 /** Name of a metric. */
