Test leases, cuts and pauses of the groups task

Cause: orders were withheld right after a group was formed, because the fold announced the group before the decision of its record reached the task. Change: orders wait for the decision of the record in progress, a withheld order is reported once and does not count as sent. What can still happen: an order that passed its check and is then delayed past the lease arrives late. Engines that enforce fencing refuse it; others follow it, their report blocks dispatch within one poll, and the new holder orders again.

--- a/packages/daemon/src/tasks/groups.ts
+++ b/packages/daemon/src/tasks/groups.ts
@@ -112,7 +112,10 @@
         const acting = plannerOf(this.options.dataCentre, this.options.members.current().live) === this.options.daemon;
         this.absences.note(Object.values(sources.state.groups), sources.observations, retiringNow(sources), now);
         this.orders.forget(sources.hosts.hosts);
-        held.forEach(group => this.orderMembers(group, sources));
+        // Without the lease of a record in progress the orders wait for its decision, which starts another step.
+        if (this.lease.isValid(now) || this.appending.size === 0) {
+            held.forEach(group => this.orderMembers(group, sources));
+        }
         if (acting || held.length > 0) {
             this.renew(now);
         }
@@ -291,5 +294,6 @@
             this.lease.renewed(sentAt);
         }
         onAccepted?.(result.val);
+        this.mailbox.post({ kind: "step" });
     }
 }
--- a/packages/daemon/src/tasks/orders.ts
+++ b/packages/daemon/src/tasks/orders.ts
@@ -1,5 +1,5 @@
 /** Orders to engines: one at a time for each host, under the lease, repeated until a report shows their effect. */
-import { LEASE_MILLISECONDS, type ListedHost, type Observation, ORDER_DEADLINE_MILLISECONDS } from "@damaskvale/core";
+import { type ListedHost, type Observation, ORDER_DEADLINE_MILLISECONDS } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EngineClient, Order } from "../ports/engine.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -28,6 +28,7 @@
 /** Sender of orders. */
 export class Orders {
     private readonly sent = new Map<string, Sent>();
+    private readonly withheld = new Map<string, string>();
 
     constructor(private readonly options: OrdersOptions) {}
 
@@ -46,6 +47,11 @@
         if (same?.endedAt !== undefined && !mayRepeat(same.attempts, same.endedAt, observation, now)) {
             return;
         }
+        // Nothing is awaited between this check and the call that writes the order.
+        if (!this.options.lease.isValid(this.options.clock.monotonic())) {
+            this.withhold(target, order, key);
+            return;
+        }
         const sent = { key, attempts: (same?.attempts ?? 0) + 1 };
         this.sent.set(target.host, sent);
         this.send(target, order)
@@ -55,20 +61,26 @@
             .finally(() => this.sent.set(target.host, { ...sent, endedAt: this.options.clock.monotonic() }));
     }
 
+    /** Reports an order that the lease does not permit, once for each order. */
+    private withhold({ host }: ListedHost, { order, group, fence }: Order, key: string): void {
+        if (this.withheld.get(host) !== key) {
+            this.withheld.set(host, key);
+            this.options.eventLog.emit("orderWithheld", { host, order, group, fence });
+            this.options.metrics.increment("groups.orders", 1, { order, result: "withheld" });
+        }
+    }
+
     /** Forgets hosts that are no longer listed. */
     forget(hosts: ReadonlyMap<string, ListedHost>): void {
-        [...this.sent.keys()].filter(host => !hosts.has(host)).forEach(host => this.sent.delete(host));
+        [...this.sent.keys()].filter(host => !hosts.has(host)).forEach(host => {
+            this.sent.delete(host);
+            this.withheld.delete(host);
+        });
     }
 
     private async send(target: ListedHost, order: Order): Promise<void> {
-        const { engine, clock, lease, metrics, eventLog } = this.options;
+        const { engine, metrics, eventLog } = this.options;
         const told = { host: target.host, order: order.order, group: order.group, fence: order.fence };
-        // Nothing is awaited between this check and the call that writes the order.
-        if (!lease.isValid(clock.monotonic())) {
-            eventLog.emit("orderWithheld", { ...told, leaseMilliseconds: LEASE_MILLISECONDS });
-            metrics.increment("groups.orders", 1, { order: order.order, result: "withheld" });
-            return;
-        }
         const result = await engine.order(target.url, order, ORDER_DEADLINE_MILLISECONDS);
         metrics.increment("groups.orders", 1, { order: order.order, result: result.ok ? "done" : result.val.kind });
         if (result.err) {
--- a/packages/daemon/src/tasks/tests/fakes.ts
+++ b/packages/daemon/src/tasks/tests/fakes.ts
@@ -25,7 +25,7 @@
     readonly values: unknown[] = [];
     private readonly readers = new Set<FakeStream<State, Body>>();
 
-    constructor(readonly definition: FoldDefinition<State, Body>) {}
+    constructor(readonly definition: FoldDefinition<State, Body>, readonly lagMilliseconds = 0) {}
 
     follow(daemon: string, incarnation: string): FakeStream<State, Body> {
         const reader = new FakeStream(this, { daemon, incarnation });
@@ -36,7 +36,15 @@
 
     write(value: unknown): void {
         this.values.push(value);
-        this.readers.forEach(reader => reader.read());
+        const length = this.values.length;
+        this.readers.forEach(reader => {
+            if (this.lagMilliseconds === 0) {
+                reader.read();
+            }
+            else {
+                setTimeout(() => reader.read(length), this.lagMilliseconds);
+            }
+        });
     }
 }
 
@@ -56,8 +64,8 @@
         this.folded = createPublished<Folded<State>>(initialFolded(log.definition));
     }
 
-    read(): void {
-        while (!this.cut && this.folded.current().nextOffset < this.log.values.length) {
+    read(length = this.log.values.length): void {
+        while (!this.cut && this.folded.current().nextOffset < length) {
             const folded = this.folded.current();
             const entry = { offset: folded.nextOffset, time: 0, value: this.log.values[folded.nextOffset] };
             this.folded.publish(applyEntry(this.log.definition, folded, entry).folded);
@@ -82,6 +90,9 @@
             return Err({ kind: "refused" as const, message: "the platform is not reachable" });
         }
         this.log.write({ version: RECORD_VERSION, id, author: this.author, basis, body });
+        if (this.log.lagMilliseconds > 0) {
+            await new Promise(resolve => setTimeout(resolve, this.log.lagMilliseconds + 1));
+        }
         const decision = this.folded.current().decisions.get(id);
         return decision === undefined || this.loseAnswers
             ? Err({ kind: "ambiguous" as const, message: "the answer was lost" })
@@ -99,6 +110,8 @@
     enforcesFence = true;
     loseNextAnswer = false;
     reportDelayMilliseconds = 0;
+    /** How long an order of a daemon stays between its check and its arrival, in milliseconds. */
+    readonly orderDelays = new Map<string, number>();
     /** Daemons that cannot reach the engine. */
     readonly unreachableFrom = new Set<string>();
 
@@ -151,6 +164,12 @@
                 await wait(timeoutMilliseconds);
                 return Err(silent);
             }
+            const delay = engine.orderDelays.get(daemon) ?? 0;
+            if (delay > 0) {
+                void wait(delay).then(() => engine.apply(order));
+                await wait(timeoutMilliseconds);
+                return Err(silent);
+            }
             if (!engine.apply(order)) {
                 return Err({ kind: "refused", message: "old fencing number", status: 409 });
             }
--- a/packages/daemon/src/tasks/tests/scene.ts
+++ b/packages/daemon/src/tasks/tests/scene.ts
@@ -28,13 +28,15 @@
     readonly daemons?: readonly string[];
     readonly model?: Parameters<typeof fakeTable>[0];
     readonly groups?: Partial<GroupsOptions>;
+    /** Time until a record is read back. */
+    readonly lagMilliseconds?: number;
 }
 
 /** A data centre. Observations are shared between daemons that see each other, as the membership task does it. */
 export class Scene {
     readonly fake: FakeClock = install();
     readonly engines: ReadonlyMap<string, FakeEngine>;
-    readonly log = new FakeLog(groupsFold);
+    readonly log;
     readonly table = createPublished(fakeTable({}));
     readonly daemons: readonly SceneDaemon[];
     listed: ListedHost[];
@@ -42,6 +44,7 @@
     private readonly stops: (() => unknown)[] = [];
 
     constructor(options: SceneOptions) {
+        this.log = new FakeLog(groupsFold, options.lagMilliseconds);
         this.engines = new Map(options.hosts.map(host => [host, new FakeEngine(host)]));
         this.listed = fakeHosts(options.hosts);
         this.table.publish(fakeTable(options.model ?? {}));
