--- /dev/null
+++ b/packages/daemon/src/tasks/tests/membership.test.ts
@@ -0,0 +1,128 @@
+import { install } from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import type { SharedObservation } from "../../messages.js";
+import { MembershipTask } from "../membership.js";
+import { Bus } from "./bus.js";
+import { FakeEngine, noMetrics } from "./fakes.js";
+
+interface Node {
+    readonly name: string;
+    readonly task: MembershipTask;
+    readonly offsets: string[];
+    readonly observed: { observations: readonly SharedObservation[]; sentAt: number; }[];
+}
+
+describe("membership task", () => {
+    let timers: ReturnType<typeof install>;
+    let bus: Bus;
+    let nodes: Node[];
+
+    const add = (name: string, incarnation = "1"): Node => {
+        const [dataCentre = ""] = name.split("-");
+        const offsets: string[] = [];
+        const observed: Node["observed"] = [];
+        const report = new FakeEngine(`host-of-${name}`).report();
+        const task = new MembershipTask({
+            self: { daemon: name, dataCentre, address: name, incarnation },
+            seeds: ["x-1"],
+            network: bus.join(name, dataCentre).network,
+            clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+            metrics: noMetrics,
+            eventLog: { emit: () => undefined },
+            seed: name.length,
+            shared: {
+                offsets: () => ({ configuration: 7 }),
+                demand: () => ({ team: 1.5 }),
+                models: () => [`model-of-${dataCentre}`],
+                observations: () => [{ report, ageMilliseconds: 100 }],
+            },
+            onOffsets: (daemon, told) => offsets.push(`${daemon} ${told["configuration"]}`),
+            onObservations: (...[, observations, sentAt]) => observed.push({ observations, sentAt }),
+        });
+        task.start();
+        const node = { name, task, offsets, observed };
+        nodes = [...nodes.filter(other => other.name !== name), node];
+        return node;
+    };
+    const live = (name: string) =>
+        nodes.find(node => node.name === name)?.task.members.current().live.map(news => news.daemon).join(" ");
+    const side = (name: string) => name.startsWith("x") ? 0 : 1;
+
+    beforeEach(() => {
+        timers = install();
+        bus = new Bus();
+        nodes = [];
+    });
+    afterEach(async () => {
+        await Promise.all(nodes.map(node => node.task.stop()));
+        timers.uninstall();
+    });
+
+    const all = ["x-1", "x-2", "x-3", "y-1", "y-2", "y-3"];
+
+    it("finds all daemons from one seed, and tells offsets, demand and models", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(10_000);
+        expect(all.map(live)).to.deep.equal(all.map(() => all.join(" ")));
+        const others = nodes[0]?.task.members.current().others ?? [];
+        expect(others.find(({ news }) => news.daemon === "x-2")?.demand).to.deep.equal({ team: 1.5 });
+        expect(others.some(({ models }) => models.includes("model-of-y"))).to.equal(true);
+        expect(nodes[0]?.offsets).to.include("x-2 7");
+    });
+
+    it("takes a silent daemon for dead within seconds, and back when it returns", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(10_000);
+        bus.isCut = (...pair) => pair.includes("x-3");
+        await timers.tickAsync(6_000);
+        expect(live("x-1")).not.to.contain("x-3");
+        bus.isCut = () => false;
+        await timers.tickAsync(10_000);
+        expect(all.map(live)).to.deep.equal(all.map(() => all.join(" ")));
+    });
+
+    it("serves both sides of a cut and converges after an hour of it", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(10_000);
+        bus.isCut = (one, other) => side(one) !== side(other);
+        await timers.tickAsync(30_000);
+        expect(live("x-1")).to.equal("x-1 x-2 x-3");
+        expect(live("y-2")).to.equal("y-1 y-2 y-3");
+        await timers.tickAsync(600_000);
+        bus.isCut = () => false;
+        await timers.tickAsync(30_000);
+        expect(all.map(live)).to.deep.equal(all.map(() => all.join(" ")));
+    });
+
+    it("accepts a daemon that restarts under its name, whatever its incarnation", async () => {
+        all.forEach(name => add(name, "5"));
+        await timers.tickAsync(10_000);
+        bus.isCut = (...pair) => pair.includes("x-2");
+        await timers.tickAsync(10_000);
+        bus.isCut = () => false;
+        add("x-2", "0");
+        await timers.tickAsync(10_000);
+        expect(live("y-1")).to.equal(all.join(" "));
+        const news = nodes[0]?.task.members.current().live.find(({ daemon }) => daemon === "x-2");
+        expect(news?.incarnation).to.equal("0");
+    });
+
+    it("learns at once of a daemon that leaves on purpose", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(10_000);
+        await nodes[1]?.task.stop();
+        await timers.tickAsync(1_500);
+        expect(live("x-1")).not.to.contain("x-2");
+    });
+
+    it("shares observations inside the data centre often enough for confirmations, and not outside", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(10_000);
+        const { observed } = nodes[0] as Node;
+        const from = (host: string) => observed.filter(({ observations }) => observations[0]?.report.host === host);
+        const times = from("host-of-x-2").map(({ sentAt }) => sentAt).slice(-10);
+        const gaps = times.slice(1).map((time, index) => time - (times[index] as number));
+        expect(Math.max(...gaps)).to.be.lessThan(800);
+        expect(from("host-of-y-1").length).to.equal(0);
+    });
+});
