Fuzz replica groups

Cause: the failure tests cover single faults; combinations were not played. Change: scenarios of cuts, silent and restarting hosts, old roles, lost answers, delayed orders, dark domains and edits, against an oracle that knows the truth at the engines and in the log.

--- a/packages/daemon/src/tasks/tests/fakes.ts
+++ b/packages/daemon/src/tasks/tests/fakes.ts
@@ -128,6 +128,22 @@
         };
     }
 
+    /** Restarts without a role and without memory of fencing numbers. */
+    restart(): void {
+        this.role = undefined;
+        this.highestFence = 0;
+        this.executed.length = 0;
+    }
+
+    /** Returns with the role of its first assignment, as after a restart from an old image. */
+    returnWithOldRole(): void {
+        const old = this.executed.find(({ order }) => order === "assign");
+        if (old !== undefined) {
+            const { group, fence, model, version } = old;
+            this.role = { group, fence, model, version };
+        }
+    }
+
     apply(order: Order): boolean {
         if (this.enforcesFence && order.fence < this.highestFence) {
             return false;
@@ -141,7 +157,11 @@
 }
 
 /** Client of fake engines. URLs are `http://HOST`. */
-export function fakeEngineClient(daemon: string, engines: ReadonlyMap<string, FakeEngine>): EngineClient {
+export function fakeEngineClient(
+    daemon: string,
+    engines: ReadonlyMap<string, FakeEngine>,
+    onOrder: (daemon: string, host: string, order: Order) => void = () => undefined,
+): EngineClient {
     const reach = (url: string): FakeEngine | undefined => {
         const engine = engines.get(new URL(url).hostname);
         return engine === undefined || engine.silent || engine.unreachableFrom.has(daemon) ? undefined : engine;
@@ -159,6 +179,7 @@
             return engine === undefined || delay >= timeoutMilliseconds ? Err(silent) : Ok(engine.report());
         },
         order: async (url, order, timeoutMilliseconds) => {
+            onOrder(daemon, new URL(url).hostname, order);
             const engine = reach(url);
             if (engine === undefined) {
                 await wait(timeoutMilliseconds);
--- a/packages/daemon/src/tasks/tests/scene.ts
+++ b/packages/daemon/src/tasks/tests/scene.ts
@@ -2,6 +2,7 @@
 import { type GroupsBody, groupsFold, type GroupsState, type ListedHost, type MemberNews } from "@damaskvale/core";
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import { Err, Ok } from "ts-results";
+import type { Order } from "../../ports/engine.js";
 import { type GroupsOptions, GroupsTask } from "../groups.js";
 import { GroupViewTask } from "../groupview.js";
 import { HostsTask } from "../hosts.js";
@@ -28,6 +29,8 @@
     readonly daemons?: readonly string[];
     readonly model?: Parameters<typeof fakeTable>[0];
     readonly groups?: Partial<GroupsOptions>;
+    /** Called when a daemon sends an order, after its checks. */
+    readonly onOrder?: (daemon: string, host: string, order: Order) => void;
     /** Time until a record is read back. */
     readonly lagMilliseconds?: number;
 }
@@ -49,7 +52,7 @@
         this.listed = fakeHosts(options.hosts);
         this.table.publish(fakeTable(options.model ?? {}));
         const names = options.daemons ?? ["d1"];
-        this.daemons = names.map(name => this.daemon(name, names, options.groups ?? {}));
+        this.daemons = names.map(name => this.daemon(name, names, options));
     }
 
     engine(host: string): FakeEngine {
@@ -76,7 +79,7 @@
         this.fake.uninstall();
     }
 
-    private daemon(name: string, names: readonly string[], overrides: Partial<GroupsOptions>): SceneDaemon {
+    private daemon(name: string, names: readonly string[], options: SceneOptions): SceneDaemon {
         const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
         const logged: string[] = [];
         const eventLog = {
@@ -84,13 +87,13 @@
         };
         const stream = this.log.follow(name, "1");
         const members = createPublished<MembersView>(view(name, names));
-        const engine = fakeEngineClient(name, this.engines);
+        const engine = fakeEngineClient(name, this.engines, options.onOrder);
         const list = { list: async () => this.listFails ? Err("down") : Ok(this.listed) };
         const common = { dataCentre: "dc", clock, metrics: noMetrics, eventLog, table: this.table, members, engine };
         const hostsTask = new HostsTask({ ...common, list, owned: () => new Set(ownedHosts(stream)) });
         const observer = new ObserverTask({ ...common, hosts: hostsTask.hosts });
         const shared = { ...common, hosts: hostsTask.hosts, observations: observer.observations };
-        const groups = new GroupsTask({ ...shared, daemon: name, incarnation: "1", stream, ...overrides });
+        const groups = new GroupsTask({ ...shared, daemon: name, incarnation: "1", stream, ...options.groups });
         const groupView = new GroupViewTask({ ...shared, folded: stream.folded });
         [hostsTask, observer, groups].forEach(task => task.start());
         const sharing = setInterval(() => {
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,5 +1,6 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { groupsFuzz } from "./groups.js";
 import type { Fuzz } from "./types.js";
 
 /** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [];
+export const fuzzes: readonly Fuzz[] = [groupsFuzz];
