Let the groups oracle fail on orders after a takeover

Cause: the oracle threw inside the fake engine client, where the task under test caught the error as a failed order, so two deliberate faults passed. Change: the violation is kept and thrown by the next check.

--- a/packages/proofs/src/fuzz/groupsoracle.ts
+++ b/packages/proofs/src/fuzz/groupsoracle.ts
@@ -14,6 +14,7 @@
 export class GroupsOracle {
     /** When an engine last had a role and could be reached, by host, group and fencing number. */
     private readonly confirmedAt = new Map<string, number>();
+    private violation: string | undefined;
     private readonly executed = new Map<string, number>();
     private readonly reader: FakeStream<GroupsState, GroupsBody>;
 
@@ -21,7 +22,7 @@
         this.reader = scene.log.follow("oracle", "1");
     }
 
-    /** Checks one order at the moment when a daemon sends it. */
+    /** Checks one order at the moment when a daemon sends it; the next check throws, as the sender would catch it. */
     ordered(daemon: string, host: string, order: Order): void {
         this.trace(
             `${Math.round(performance.now())} ${daemon} orders ${host} ${order.order} ${order.group} ${order.fence}`,
@@ -29,15 +30,19 @@
         this.reader.read();
         const group = this.reader.folded.current().state.groups[order.group];
         if (order.order === "assign" && group !== undefined && group.fence > order.fence) {
-            throw new Error(`${daemon} orders ${order.group} with ${order.fence} after its takeover at ${group.fence}`);
+            this.violation ??=
+                `${daemon} orders ${order.group} with ${order.fence} after its takeover at ${group.fence}`;
         }
         if (order.order === "assign" && group !== undefined && group.holder !== daemon) {
-            throw new Error(`${daemon} orders ${order.group}, which ${group.holder} holds`);
+            this.violation ??= `${daemon} orders ${order.group}, which ${group.holder} holds`;
         }
     }
 
     /** Checks the log, the engines and every daemon's view. */
     check(): void {
+        if (this.violation !== undefined) {
+            throw new Error(this.violation);
+        }
         this.reader.read();
         this.checkOwnership(this.reader.folded.current().state);
         this.scene.engines.forEach(engine => this.checkEngine(engine));
