--- a/packages/proofs/src/demo/requests.ts
+++ b/packages/proofs/src/demo/requests.ts
@@ -91,10 +91,14 @@
         stream: true,
     }).withResponse();
     const tokens: string[] = [];
+    let finished = false;
     for await (const part of data) {
         tokens.push(part.choices[0]?.delta.content ?? "");
+        finished ||= part.choices[0]?.finish_reason === "stop";
     }
-    return answerOf(title, entry, startedAt, response, tokens.join(""));
+    // The header of a stream is sent before its outcome is known; the end of the stream tells it.
+    const outcome = finished ? "complete" : "unknown";
+    return { ...answerOf(title, entry, startedAt, response, tokens.join("")), outcome };
 }
 
 async function change(entry: Entry, title: string, team: string, path: string, body: unknown): Promise<DemoAnswer> {
