Answer repeats of a claimed key from what is known locally

Cause: a repeat that reached the owner within some 30 ms of the first answer was told "in progress", because the outcome had not been read back. While the log was unreachable, a repeat of a key that was known to be claimed was told "not run", although the first request may have run. Ruled out: waiting for the read-back before the first answer, which would add the log's latency to each call. Change: the owner answers from its own record of the outcome; the known state is asked before the log's health.

--- a/packages/daemon/src/tasks/claims.ts
+++ b/packages/daemon/src/tasks/claims.ts
@@ -6,6 +6,7 @@
     type ClaimsBody,
     type ClaimsState,
     judgeClaim,
+    type Outcome,
 } from "@damaskvale/core";
 import type { ClaimRequest, ClaimResult, Claims } from "../ports/claims.js";
 import type { Clock } from "../ports/clock.js";
@@ -42,6 +43,8 @@
 /** Claims of ambiguous records in one partition, above which new claims are refused; bounds the memory. */
 const MAXIMUM_UNDECIDED = 4_096;
 const DRAIN_CHECK_MILLISECONDS = 20;
+/** Outcomes kept until the fold shows them; far more than one daemon records between two reads of the log. */
+const MAXIMUM_RECORDED = 1_024;
 
 interface Partition {
     readonly stream: Stream<ClaimsState, ClaimsBody>;
@@ -53,6 +56,11 @@
     readonly request: ClaimRequest;
 }
 
+interface Recorded {
+    readonly outcome: Outcome;
+    readonly status: number;
+}
+
 /** Makes the claims of a daemon. */
 export function createClaims(options: ClaimsOptions): ClaimsTask {
     return new ClaimsOfDaemon(options);
@@ -60,6 +68,8 @@
 
 class ClaimsOfDaemon implements ClaimsTask {
     private readonly held = new Map<string, Held>();
+    /** Outcomes recorded by this daemon that its fold may not show yet. */
+    private readonly recorded = new Map<string, Recorded>();
     private readonly partitions: readonly Partition[];
     private readonly answers;
     private counter = 0;
@@ -99,6 +109,9 @@
             const { team, keyHash } = held.request;
             this.held.delete(claim);
             this.answers.keep(team, keyHash, outcome, answer);
+            this.recorded.set(recordedKey(held.request), { outcome, status });
+            const oldest = [...this.recorded.keys()].slice(0, Math.max(0, this.recorded.size - MAXIMUM_RECORDED));
+            oldest.forEach(key => this.recorded.delete(key));
             held.partition.writer.outcome({ claim, team, keyHash, status, outcome });
         }
     };
@@ -119,13 +132,14 @@
     private async decide(request: ClaimRequest): Promise<ClaimResult> {
         const { team, keyHash, bodyHash } = request;
         const partition = this.partitions[claimPartition(team, keyHash, this.partitions.length)];
-        if (partition === undefined || !isUsable(partition)) {
-            return unavailable();
-        }
-        const known = await this.known(partition, request);
+        // A key that is known to be claimed is never told "not run", whether the log can be reached or not.
+        const known = partition === undefined ? undefined : await this.known(partition, request);
         if (known !== undefined) {
             return known;
         }
+        if (partition === undefined || !isUsable(partition)) {
+            return unavailable();
+        }
         const claim = this.nextId("claim");
         const result = await partition.writer.claim({ claim, team, keyHash, bodyHash });
         if (result !== "decided") {
@@ -156,6 +170,11 @@
 
     private async answer({ stream }: Partition, request: ClaimRequest): Promise<ClaimResult | undefined> {
         const judged = judgeClaim(stream.folded.current().state, request);
+        const recorded = this.recorded.get(recordedKey(request));
+        if (judged.kind === "in-progress" && recorded !== undefined && judged.owner === this.options.author.daemon) {
+            const { outcome, status } = recorded;
+            return { kind: "completed", outcome, status, answer: this.answers.find(request.team, request.keyHash) };
+        }
         if (judged.kind === "in-progress") {
             return { kind: "in-progress", owner: judged.owner, claimedAt: judged.claimedAt };
         }
@@ -188,6 +207,10 @@
     return platformReachable && caughtUp && halted === undefined && writer.undecided() < MAXIMUM_UNDECIDED;
 }
 
+function recordedKey({ team, keyHash }: ClaimRequest): string {
+    return `${team}:${keyHash}`;
+}
+
 function unavailable(): ClaimResult {
     return { kind: "unavailable", retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
 }
