--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -34,6 +34,7 @@
         "The shutdown bound or a second signal cut off requests in progress.",
         "Raise the shutdown bound if callers lost answers.",
     ),
+    controlFailed: define(107, "warn", "A request of an operator failed.", "Look at the error; retry the command."),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
     streamUnreachable: define(
         201,
@@ -58,11 +59,60 @@
     streamMalformed: define(206, "warn", "An entry of a stream is not a record and was skipped.", "Find its writer."),
     snapshotWritten: define(207, "info", "A snapshot of a stream was written to the log."),
     snapshotFailed: define(208, "warn", "A snapshot of a stream could not be written or read.", "Check the platform."),
-    claimsAmbiguous: define(
+    foreignData: define(
         301,
         "warn",
+        "A target sent data of another attempt; the data was dropped.",
+        "Check the target: it mixes up the answers of its requests.",
+    ),
+    outcomeUnknown: define(
+        302,
+        "warn",
+        "A request that must not be repeated ended with an unknown outcome.",
+        "Compare the request id with the journal of the service.",
+    ),
+    connectionLost: define(
+        303,
+        "warn",
+        "A connection to a target stopped delivering while a new connection works; the old ones are replaced.",
+        "Check the network path to the target if this repeats.",
+    ),
+    targetLost: define(304, "warn", "A target stopped answering on new connections too.", "Check the target host."),
+    requestFailed: define(305, "error", "A request failed inside the daemon.", "Report the error with its stack."),
+    claimsAmbiguous: define(
+        306,
+        "warn",
         "The answer to a record of claims was lost; its claims are released when the log answers again.",
     ),
+    groupFormed: define(401, "info", "A replica group was formed."),
+    groupDissolved: define(402, "info", "A replica group was dissolved."),
+    groupTakenOver: define(403, "warn", "A replica group was taken over from a holder whose lease expired."),
+    orderFailed: define(
+        404,
+        "warn",
+        "An order to an engine failed or was not answered; its effect is read back.",
+        "Check the engine if the event repeats for the same host.",
+    ),
+    orderWithheld: define(405, "warn", "An order to an engine was not sent because the lease of this daemon expired."),
+    hostCleared: define(406, "info", "A host with an old role was ordered to clear it."),
+    groupsRecordRejected: define(407, "info", "A record of the groups stream was rejected."),
+    planningPaused: define(
+        408,
+        "warn",
+        "Planning of groups is paused because the groups stream is not followed.",
+        "Check the platform's log.",
+    ),
+    hostListFailed: define(409, "warn", "The platform's list of hosts could not be read.", "Check the platform."),
+    peerConnected: define(501, "info", "A link to another daemon opened."),
+    peerDisconnected: define(502, "info", "A link to another daemon closed."),
+    peerRefused: define(503, "warn", "A connection to the peer address was refused.", "Check the shared secret."),
+    peerMessageRefused: define(
+        504,
+        "warn",
+        "A message of another daemon did not parse and its link was closed.",
+        "Check that both daemons run compatible versions.",
+    ),
+    memberChanged: define(505, "info", "The state of another daemon changed."),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
--- a/packages/daemon/src/tasks/claims.ts
+++ b/packages/daemon/src/tasks/claims.ts
@@ -13,8 +13,8 @@
 import type { Metrics } from "../ports/metrics.js";
 import type { PeerNetwork } from "../ports/peers.js";
 import type { Stream } from "../ports/stream.js";
-import { createAnswerStore } from "./answers.js";
 import { type ClaimWriter, createClaimWriter } from "./claimbatch.js";
+import { createAnswerStore } from "./recordedanswers.js";
 import { sleep } from "./sleep.js";
 
 /** Options of the claims of a daemon. */
