Fuzz the configuration and claims streams

Three daemons with the real followers, appenders and claims tasks run on fakes of the log and the links and on a fake clock, against a reference that plays the history again with plain maps.

--- a/packages/daemon/src/tasks/follower.ts
+++ b/packages/daemon/src/tasks/follower.ts
@@ -142,7 +142,7 @@
             const from = this.nextOffset;
             const result = await this.options.log.read(this.name, from, readOptions);
             if (result.ok) {
-                await this.take(result.val, from);
+                await this.take(result.val, from).catch(error => this.failed(error));
             }
             else if (!signal.aborted) {
                 this.setReachable(false, result.val.message);
@@ -151,6 +151,12 @@
         }
     }
 
+    /** An error of a reader of the state must not end the task. */
+    private failed(error: unknown): Promise<void> {
+        this.options.events.emit("taskFailed", { task: "follower", stream: this.name, error });
+        return this.pause(RETRY_MAXIMUM_MILLISECONDS);
+    }
+
     private async take(page: LogPage, from: number): Promise<void> {
         this.setReachable(true);
         const before = this.nextOffset;
--- /dev/null
+++ b/packages/proofs/src/fuzz/claims.ts
@@ -0,0 +1,245 @@
+/** Fuzz of claims: duplicates at several daemons, pauses, kills and restarts of owners, faults of the log. */
+import { type ClaimsBody, claimsFold, type ClaimsState, claimsStream, type HeldKey } from "@damaskvale/core";
+import { type ClaimResult, type ClaimsTask, createClaims } from "@damaskvale/daemon";
+import fc from "fast-check";
+import { createFuzz, type Trace } from "./types.js";
+import { type DaemonName, daemonNames, expectThat, type Process, World } from "./world/daemon.js";
+import { linkFaults } from "./world/platform.js";
+import { withFakeTime } from "./world/time.js";
+
+const PARTITIONS = 2;
+const STREAMS = [...Array(PARTITIONS).keys()].map(claimsStream);
+const SETTLE_MILLISECONDS = 70_000;
+const TEAM = "fees";
+const STATUS = 200;
+
+const daemon = fc.constantFrom(...daemonNames);
+const stepArbitrary = fc.oneof(
+    {
+        weight: 8,
+        arbitrary: fc.record({
+            kind: fc.constant("request" as const),
+            daemon,
+            key: fc.nat(2),
+            body: fc.constantFrom("x", "x", "x", "y"),
+            deadlineMilliseconds: fc.constantFrom(100, 1_000, 10_000),
+            /** Time between the read-back of the claim and the dispatch, and between dispatch and outcome. */
+            pauseMilliseconds: fc.constantFrom(0, 50, 3_000),
+            runMilliseconds: fc.constantFrom(10, 2_000),
+        }),
+    },
+    {
+        weight: 6,
+        arbitrary: fc.record({
+            kind: fc.constant("advance" as const),
+            milliseconds: fc.constantFrom(1, 4, 12, 30, 300, 3_000),
+        }),
+    },
+    {
+        weight: 4,
+        arbitrary: fc.record({ kind: fc.constant("fault" as const), daemon, fault: fc.constantFrom(...linkFaults) }),
+    },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("kill" as const), daemon }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("restart" as const), daemon }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("cutOff" as const), daemon, isCutOff: fc.boolean() }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("retention" as const), keep: fc.nat(3) }) },
+    { weight: 1, arbitrary: fc.record({ kind: fc.constant("repeat" as const), record: fc.nat(20) }) },
+    { weight: 1, arbitrary: fc.constant({ kind: "deliver" as const }) },
+    { weight: 1, arbitrary: fc.constant({ kind: "noise" as const }) },
+);
+
+type Step = typeof stepArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+type StepOf<Kind extends Step["kind"]> = Extract<Step, { kind: Kind; }>;
+type ClaimsWorld = World<ClaimsState, ClaimsBody>;
+type ClaimsProcess = Process<ClaimsState, ClaimsBody>;
+
+/** More than the window of decisions. */
+const NOISE_ENTRIES = 4_200;
+
+/** What is known of a request from outside the code under test. */
+interface Request {
+    readonly id: number;
+    readonly keyHash: string;
+    readonly process: ClaimsProcess;
+    /** Claim under which the request runs or may still run. */
+    claim?: string;
+    told?: ClaimResult["kind"] | "not-run" | "complete";
+    dispatched: boolean;
+}
+
+class Scenario {
+    private readonly tasks = new Map<ClaimsProcess, ClaimsTask>();
+    private readonly requests: Request[] = [];
+
+    constructor(private readonly world: ClaimsWorld, private readonly trace: Trace) {}
+
+    start(name: DaemonName): void {
+        const process = this.world.start(name);
+        const quiet = { increment: () => undefined, gauge: () => undefined, timing: () => undefined };
+        const author = { daemon: process.name, incarnation: process.incarnation };
+        const { streams, network, clock, random } = process;
+        const events = { emit: () => undefined };
+        this.tasks.set(process, createClaims({ author, streams, network, clock, random, events, metrics: quiet }));
+    }
+
+    async play(step: Step): Promise<void> {
+        this.trace(JSON.stringify(step));
+        const { platform, network } = this.world;
+        const handlers: { [Kind in Step["kind"]]: (step: StepOf<Kind>) => void | Promise<void>; } = {
+            request: one => {
+                const process = this.world.processes.get(one.daemon);
+                if (process !== undefined) {
+                    void this.request(process, one);
+                }
+            },
+            advance: ({ milliseconds }) => this.world.advance(milliseconds),
+            fault: one => platform.setFault(one.daemon, one.fault),
+            kill: one => this.kill(one.daemon),
+            restart: one => {
+                this.kill(one.daemon);
+                this.start(one.daemon);
+            },
+            cutOff: one => network.setCutOff(one.daemon, one.isCutOff),
+            retention: ({ keep }) => STREAMS.forEach(stream => platform.cut(stream, keep)),
+            repeat: ({ record }) => STREAMS.forEach(stream => this.repeat(stream, record)),
+            deliver: () => platform.deliver(),
+            noise: () =>
+                STREAMS.forEach(stream =>
+                    [...Array(NOISE_ENTRIES).keys()].forEach(() => platform.commit(stream, "noise"))
+                ),
+        };
+        await (handlers[step.kind] as (step: Step) => void | Promise<void>)(step);
+        this.check();
+    }
+
+    /** Heals everything and checks that no key stays claimed by a live daemon that will not run its request. */
+    async finish(): Promise<void> {
+        this.world.heal();
+        daemonNames.filter(name => !this.world.processes.has(name)).forEach(name => this.start(name));
+        await this.world.advance(SETTLE_MILLISECONDS);
+        this.check();
+        const alive = new Set([...this.world.processes.values()].map(({ incarnation }) => incarnation));
+        this.heldKeys().filter(held => held.outcome === undefined).forEach(held => {
+            expectThat(!alive.has(held.incarnation), `claim ${held.claim} of a live daemon was never released`);
+        });
+        this.requests.filter(({ process }) => process.isAlive).forEach(({ id, told }) => {
+            expectThat(told !== undefined, `request ${id} got no answer`);
+        });
+    }
+
+    stop(): void {
+        this.world.stop();
+        this.tasks.forEach(task => task.stop());
+    }
+
+    private kill(name: DaemonName): void {
+        const process = this.world.processes.get(name);
+        if (process !== undefined) {
+            this.world.kill(name);
+            this.tasks.get(process)?.stop();
+        }
+    }
+
+    /** Plays a dispatcher: claims, checks its deadline again after a pause, dispatches, and records the outcome. */
+    private async request(process: ClaimsProcess, step: StepOf<"request">): Promise<void> {
+        const task = this.tasks.get(process);
+        const keyHash = String(step.key).repeat(64);
+        const request: Request = { id: this.requests.length, keyHash, process, dispatched: false };
+        this.requests.push(request);
+        const deadlineAt = this.world.time.now() + step.deadlineMilliseconds;
+        const bodyHash = step.body === "x" ? "a".repeat(64) : "b".repeat(64);
+        const result = await task?.claim({ team: TEAM, keyHash, bodyHash, deadlineAt });
+        if (!process.isAlive || result === undefined) {
+            return;
+        }
+        this.trace(`  request ${request.id} of ${process.name}#${process.incarnation}: ${JSON.stringify(result)}`);
+        if (result.kind !== "held") {
+            request.told = result.kind;
+            this.checkAnswer(request, result);
+            return;
+        }
+        request.claim = result.claim;
+        await this.pass(step.pauseMilliseconds);
+        if (!process.isAlive) {
+            return;
+        }
+        if (this.world.time.now() >= deadlineAt) {
+            request.told = "not-run";
+            task?.release(result.claim);
+            return;
+        }
+        request.dispatched = true;
+        this.trace(`  request ${request.id} dispatched`);
+        await this.pass(step.runMilliseconds);
+        if (process.isAlive) {
+            request.told = "complete";
+            const answer = { status: STATUS, headers: {}, body: Buffer.from(String(request.id)) };
+            task?.record(result.claim, "complete", STATUS, answer);
+        }
+    }
+
+    /** A repeat may be told of a completed run only if there was one, with the answer of that run. */
+    private checkAnswer({ id, keyHash }: Request, result: ClaimResult): void {
+        if (result.kind !== "completed") {
+            return;
+        }
+        const run = this.requests.find(other => other.keyHash === keyHash && other.dispatched);
+        const answer = result.answer?.body.toString() ?? String(run?.id);
+        this.world.expect(
+            run !== undefined && result.status === STATUS && answer === String(run.id),
+            `request ${id} was told of a run that was not its own`,
+        );
+    }
+
+    private check(): void {
+        this.world.check();
+        const runs = new Map<string, number>();
+        this.requests.filter(({ dispatched }) => dispatched).forEach(({ keyHash, id, told }) => {
+            expectThat(!runs.has(keyHash), `requests ${runs.get(keyHash)} and ${id} ran under one key`);
+            expectThat(told === undefined || told === "complete", `request ${id} ran and was told ${told}`);
+            runs.set(keyHash, id);
+        });
+    }
+
+    private heldKeys(): HeldKey[] {
+        return [...this.world.processes.values()].flatMap(({ streams }) =>
+            streams.flatMap(stream => stream.folded.current().state.toJSON().keys)
+        );
+    }
+
+    private repeat(stream: string, index: number): void {
+        const records = this.world.platform.history(stream).filter(({ value }) => typeof value === "object");
+        const record = records[index % Math.max(1, records.length)];
+        if (record !== undefined) {
+            this.world.platform.commit(stream, record.value);
+        }
+    }
+
+    private pass(milliseconds: number): Promise<void> {
+        return new Promise(resolve => {
+            setTimeout(resolve, milliseconds);
+        });
+    }
+}
+
+/** Fuzz module of the claims streams. */
+export const claimsFuzz = createFuzz(
+    "claims",
+    fc.array(stepArbitrary, { minLength: 1, maxLength: 30 }),
+    (steps, trace) =>
+        withFakeTime(async time => {
+            const world: ClaimsWorld = new World(time, claimsFold, STREAMS, trace, () => undefined);
+            const scenario = new Scenario(world, trace);
+            try {
+                daemonNames.forEach(name => scenario.start(name));
+                await world.advance(50);
+                for (const step of steps) {
+                    await scenario.play(step);
+                }
+                await scenario.finish();
+            }
+            finally {
+                scenario.stop();
+            }
+        }),
+);
--- /dev/null
+++ b/packages/proofs/src/fuzz/configuration.ts
@@ -0,0 +1,280 @@
+/** Fuzz of the table: edits, races, faults of the log, retention, snapshots and restarts on three daemons. */
+import {
+    chunkSnapshot,
+    completeSnapshots,
+    type Edit,
+    encodeSnapshot,
+    type Folded,
+    sha256Hex,
+    type Snapshot,
+    SNAPSHOT_INTERVAL_OFFSETS,
+    snapshotStream,
+    tableFold,
+    type TableState,
+} from "@damaskvale/core";
+import type { Decision } from "@damaskvale/core";
+import type { AppendFailure } from "@damaskvale/daemon";
+import fc from "fast-check";
+import type { Result } from "ts-results";
+import { type Step, stepArbitrary, type StepOf } from "./configurationsteps.js";
+import { TableOracle, tableText } from "./tableoracle.js";
+import { createFuzz, type Trace } from "./types.js";
+import { type DaemonName, daemonNames, expectThat, World } from "./world/daemon.js";
+import { withFakeTime } from "./world/time.js";
+
+const STREAM = "configuration";
+const EDIT_TIMEOUT_MILLISECONDS = 3_000;
+/** Long enough for every search for a newer state, which waits up to 30 s, and every append to end. */
+const SETTLE_MILLISECONDS = 70_000;
+type TableWorld = World<TableState, Edit>;
+
+/** What stays broken at the end: nothing, the links between daemons, or the link of one daemon to the log. */
+const endings = ["healed", "isolated", "peers"] as const;
+type Ending = typeof endings[number];
+
+interface Edited {
+    readonly id: string;
+    readonly key: string;
+    readonly base: number;
+    result?: Result<Decision, AppendFailure>;
+}
+
+class Scenario {
+    private readonly oracle = new TableOracle();
+    private readonly edited: Edited[] = [];
+    private readonly snapshots: Snapshot[] = [];
+    private count = 0;
+
+    constructor(private readonly world: TableWorld, private readonly trace: Trace) {}
+
+    checkState(name: string, { nextOffset, state, decisions }: Folded<TableState>): void {
+        const history = this.world.platform.history(STREAM);
+        this.edited.map(({ id }) => ({ id, decision: decisions.get(id) })).forEach(({ id, decision }) => {
+            const first = this.oracle.decision(history, id);
+            const isFirst = decision === undefined
+                || (decision.accepted === first?.accepted && decision.offset === first?.offset);
+            expectThat(isFirst, `${name} decided ${id} as ${JSON.stringify(decision)}, not ${JSON.stringify(first)}`);
+        });
+        const expected = this.oracle.at(history, nextOffset)?.text;
+        const text = tableText(state.rows.entries());
+        expectThat(text === expected, `${name} has table "${text}" at offset ${nextOffset}, expected "${expected}"`);
+    }
+
+    async play(step: Step): Promise<void> {
+        this.trace(JSON.stringify(step));
+        const handlers: { [Kind in Step["kind"]]: (step: StepOf<Kind>) => void | Promise<void>; } = {
+            edits: ({ edits }) => edits.forEach(one => this.edit(one)),
+            advance: ({ milliseconds }) => this.world.advance(milliseconds),
+            fault: one => this.world.platform.setFault(one.daemon, one.fault),
+            cutOff: one => this.world.network.setCutOff(one.daemon, one.isCutOff),
+            restart: one => {
+                this.world.kill(one.daemon);
+                this.world.start(one.daemon);
+            },
+            retention: ({ keep, snapshots }) =>
+                this.world.platform.cut(snapshots ? snapshotStream(STREAM) : STREAM, keep),
+            repeat: ({ record }) => this.repeat(record),
+            deliver: () => this.world.platform.deliver(),
+            oldSnapshot: one => this.writeOldSnapshot(one),
+            noise: ({ entries }) => {
+                [...Array(entries).keys()].forEach(() => this.world.platform.commit(STREAM, "noise"));
+            },
+            behind: one => this.leaveBehind(one),
+            unknown: () => {
+                this.world.platform.commit(STREAM, { version: 2, id: "future" });
+            },
+        };
+        await (handlers[step.kind] as (step: Step) => void | Promise<void>)(step);
+        this.keepSnapshot();
+        this.world.check();
+    }
+
+    /**
+     * Heals everything apart from what `end` leaves broken, and checks that each daemon comes to the end of the log if
+     * a state that leads there still exists, and that a snapshot for later readers does.
+     */
+    async finish(ending: Ending): Promise<void> {
+        const { platform, network } = this.world;
+        this.world.heal();
+        daemonNames.forEach(name => network.setCutOff(name, ending === "isolated"));
+        platform.setFault("a", ending === "peers" ? "outage" : "none");
+        const before = this.offsets();
+        await this.world.advance(SETTLE_MILLISECONDS);
+        this.world.check();
+        const history = platform.history(STREAM);
+        const end = this.oracle.end(history);
+        const first = Math.min(platform.firstOffset(STREAM), end);
+        const offsets = this.offsets();
+        const known = [this.newestSnapshot(true), ...ending === "isolated" ? [] : offsets];
+        this.trace(`end ${end}, first offset ${first}, daemons at ${offsets.join(" ")}, known ${known.join(" ")}`);
+        offsets.forEach((offset, index) => {
+            const canFollow = Math.max(before[index] ?? 0, ...known) >= first;
+            expectThat(!canFollow || offset === end, `a daemon stopped at ${offset} and not at ${end}`);
+        });
+        const isFollowed = end === history.length && offsets.includes(end);
+        const behind = end - this.newestSnapshot(false);
+        const allowed = Math.min(SNAPSHOT_INTERVAL_OFFSETS, Math.max(1, (end - first) / 2));
+        expectThat(!isFollowed || end === 0 || behind < allowed, `the newest snapshot is ${behind} offsets behind`);
+        if (isFollowed) {
+            await this.checkFreshEdits(end, ending);
+        }
+        this.checkEdits();
+    }
+
+    /** With the log healthy, an edit of each daemon that follows it must be accepted. */
+    private async checkFreshEdits(end: number, ending: Ending): Promise<void> {
+        const healthy = [...this.world.processes.values()].filter(({ name, streams }) =>
+            streams[0]?.folded.current().nextOffset === end && (ending !== "peers" || name !== "a")
+        );
+        for (const { name } of healthy) {
+            this.edit({ daemon: name, row: "one", weight: 1, remove: false });
+            const last = this.edited.at(-1);
+            await this.world.advance(EDIT_TIMEOUT_MILLISECONDS);
+            expectThat(
+                last?.result?.ok === true && last.result.val.accepted,
+                `${last?.id} of ${name} was not accepted`,
+            );
+        }
+        this.world.check();
+    }
+
+    private offsets(): number[] {
+        return [...this.world.processes.values()].map(({ streams }) => streams[0]?.folded.current().nextOffset ?? 0);
+    }
+
+    /** Returns the offset of the newest snapshot that is whole, retained, and undamaged if that is asked for. */
+    private newestSnapshot(isChecked: boolean): number {
+        const { platform } = this.world;
+        const name = snapshotStream(STREAM);
+        const values = platform.history(name).slice(platform.firstOffset(name)).map(({ value }) => value);
+        const found = completeSnapshots(STREAM, values, 0).find(one =>
+            !isChecked || one.sha256 === sha256Hex(one.text)
+        );
+        return found?.nextOffset ?? 0;
+    }
+
+    private edit({ daemon: name, row: rowOfEdit, weight, remove }: StepOf<"edits">["edits"][number]): void {
+        const stream = this.world.processes.get(name)?.streams[0];
+        if (stream === undefined) {
+            return;
+        }
+        this.count += 1;
+        const key = `target:${rowOfEdit}`;
+        const current = stream.folded.current().state.rows.get(key);
+        const base = current?.revision ?? 0;
+        const row = {
+            kind: "target" as const,
+            name: rowOfEdit,
+            weight,
+            state: "active" as const,
+            fencing: "ignored" as const,
+        };
+        const one: Edited = { id: `edit-${this.count}`, key, base };
+        this.edited.push(one);
+        const body: Edit = {
+            kind: "edit",
+            key,
+            baseRevision: base,
+            row: remove && current !== undefined ? undefined : row,
+        };
+        void stream.append(body, { id: one.id, timeoutMilliseconds: EDIT_TIMEOUT_MILLISECONDS }).then(result => {
+            one.result = result;
+            this.trace(`  ${one.id} on ${key}@${base} by ${name}: ${JSON.stringify(result.val)}`);
+        });
+    }
+
+    /** Cuts a daemon off while others edit and retention passes it. */
+    private async leaveBehind({ daemon: name, edits, keep, restartOthers }: StepOf<"behind">): Promise<void> {
+        const { platform, network } = this.world;
+        platform.setFault(name, "outage");
+        network.setCutOff(name, true);
+        await this.world.advance(100);
+        for (const one of edits) {
+            this.edit(one);
+            await this.world.advance(700);
+        }
+        platform.cut(STREAM, keep);
+        daemonNames.filter(other => other !== name && restartOthers).forEach(other => {
+            this.world.kill(other);
+            this.world.start(other);
+        });
+        platform.setFault(name, "none");
+        await this.world.advance(500);
+        network.setCutOff(name, false);
+    }
+
+    private repeat(index: number): void {
+        const records = this.world.platform.history(STREAM).filter(({ value }) =>
+            typeof value === "object" && (value as { version?: number; }).version === 1
+        );
+        const record = records[index % Math.max(1, records.length)];
+        if (record !== undefined) {
+            this.world.platform.commit(STREAM, record.value);
+        }
+    }
+
+    private keepSnapshot(): void {
+        const stream = [...this.world.processes.values()][this.count % daemonNames.length]?.streams[0];
+        const folded: Folded<TableState> | undefined = stream?.folded.current();
+        if (folded !== undefined && this.snapshots.at(-1)?.nextOffset !== folded.nextOffset) {
+            this.snapshots.push(encodeSnapshot(STREAM, folded));
+        }
+    }
+
+    /** Writes a snapshot as a daemon would that is far behind or crashes while it writes. */
+    private writeOldSnapshot({ snapshot, damage, restart }: StepOf<"oldSnapshot">): void {
+        const old = this.snapshots.at(-1 - snapshot % Math.max(1, this.snapshots.length));
+        if (old !== undefined) {
+            this.count += 1;
+            const text = damage === "corrupt" ? old.text.replace(/"weight":\d/, '"weight":0') : old.text;
+            const chunks = chunkSnapshot(`old-${this.count}`, { ...old, text });
+            const written = damage === "cut" ? chunks.map(chunk => ({ ...chunk, count: chunk.count + 1 })) : chunks;
+            written.forEach(chunk => this.world.platform.commit(snapshotStream(STREAM), chunk));
+            if (restart !== undefined) {
+                this.world.kill(restart);
+                this.world.start(restart);
+            }
+        }
+    }
+
+    private checkEdits(): void {
+        const history = this.world.platform.history(STREAM);
+        const accepted = new Set<string>();
+        this.edited.forEach(({ id, key, base, result }) => {
+            const decision = this.oracle.decision(history, id);
+            if (result?.ok === true) {
+                expectThat(decision?.accepted === result.val.accepted, `${id} was reported as ${result.val.accepted}`);
+                const place = `${key}@${base}`;
+                expectThat(!result.val.accepted || !accepted.has(place) || base === 0, `two edits of ${place} won`);
+                accepted.add(result.val.accepted ? place : "");
+            }
+            if (result?.err === true && result.val.kind === "refused") {
+                expectThat(decision === undefined, `${id} was reported as refused and is in the log`);
+            }
+        });
+    }
+}
+
+/** Fuzz module of the configuration stream. */
+export const configurationFuzz = createFuzz(
+    "configuration",
+    fc.record({ steps: fc.array(stepArbitrary, { minLength: 1, maxLength: 25 }), ending: fc.constantFrom(...endings) }),
+    ({ steps, ending }, trace) =>
+        withFakeTime(async time => {
+            const world: TableWorld = new World(time, tableFold, [STREAM], trace, (...[process, , folded]) => {
+                trace(`  ${process.name}#${process.incarnation} at ${folded.nextOffset}`);
+                scenario.checkState(process.name, folded);
+            });
+            const scenario = new Scenario(world, trace);
+            try {
+                daemonNames.forEach((name: DaemonName) => world.start(name));
+                for (const step of steps) {
+                    await scenario.play(step);
+                }
+                await scenario.finish(ending);
+            }
+            finally {
+                world.stop();
+            }
+        }),
+);
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,8 +1,18 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { claimsFuzz } from "./claims.js";
+import { configurationFuzz } from "./configuration.js";
 import { admissionFuzz } from "./limits.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
 import type { Fuzz } from "./types.js";
 
 /** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [admissionFuzz, fairnessFuzz, sharesFuzz, routingFuzz, retryFuzz];
+export const fuzzes: readonly Fuzz[] = [
+    configurationFuzz,
+    claimsFuzz,
+    admissionFuzz,
+    fairnessFuzz,
+    sharesFuzz,
+    routingFuzz,
+    retryFuzz,
+];
--- /dev/null
+++ b/packages/proofs/src/fuzz/world/time.ts
@@ -0,0 +1,38 @@
+/** Fake time of a scenario. All timers of the code under test run on it. */
+import FakeTimers from "@sinonjs/fake-timers";
+
+/** Time of a scenario in milliseconds. */
+export interface WorldTime {
+    now(): number;
+    /** Lets time pass in small steps, so that promises settle between timers. */
+    advance(milliseconds: number): Promise<void>;
+}
+
+const STEP_MILLISECONDS = 10;
+const LONG_STEP_MILLISECONDS = 50;
+/** Steps become longer in a long wait, to keep a scenario quick. */
+const LONG_WAIT_MILLISECONDS = 5_000;
+
+/** Runs a scenario on fake timers. The real ones come back afterwards, whatever happens. */
+export async function withFakeTime<Result>(play: (time: WorldTime) => Promise<Result>): Promise<Result> {
+    const settle = setImmediate;
+    const clock = FakeTimers.install({ now: 1_000_000, toFake: ["setTimeout", "clearTimeout", "Date", "performance"] });
+    const flush = () => new Promise<void>(resolve => settle(resolve));
+    try {
+        return await play({
+            now: () => clock.now,
+            advance: async milliseconds => {
+                const step = milliseconds > LONG_WAIT_MILLISECONDS ? LONG_STEP_MILLISECONDS : STEP_MILLISECONDS;
+                const until = clock.now + milliseconds;
+                await flush();
+                while (clock.now < until) {
+                    clock.tick(Math.min(step, until - clock.now));
+                    await flush();
+                }
+            },
+        });
+    }
+    finally {
+        clock.uninstall();
+    }
+}
