Read the end of a log at once, and keep the first decision of a record

Cause: the claims fuzz found almost no injected fault, because claims were refused during the first 5 s. A reader of an empty log waited out its long poll before it knew the end of the log. It now asks without waiting until it has caught up.

The appender now keeps the first decision of each record that it sent.

--- a/packages/daemon/src/tasks/append.ts
+++ b/packages/daemon/src/tasks/append.ts
@@ -43,6 +43,8 @@
     underway: number;
     /** Whether an answer was lost or the log told of an offset. */
     logged: boolean;
+    /** First decision that was read. A copy that comes after the window has another one, which does not count. */
+    decision?: Decision;
 }
 
 type Decided = Result<Decision, AppendFailure>;
@@ -112,7 +114,12 @@
             }
             return result;
         },
-        changed: () => [...waits].forEach(check => check()),
+        changed: () => {
+            sent.forEach(one => {
+                one.decision ??= folded().decisions.get(one.record.id);
+            });
+            [...waits].forEach(check => check());
+        },
         stop: () => stopped.abort(),
     };
 }
@@ -122,12 +129,12 @@
 }
 
 /** A stale basis read after a jump does not tell whether an earlier copy took effect in the entries not read. */
-function decisionOf(options: AppenderOptions, { record, jumps }: Sent): Decided | undefined {
-    const decision = options.folded().decisions.get(record.id);
+function decisionOf(options: AppenderOptions, one: Sent): Decided | undefined {
+    const decision = one.decision ?? options.folded().decisions.get(one.record.id);
     if (decision === undefined) {
         return undefined;
     }
-    return decision.issue?.code === "stale_basis" && jumps !== options.jumps()
+    return decision.issue?.code === "stale_basis" && one.jumps !== options.jumps()
         ? Err({ kind: "ambiguous", message: "the decision is in entries that were not read" })
         : Ok(decision);
 }
--- a/packages/daemon/src/tasks/follower.ts
+++ b/packages/daemon/src/tasks/follower.ts
@@ -138,7 +138,9 @@
         while (!this.isStopped) {
             this.read = new AbortController();
             const { signal } = this.read;
-            const readOptions = { limit: READ_LIMIT, waitMilliseconds: READ_WAIT_MILLISECONDS, signal };
+            // A reader that does not know the end of the log asks for it without waiting for a new entry.
+            const waitMilliseconds = this.caughtUp ? READ_WAIT_MILLISECONDS : 0;
+            const readOptions = { limit: READ_LIMIT, waitMilliseconds, signal };
             const from = this.nextOffset;
             const result = await this.options.log.read(this.name, from, readOptions);
             if (result.ok) {
--- /dev/null
+++ b/packages/daemon/src/tasks/tests/streamfakes.ts
@@ -0,0 +1,83 @@
+/** Small fakes for the tests of streams and claims: a log with scripted failures, and links to nobody. */
+import type { Entry } from "@damaskvale/core";
+import FakeTimers from "@sinonjs/fake-timers";
+import { Err, Ok, type Result } from "ts-results";
+import type { PeerMessage } from "../../messages.js";
+import type { PeerNetwork } from "../../ports/peers.js";
+import type { LogFailure, LogPage, PlatformLog } from "../../ports/platformlog.js";
+import { sleep } from "../sleep.js";
+
+/** Log in memory. A read ends when an entry comes or its wait is over. */
+export class MemoryLog implements PlatformLog {
+    readonly entries: Entry[] = [];
+    readonly sent: { stream: string; value: unknown; }[] = [];
+    firstOffset = 0;
+    isReachable = true;
+    /** Failures of the next appends, in order; `effect` tells whether the entry is written in spite of it. */
+    failures: (LogFailure & { readonly effect?: boolean; })[] = [];
+
+    commit(value: unknown): number {
+        this.entries.push({ offset: this.entries.length, time: 0, value });
+        return this.entries.length - 1;
+    }
+
+    append(stream: string, value: unknown): Promise<Result<number, LogFailure>> {
+        const failure = this.failures.shift();
+        this.sent.push({ stream, value });
+        const isOwn = !stream.startsWith("snapshots.");
+        const offset = isOwn && (failure?.effect ?? failure === undefined) ? this.commit(value) : 0;
+        return Promise.resolve(failure === undefined ? Ok(offset) : Err(failure));
+    }
+
+    async read(
+        stream: string,
+        from: number,
+        { waitMilliseconds, signal }: { readonly waitMilliseconds: number; readonly signal?: AbortSignal; },
+    ): Promise<Result<LogPage, LogFailure>> {
+        if (!this.isReachable) {
+            return Err({ kind: "refused", message: "outage" });
+        }
+        const entries = stream.startsWith("snapshots.") ? [] : this.entries;
+        for (let waited = 0; waited < waitMilliseconds && entries.length <= from; waited += 10) {
+            await sleep(10, signal);
+        }
+        const { firstOffset } = this;
+        return Ok({ firstOffset, nextOffset: entries.length, entries: entries.slice(Math.max(from, firstOffset)) });
+    }
+}
+
+/** Network whose peer answers each message with the ones that `answer` returns. */
+export function peerNetwork(answer: (message: PeerMessage) => PeerMessage[] = () => []): PeerNetwork {
+    const receivers = new Map<string, (from: string, message: never) => void>();
+    return {
+        send: (...[, message]) => {
+            answer(message).forEach(one => receivers.get(one.kind)?.("peer", one as never));
+            return true;
+        },
+        receive: (kind, receiver) => {
+            receivers.set(kind, receiver as never);
+        },
+        connect: () => undefined,
+        links: () => [],
+    };
+}
+
+/** Runs a test on fake timers; `advance` lets time pass in milliseconds. */
+export async function withTimers(
+    test: (advance: (milliseconds: number) => Promise<void>) => Promise<void>,
+): Promise<void> {
+    const settle = setImmediate;
+    const clock = FakeTimers.install({ toFake: ["setTimeout", "clearTimeout", "performance", "Date"] });
+    try {
+        await test(async milliseconds => {
+            for (let passed = 0; passed < milliseconds; passed += 10) {
+                await new Promise<void>(resolve => settle(resolve));
+                clock.tick(10);
+            }
+            await new Promise<void>(resolve => settle(resolve));
+        });
+    }
+    finally {
+        clock.uninstall();
+    }
+}
--- a/packages/proofs/src/fuzz/world/daemon.ts
+++ b/packages/proofs/src/fuzz/world/daemon.ts
@@ -66,8 +66,11 @@
         const random = () => (generator.next() >>> 0) / 2 ** 32;
         const author = { daemon: name, incarnation };
         const events = {
-            emit: (event: string, fields?: object) =>
-                this.trace(`  ${name}#${incarnation} ${event} ${JSON.stringify(fields)}`),
+            emit: (event: string, fields?: object) => {
+                if (event !== "streamMalformed") {
+                    this.trace(`  ${name}#${incarnation} ${event} ${JSON.stringify(fields)}`);
+                }
+            },
         };
         const metrics = { increment: () => undefined, gauge: () => undefined, timing: () => undefined };
         const log = this.platform.client(name);
