--- a/packages/daemon/src/tasks/tests/fakes.ts
+++ b/packages/daemon/src/tasks/tests/fakes.ts
@@ -80,6 +80,7 @@
             caughtUp: true,
             freshAt: performance.now(),
             source: "platform",
+            caughtUp: true,
         };
     }
 
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,4 +1,6 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { claimsFuzz } from "./claims.js";
+import { configurationFuzz } from "./configuration.js";
 import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
 import { requestsFuzz } from "./requests.js";
@@ -8,6 +10,8 @@
 
 /** All fuzz modules, in the order in which they run. */
 export const fuzzes: readonly Fuzz[] = [
+    configurationFuzz,
+    claimsFuzz,
     admissionFuzz,
     fairnessFuzz,
     sharesFuzz,
