Keep load history long enough for reports out of order, and weigh lagging load less

Change: ten seconds of history; the others' load counts scaled, beyond noise, and as an attraction only for drawn candidates.

--- a/packages/core/src/routing/load.ts
+++ b/packages/core/src/routing/load.ts
@@ -1,8 +1,10 @@
 /** Load of a target, estimated from its lagging report and from what this daemon has in progress there. */
 import type { Candidate } from "./types.js";
 
-/** Changes of the own count that are kept for each target; reports older than the oldest use the oldest. */
+/** Changes of the own count that are kept for each target. */
 const HISTORY_LENGTH = 2_048;
+/** Reports may arrive out of order by up to this time. */
+const REPORT_DISORDER_MILLISECONDS = 10_000;
 
 interface Change {
     readonly at: number;
@@ -47,7 +49,7 @@
     const countAt = (at: number): number => {
         if (at > newestReport) {
             newestReport = at;
-            const kept = history.findLastIndex(entry => entry.at <= at);
+            const kept = history.findLastIndex(entry => entry.at <= at - REPORT_DISORDER_MILLISECONDS);
             history = kept <= 0 ? history : history.slice(kept);
         }
         return history.findLast(entry => entry.at <= at)?.count ?? 0;
--- a/packages/core/src/routing/options.ts
+++ b/packages/core/src/routing/options.ts
@@ -5,7 +5,7 @@
 export interface RouterOptions {
     /** Seeded generator; the router advances it. Each daemon needs its own seed. */
     readonly random: RandomGenerator;
-    /** How many candidates are drawn at random for each choice, besides the holders of the prompt's prefix. */
+    /** Least number of candidates drawn at random for each choice. */
     readonly choices?: number;
     /** Requests of load that a complete prefix hit outweighs. */
     readonly prefixBonus?: number;
@@ -35,7 +35,7 @@
 
 const defaults: Omit<CompleteRouterOptions, "random"> = {
     choices: 2,
-    prefixBonus: 4,
+    prefixBonus: 2,
     prefixBlocks: 65_536,
     slowStartMilliseconds: 10_000,
     ejectedShare: 0.34,
@@ -44,7 +44,7 @@
     ejectionMemoryMilliseconds: 60_000,
     failuresToEject: 3,
     stragglerFactor: 3,
-    stragglerFloorMilliseconds: 200,
+    stragglerFloorMilliseconds: 500,
     stragglerSamples: 10,
 };
 
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,19 +1,21 @@
 /**
- * Router of one model or service. A choice compares a few candidates drawn at random by weight, and the holders of the
- * prompt's prefix. Draws keep daemons with the same lagging reports from sending everything to the same target.
+ * Router of one model or service. A choice compares all candidates by what this daemon knows itself. That a target is
+ * less loaded by others counts only for a few candidates, drawn at random by weight: daemons with the same lagging
+ * report would otherwise all move to the same target.
  */
+import { balanceOf, choicesFor } from "./balance.js";
 import { eject, isStraggler, medianFirstToken, noteResult, unknownHealth } from "./ejection.js";
-import { createLoadBook } from "./load.js";
-import { type CompleteRouterOptions, completeRouterOptions, type RouterOptions } from "./options.js";
+import { createLoadBook, type LoadEstimate } from "./load.js";
+import { completeRouterOptions, type RouterOptions } from "./options.js";
 import { drawByWeight } from "./pick.js";
 import { createPrefixMap } from "./prefixes.js";
 import type { Candidate, RouteChoice, Router, RouteRequest, WeighedCandidate } from "./types.js";
-import { ejectedNow, type TargetKnowledge, weigh } from "./weigh.js";
+import { ejectedNow, inProgressOf, slowStartOf, type TargetKnowledge, weigh } from "./weigh.js";
 
-/** Holders of the longest prefix that join a choice. */
-const HOLDERS_DRAWN = 2;
 /** Targets known beyond the current candidates before those without work are forgotten. */
 const FORGOTTEN_ABOVE = 256;
+/** Load relative to the mean above which a target counts as busy. */
+const BUSY_FACTOR = 1.25;
 
 /** Makes a router. */
 export function createRouter(given: RouterOptions): Router {
@@ -22,27 +24,38 @@
     const targets = new Map<string, TargetKnowledge>();
 
     const knowledge = (target: string): TargetKnowledge => {
-        const known = targets.get(target) ?? { load: createLoadBook(), health: unknownHealth() };
+        const known = targets.get(target) ?? { load: createLoadBook(), health: unknownHealth(), busy: false };
         targets.set(target, known);
         return known;
     };
+    const weightNow = (candidate: Candidate, now: number): number =>
+        candidate.weight
+        * slowStartOf(candidate, knowledge(candidate.target).health, now, options.slowStartMilliseconds);
     const median = (): number | undefined =>
         medianFirstToken([...targets.values()].map(({ health }) => health), options.stragglerSamples);
 
     const choose = (candidates: readonly Candidate[], request: RouteRequest, now: number): RouteChoice => {
         forgetAbsent(targets, candidates);
         const total = candidates.reduce((sum, { weight }) => sum + weight, 0);
+        const estimates = candidates.map(({ target, load }) => knowledge(target).load.estimate(load));
+        noteBusy(candidates.map(({ target }) => knowledge(target)), estimates);
+        const balance = balanceOf(estimates, request.priority);
+        const order = drawByWeight(candidates, candidate => weightNow(candidate, now), options.random);
         const context = {
             request,
             now,
             options,
+            balance,
             matched: prefixes.match(request.prefixes),
             median: median(),
             meanWeight: total / Math.max(1, candidates.filter(({ weight }) => weight > 0).length),
             ejected: ejectedNow(candidates, target => knowledge(target).health, now, options.ejectedShare),
+            drawn: new Set(order.slice(0, choicesFor(balance, options.choices)).map(({ target }) => target)),
         };
-        const weighed = candidates.map(candidate => weigh(candidate, knowledge(candidate.target), context));
-        const target = pick(weighed, candidates, options);
+        const weighed = candidates.map((candidate, index) =>
+            weigh(candidate, knowledge(candidate.target), estimates[index] as LoadEstimate, context)
+        );
+        const target = pick(weighed, order.map(candidate => candidate.target));
         return target === undefined ? { weighed } : { target, weighed };
     };
 
@@ -56,7 +69,7 @@
             const known = knowledge(seen.target);
             known.load.finished(seen.finishedAt);
             const failing = noteResult(known.health, seen, options);
-            if (failing || isStraggler(known.health, median(), options)) {
+            if (failing || !known.busy && isStraggler(known.health, median(), options)) {
                 eject(known.health, seen.finishedAt, options);
             }
         },
@@ -68,23 +81,12 @@
     };
 }
 
-/** Picks the best of the drawn candidates; equal scores go to the one drawn first, so that weights hold when idle. */
-function pick(
-    weighed: readonly WeighedCandidate[],
-    candidates: readonly Candidate[],
-    { choices, random }: CompleteRouterOptions,
-): string | undefined {
-    const weights = new Map(candidates.map(({ target, weight }) => [target, weight]));
-    const weightOf = ({ target, slowStart }: WeighedCandidate): number => (weights.get(target) ?? 0) * slowStart;
-    const eligible = eligibleOf(weighed);
-    const longest = Math.max(0, ...eligible.map(({ prefixBlocks }) => prefixBlocks));
-    const holders = longest === 0 ? [] : eligible.filter(({ prefixBlocks }) => prefixBlocks === longest);
-    const drawn = [
-        ...drawByWeight(eligible, weightOf, choices, random),
-        ...drawByWeight(holders, weightOf, HOLDERS_DRAWN, random),
-    ];
-    return drawn.reduce<WeighedCandidate | undefined>(
-        (best, candidate) => best === undefined || candidate.score < best.score ? candidate : best,
+/** Picks the best candidate; equal scores go to the one drawn first, so that weights hold when idle. */
+function pick(weighed: readonly WeighedCandidate[], order: readonly string[]): string | undefined {
+    const eligible = new Map(eligibleOf(weighed).map(candidate => [candidate.target, candidate]));
+    return order.map(target => eligible.get(target)).reduce(
+        (best, candidate) =>
+            candidate !== undefined && (best === undefined || candidate.score < best.score) ? candidate : best,
         undefined,
     )?.target;
 }
@@ -96,6 +98,15 @@
     return free.length > 0 || full ? free : weighed.filter(({ excludedBecause }) => excludedBecause === "ejected");
 }
 
+/** A target with more than the mean load is slow because of it, which does not make it a straggler. */
+function noteBusy(known: readonly TargetKnowledge[], estimates: readonly LoadEstimate[]): void {
+    const loads = estimates.map(inProgressOf);
+    const mean = loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
+    known.forEach((target, index) => {
+        target.busy = (loads[index] ?? 0) > mean * BUSY_FACTOR;
+    });
+}
+
 function forgetAbsent(targets: Map<string, TargetKnowledge>, candidates: readonly Candidate[]): void {
     if (targets.size <= candidates.length + FORGOTTEN_ABOVE) {
         return;
--- a/packages/core/src/routing/weigh.ts
+++ b/packages/core/src/routing/weigh.ts
@@ -1,6 +1,7 @@
 /** Scores of the candidates of one choice. */
+import { type Balance, waitingAt } from "./balance.js";
 import { ejectionLimit, type TargetHealth } from "./ejection.js";
-import type { LoadBook } from "./load.js";
+import type { LoadBook, LoadEstimate } from "./load.js";
 import type { CompleteRouterOptions } from "./options.js";
 import type { Candidate, RouteRequest, WeighedCandidate } from "./types.js";
 
@@ -11,14 +12,13 @@
 const REFUSAL_PAUSE_MILLISECONDS = 1_000;
 /** A first-token time of up to this many times the median is noise and does not raise a score. */
 const SLOWNESS_TOLERANCE = 1.5;
-/** Above this priority the engine lets a request pass queued work, which therefore counts less. */
-const PLAIN_PRIORITY = 5;
-const PRIORITIES = 10;
 
 /** What the router knows of one target. */
 export interface TargetKnowledge {
     readonly load: LoadBook;
     readonly health: TargetHealth;
+    /** Requests in progress at the last choice, and whether these were more than at most targets. */
+    busy: boolean;
 }
 
 /** What a choice depends on besides the candidate. */
@@ -28,7 +28,10 @@
     readonly matched: ReadonlyMap<string, number>;
     readonly median: number | undefined;
     readonly meanWeight: number;
+    readonly balance: Balance;
     readonly ejected: ReadonlySet<string>;
+    /** Candidates that were drawn for this choice. */
+    readonly drawn: ReadonlySet<string>;
     readonly options: CompleteRouterOptions;
 }
 
@@ -54,26 +57,33 @@
 }
 
 /** Weighs one candidate. The score is the expected wait in requests, per unit of weight, less the prefix bonus. */
-export function weigh(candidate: Candidate, known: TargetKnowledge, context: WeighContext): WeighedCandidate {
+export function weigh(
+    candidate: Candidate,
+    { health }: TargetKnowledge,
+    estimate: LoadEstimate,
+    context: WeighContext,
+): WeighedCandidate {
     const { request, now, options } = context;
-    const estimate = known.load.estimate(candidate.load);
-    const passed = Math.min(1, (PRIORITIES - request.priority) / (PRIORITIES - PLAIN_PRIORITY));
-    const inProgress = estimate.own + estimate.others + estimate.othersQueued;
-    const refusal = refusalLoad(candidate, known.health, now);
-    const waiting = estimate.own + estimate.others + estimate.othersQueued * passed + refusal;
-    const slowStart = slowStartOf(candidate, known.health, now, options.slowStartMilliseconds);
+    const slowStart = slowStartOf(candidate, health, now, options.slowStartMilliseconds);
+    const relativeWeight = candidate.weight / context.meanWeight * slowStart;
     const prefixBlocks = context.matched.get(candidate.target) ?? 0;
     const hit = request.prefixes.length === 0 ? 0 : prefixBlocks / request.prefixes.length;
-    const slowness = slownessOf(known.health, context);
-    const relativeWeight = candidate.weight / context.meanWeight * slowStart;
+    const waiting = waitingAt(estimate, context.balance, relativeWeight, context.drawn.has(candidate.target))
+        + refusalLoad(candidate, health, now);
     const score = candidate.weight > 0
-        ? ((waiting + 1) * slowness - 1) / relativeWeight - options.prefixBonus * hit
+        ? ((waiting + 1) * slownessOf(health, context) - 1) / relativeWeight - options.prefixBonus * hit
         : Number.MAX_VALUE;
-    const excludedBecause = exclusionOf(candidate, inProgress, context);
-    const weighed = { target: candidate.target, score, estimatedLoad: inProgress, prefixBlocks, slowStart };
+    const estimatedLoad = inProgressOf(estimate);
+    const excludedBecause = exclusionOf(candidate, estimatedLoad, context);
+    const weighed = { target: candidate.target, score, estimatedLoad, prefixBlocks, slowStart };
     return excludedBecause === undefined ? weighed : { ...weighed, excludedBecause };
 }
 
+/** All requests in progress at a target. */
+export function inProgressOf({ own, others, othersQueued }: LoadEstimate): number {
+    return own + others + othersQueued;
+}
+
 function exclusionOf(
     { target, weight, concurrency }: Candidate,
     inProgress: number,
--- a/packages/proofs/src/bench/routing/bench.ts
+++ b/packages/proofs/src/bench/routing/bench.ts
@@ -7,7 +7,7 @@
     name: "lagging reports",
     daemons: 9,
     engines: 12,
-    requestsPerSecond: 46,
+    requestsPerSecond: 54,
     reportLagMilliseconds: 1_500,
     prefixes: 0,
     heavyShare: 0,
@@ -15,9 +15,10 @@
 };
 const scenarios: readonly RoutingScenario[] = [
     plain,
-    { ...plain, name: "prefix sharing", prefixes: 60, requestsPerSecond: 38 },
-    { ...plain, name: "uneven teams", heavyShare: 0.3, requestsPerSecond: 28 },
-    { ...plain, name: "straggler", slowness: 4, requestsPerSecond: 40 },
+    { ...plain, name: "many daemons", daemons: 60, requestsPerSecond: 52 },
+    { ...plain, name: "prefix sharing", prefixes: 60, requestsPerSecond: 44 },
+    { ...plain, name: "uneven teams", heavyShare: 0.3, requestsPerSecond: 32 },
+    { ...plain, name: "straggler", slowness: 4, requestsPerSecond: 44 },
 ];
 
 /** Benchmark of routing on modelled engines, in modelled time. */
