Draw holders of a prefix, and take their bonus away on an excess of load

A trial with three prefixes and 60 daemons showed daemons following the same holders. Ruled out: turns among equal scores (weights no longer held when idle), a bound on the recent sends of each daemon (too slow at low rates). Change: an excess of the others' load beyond noise takes the bonus away; only two holders drawn at random have it.

--- a/packages/core/src/routing/balance.ts
+++ b/packages/core/src/routing/balance.ts
@@ -43,15 +43,23 @@
 }
 
 /**
- * Requests that count as ahead of a new one at a target with this weight relative to the mean. A target counts as less
- * loaded by others than the mean only if it was drawn; otherwise all daemons would move to it on the same report.
+ * Requests of others beyond what a target with this weight relative to the mean is expected to have; negative below.
+ * Noise counts as nothing.
  */
-export function waitingAt(estimate: LoadEstimate, balance: Balance, relativeWeight: number, drawn: boolean): number {
+export function excessAt(estimate: LoadEstimate, balance: Balance, relativeWeight: number): number {
     const expected = balance.meanOthers * relativeWeight;
     const deviation = othersOf(estimate, balance.queuedShare) - expected;
-    const significant = Math.max(0, Math.abs(deviation) - NOISE_DEVIATIONS * Math.sqrt(expected));
-    const counted = deviation > 0 ? significant : drawn ? -significant : 0;
-    return Math.max(0, estimate.own + balance.scale * (expected + counted));
+    return Math.sign(deviation) * Math.max(0, Math.abs(deviation) - NOISE_DEVIATIONS * Math.sqrt(expected));
+}
+
+/**
+ * Requests that count as ahead of a new one. A target counts as less loaded by others than the mean only if it was
+ * drawn; otherwise all daemons would move to it on the same report.
+ */
+export function waitingAt(estimate: LoadEstimate, balance: Balance, relativeWeight: number, drawn: boolean): number {
+    const excess = excessAt(estimate, balance, relativeWeight);
+    const counted = excess > 0 || drawn ? excess : 0;
+    return Math.max(0, estimate.own + balance.scale * (balance.meanOthers * relativeWeight + counted));
 }
 
 /** How many candidates are drawn for a choice. */
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -14,6 +14,8 @@
 
 /** Targets known beyond the current candidates before those without work are forgotten. */
 const FORGOTTEN_ABOVE = 256;
+/** Holders of the prompt's prefix whose prefix counts in a choice. */
+const HOLDERS_DRAWN = 2;
 /** Load relative to the mean above which a target counts as busy. */
 const BUSY_FACTOR = 1.25;
 
@@ -41,12 +43,15 @@
         noteBusy(candidates.map(({ target }) => knowledge(target)), estimates);
         const balance = balanceOf(estimates, request.priority);
         const order = drawByWeight(candidates, candidate => weightNow(candidate, now), options.random);
+        const matched = prefixes.match(request.prefixes);
+        const holders = order.filter(({ target }) => matched.has(target)).slice(0, HOLDERS_DRAWN);
         const context = {
             request,
             now,
             options,
             balance,
-            matched: prefixes.match(request.prefixes),
+            matched,
+            holders: new Set(holders.map(({ target }) => target)),
             median: median(),
             meanWeight: total / Math.max(1, candidates.filter(({ weight }) => weight > 0).length),
             ejected: ejectedNow(candidates, target => knowledge(target).health, now, options.ejectedShare),
--- a/packages/core/src/routing/weigh.ts
+++ b/packages/core/src/routing/weigh.ts
@@ -1,5 +1,5 @@
 /** Scores of the candidates of one choice. */
-import { type Balance, waitingAt } from "./balance.js";
+import { type Balance, excessAt, waitingAt } from "./balance.js";
 import { ejectionLimit, type TargetHealth } from "./ejection.js";
 import type { LoadBook, LoadEstimate } from "./load.js";
 import type { CompleteRouterOptions } from "./options.js";
@@ -11,7 +11,7 @@
 const REFUSAL_LOAD = 4;
 const REFUSAL_PAUSE_MILLISECONDS = 1_000;
 /** A first-token time of up to this many times the median is noise and does not raise a score. */
-const SLOWNESS_TOLERANCE = 1.5;
+const SLOWNESS_TOLERANCE = 2;
 
 /** What the router knows of one target. */
 export interface TargetKnowledge {
@@ -32,6 +32,8 @@
     readonly ejected: ReadonlySet<string>;
     /** Candidates that were drawn for this choice. */
     readonly drawn: ReadonlySet<string>;
+    /** Holders of the prompt's prefix that were drawn for this choice. */
+    readonly holders: ReadonlySet<string>;
     readonly options: CompleteRouterOptions;
 }
 
@@ -70,8 +72,9 @@
     const hit = request.prefixes.length === 0 ? 0 : prefixBlocks / request.prefixes.length;
     const waiting = waitingAt(estimate, context.balance, relativeWeight, context.drawn.has(candidate.target))
         + refusalLoad(candidate, health, now);
+    const bonus = bonusAt(candidate.target, estimate, relativeWeight, context);
     const score = candidate.weight > 0
-        ? ((waiting + 1) * slownessOf(health, context) - 1) / relativeWeight - options.prefixBonus * hit
+        ? ((waiting + 1) * slownessOf(health, context) - 1) / relativeWeight - bonus * hit
         : Number.MAX_VALUE;
     const estimatedLoad = inProgressOf(estimate);
     const excludedBecause = exclusionOf(candidate, estimatedLoad, context);
@@ -79,6 +82,15 @@
     return excludedBecause === undefined ? weighed : { ...weighed, excludedBecause };
 }
 
+/**
+ * Bonus of a complete prefix hit. Only a few holders, drawn at random, have it: all daemons learn of the same holders.
+ * The scaled load of others would not outweigh it at a daemon that sends little, so an excess takes it away.
+ */
+function bonusAt(target: string, estimate: LoadEstimate, relativeWeight: number, context: WeighContext): number {
+    const excess = Math.max(0, excessAt(estimate, context.balance, relativeWeight));
+    return context.holders.has(target) ? Math.max(0, context.options.prefixBonus - excess) : 0;
+}
+
 /** All requests in progress at a target. */
 export function inProgressOf({ own, others, othersQueued }: LoadEstimate): number {
     return own + others + othersQueued;
--- a/packages/proofs/src/bench/routing/bench.ts
+++ b/packages/proofs/src/bench/routing/bench.ts
@@ -17,6 +17,8 @@
     plain,
     { ...plain, name: "many daemons", daemons: 60, requestsPerSecond: 52 },
     { ...plain, name: "prefix sharing", prefixes: 60, requestsPerSecond: 44 },
+    { ...plain, name: "hot prefixes", prefixes: 3, requestsPerSecond: 44 },
+    { ...plain, name: "hot prefixes, many daemons", daemons: 60, prefixes: 3, requestsPerSecond: 44 },
     { ...plain, name: "uneven teams", heavyShare: 0.3, requestsPerSecond: 32 },
     { ...plain, name: "straggler", slowness: 4, requestsPerSecond: 44 },
 ];
