--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,6 +1,8 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
+import { limitsBench } from "./limits/limits.js";
+import { retriesBench } from "./limits/retries.js";
 import { routingBench } from "./routing/bench.js";
 import type { Bench } from "./types.js";
 
 /** All benchmarks, in the order in which they run. */
-export const benches: readonly Bench[] = [routingBench];
+export const benches: readonly Bench[] = [routingBench, limitsBench, retriesBench];
