Average the demand that a daemon states, and restate it only on a change

Change: DemandBook.measured averages over 4 s and answers what to state, which stays as it is while the average is near it. stated remains for callers that state raw demand.

--- a/packages/core/src/admission/tests/shares.test.ts
+++ b/packages/core/src/admission/tests/shares.test.ts
@@ -32,7 +32,7 @@
         const book = createDemandBook(5_000);
         const rate = (now: number) => book.shares(limits, 2, now)[0]?.requestsPerSecond ?? 0;
         const rates = Array.from(Array(10).keys(), second => {
-            book.stated(demand(second === 0 ? 0 : 200), second * 1_000);
+            book.measured(demand(second === 0 ? 0 : 200), second * 1_000);
             book.heard("other", demand(0), second * 1_000);
             return rate(second * 1_000);
         });
--- a/packages/proofs/src/bench/limits/limits.ts
+++ b/packages/proofs/src/bench/limits/limits.ts
@@ -13,7 +13,7 @@
 const STATE_MILLISECONDS = 1_000;
 /** A statement reaches each other daemon after up to this time. */
 const DELIVERY_MILLISECONDS = 900;
-const WARM_UP_MILLISECONDS = 15_000;
+const WARM_UP_MILLISECONDS = 30_000;
 const WINDOW_MILLISECONDS = 10_000;
 const TEAM: TeamShare = { team: "a", weight: 1, queueLength: 100, requestsPerSecond: LIMIT_PER_SECOND };
 
@@ -27,7 +27,7 @@
 const scaled = (factor: number): readonly TeamShare[] => [{ ...TEAM, requestsPerSecond: LIMIT_PER_SECOND * factor }];
 const sharings: readonly Sharing[] = [
     { name: "damaskvale", baseline: false, share: (book, daemons, now) => book.shares([TEAM], daemons, now) },
-    { name: "even shares", baseline: true, share: (book, daemons) => scaled(1 / daemons) },
+    { name: "even shares", baseline: true, share: (...[, daemons]) => scaled(1 / daemons) },
     { name: "whole limit at each daemon", baseline: true, share: () => scaled(1) },
 ];
 
@@ -57,8 +57,7 @@
 
     const exchange = (now: number): void =>
         books.forEach((book, from) => {
-            const demand = (admissions[from] as Admission).demand(now);
-            book.stated(demand, now);
+            const demand = book.measured((admissions[from] as Admission).demand(now), now);
             books.forEach((other, to) => {
                 const cut = now >= WARM_UP_MILLISECONDS / 2 && (from < cutOff) !== (to < cutOff);
                 if (from !== to && !cut) {
@@ -108,7 +107,7 @@
 }
 
 function measure(scenario: Scenario, sharing: Sharing, { seed, quick }: BenchOptions): BenchFigure[] {
-    const milliseconds = quick ? 35_000 : 75_000;
+    const milliseconds = quick ? 50_000 : 150_000;
     const admitted = play(scenario, sharing, seed, milliseconds);
     const used = 100 * admitted.length / (LIMIT_PER_SECOND * (milliseconds - WARM_UP_MILLISECONDS) / 1_000);
     const { daemons, cutOff, skew } = scenario;
--- a/packages/proofs/src/bench/limits/retries.ts
+++ b/packages/proofs/src/bench/limits/retries.ts
@@ -94,43 +94,33 @@
     const random = xoroshiro128plus(seed);
     const agenda = new Agenda();
     const admission = createAdmission({ capacity: CAPACITY });
-    const told = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: 600_000,
-        numberOfSignificantValueDigits: 3,
-    });
     const wait = build({
         lowestDiscernibleValue: 1,
         highestTrackableValue: 600_000,
         numberOfSignificantValueDigits: 3,
     });
     const cameAt = new Map<string, number>();
-    const callers = new Map<string, { tries: number; refusedOnce: boolean; }>();
-    const counts = { shed: 0, acceptedAtFirstReturn: 0, tries: 0, idle: 0 };
-    let running = 0;
-    let busyTicks = 0;
+    const callers = new Map<string, number>();
+    const counts = { shed: 0, acceptedAtFirstReturn: 0, tries: 0 };
     admission.configure([{ team: "a", weight: 1, queueLength: 20 }], 0);
 
     const started = (id: string, now: number): void => {
-        running += 1;
         wait.recordValue(now - (cameAt.get(id) ?? now));
         agenda.add(now + SERVICE_MILLISECONDS * (0.5 + uniformFloat64(random)), endedAt => {
-            running -= 1;
             admission.finish(id, 0, endedAt);
         });
     };
     const come = (id: string, now: number): void => {
-        const caller = callers.get(id) ?? { tries: 0, refusedOnce: false };
-        callers.set(id, { tries: caller.tries + 1, refusedOnce: true });
+        const tries = callers.get(id) ?? 0;
+        callers.set(id, tries + 1);
         counts.tries += 1;
         const decision = admission.offer({ id, team: "a", priority: 5, tokens: 0, deadlineAt: now + 60_000 }, now);
         if (decision.kind === "refused") {
-            counts.shed += caller.tries === 0 ? 1 : 0;
-            told.recordValue(0);
+            counts.shed += tries === 0 ? 1 : 0;
             agenda.add(now + way.after(decision.retryAfterMilliseconds), at => come(id, at));
         }
         else {
-            counts.acceptedAtFirstReturn += caller.tries === 1 ? 1 : 0;
+            counts.acceptedAtFirstReturn += tries === 1 ? 1 : 0;
             if (decision.kind === "admitted") {
                 started(id, now);
             }
@@ -146,7 +136,6 @@
             come(id, now);
         }
         admission.poll(now).admitted.forEach(id => started(id, now));
-        busyTicks += running >= CAPACITY ? 1 : 0;
     }
     return { counts, wait, requests: cameAt.size };
 }
--- a/packages/proofs/src/fuzz/shares.ts
+++ b/packages/proofs/src/fuzz/shares.ts
@@ -128,8 +128,7 @@
     seconds.forEach(({ demand, side }, second) => {
         const now = second * 1_000;
         books.forEach((book, from) => {
-            const stated = new Map([["a", demand[from % demand.length] ?? 0]]);
-            book.stated(stated, now);
+            const stated = book.measured(new Map([["a", demand[from % demand.length] ?? 0]]), now);
             books.forEach((other, to) => {
                 const link = from * daemons + to;
                 const cut = side[from % side.length] !== side[to % side.length] || spread.lost.includes(link);
