--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./groups/retire.js";
 export * from "./groups/types.js";
 export * from "./issue.js";
+export * from "./membership/fold.js";
 export * from "./membership/links.js";
 export * from "./membership/membership.js";
 export * from "./membership/rendezvous.js";
--- a/packages/daemon/src/front/tests/services.test.ts
+++ b/packages/daemon/src/front/tests/services.test.ts
@@ -1,27 +1,12 @@
 import { expect } from "chai";
-import { type Path, type PathOptions, send, startPath } from "./path.js";
-
-const withPath = async (options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> => {
-    const path = await startPath(options);
-    try {
-        await run(path);
-    }
-    finally {
-        await path.close();
-    }
-};
+import { type Path, type PathOptions, send, until, withPath } from "./path.js";
+
 const record = (path: Path, key?: string, body = "{}", headers: Record<string, string> = {}) =>
     send(path, "/services/fees/receipts?a=%20b", {
         method: "POST",
         body,
         headers: { ...(key === undefined ? {} : { "idempotency-key": key }), ...headers },
     });
-const until = async (condition: () => boolean): Promise<void> => {
-    for (let waited = 0; !condition() && waited < 2_000; waited += 5) {
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
-    expect(condition()).to.equal(true);
-};
 
 describe("services over HTTP", () => {
     it("passes a request and its answer through", () =>
@@ -100,7 +85,7 @@
         {
             guards: "a refusal before the start keeps the key claimed",
             service: (...[, response]) => response.writeHead(503).end('{"error":{"code":"not_started"}}'),
-            expected: { status: 502, code: "target_failed", outcome: "not-run" },
+            expected: { status: 503, code: "no_ready_group", outcome: "not-run" },
             runs: 1,
             recorded: [],
         },
