--- a/packages/core/src/admission/tests/shares.test.ts
+++ b/packages/core/src/admission/tests/shares.test.ts
@@ -32,7 +32,7 @@
         const book = createDemandBook(5_000);
         const rate = (now: number) => book.shares(limits, 2, now)[0]?.requestsPerSecond ?? 0;
         const rates = Array.from(Array(10).keys(), second => {
-            book.measured(demand(second === 0 ? 0 : 200), second * 1_000);
+            book.stated(demand(second === 0 ? 0 : 200), second * 1_000);
             book.heard("other", demand(0), second * 1_000);
             return rate(second * 1_000);
         });
@@ -40,4 +40,14 @@
         expect(rates[7]).to.be.greaterThan(80);
         expect(rate(15_000), "the other daemon is no longer heard").to.equal(45);
     });
+
+    it("does not restate noise, which would cost use of the limit, but restates a change", () => {
+        const book = createDemandBook(5_000);
+        const noisy = [9, 12, 6, 10, 8, 11, 7, 9, 10, 8].map((rate, second) =>
+            book.measured(demand(rate), second * 1_000)
+        );
+        expect(new Set(noisy.map(stated => stated.get("a")))).to.have.length(1);
+        const changed = [11, 14, 17, 20].map(second => book.measured(demand(60), second * 1_000).get("a") ?? 0);
+        expect(changed.at(-1)).to.be.greaterThan(40);
+    });
 });
