Keep connections to engines after whole streams, and answer when writing fails

The client ended each exchange at the end marker of a stream, before the response itself ended, so that the connection was cut and every stream needed a new one. A complete exchange now gets 500 ms to end. An answer whose headers Node refuses left the caller without any answer; it now ends with internal_error. A request whose last group is lost after a failed attempt is forwarded like one that found no group at first.

--- a/packages/daemon/src/adapters/engineclient.ts
+++ b/packages/daemon/src/adapters/engineclient.ts
@@ -97,6 +97,7 @@
         origin,
         signal: request.signal,
         quietAfter,
+        isComplete: chunks.complete,
         ...(request.mayWrite === undefined ? {} : { mayWrite: request.mayWrite }),
     });
 
--- a/packages/daemon/src/adapters/exchange.ts
+++ b/packages/daemon/src/adapters/exchange.ts
@@ -14,6 +14,8 @@
     readonly signal: AbortSignal;
     /** Asked immediately before the first byte is written. */
     readonly mayWrite?: () => boolean;
+    /** Whether the consumer has all that it needs, so that only the end of the response is missing. */
+    readonly isComplete?: () => boolean;
     /** Longest wait for the next event, in milliseconds; read anew before each wait. */
     readonly quietAfter: () => number;
 }
@@ -28,6 +30,8 @@
 
 /** Events that may wait for the consumer before the connection is paused. */
 const MAXIMUM_WAITING_EVENTS = 16;
+/** Time that a complete response gets to end, so that its connection can be used again. */
+const LINGER_MILLISECONDS = 500;
 
 /**
  * Runs one exchange. A request counts as written from the moment at which undici hands it to a connected socket,
@@ -36,7 +40,7 @@
  */
 export async function* exchange(pools: TargetPools, request: ExchangeRequest): AsyncGenerator<ExchangeEvent> {
     const queue = createEventQueue<ExchangeEvent>();
-    const state = { written: false, stopped: false };
+    const state = { written: false, stopped: false, ended: false };
     let controller: Dispatcher.DispatchController | undefined;
 
     const stop = (failure: TargetFailure): void => {
@@ -73,7 +77,10 @@
                 queue.push({ kind: "data", data });
                 pauseWhenFull(from, queue.size());
             },
-            onResponseEnd: () => queue.push({ kind: "end" }),
+            onResponseEnd: () => {
+                state.ended = true;
+                queue.push({ kind: "end" });
+            },
             onResponseError: (...[, error]) => {
                 const kind = state.written ? "broken" : "not-sent";
                 queue.push({ kind: "failure", failure: { kind, message: error.message } });
@@ -84,8 +91,23 @@
     finally {
         state.stopped = true;
         request.signal.removeEventListener("abort", onAbort);
-        controller?.abort(new Error("the exchange is over"));
+        if (!state.ended) {
+            release(controller, request);
+        }
+    }
+}
+
+/** Ends a connection whose response is not wanted any more; one whose answer is complete may end by itself. */
+function release(controller: Dispatcher.DispatchController | undefined, request: ExchangeRequest): void {
+    const abort = (): void => controller?.abort(new Error("the exchange is over"));
+    if (request.isComplete?.() !== true || request.signal.aborted) {
+        abort();
+        return;
+    }
+    if (controller?.paused === true) {
+        controller.resume();
     }
+    setTimeout(abort, LINGER_MILLISECONDS).unref();
 }
 
 async function* consume(
--- a/packages/daemon/src/adapters/forwardclient.ts
+++ b/packages/daemon/src/adapters/forwardclient.ts
@@ -47,6 +47,7 @@
         body: request.request.rawBody,
         signal: request.signal,
         mayWrite: request.mayWrite,
+        isComplete: chunks.complete,
         quietAfter: () => options.quietMilliseconds ?? QUIET_MILLISECONDS,
     });
     for await (const event of events) {
--- a/packages/daemon/src/adapters/ssechunks.ts
+++ b/packages/daemon/src/adapters/ssechunks.ts
@@ -18,6 +18,8 @@
     feed(data: Buffer): EngineEvent[];
     /** Whether a data event has arrived. */
     started(): boolean;
+    /** Whether the end marker has arrived. */
+    complete(): boolean;
 }
 
 /** Longest server-sent event; a longer one ends the attempt. */
@@ -33,6 +35,7 @@
     let index = options.fromIndex;
     let completionId = options.completionId;
     let started = false;
+    let complete = false;
 
     const broken = (message: string): void => {
         events.push({ kind: "failure", failure: { kind: "broken", message } });
@@ -63,6 +66,7 @@
             return options.onForeignData();
         }
         if (event.data === "[DONE]") {
+            complete = true;
             events.push({ kind: "done" });
             return;
         }
@@ -93,6 +97,7 @@
             return end === -1 ? events : events.slice(0, end + 1);
         },
         started: () => started,
+        complete: () => complete,
     };
 }
 
--- /dev/null
+++ b/packages/daemon/src/adapters/tests/clients.test.ts
@@ -0,0 +1,145 @@
+import { expect } from "chai";
+import { createServer, type RequestListener, type Server } from "node:http";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
+import type { EngineEvent, EngineRequest } from "../../ports/engine.js";
+import { createEngineClient } from "../engineclient.js";
+import { createTargetPools } from "../pools.js";
+import { createServiceClient } from "../serviceclient.js";
+import { createChunkParser } from "../ssechunks.js";
+
+const never = new AbortController().signal;
+const listen = (server: Server | ReturnType<typeof createTcpServer>): Promise<string> =>
+    new Promise(resolve => {
+        server.listen(0, "127.0.0.1", () => resolve(`http://127.0.0.1:${(server.address() as AddressInfo).port}`));
+    });
+const collect = async (events: AsyncIterable<EngineEvent>): Promise<EngineEvent[]> => {
+    const collected: EngineEvent[] = [];
+    for await (const event of events) {
+        collected.push(event);
+        if (event.kind === "done") {
+            break;
+        }
+    }
+    return collected;
+};
+
+describe("clients of targets", () => {
+    const pools = createTargetPools();
+    const reports = { onForeignData: () => undefined, onSilence: () => undefined };
+    const options = { pools, credential: "credential", ...reports, probeTimeoutMilliseconds: 100 };
+    const engines = createEngineClient({ ...options, firstTokenTimeoutMilliseconds: 80, tokenTimeoutMilliseconds: 80 });
+    const services = createServiceClient(options);
+    const servers: Server[] = [];
+    const start = (listener: RequestListener): Promise<string> => {
+        const server = createServer(listener);
+        servers.push(server);
+        return listen(server);
+    };
+    const request = (url: string, change: Partial<EngineRequest> = {}): EngineRequest => ({
+        url,
+        attemptId: "r-1",
+        group: "g",
+        fence: 1,
+        priority: 5,
+        body: { messages: [] },
+        stream: true,
+        signal: never,
+        ...change,
+    });
+    after(async () => {
+        await pools.close();
+        servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    });
+
+    it("use a connection again after a whole stream, because a new one for each costs time", async () => {
+        const connections = new Set<unknown>();
+        const url = await start((incoming, response) => {
+            connections.add(incoming.socket);
+            response.writeHead(200, { "content-type": "text/event-stream" });
+            response.write('data: {"id":"c"}\n\ndata: [DONE]\n\n');
+            setTimeout(() => response.end(), 10);
+        });
+        for (const attemptId of ["r-1", "r-2", "r-3"]) {
+            const events = await collect(engines.complete(request(url, { attemptId })));
+            expect(events.at(-1)).to.deep.equal({ kind: "done" });
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+
+        expect(connections.size).to.equal(1);
+    });
+
+    it("write nothing when the check right before the write says no", async () => {
+        let bytes = 0;
+        const server = createTcpServer(socket => socket.on("data", data => bytes += data.length));
+        const url = await listen(server);
+        const [event] = await collect(engines.complete(request(url, { mayWrite: () => false })));
+        const answer = await services.call({
+            url,
+            attemptId: "r-1",
+            method: "POST",
+            path: "/",
+            headers: {},
+            body: Buffer.from("x"),
+            timeoutMilliseconds: 200,
+            signal: never,
+            mayWrite: () => false,
+        });
+        await new Promise(resolve => setTimeout(resolve, 20));
+        server.close();
+
+        expect(event).to.have.nested.property("failure.kind", "not-sent");
+        expect(answer.val).to.have.property("kind", "not-sent");
+        expect(bytes).to.equal(0);
+    });
+
+    it("tell a lost target from a lost connection", async () => {
+        const lostTarget = await start(() => undefined);
+        const lostConnection = await start((incoming, response) => {
+            if (incoming.url === "/report") {
+                response.end("{}");
+            }
+        });
+        const failures = await Promise.all(
+            [lostTarget, lostConnection].map(async url => (await collect(engines.complete(request(url)))).at(-1)),
+        );
+
+        expect(failures.map(event => event?.kind === "failure" && event.failure.lost)).to.deep.equal([
+            "target",
+            "connection",
+        ]);
+    });
+
+    const orders: { guards: string; status: number; expected: string | undefined; }[] = [
+        { guards: "an accepted order fails", status: 200, expected: undefined },
+        { guards: "an old fencing number looks like a broken engine", status: 409, expected: "refused" },
+        { guards: "a failed order looks accepted", status: 500, expected: "failed" },
+    ];
+    orders.forEach(({ guards, status, expected }) => {
+        it(`do not fail like this: ${guards}`, async () => {
+            const url = await start((...[, response]) => void response.writeHead(status).end("{}"));
+            const result = await engines.order(url, { order: "clear", group: "g", fence: 1 }, 200);
+            expect(result.err ? result.val.kind : undefined).to.equal(expected);
+        });
+    });
+
+    it("tell a report that does not come in time from one that does not parse", async () => {
+        const silent = await engines.report(await start(() => undefined), 50);
+        const wrong = await engines.report(await start((...[, response]) => void response.end("{}")), 500);
+        expect([silent, wrong].map(({ val }) => (val as { kind: string; }).kind)).to.deep.equal(["silent", "failed"]);
+    });
+
+    it("read a stream the same wherever its bytes are cut", () => {
+        const text = Buffer.from(
+            'data: {"id":"c","text":"Grüße 🧦"}\r\n\r\n: comment\n\ndata: {"id":"c"}\n\ndata: [DONE]\n\n',
+        );
+        const parse = (cut: number): unknown => {
+            const onForeignData = (): void => undefined;
+            const parser = createChunkParser({ attemptId: "r-1", fromIndex: 0, onForeignData });
+            return [...parser.feed(text.subarray(0, cut)), ...parser.feed(text.subarray(cut))];
+        };
+        [...text.keys()].forEach(cut => expect(parse(cut)).to.deep.equal(parse(0)));
+    });
+});
--- a/packages/daemon/src/dispatch/chat.ts
+++ b/packages/daemon/src/dispatch/chat.ts
@@ -57,14 +57,21 @@
 }
 
 async function withoutGroup(run: Run<ChatRequest>, limited: boolean): Promise<RunResult> {
+    const { context, request } = run;
+    if (context.groups.dispatchable(request.model).length === 0) {
+        const forwarded = await forwardChat(run);
+        if (forwarded !== undefined) {
+            return forwarded;
+        }
+    }
     if (run.attempts > 0) {
         return { error: attemptsFailed(run), tokens: 0 };
     }
     if (limited) {
         return { error: { code: "rate_limited", message: "A rule limits the requests to this model." }, tokens: 0 };
     }
-    return await forwardChat(run) ?? {
-        error: noReadyGroup(run.request.model),
+    return {
+        error: noReadyGroup(request.model),
         tokens: 0,
     };
 }
--- a/packages/daemon/src/dispatch/delivery.ts
+++ b/packages/daemon/src/dispatch/delivery.ts
@@ -18,7 +18,14 @@
     const finishWith = (action: () => void): void => {
         if (!state.finished) {
             state.finished = true;
-            action();
+            try {
+                action();
+            }
+            catch (error) {
+                // Node refuses headers that a target may send; the caller must not wait for ever because of one.
+                const message = `The answer cannot be passed on: ${(error as Error).message}.`;
+                sink.fail({ code: "internal_error", message });
+            }
         }
     };
     return {
--- a/packages/daemon/src/dispatch/tests/dispatcher.test.ts
+++ b/packages/daemon/src/dispatch/tests/dispatcher.test.ts
@@ -138,6 +138,18 @@
         expect(world.claims.released).to.deep.equal(["claim-1"]);
     });
 
+    it("answers also when an answer cannot be written, because the caller would wait for ever", async () => {
+        const sink = {
+            ...world.sink,
+            whole: () => {
+                throw new Error("invalid header");
+            },
+        };
+        await world.dispatcher.submit(world.call, sink);
+        expect(world.answers).to.have.length(1);
+        expect(world.answers[0]).to.deep.include({ code: "internal_error" });
+    });
+
     it("refuses at once with a time to come back when no group is dispatchable", async () => {
         world.groups.list = [];
         await world.dispatcher.submit(world.chat, world.sink);
--- a/packages/daemon/src/front/tests/services.test.ts
+++ b/packages/daemon/src/front/tests/services.test.ts
@@ -162,6 +162,8 @@
             await until(() => path.claims.recorded.length === 1);
 
             expect(path.claims.recorded[0]).to.deep.include({ outcome: "complete", status: 200 });
+            await until(() => path.dispatcher.inProgress() === 0);
+            expect(path.counts).not.to.have.property("requestFailed");
         }));
 
     it("answers at the deadline with an unknown outcome while the work goes on and is recorded", () =>
