--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,4 +1,5 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
@@ -13,4 +14,5 @@
     routingFuzz,
     retryFuzz,
     requestsFuzz,
+    groupsFuzz,
 ];
