Accept idempotency keys with spaces

Cause: the check took visible ASCII only, so that a key such as "fee of case 7" was refused as invalid_header. Change: printable ASCII.

--- a/packages/daemon/src/front/headers.ts
+++ b/packages/daemon/src/front/headers.ts
@@ -27,7 +27,8 @@
 const headersSchema = z.object({
     "x-damaskvale-priority": integer(0, 9).default(DEFAULT_PRIORITY),
     "x-damaskvale-deadline-ms": integer(100, 600_000).default(DEFAULT_DEADLINE_MILLISECONDS),
-    "idempotency-key": z.string().regex(/^[\x21-\x7e]{1,255}$/, "must be 1 to 255 visible ASCII characters").optional(),
+    "idempotency-key": z.string().regex(/^[\x20-\x7e]{1,255}$/, "must be 1 to 255 printable ASCII characters")
+        .optional(),
     "content-encoding": z.literal("identity", "must be identity").optional(),
     "transfer-encoding": z.literal("chunked", "must be chunked").optional(),
 });
