Fuzz membership over a bus with cuts, delays, pauses and restarts

Cause: convergence after combined faults was not played. Change: seven daemons in three data centres; after the faults every running daemon must know exactly the running ones, and no state may change any more.

--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,6 +1,7 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
 import { groupsFuzz } from "./groups.js";
+import { membershipFuzz } from "./membership.js";
 import type { Fuzz } from "./types.js";
 
 /** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [groupsFuzz];
+export const fuzzes: readonly Fuzz[] = [groupsFuzz, membershipFuzz];
