--- a/packages/daemon/src/front/tests/chat.test.ts
+++ b/packages/daemon/src/front/tests/chat.test.ts
@@ -1,28 +1,6 @@
 import { expect } from "chai";
 import type { RequestListener } from "node:http";
-import {
-    answerWhole,
-    chat,
-    chunkOf,
-    type Path,
-    type PathOptions,
-    send,
-    startPath,
-    streamOf,
-    wholeAnswer,
-} from "./path.js";
-
-const withPath = async (options: PathOptions, run: (path: Path) => Promise<void>): Promise<void> => {
-    const path = await startPath(options);
-    try {
-        await run(path);
-    }
-    finally {
-        await path.close();
-    }
-};
-const contents = (text: string): string =>
-    [...text.matchAll(/"content":"([^"]*)"/g)].map(([, content]) => content).join("");
+import { answerWhole, chat, chunkOf, contentsOf, send, streamOf, wholeAnswer, withPath } from "./path.js";
 
 describe("chat completions over HTTP", () => {
     it("passes a whole request and its answer through byte for byte", () =>
@@ -72,7 +50,7 @@
 
             const { text } = await chat(path, { stream: true });
 
-            expect(contents(text)).to.equal("abc");
+            expect(contentsOf(text)).to.equal("abc");
             expect(text.endsWith("data: [DONE]\n\n")).to.equal(true);
             const urls = path.engines.flatMap(({ seen }) => seen.map(({ url }) => url.replace(/daemon.*-1\//, "ID/")));
             expect(path.engines.map(({ seen }) => seen.length).toSorted()).to.deep.equal([0, 2]);
@@ -90,11 +68,31 @@
 
             const { text } = await chat(path, { stream: true });
 
-            expect(contents(text)).to.equal("a");
+            expect(contentsOf(text)).to.equal("a");
             expect(text).to.contain('"code":"stream_incomplete"');
             expect(text).not.to.contain("[DONE]");
         }));
 
+    it("repeats a whole request whose connection went silent before the deadline is near", () =>
+        withPath({ engines: [() => undefined] }, async path => {
+            const engine = path.engines[0]!;
+            engine.handle = (request, response) => {
+                if (engine.seen.length > 1) {
+                    answerWhole(request, response);
+                }
+            };
+            const answer = await chat(path, {}, { "x-damaskvale-deadline-ms": "900" });
+
+            expect(answer.text).to.equal(JSON.stringify(wholeAnswer));
+            expect(engine.cancelled).to.deep.equal([`/attempts/${answer.requestId}-1`]);
+        }));
+
+    it("waits for a whole answer that takes longer than the first-token timeout while the engine works", () =>
+        withPath({ engines: [(...all) => void setTimeout(() => answerWhole(...all), 400)] }, async path => {
+            expect((await chat(path)).status).to.equal(200);
+            expect(path.engines[0]!.seen).to.have.length(1);
+        }));
+
     const failovers: { guards: string; first: RequestListener; }[] = [
         {
             guards: "a group refuses with 409 wrong_group",
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,4 @@
+/** Entry point of `damaskvaled`. */
+import { execute } from "@oclif/core";
+
+void execute({ dir: __dirname });
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -5,3 +5,19 @@
 
 /** All fuzz modules, in the order in which they run. */
 export const fuzzes: readonly Fuzz[] = [groupsFuzz, membershipFuzz];
+import { admissionFuzz } from "./limits.js";
+import { requestsFuzz } from "./requests.js";
+import { retryFuzz, routingFuzz } from "./routing.js";
+import { fairnessFuzz, sharesFuzz } from "./shares.js";
+import type { Fuzz } from "./types.js";
+
+/** All fuzz modules, in the order in which they run. */
+export const fuzzes: readonly Fuzz[] = [
+    admissionFuzz,
+    fairnessFuzz,
+    sharesFuzz,
+    routingFuzz,
+    retryFuzz,
+    requestsFuzz,
+    groupsFuzz,
+];
