--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,11 +1,7 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
 import { groupsFuzz } from "./groups.js";
-import { membershipFuzz } from "./membership.js";
-import type { Fuzz } from "./types.js";
-
-/** All fuzz modules, in the order in which they run. */
-export const fuzzes: readonly Fuzz[] = [groupsFuzz, membershipFuzz];
 import { admissionFuzz } from "./limits.js";
+import { membershipFuzz } from "./membership.js";
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
@@ -20,4 +16,5 @@
     retryFuzz,
     requestsFuzz,
     groupsFuzz,
+    membershipFuzz,
 ];
