Benchmark the planner and keep the hosts of a broken replica

Cause: with weights for downtime the planner left a wanted replica down to keep spares, and another model took the hosts of a broken replica and kept them. Change: a wanted replica is formed even across fabric domains; hosts are kept for a replica that returning hosts complete.

--- a/packages/core/src/groups/plan.ts
+++ b/packages/core/src/groups/plan.ts
@@ -151,6 +151,7 @@
 function planForms(input: PlanInput): readonly PlanAction[] {
     const models = plannedModels(input);
     const loading = loadingHosts(input);
+    const absent = input.hosts.filter(host => !isUsable(host)).length;
     const needs = models.flatMap((model, index) => {
         const missing = Math.max(0, model.replicas - replicasOf(input, model).length);
         const reserved = models.slice(0, index)
@@ -161,22 +162,35 @@
     return needs.reduce<Forming>((forming, { model, reserved }) => {
         // A replica larger than the ration may still load, but only alone.
         const mayLoad = forming.loads + model.members <= input.maximumLoads || forming.loads === 0;
+        const kept = Math.max(reserved, forming.kept);
         const occupied = occupiedDomains(input, model, forming.actions);
-        const selected = mayLoad ? selectHosts({ pools: poolsOf(forming.free), model, reserved, occupied }) : [];
-        return selected.length === 0 ? forming : {
+        const selected = mayLoad ? selectHosts({ pools: poolsOf(forming.free), model, kept, occupied }) : [];
+        return selected.length === 0 ? withKept(forming, model, absent) : {
+            ...forming,
             free: forming.free.filter(host => !selected.includes(host)),
             loads: forming.loads + model.members,
             actions: [...forming.actions, formAction(input.state, model, selected.map(host => host.host))],
         };
-    }, { free: freeHosts(input).map(host => host.listed), loads: loading, actions: [] }).actions;
+    }, { free: freeHosts(input).map(host => host.listed), loads: loading, kept: 0, actions: [] }).actions;
 }
 
 interface Forming {
     readonly free: readonly ListedHost[];
     readonly loads: number;
+    /** Hosts kept for models that were considered before. */
+    readonly kept: number;
     readonly actions: readonly FormAction[];
 }
 
+/**
+ * Keeps hosts for a replica that cannot be formed now but could be once the absent hosts return. Models considered
+ * later would take the hosts and not give them back, and the replica would stay down for as long as they run.
+ */
+function withKept(forming: Forming, model: RowOf<"model">, absent: number): Forming {
+    const kept = forming.kept + model.members;
+    return kept <= forming.free.length + absent ? { ...forming, kept } : forming;
+}
+
 /** Makes a form action with the hosts' ownership revisions. The first host leads. */
 export function formAction(state: GroupsState, model: RowOf<"model">, hosts: readonly string[]): FormAction {
     return {
--- a/packages/core/src/groups/select.ts
+++ b/packages/core/src/groups/select.ts
@@ -12,8 +12,8 @@
 export interface SelectInput {
     readonly pools: readonly DomainPool[];
     readonly model: RowOf<"model">;
-    /** Hosts that stay free as spares of models whose downtime weighs more. */
-    readonly reserved: number;
+    /** Hosts that stay free for models whose downtime weighs more. */
+    readonly kept: number;
     /** Groups of the same model in each fabric domain. */
     readonly occupied: ReadonlyMap<string, number>;
 }
@@ -29,9 +29,9 @@
 
 /** Returns the hosts of a new group of the model, or none if no group should be formed now. */
 export function selectHosts(input: SelectInput): readonly ListedHost[] {
-    const { pools, model, reserved } = input;
+    const { pools, model, kept } = input;
     const free = pools.reduce((total, pool) => total + pool.hosts.length, 0);
-    if (free - model.members < reserved) {
+    if (free - model.members < kept) {
         return [];
     }
     const best = pools
@@ -40,7 +40,7 @@
         .toSorted((one, other) =>
             one.cost - other.cost || one.pool.fabricDomain.localeCompare(other.pool.fabricDomain)
         )[0];
-    return best === undefined ? spanningHosts(input, free) : best.pool.hosts.slice(0, model.members);
+    return best === undefined ? spanningHosts(input) : best.pool.hosts.slice(0, model.members);
 }
 
 /**
@@ -57,14 +57,10 @@
 }
 
 /**
- * Chooses hosts across domains when no domain holds a whole group. A spanning group is slow and takes the hosts that
- * could replace members inside their domains, so a model that weighs downtime more leaves its spares free first.
+ * Chooses hosts across domains when no domain holds a whole group. A spanning group is slow, but a wanted replica that
+ * is not formed is down; leaving its hosts free as spares costs more downtime than they save.
  */
-function spanningHosts({ pools, model, reserved }: SelectInput, free: number): readonly ListedHost[] {
-    const spares = model.downtimeWeight > model.strandedWeight ? model.spares : 0;
-    if (free - model.members < Math.max(reserved, spares)) {
-        return [];
-    }
+function spanningHosts({ pools, model }: SelectInput): readonly ListedHost[] {
     // Largest domains first, so that the group spans as few domains as possible.
     return pools
         .toSorted((one, other) =>
--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,6 +1,7 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
+import { groupsBench } from "./groups/bench.js";
 import { routingBench } from "./routing/bench.js";
 import type { Bench } from "./types.js";
 
 /** All benchmarks, in the order in which they run. */
-export const benches: readonly Bench[] = [routingBench];
+export const benches: readonly Bench[] = [routingBench, groupsBench];
