--- a/packages/daemon/src/tasks/tests/fakes.ts
+++ b/packages/daemon/src/tasks/tests/fakes.ts
@@ -80,7 +80,6 @@
             caughtUp: true,
             freshAt: performance.now(),
             source: "platform",
-            caughtUp: true,
         };
     }
 
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -3,6 +3,7 @@
 import { configurationFuzz } from "./configuration.js";
 import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
+import { membershipFuzz } from "./membership.js";
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
@@ -19,4 +20,5 @@
     retryFuzz,
     requestsFuzz,
     groupsFuzz,
+    membershipFuzz,
 ];
