Record the golden sessions of seven scripts

Cause: the order of targets, generated edit ids and a repeat sent before the outcome was in the log differed between runs.

--- a/packages/proofs/src/sessions/normalise.ts
+++ b/packages/proofs/src/sessions/normalise.ts
@@ -28,6 +28,7 @@
 const OFFSET_FIELDS = new Set(["fence"]);
 
 const VARIABLES: readonly Variable[] = [
+    { label: "EDIT", pattern: /proofs-\d+-\d+-\d+/g },
     { label: "URL", pattern: /http:\/\/127\.0\.0\.1:\d+/g },
     { label: "ADDRESS", pattern: /127\.0\.0\.1:\d+/g },
     { label: "UUID", pattern: /[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}/g },
--- a/packages/proofs/src/sessions/scripts.ts
+++ b/packages/proofs/src/sessions/scripts.ts
@@ -33,6 +33,8 @@
     state,
     fencing: "ignored",
 });
+/** The outcome is in the log by then; before that the key counts as in progress. */
+const RECORDED_MILLISECONDS = 1000;
 /** Longer than the time after which a leaving target gets nothing new. */
 const DRAINED_MILLISECONDS = 3500;
 
@@ -71,6 +73,7 @@
         await session.fault("service", { fault: "dropAnswer", method: "POST", count: 1 });
         await session.caller(change("fee-2", "ZAR 95"));
         await session.heal();
+        await delay(RECORDED_MILLISECONDS);
         await session.caller(change("fee-2", "ZAR 95"));
         await session.caller(change("fee-2", "ZAR 95", 1));
         await session.targets();
