Refuse a claim within a second when the log is silent

Cause: the failure test "is silent" measured 3.0 s until a change was refused; a claim waited 2 s for its decision. Ruled out: refusing by the health of the stream alone, because a log that has just gone silent still looks healthy. Change: a claim waits 750 ms; repeats of an ambiguous record still wait 2 s each in the background. Conclusion: with a log slower than 750 ms, changes are refused as not run and their claims released.

--- a/packages/daemon/src/tasks/claimbatch.ts
+++ b/packages/daemon/src/tasks/claimbatch.ts
@@ -39,7 +39,9 @@
 
 /** How long claims wait for others to share a record with. */
 const BATCH_MILLISECONDS = 10;
-/** How long a claim waits for its decision before it is answered as unavailable. */
+/** How long a claim waits for its decision before it is answered as unavailable, because a refusal is due at once. */
+const CLAIM_TIMEOUT_MILLISECONDS = 750;
+/** How long one repeat of a record waits for its decision. */
 const DECISION_TIMEOUT_MILLISECONDS = 2_000;
 const RETRY_BASE_MILLISECONDS = 200;
 const RETRY_MAXIMUM_MILLISECONDS = 5_000;
@@ -129,7 +131,7 @@
         const body: ClaimsBody = { kind: "claims", claims: items, releases: [], outcomes: [] };
         const result = await this.options.stream.append(body, {
             id,
-            timeoutMilliseconds: DECISION_TIMEOUT_MILLISECONDS,
+            timeoutMilliseconds: CLAIM_TIMEOUT_MILLISECONDS,
         });
         const kind = result.ok ? "decided" : result.val.kind;
         claims.forEach(({ settle }) => settle(kind));
