--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,7 +1,9 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
 import { claimsFuzz } from "./claims.js";
 import { configurationFuzz } from "./configuration.js";
+import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
+import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
 import type { Fuzz } from "./types.js";
@@ -15,4 +17,6 @@
     sharesFuzz,
     routingFuzz,
     retryFuzz,
+    requestsFuzz,
+    groupsFuzz,
 ];
