--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -37,6 +37,9 @@
     "connections.silent": counter("Connections to targets that went silent, by what was lost.", ["lost"]),
     "requests.forwarded": counter("Requests forwarded to a daemon of another data centre.", ["model"]),
     "requests.in_progress": gauge("requests", "Requests in progress at this daemon."),
+    "stream.entries": counter("Entries folded, by what became of them.", ["stream", "kind"]),
+    "stream.offset": gauge("entries", "Next offset of a stream.", ["stream"]),
+    "claims.results": counter("Claims answered, by kind of answer.", ["kind"]),
     "groups.actions": counter("Records of the groups stream by their decision.", ["kind", "decision"]),
     "groups.dispatchable": gauge("groups", "Replica groups that may be dispatched to."),
     "groups.known": gauge("groups", "Replica groups in the state of the groups stream."),
@@ -49,9 +52,6 @@
     "peers.links": gauge("links", "Open links to other daemons."),
     "peers.messages_refused": counter("Messages of other daemons that did not parse.", ["reason"]),
     "peers.refused": counter("Connections to the peer address that were refused.", ["reason"]),
-    "stream.entries": counter("Entries folded, by what became of them.", ["stream", "kind"]),
-    "stream.offset": gauge("entries", "Next offset of a stream.", ["stream"]),
-    "claims.results": counter("Claims answered, by kind of answer.", ["kind"]),
 } as const satisfies Record<string, MetricDefinition>;
 
 /** Name of a metric. */
