Do not follow a prefix that many targets are known to hold

Cause: with three prefixes that every engine holds, daemons followed the few holders known after a gap of the cache events. Change: three drawn holders count, and none if more than a third of the candidates are known to hold the prefix.

--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -15,7 +15,9 @@
 /** Targets known beyond the current candidates before those without work are forgotten. */
 const FORGOTTEN_ABOVE = 256;
 /** Holders of the prompt's prefix whose prefix counts in a choice. */
-const HOLDERS_DRAWN = 2;
+const HOLDERS_DRAWN = 3;
+/** A prefix that more than this part of the candidates are known to hold is held nearly everywhere, or soon will be. */
+const SPREAD_PART = 0.34;
 /** Load relative to the mean above which a target counts as busy. */
 const BUSY_FACTOR = 1.25;
 
@@ -44,7 +46,7 @@
         const balance = balanceOf(estimates, request.priority);
         const order = drawByWeight(candidates, candidate => weightNow(candidate, now), options.random);
         const matched = prefixes.match(request.prefixes);
-        const holders = order.filter(({ target }) => matched.has(target)).slice(0, HOLDERS_DRAWN);
+        const holders = holdersOf(order, matched);
         const context = {
             request,
             now,
@@ -86,6 +88,13 @@
     };
 }
 
+/** Holders whose prefix counts; none if the prefix is so widely held that following it would only bunch requests. */
+function holdersOf(order: readonly Candidate[], matched: ReadonlyMap<string, number>): readonly Candidate[] {
+    const usable = order.filter(({ weight }) => weight > 0);
+    const holders = usable.filter(({ target }) => matched.has(target));
+    return holders.length > Math.max(1, usable.length * SPREAD_PART) ? [] : holders.slice(0, HOLDERS_DRAWN);
+}
+
 /** Picks the best candidate; equal scores go to the one drawn first, so that weights hold when idle. */
 function pick(weighed: readonly WeighedCandidate[], order: readonly string[]): string | undefined {
     const eligible = new Map(eligibleOf(weighed).map(candidate => [candidate.target, candidate]));
