--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,6 +1,9 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
+import { claimsFuzz } from "./claims.js";
+import { configurationFuzz } from "./configuration.js";
 import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
+import { membershipFuzz } from "./membership.js";
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
@@ -8,6 +11,8 @@
 
 /** All fuzz modules, in the order in which they run. */
 export const fuzzes: readonly Fuzz[] = [
+    configurationFuzz,
+    claimsFuzz,
     admissionFuzz,
     fairnessFuzz,
     sharesFuzz,
@@ -15,4 +20,5 @@
     retryFuzz,
     requestsFuzz,
     groupsFuzz,
+    membershipFuzz,
 ];
