--- a/packages/core/src/routing/tests/router.test.ts
+++ b/packages/core/src/routing/tests/router.test.ts
@@ -91,6 +91,24 @@
         expect(chosen().size).to.be.greaterThan(4);
     });
 
+    it("does not bunch requests at the known holders of a prefix that is held widely", () => {
+        const router = createRouter({ random: xoroshiro128plus(1) });
+        const request = { ...plain, prefixes: ["p"] };
+        const candidates = names(9).map(name => candidate(name));
+        names(5).forEach(name => router.cacheEvent(name, { stored: ["p"], evicted: [] }));
+        const chosen = new Set(names(100).map(() => router.choose(candidates, request, 0).target));
+        expect(chosen.size).to.equal(9);
+    });
+
+    it("reads a report that is older than the newest one", () => {
+        const router = createRouter({ random: xoroshiro128plus(1) });
+        router.sent("a", plain, 10);
+        router.finished({ target: "a", finishedAt: 20, result: "complete" });
+        const estimate = (reportedAt: number) =>
+            router.choose([candidate("a", { load: load(1, reportedAt) })], plain, 50).weighed[0]?.estimatedLoad;
+        expect([estimate(30), estimate(15)]).to.deep.equal([1, 0]);
+    });
+
     it("ejects a failing target for a growing time, and never more than the cap", () => {
         const router = createRouter({ random: xoroshiro128plus(1) });
         const candidates = names(6).map(name => candidate(name));
--- a/packages/proofs/src/bench/limits/retries.ts
+++ b/packages/proofs/src/bench/limits/retries.ts
@@ -94,6 +94,11 @@
     const random = xoroshiro128plus(seed);
     const agenda = new Agenda();
     const admission = createAdmission({ capacity: CAPACITY });
+    const told = build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: 60_000_000,
+        numberOfSignificantValueDigits: 3,
+    });
     const wait = build({
         lowestDiscernibleValue: 1,
         highestTrackableValue: 600_000,
@@ -114,8 +119,10 @@
         const tries = callers.get(id) ?? 0;
         callers.set(id, tries + 1);
         counts.tries += 1;
+        const offeredAt = performance.now();
         const decision = admission.offer({ id, team: "a", priority: 5, tokens: 0, deadlineAt: now + 60_000 }, now);
         if (decision.kind === "refused") {
+            told.recordValue(Math.round((performance.now() - offeredAt) * 1_000));
             counts.shed += tries === 0 ? 1 : 0;
             agenda.add(now + way.after(decision.retryAfterMilliseconds), at => come(id, at));
         }
@@ -137,7 +144,7 @@
         }
         admission.poll(now).admitted.forEach(id => started(id, now));
     }
-    return { counts, wait, requests: cameAt.size };
+    return { counts, wait, told, requests: cameAt.size };
 }
 
 function figures(
@@ -174,7 +181,7 @@
             "lower",
         ]]),
         ...returns.flatMap(way => {
-            const { counts, wait, requests } = playBurst(seed, way);
+            const { counts, wait, told, requests } = playBurst(seed, way);
             return figures(burst, way.name, way.baseline, [
                 [
                     "accepted at the first return",
@@ -183,6 +190,7 @@
                     "higher",
                 ],
                 ["tries for each request", "", counts.tries / requests, "lower"],
+                ["refusal told after p99", "us", told.getValueAtPercentile(99), "lower"],
                 ["wait until start p50", "ms", wait.getValueAtPercentile(50), "lower"],
                 ["wait until start p95", "ms", wait.getValueAtPercentile(95), "lower"],
                 ["wait until start p99", "ms", wait.getValueAtPercentile(99), "lower"],
