--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -114,34 +114,6 @@
         "Check that both daemons run compatible versions.",
     ),
     memberChanged: define(505, "info", "The state of another daemon changed."),
-    streamUnreachable: define(
-        201,
-        "warn",
-        "The platform's log of a stream cannot be read; the daemon serves on with the state that it has.",
-        "Check the platform and the network to it.",
-    ),
-    streamReachable: define(202, "info", "The platform's log of a stream can be read again."),
-    streamGap: define(
-        203,
-        "error",
-        "Entries of a stream were removed before this daemon read them, and no newer state is available.",
-        "Let a daemon that has a newer state reach this one.",
-    ),
-    streamRestored: define(204, "info", "The state of a stream was taken from a snapshot or a peer."),
-    streamHalted: define(
-        205,
-        "error",
-        "The fold of a stream stopped at a record of an unknown version or kind.",
-        "Upgrade this daemon.",
-    ),
-    streamMalformed: define(206, "warn", "An entry of a stream is not a record and was skipped.", "Find its writer."),
-    snapshotWritten: define(207, "info", "A snapshot of a stream was written to the log."),
-    snapshotFailed: define(208, "warn", "A snapshot of a stream could not be written or read.", "Check the platform."),
-    claimsAmbiguous: define(
-        306,
-        "warn",
-        "The answer to a record of claims was lost; its claims are released when the log answers again.",
-    ),
 } as const satisfies Record<string, EventDefinition>;
 
 /** Name of an event. */
