Probe an engine twice before its answer is given up

Cause: a whole answer sends nothing until its end, so each silence of 5 s asks the engine over a new connection; one report slower than 500 ms ended an answer that was under way. Change: a second probe follows a failed one. The extended test fails with a single probe.

--- a/packages/daemon/src/adapters/engineclient.ts
+++ b/packages/daemon/src/adapters/engineclient.ts
@@ -180,14 +180,16 @@
     return failure({ kind: "failed", status, message: `the engine answered with status ${status}` });
 }
 
+/** Two probes, because one slow report of a busy engine must not end an answer that is under way. */
 async function findLoss(options: EngineClientOptions, origin: string): Promise<"connection" | "target"> {
-    const works = await options.pools.probe(origin, {
-        method: "GET",
-        path: "/report",
-        headers: { authorization: `Bearer ${options.credential}` },
-        timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
-    });
-    return works ? "connection" : "target";
+    const probe = (): Promise<boolean> =>
+        options.pools.probe(origin, {
+            method: "GET",
+            path: "/report",
+            headers: { authorization: `Bearer ${options.credential}` },
+            timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
+        });
+    return await probe() || await probe() ? "connection" : "target";
 }
 
 /** A short call with one deadline for all of it. */
--- a/packages/daemon/src/adapters/tests/clients.test.ts
+++ b/packages/daemon/src/adapters/tests/clients.test.ts
@@ -97,18 +97,28 @@
 
     it("tell a lost target from a lost connection", async () => {
         const lostTarget = await start(() => undefined);
+        let reports = 0;
+        const slowOnce = await start((incoming, response) => {
+            reports += incoming.url === "/report" ? 1 : 0;
+            if (reports === 2) {
+                response.end("{}");
+            }
+        });
         const lostConnection = await start((incoming, response) => {
             if (incoming.url === "/report") {
                 response.end("{}");
             }
         });
         const failures = await Promise.all(
-            [lostTarget, lostConnection].map(async url => (await collect(engines.complete(request(url)))).at(-1)),
+            [lostTarget, lostConnection, slowOnce].map(async url =>
+                (await collect(engines.complete(request(url)))).at(-1)
+            ),
         );
 
         expect(failures.map(event => event?.kind === "failure" && event.failure.lost)).to.deep.equal([
             "target",
             "connection",
+            "connection",
         ]);
     });
 
