Name the other daemon of an event as peer

Cause: the field daemon of events 501, 502, 504 and 505 replaced the logger's own field of that name, so a log line seemed to come from the other daemon.

--- a/packages/daemon/src/adapters/peernetwork.ts
+++ b/packages/daemon/src/adapters/peernetwork.ts
@@ -161,7 +161,7 @@
         },
         refused: (link, reason) => {
             this.options.metrics.increment("peers.messages_refused", 1, { reason });
-            this.options.eventLog.emit("peerMessageRefused", { daemon: link.peer?.daemon, reason });
+            this.options.eventLog.emit("peerMessageRefused", { peer: link.peer?.daemon, reason });
         },
         closed: link => this.ended(link),
     };
@@ -185,7 +185,7 @@
         this.open.set(hello.daemon, link);
         held?.close(1000, "replaced by another link");
         if (held === undefined) {
-            this.options.eventLog.emit("peerConnected", { daemon: hello.daemon, dataCentre: hello.dataCentre });
+            this.options.eventLog.emit("peerConnected", { peer: hello.daemon, peerDataCentre: hello.dataCentre });
         }
         this.options.metrics.gauge("peers.links", this.open.size);
     }
@@ -202,7 +202,7 @@
         const daemon = link.peer?.daemon;
         if (daemon !== undefined && this.open.get(daemon) === link) {
             this.open.delete(daemon);
-            this.options.eventLog.emit("peerDisconnected", { daemon });
+            this.options.eventLog.emit("peerDisconnected", { peer: daemon });
             this.options.metrics.gauge("peers.links", this.open.size);
         }
         this.dials.forEach(dial => {
--- a/packages/daemon/src/tasks/membership.ts
+++ b/packages/daemon/src/tasks/membership.ts
@@ -240,7 +240,7 @@
             before.members.get(news.daemon)?.news.state !== news.state
         );
         changed.forEach(({ news }) =>
-            this.options.eventLog.emit("memberChanged", { daemon: news.daemon, state: news.state })
+            this.options.eventLog.emit("memberChanged", { peer: news.daemon, state: news.state })
         );
         const same = before.self === next.self && before.members.size === next.members.size
             && [...next.members.values()].every(({ news }) => before.members.get(news.daemon)?.news === news);
