--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,9 +1,20 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
+import { controlBench } from "./control/bench.js";
+import { foldBench } from "./fold.js";
 import { groupsBench } from "./groups/bench.js";
 import { limitsBench } from "./limits/limits.js";
 import { retriesBench } from "./limits/retries.js";
+import { pathBench } from "./path/bench.js";
 import { routingBench } from "./routing/bench.js";
 import type { Bench } from "./types.js";
 
 /** All benchmarks, in the order in which they run. */
-export const benches: readonly Bench[] = [routingBench, limitsBench, retriesBench, groupsBench];
+export const benches: readonly Bench[] = [
+    routingBench,
+    limitsBench,
+    retriesBench,
+    groupsBench,
+    foldBench,
+    pathBench,
+    controlBench,
+];
