Share limits by averaged demand of all data centres

Ruled out: a link between every pair of daemons. Change: demand is averaged by the demand book; a daemon passes the demand of its data centre on over the links to the others, with its age. Reports of silent and foreign data are counted as well as logged.

--- a/packages/daemon/src/messages.ts
+++ b/packages/daemon/src/messages.ts
@@ -19,6 +19,13 @@
 /** Schema of an observation of a host, with its age when the message was sent, in milliseconds. */
 export const sharedObservationSchema = z.object({ report: reportSchema, ageMilliseconds: z.number().nonnegative() });
 
+/** Schema of the demand of a daemon, as another one passes it on, with its age when the message was sent. */
+export const relayedDemandSchema = z.object({
+    daemon: z.string().min(1),
+    demand: z.record(z.string(), z.number().nonnegative()),
+    ageMilliseconds: z.number().nonnegative(),
+});
+
 const request = z.string().min(1);
 const news = {
     sequence: z.number().int().nonnegative(),
@@ -29,6 +36,8 @@
     offsets: z.record(z.string(), z.number().int().nonnegative()),
     /** Requests a second that each team asked of the sender. */
     demand: z.record(z.string(), z.number().nonnegative()),
+    /** Demand that other daemons of the sender's data centre told it; only sent to other data centres. */
+    relayed: z.array(relayedDemandSchema).max(256).optional(),
     /** Models of which the sender's data centre has dispatchable groups. */
     models: z.array(z.string()).max(256).optional(),
 };
@@ -73,6 +82,8 @@
 export type Member = z.infer<typeof memberSchema>;
 /** Observation as told between daemons. */
 export type SharedObservation = z.infer<typeof sharedObservationSchema>;
+/** Demand of a daemon, as another one passes it on. */
+export type RelayedDemand = z.infer<typeof relayedDemandSchema>;
 /** Message between daemons. */
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
 /** Message of one kind. */
--- a/packages/daemon/src/tasks/limits.ts
+++ b/packages/daemon/src/tasks/limits.ts
@@ -1,5 +1,6 @@
 /** Limits task: this daemon's share of each team's limits, from the demand of all daemons. */
 import { createDemandBook, type RowOf, type TeamShare } from "@damaskvale/core";
+import type { RelayedDemand } from "../messages.js";
 import type { Clock } from "../ports/clock.js";
 import type { TableView } from "../ports/tableview.js";
 import type { MembersView } from "./membership.js";
@@ -22,6 +23,8 @@
     readonly shares: Published<readonly TeamShare[]>;
     /** Demand as this daemon states it to the others. */
     stated(): Readonly<Record<string, number>>;
+    /** Notes the demand that other daemons state. */
+    heard(statements: readonly RelayedDemand[]): void;
     start(): void;
     stop(): void;
 }
@@ -38,11 +41,7 @@
         shares.publish(book.shares(limits, knownDaemons(members.current()), clock.monotonic()));
     };
     const step = (): void => {
-        stated = takeDemand();
-        book.stated(stated, clock.monotonic());
-        members.current().others.filter(({ news }) => news.state === "alive").forEach(({ news, demand }) =>
-            book.heard(news.daemon, new Map(Object.entries(demand)), clock.monotonic())
-        );
+        stated = book.measured(takeDemand(), clock.monotonic());
         publish();
     };
     const unsubscribe = table.subscribe(publish);
@@ -50,6 +49,10 @@
     return {
         shares,
         stated: () => Object.fromEntries(stated),
+        heard: statements =>
+            statements.forEach(({ daemon, demand, ageMilliseconds }) =>
+                book.heard(daemon, new Map(Object.entries(demand)), clock.monotonic(), ageMilliseconds)
+            ),
         start: () => {
             step();
             timer = setInterval(step, SHARES_INTERVAL_MILLISECONDS);
--- a/packages/daemon/src/tasks/membership.ts
+++ b/packages/daemon/src/tasks/membership.ts
@@ -4,6 +4,7 @@
     chooseNews,
     chooseProbes,
     createMembership,
+    DEMAND_WINDOW_MILLISECONDS,
     hearAnswer,
     hearNews,
     leave,
@@ -12,7 +13,7 @@
     type Membership,
     tick,
 } from "@damaskvale/core";
-import type { PeerMessageOf, SharedObservation } from "../messages.js";
+import type { PeerMessageOf, RelayedDemand, SharedObservation } from "../messages.js";
 import type { Clock } from "../ports/clock.js";
 import type { Metrics } from "../ports/metrics.js";
 import { createMailbox } from "./mailbox.js";
@@ -51,6 +52,8 @@
     readonly shared: SharedState;
     /** Offsets of streams that a peer told. */
     onOffsets(daemon: string, offsets: Readonly<Record<string, number>>): void;
+    /** Demand that a peer told of itself or passed on for its data centre, with its age now. */
+    onDemand(statements: readonly RelayedDemand[]): void;
     /** Observations of a peer; each was true `ageMilliseconds` before `sentAt` of this daemon's clock, or later. */
     onObservations(daemon: string, observations: readonly SharedObservation[], sentAt: number): void;
 }
@@ -91,6 +94,7 @@
     private readonly pending = new Map<number, { readonly daemon: string; readonly sentAt: number; }>();
     private readonly probedAt = new Map<string, number>();
     private readonly told = new Map<string, Told>();
+    private readonly toldAt = new Map<string, number>();
     private readonly links;
     private readonly published;
     private readonly mailbox;
@@ -183,8 +187,9 @@
         }
     }
 
-    private answer(from: string, { sequence, sentAt, members, offsets, demand, models }: PeerMessageOf<"probe">): void {
-        this.hear(from, members, offsets, { demand, models: models ?? [] });
+    private answer(from: string, message: PeerMessageOf<"probe">): void {
+        const { sequence, sentAt } = message;
+        this.hear(from, message);
         const near = this.membership.members.get(from)?.news.dataCentre === this.options.self.dataCentre;
         this.options.network.send(from, {
             kind: "acknowledge",
@@ -202,26 +207,31 @@
         }
         this.pending.delete(message.sequence);
         this.membership = hearAnswer(this.membership, from);
-        this.hear(from, message.members, message.offsets, { demand: message.demand, models: message.models ?? [] });
+        this.hear(from, message);
         this.options.onObservations(from, message.observations, pending.sentAt);
     }
 
-    private hear(
-        from: string,
-        members: readonly MemberNews[],
-        offsets: Readonly<Record<string, number>>,
-        told: Told,
-    ): void {
+    private hear(from: string, message: PeerMessageOf<"probe"> | PeerMessageOf<"acknowledge">): void {
+        const { members, offsets, demand, models = [], relayed = [] } = message;
+        const told = { demand, models };
         const held = this.told.get(from);
+        const now = this.options.clock.monotonic();
         this.told.set(from, told);
-        this.change(hearNews(this.membership, members, this.options.clock.monotonic()));
+        this.toldAt.set(from, now);
+        this.change(hearNews(this.membership, members, now));
+        this.options.onDemand([
+            { daemon: from, demand, ageMilliseconds: 0 },
+            ...relayed.filter(({ daemon }) => daemon !== this.options.self.daemon && daemon !== from),
+        ]);
         if (JSON.stringify(held) !== JSON.stringify(told)) {
             this.published.publish(this.view());
         }
         this.options.onOffsets(from, offsets);
     }
 
-    private news(peer: string): Pick<PeerMessageOf<"probe">, "members" | "offsets" | "demand" | "models"> {
+    private news(
+        peer: string,
+    ): Pick<PeerMessageOf<"probe">, "members" | "offsets" | "demand" | "models" | "relayed"> {
         const { shared } = this.options;
         const chosen = chooseNews(this.membership, peer, this.nextSeed());
         this.membership = chosen.membership;
@@ -230,9 +240,31 @@
             offsets: { ...shared.offsets() },
             demand: { ...shared.demand() },
             models: [...shared.models()],
+            relayed: this.relayed(peer),
         };
     }
 
+    /**
+     * Data centres are joined by a few links only, so their daemons would otherwise hear of a part of the demand. The
+     * demand of a daemon that has not told it for the window is left out.
+     */
+    private relayed(peer: string): RelayedDemand[] | undefined {
+        const { dataCentre } = this.options.self;
+        const near = [...this.membership.members.values()].map(({ news }) => news)
+            .filter(news => news.dataCentre === dataCentre && news.state === "alive");
+        if (near.some(({ daemon }) => daemon === peer) || !this.membership.members.has(peer)) {
+            return undefined;
+        }
+        const now = this.options.clock.monotonic();
+        return near
+            .map(({ daemon }) => ({
+                daemon,
+                demand: { ...this.told.get(daemon)?.demand },
+                ageMilliseconds: now - (this.toldAt.get(daemon) ?? Number.NEGATIVE_INFINITY),
+            }))
+            .filter(({ ageMilliseconds }) => ageMilliseconds < DEMAND_WINDOW_MILLISECONDS);
+    }
+
     private change(next: Membership): void {
         const before = this.membership;
         this.membership = next;
--- a/packages/daemon/src/tasks/tests/membership.test.ts
+++ b/packages/daemon/src/tasks/tests/membership.test.ts
@@ -1,6 +1,6 @@
 import { install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import type { SharedObservation } from "../../messages.js";
+import type { RelayedDemand, SharedObservation } from "../../messages.js";
 import { MembershipTask } from "../membership.js";
 import { Bus } from "./bus.js";
 import { FakeEngine, noMetrics } from "./fakes.js";
@@ -9,6 +9,7 @@
     readonly name: string;
     readonly task: MembershipTask;
     readonly offsets: string[];
+    readonly demands: RelayedDemand[];
     readonly observed: { observations: readonly SharedObservation[]; sentAt: number; }[];
 }
 
@@ -21,6 +22,7 @@
         const [dataCentre = ""] = name.split("-");
         const offsets: string[] = [];
         const observed: Node["observed"] = [];
+        const demands: RelayedDemand[] = [];
         const report = new FakeEngine(`host-of-${name}`).report();
         const task = new MembershipTask({
             self: { daemon: name, dataCentre, address: name, incarnation },
@@ -37,10 +39,11 @@
                 observations: () => [{ report, ageMilliseconds: 100 }],
             },
             onOffsets: (daemon, told) => offsets.push(`${daemon} ${told["configuration"]}`),
+            onDemand: statements => demands.push(...statements),
             onObservations: (...[, observations, sentAt]) => observed.push({ observations, sentAt }),
         });
         task.start();
-        const node = { name, task, offsets, observed };
+        const node = { name, task, offsets, observed, demands };
         nodes = [...nodes.filter(other => other.name !== name), node];
         return node;
     };
@@ -70,6 +73,20 @@
         expect(nodes[0]?.offsets).to.include("x-2 7");
     });
 
+    it("hears the demand of daemons of other data centres to which it has no link, with its age", async () => {
+        all.forEach(name => add(name));
+        await timers.tickAsync(15_000);
+
+        const heard = nodes.map(({ name, demands }) =>
+            all.filter(other => other === name || demands.some(({ daemon }) => daemon === other)).join(" ")
+        );
+
+        expect(heard).to.deep.equal(all.map(() => all.join(" ")));
+        const relayed = nodes.flatMap(({ demands }) => demands).filter(({ ageMilliseconds }) => ageMilliseconds > 0);
+        expect(relayed.length).to.be.greaterThan(0);
+        expect(relayed.every(({ demand }) => demand["team"] === 1.5)).to.equal(true);
+    });
+
     it("takes a silent daemon for dead within seconds, and back when it returns", async () => {
         all.forEach(name => add(name));
         await timers.tickAsync(10_000);
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -26,6 +26,7 @@
 import { createTargetPools } from "./adapters/pools.js";
 import { createServiceClient } from "./adapters/serviceclient.js";
 import { createStatsd } from "./adapters/statsd.js";
+import { createTargetReports } from "./adapters/targetreports.js";
 import { createControl } from "./control/control.js";
 import {
     readAllStatus,
@@ -39,6 +40,7 @@
 import { createRetryPolicy } from "./dispatch/retries.js";
 import { createFront } from "./front/front.js";
 import { listenOn } from "./front/server.js";
+import type { RelayedDemand } from "./messages.js";
 import type { StreamHealth } from "./ports/stream.js";
 import type { Settings } from "./settings.js";
 import { createClaims } from "./tasks/claims.js";
@@ -107,9 +109,7 @@
     const targetOptions = {
         pools,
         credential: targetCredential,
-        onForeignData: (url: string, attemptId: string) => events.emit("foreignData", { url, attemptId }),
-        onSilence: (url: string, lost: "connection" | "target") =>
-            events.emit(lost === "connection" ? "connectionLost" : "targetLost", { url }),
+        ...createTargetReports(metrics, events),
     };
     const author = { daemon, incarnation: randomBytes(INCARNATION_BYTES).toString("hex") };
     const shared = { clock: systemClock, metrics, eventLog: events };
@@ -143,12 +143,18 @@
     return { configuration, groups, members, claims, all: [configuration, groups, members, ...claims] };
 }
 
+/** Demand, which the membership task carries for the limits task. */
+interface Told {
+    demand: () => Readonly<Record<string, number>>;
+    hear: (statements: readonly RelayedDemand[]) => void;
+}
+
 function createCluster(settings: Settings, adapters: Adapters, streams: Streams) {
     const { name: daemon, dataCentre } = settings;
     const { incarnation } = adapters.author;
     const table = publishTableView(streams.configuration.folded);
     // The tasks refer to each other; what is read only after the start is passed as a function.
-    const told = { demand: (): Readonly<Record<string, number>> => ({}) };
+    const told: Told = { demand: () => ({}), hear: () => undefined };
     const configurationOffsets = new Map<string, number>();
     const membership: MembershipTask = new MembershipTask({
         ...adapters,
@@ -169,6 +175,7 @@
                 stream.heardOffset(peer, offsets[stream.name] ?? 0)
             );
         },
+        onDemand: statements => told.hear(statements),
         onObservations: (...[, observations, sentAt]) => observer.merge(observations, sentAt),
     });
     const members = membership.members;
@@ -221,6 +228,7 @@
         concurrencyPerGroup: settings.concurrencyPerGroup,
     });
     cluster.told.demand = limits.stated;
+    cluster.told.hear = limits.heard;
     const state = { draining: false, configured: false };
     const ready = (): boolean => {
         state.configured ||= hasConfiguration(streams.configuration.health());
--- a/packages/proofs/src/bench/fold.ts
+++ b/packages/proofs/src/bench/fold.ts
@@ -89,7 +89,7 @@
         )
     );
     const encoded = time(() => encodeSnapshot(one.definition.name, folded.value));
-    const decoded = time(() => decodeSnapshot(one.definition, encoded.value));
+    const decoded = time(() => decodeSnapshot(one.definition, one.definition.name, encoded.value));
     const plain = time(() => JSON.stringify(one.bodies));
     const figure = (subject: string, baseline: boolean, measure: string, unit: string, value: number): BenchFigure => ({
         scenario: one.scenario,
--- a/packages/proofs/src/fuzz/membership.ts
+++ b/packages/proofs/src/fuzz/membership.ts
@@ -102,6 +102,7 @@
             seed: this.seed + names.indexOf(name),
             shared: { offsets: () => ({}), demand: () => ({}), models: () => [], observations: () => [] },
             onOffsets: () => undefined,
+            onDemand: () => undefined,
             onObservations: () => undefined,
         });
         this.running.set(name, task);
