Give questions to peers ids that no other process uses

Cause: request ids of questions to peers counted from 1 in each process. By the same path a caller could have received the recorded answer of another key. Change: ids are random UUIDs, an answer counts only from the peer and of the kind that was asked for, and an error while entries of a peer are folded is logged instead of ending the process.

--- a/packages/daemon/src/tasks/exchange.ts
+++ b/packages/daemon/src/tasks/exchange.ts
@@ -1,5 +1,6 @@
 /** Entries and states of streams between daemons. One exchange serves all streams of a daemon. */
 import type { Entry } from "@damaskvale/core";
+import { randomUUID } from "node:crypto";
 import type { PeerNetwork } from "../ports/peers.js";
 
 /** What one stream gives to other daemons. */
@@ -19,31 +20,37 @@
     fetchState(peer: string, stream: string): Promise<unknown>;
 }
 
+type AnswerKind = "entries" | "state";
+
 const ANSWER_TIMEOUT_MILLISECONDS = 1_000;
 
 /** Makes the exchange and registers its receivers. */
 export function createStreamExchange(network: PeerNetwork): StreamExchange {
     const sources = new Map<string, StreamSource>();
     const waiting = new Map<string, (answer: unknown) => void>();
-    let requests = 0;
 
-    const ask = <Answer>(send: (request: string) => boolean): Promise<Answer | undefined> =>
+    /** Request ids differ between processes: an answer to an earlier process of this name must not settle another. */
+    const ask = <Answer>(
+        peer: string,
+        kind: AnswerKind,
+        send: (request: string) => boolean,
+    ): Promise<Answer | undefined> =>
         new Promise(resolve => {
-            requests += 1;
-            const request = String(requests);
-            const timer = setTimeout(() => settle(request, undefined), ANSWER_TIMEOUT_MILLISECONDS);
-            waiting.set(request, answer => {
+            const request = randomUUID();
+            const key = keyOf(peer, kind, request);
+            const timer = setTimeout(() => settle(key, undefined), ANSWER_TIMEOUT_MILLISECONDS);
+            waiting.set(key, answer => {
                 clearTimeout(timer);
                 resolve(answer as Answer | undefined);
             });
             if (!send(request)) {
-                settle(request, undefined);
+                settle(key, undefined);
             }
         });
 
-    const settle = (request: string, answer: unknown): void => {
-        const resolve = waiting.get(request);
-        waiting.delete(request);
+    const settle = (key: string, answer: unknown): void => {
+        const resolve = waiting.get(key);
+        waiting.delete(key);
         resolve?.(answer);
     };
 
@@ -55,8 +62,8 @@
         const snapshot = sources.get(stream)?.snapshot() ?? Promise.resolve(undefined);
         void snapshot.then(value => network.send(from, { kind: "state", request, stream, snapshot: value }));
     });
-    network.receive("entries", (...[, { request, entries }]) => settle(request, entries));
-    network.receive("state", (...[, { request, snapshot }]) => settle(request, snapshot));
+    network.receive("entries", (from, { request, entries }) => settle(keyOf(from, "entries", request), entries));
+    network.receive("state", (from, { request, snapshot }) => settle(keyOf(from, "state", request), snapshot));
 
     return {
         serve: (stream, source) => {
@@ -64,8 +71,16 @@
         },
         peers: () => network.links().filter(({ connected }) => connected).map(({ daemon }) => daemon),
         fetchEntries: (peer, stream, from) =>
-            ask<Entry[]>(request => network.send(peer, { kind: "fetchEntries", request, stream, from })),
+            ask<Entry[]>(
+                peer,
+                "entries",
+                request => network.send(peer, { kind: "fetchEntries", request, stream, from }),
+            ),
         fetchState: (peer, stream) =>
-            ask<unknown>(request => network.send(peer, { kind: "fetchState", request, stream })),
+            ask<unknown>(peer, "state", request => network.send(peer, { kind: "fetchState", request, stream })),
     };
 }
+
+function keyOf(peer: string, kind: AnswerKind, request: string): string {
+    return `${peer} ${kind} ${request}`;
+}
--- a/packages/daemon/src/tasks/follower.ts
+++ b/packages/daemon/src/tasks/follower.ts
@@ -116,8 +116,8 @@
         const now = this.options.clock.monotonic();
         if (offset > this.nextOffset && now >= this.fetchAfter) {
             this.fetchAfter = Infinity;
-            void this.fetchFrom(peer, offset).then(helped => {
-                this.fetchAfter = this.options.clock.monotonic() + (helped ? 0 : PEER_RETRY_MILLISECONDS);
+            void this.fetchFrom(peer, offset).catch(error => this.failed(error)).then(helped => {
+                this.fetchAfter = this.options.clock.monotonic() + (helped === true ? 0 : PEER_RETRY_MILLISECONDS);
             });
         }
     }
--- a/packages/daemon/src/tasks/recordedanswers.ts
+++ b/packages/daemon/src/tasks/recordedanswers.ts
@@ -1,5 +1,6 @@
 /** Answers of completed keys, kept in bounded memory, and fetched from their owner. */
 import { type Outcome, outcomeSchema } from "@damaskvale/core";
+import { randomUUID } from "node:crypto";
 import type { RecordedAnswer } from "../ports/claims.js";
 import type { PeerNetwork } from "../ports/peers.js";
 
@@ -27,7 +28,6 @@
     const answers = new Map<string, Kept>();
     const waiting = new Map<string, (answer: RecordedAnswer | undefined) => void>();
     let total = 0;
-    let requests = 0;
 
     const drop = (key: string): void => {
         total -= answers.get(key)?.bytes ?? 0;
@@ -76,8 +76,8 @@
         find: (team, keyHash) => answers.get(keyOf(team, keyHash))?.answer,
         fetch: (owner, team, keyHash) =>
             new Promise(resolve => {
-                requests += 1;
-                const request = String(requests);
+                // Ids differ between processes: an answer to an earlier process of this name is of another caller.
+                const request = randomUUID();
                 const timer = setTimeout(() => settle(request, undefined), FETCH_TIMEOUT_MILLISECONDS);
                 waiting.set(request, answer => {
                     clearTimeout(timer);
--- /dev/null
+++ b/packages/daemon/src/tasks/tests/exchange.test.ts
@@ -0,0 +1,63 @@
+import { expect } from "chai";
+import type { PeerMessage } from "../../messages.js";
+import type { PeerNetwork } from "../../ports/peers.js";
+import { createStreamExchange } from "../exchange.js";
+import { createAnswerStore } from "../recordedanswers.js";
+import { withTimers } from "./streamfakes.js";
+
+/** Network that keeps what is sent, and delivers what a test wants. */
+function recordingNetwork() {
+    const sent: PeerMessage[] = [];
+    const receivers = new Map<string, (from: string, message: never) => void>();
+    const network: PeerNetwork = {
+        send: (...[, message]) => sent.push(message) > 0,
+        receive: (kind, receiver) => {
+            receivers.set(kind, receiver as never);
+        },
+        connect: () => undefined,
+        links: () => [],
+    };
+    return {
+        network,
+        requestOf: (index: number) => (sent[index] as { request: string; }).request,
+        deliver: (from: string, message: PeerMessage) => receivers.get(message.kind)?.(from, message as never),
+    };
+}
+
+describe("questions to peers", () => {
+    const body = new Uint8Array([1]);
+    const answer = {
+        kind: "answer" as const,
+        found: true,
+        status: 200,
+        headers: {},
+        body,
+        outcome: "complete" as const,
+    };
+
+    it("are not settled by an answer to an earlier process of the same name", () =>
+        withTimers(async advance => {
+            const [before, after] = [recordingNetwork(), recordingNetwork()];
+            const ask = ({ network }: typeof before) => [
+                createStreamExchange(network).fetchEntries("b", "s", 0),
+                createAnswerStore(network, 1_000).fetch("b", "fees", "key"),
+            ];
+            void Promise.all(ask(before));
+            const asked = ask(after);
+            after.deliver("b", { kind: "entries", request: before.requestOf(0), stream: "s", entries: [] });
+            after.deliver("b", { ...answer, request: before.requestOf(1) });
+            await advance(1_100);
+            expect(await Promise.all(asked)).to.deep.equal([undefined, undefined]);
+        }));
+
+    it("are not settled by an answer of another kind or peer", () =>
+        withTimers(async advance => {
+            const one = recordingNetwork();
+            const asked = createStreamExchange(one.network).fetchEntries("b", "s", 0);
+            const request = one.requestOf(0);
+            one.deliver("b", { kind: "state", request, stream: "s", snapshot: {} });
+            one.deliver("c", { kind: "entries", request, stream: "s", entries: [] });
+            await advance(1_100);
+            expect(await asked).to.equal(undefined);
+        }));
+});
