--- a/packages/proofs/src/sessions/scripts.ts
+++ b/packages/proofs/src/sessions/scripts.ts
@@ -62,6 +62,7 @@
     },
     "not-repeatable": async session => {
         await session.caller(change("fee-1", "ZAR 95"));
+        await delay(RECORDED_MILLISECONDS);
         await session.caller(change("fee-1", "ZAR 95"));
         await session.caller(change("fee-1", "ZAR 95", 1));
         await session.caller(change("fee-1", "ZAR 1"));
