Pass status questions on to the daemon that is meant

Cause: an edit of wire.ts had not taken effect, so a daemon answered a question about another daemon with its own status. Ruled out: the asking side, which sends the name.

--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -34,7 +34,7 @@
     ): Promise<z.infer<Schema>> {
         const result = await callControl(
             {
-                daemons: flags.daemon.split(",").map(url => url.trim()),
+                daemons: daemonsOf(flags),
                 token: flags.token,
                 timeoutMilliseconds: TIMEOUT_MILLISECONDS,
             },
@@ -46,6 +46,27 @@
         return this.stop(exitCodeOf(result.val), result.val.issues);
     }
 
+    /**
+     * Calls every daemon, because a daemon knows the hosts and groups of its own data centre only. Daemons that do not
+     * answer are left out, unless none answers.
+     */
+    protected async callEach<Schema extends z.ZodType>(
+        flags: ConnectionFlags,
+        call: ControlCall<Schema>,
+    ): Promise<z.infer<Schema>[]> {
+        const results = await Promise.all(
+            daemonsOf(flags).map(daemon =>
+                callControl({ daemons: [daemon], token: flags.token, timeoutMilliseconds: TIMEOUT_MILLISECONDS }, call)
+            ),
+        );
+        const answers = results.flatMap(result => result.ok ? [result.val] : []);
+        const failures = results.flatMap(result => result.err ? [result.val] : []);
+        const [first] = failures;
+        return answers.length > 0 || first === undefined
+            ? answers
+            : this.stop(exitCodeOf(first), failures.flatMap(({ issues }) => issues));
+    }
+
     /** Reports findings together and exits. */
     protected stop(exit: ExitCode, issues: readonly Issue[]): never {
         if (this.jsonEnabled()) {
@@ -57,6 +78,10 @@
     }
 }
 
+function daemonsOf({ daemon }: ConnectionFlags): string[] {
+    return daemon.split(",").map(url => url.trim()).filter(url => url !== "");
+}
+
 function exitCodeOf(failure: ControlFailure): ExitCode {
     const codes: Record<ControlFailure["kind"], ExitCode> = {
         unreachable: exitCodes.unreachable,
--- a/packages/cli/src/commands/groups.ts
+++ b/packages/cli/src/commands/groups.ts
@@ -3,21 +3,23 @@
 import { ControlCommand } from "../base.js";
 import { renderTable } from "../render.js";
 
-/** Shows the replica groups as one daemon sees them. */
+/** Shows the replica groups as the daemons see them. */
 export default class Groups extends ControlCommand {
-    static override summary = "Shows the replica groups of the daemon's data centre and why one gets no requests.";
+    static override summary =
+        "Shows the replica groups of the data centres of the daemons asked and why one gets no requests.";
     static override examples = ["<%= config.bin %> <%= command.id %>"];
 
     async run(): Promise<{ groups: GroupStatus[]; }> {
         const { flags } = await this.parse(Groups);
-        const answer = await this.call(flags, {
+        const answers = await this.callEach(flags, {
             method: "GET",
             path: "/control/v1/groups",
             schema: groupsAnswerSchema,
         });
+        const groups = [...new Map(answers.flatMap(answer => answer.groups).map(one => [one.group, one])).values()];
         this.log(renderTable(
             ["GROUP", "MODEL", "VERSION", "FENCE", "HOLDER", "SERVING", "MEMBERS"],
-            answer.groups.map(group => [
+            groups.map(group => [
                 group.group,
                 group.model,
                 group.version,
@@ -27,6 +29,6 @@
                 group.members.join(" "),
             ]),
         ));
-        return answer;
+        return { groups };
     }
 }
--- a/packages/cli/src/commands/hosts.ts
+++ b/packages/cli/src/commands/hosts.ts
@@ -3,18 +3,23 @@
 import { ControlCommand } from "../base.js";
 import { renderTable } from "../render.js";
 
-/** Shows the target hosts as one daemon sees them. */
+/** Shows the target hosts as the daemons see them. */
 export default class Hosts extends ControlCommand {
     static override summary =
-        "Shows the target hosts of the daemon's data centre: listing, table state, group, report.";
+        "Shows the target hosts of the data centres of the daemons asked: listing, table state, group, report.";
     static override examples = ["<%= config.bin %> <%= command.id %> --daemon http://127.0.0.1:8080"];
 
     async run(): Promise<{ hosts: HostStatus[]; }> {
         const { flags } = await this.parse(Hosts);
-        const answer = await this.call(flags, { method: "GET", path: "/control/v1/hosts", schema: hostsAnswerSchema });
+        const answers = await this.callEach(flags, {
+            method: "GET",
+            path: "/control/v1/hosts",
+            schema: hostsAnswerSchema,
+        });
+        const hosts = [...new Map(answers.flatMap(answer => answer.hosts).map(one => [one.host, one])).values()];
         this.log(renderTable(
             ["HOST", "DATA CENTRE", "FABRIC DOMAIN", "LISTED", "TABLE", "GROUP", "REPORTED", "AGE MS"],
-            answer.hosts.map(host => [
+            hosts.map(host => [
                 host.host,
                 host.dataCentre,
                 host.fabricDomain,
@@ -25,6 +30,6 @@
                 host.reportAgeMilliseconds === undefined ? undefined : Math.round(host.reportAgeMilliseconds),
             ]),
         ));
-        return answer;
+        return { hosts };
     }
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -28,14 +28,8 @@
 import { createStatsd } from "./adapters/statsd.js";
 import { createTargetReports } from "./adapters/targetreports.js";
 import { createControl } from "./control/control.js";
-import {
-    readAllStatus,
-    readGroups,
-    readHosts,
-    readOwnStatus,
-    readStatusOf,
-    type StatusSources,
-} from "./control/status.js";
+import { answerPeers, askOwner } from "./control/peers.js";
+import { readAllStatus, readGroups, readHosts, readStatusOf, type StatusSources } from "./control/status.js";
 import { createDispatcher } from "./dispatch/dispatcher.js";
 import { createRetryPolicy } from "./dispatch/retries.js";
 import { createFront } from "./front/front.js";
@@ -52,7 +46,7 @@
 import { createLimitsTask } from "./tasks/limits.js";
 import { MembershipTask } from "./tasks/membership.js";
 import { ObserverTask } from "./tasks/observer.js";
-import { createPeerQuestions, type PeerQuestions } from "./tasks/questions.js";
+import { createPeerQuestions } from "./tasks/questions.js";
 import { publishTableView } from "./tasks/tableview.js";
 
 /** A daemon that runs. */
@@ -259,7 +253,7 @@
         groups: () => view.status(),
         requestsInProgress: () => front.inProgress(),
     };
-    answerPeers(adapters, sources, requestId => dispatcher.explain(requestId));
+    answerPeers(adapters.network, sources, requestId => dispatcher.explain(requestId));
     const control = createControl({
         operators: new Map(settings.operatorTokens.map(({ name, token }) => [token, name])),
         clock: adapters.clock,
@@ -294,28 +288,6 @@
     );
 }
 
-/** Asks the daemon that served the request; its name is the request id without the incarnation and the counter. */
-async function askOwner(questions: PeerQuestions, requestId: string): Promise<unknown> {
-    const owner = requestId.split("-").slice(0, -2).join("-");
-    return (await questions.ask<"fetchExplanation">(owner, { kind: "fetchExplanation", requestId }))?.explanation;
-}
-
-function answerPeers(
-    { network }: Adapters,
-    sources: StatusSources,
-    explain: (requestId: string) => unknown,
-): void {
-    network.receive(
-        "fetchStatus",
-        (from, { request }) => network.send(from, { kind: "status", request, status: readOwnStatus(sources) }),
-    );
-    network.receive(
-        "fetchExplanation",
-        (from, { request, requestId }) =>
-            network.send(from, { kind: "explanation", request, explanation: explain(requestId) }),
-    );
-}
-
 function createShutdown(
     settings: Settings,
     adapters: Adapters,
