Let the demo wait until every daemon serves both users

The demo waited for the engines' reports, which a daemon, above all one of another data centre, hears of later. Ruled out: a fault of the daemon; it refused at once as not run, as it should while it knows no ready group. Change: the demo sends a small request of each user to each daemon until all are answered.

--- a/packages/proofs/src/demo/main.ts
+++ b/packages/proofs/src/demo/main.ts
@@ -75,13 +75,28 @@
             }
             return serving.every(({ ready, wanted }) => ready >= wanted);
         });
-        await waitFor("readiness of all daemons", SERVING_MILLISECONDS, async () => {
-            const answers = await Promise.all(cluster.daemons.map(({ url }) => fetchJson(`${url}/readyz`)));
-            return answers.every(({ status }) => status === 200);
+        // A daemon learns of groups a little later than the engines are ready, and of other data centres' later still.
+        await waitFor("service at all daemons", SERVING_MILLISECONDS, async () => {
+            const answers = await Promise.all(
+                cluster.daemons.flatMap(({ url }) => Object.entries(probes).map(probe => serves(url, probe))),
+            );
+            return answers.every(serving => serving);
         });
     }
 }
 
+/** Model that each of these teams may use. */
+const probes = { "apostille-routing": "certification-notes", "care-letters": "care-letters" } as const;
+
+async function serves(url: string, [team, model]: readonly [string, string]): Promise<boolean> {
+    const body = { model, max_tokens: 1, messages: [{ role: "user", content: "Are you ready?" }] };
+    const { status } = await fetchJson(`${url}/v1/chat/completions`, {
+        token: callerKeys[team as keyof typeof callerKeys],
+        body,
+    });
+    return status === 200;
+}
+
 function describe(cluster: Cluster): unknown {
     const summary = ({ name, url, child }: Cluster["services"][number]) => ({ name, url, pid: child.pid });
     return {
