Compare secrets in one place

Cause: the front, the operators' interface and the peer network each had their own constant-time comparison. Ruled out: one parser of the authorization header as well; the two patterns differ in length and case, and sharing one would change what is accepted. Change: secrets.ts with sameSecret. A missing token is compared as an empty text, which no secret equals, because each has at least 16 characters.

--- a/packages/daemon/src/adapters/peernetwork.ts
+++ b/packages/daemon/src/adapters/peernetwork.ts
@@ -1,5 +1,4 @@
 /** Links to other daemons: WebSocket with msgpack, and a shared secret that is checked at the upgrade. */
-import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, Server } from "node:http";
 import type { Duplex } from "node:stream";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
@@ -10,6 +9,7 @@
 import type { EventLog } from "../ports/eventlog.js";
 import type { Metrics } from "../ports/metrics.js";
 import type { PeerLink, PeerNetwork } from "../ports/peers.js";
+import { sameSecret } from "../secrets.js";
 import { type Hello, type LinkHandlers, MAXIMUM_MESSAGE_BYTES, PEER_COMPRESSION, PeerSocket } from "./peerlink.js";
 
 /** Path of the upgrade. */
@@ -116,7 +116,7 @@
 
     private upgrade(request: IncomingMessage, socket: Duplex, head: Buffer): void {
         const accepted = !this.closed && request.url === PEER_PATH;
-        if (!accepted || !presentsSecret(request.headers.authorization, this.options.secret)) {
+        if (!accepted || !sameSecret(request.headers.authorization ?? "", `Bearer ${this.options.secret}`)) {
             this.options.metrics.increment("peers.refused", 1, { reason: accepted ? "secret" : "path" });
             this.options.eventLog.emit("peerRefused", { remote: request.socket.remoteAddress });
             socket.end(`HTTP/1.1 ${accepted ? "401 Unauthorized" : "404 Not Found"}\r\nconnection: close\r\n\r\n`);
@@ -234,9 +234,3 @@
         [...this.sockets].forEach(socket => paused ? socket.heard(now) : socket.beat(now));
     }
 }
-
-/** Compares digests of equal length, so that the time taken does not depend on where the secrets differ. */
-function presentsSecret(header: string | undefined, secret: string): boolean {
-    const digest = (text: string) => createHash("sha256").update(text).digest();
-    return timingSafeEqual(digest(header ?? ""), digest(`Bearer ${secret}`));
-}
--- a/packages/daemon/src/control/http.ts
+++ b/packages/daemon/src/control/http.ts
@@ -1,9 +1,9 @@
 /** Small pieces of the operators' HTTP interface: authentication, body parsing and answers. */
 import { type Issue, issue, issuesFromZod } from "@damaskvale/core";
-import { createHash, timingSafeEqual } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
 import type { z } from "zod";
+import { sameSecret } from "../secrets.js";
 
 /** An answer of the operators' interface. */
 export interface ControlAnswer {
@@ -28,9 +28,7 @@
     if (token === undefined) {
         return undefined;
     }
-    const digest = (text: string) => createHash("sha256").update(text).digest();
-    const presented = digest(token);
-    return [...operators].filter(([known]) => timingSafeEqual(digest(known), presented)).map(([, name]) => name)[0];
+    return [...operators].filter(([known]) => sameSecret(token, known)).map(([, name]) => name)[0];
 }
 
 /** Reads and checks a JSON body. */
--- a/packages/daemon/src/front/front.ts
+++ b/packages/daemon/src/front/front.ts
@@ -1,8 +1,8 @@
 /** HTTP server for callers and operators, and the entry for requests that other daemons forward. */
-import { createHash, timingSafeEqual } from "node:crypto";
 import type { RequestListener } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { CallerError } from "../dispatch/types.js";
+import { sameSecret } from "../secrets.js";
 import { writeError } from "./errors.js";
 import type { FrontOptions, FrontState } from "./exchange.js";
 import { createHandling } from "./handle.js";
@@ -77,7 +77,7 @@
             const team = request.headers["x-damaskvale-team"];
             if (
                 typeof daemon !== "string" || typeof team !== "string"
-                || !sameSecret(bearerToken(request), options.peerSecret)
+                || !sameSecret(bearerToken(request) ?? "", options.peerSecret)
             ) {
                 const error: CallerError = {
                     code: "invalid_api_key",
@@ -91,8 +91,3 @@
         inProgress: () => open.size,
     };
 }
-
-function sameSecret(given: string | undefined, expected: string): boolean {
-    const digest = (text: string): Buffer => createHash("sha256").update(text).digest();
-    return given !== undefined && timingSafeEqual(digest(given), digest(expected));
-}
