--- /dev/null
+++ b/packages/core/src/engines/groups.ts
@@ -0,0 +1,74 @@
+/** Groups of hosts, derived from what the hosts say of themselves. */
+import type { ModelProfile } from "../routes/types.js";
+import type { Target } from "./types.js";
+
+/** A group as its members describe it. */
+export interface EngineGroup {
+    readonly name: string;
+    readonly epoch: number;
+    /** Model that the group runs or was formed for; absent if its name is not one of ours and no member tells. */
+    readonly model?: string;
+    /** Host with rank 0, if it is known. */
+    readonly head?: Target;
+    /** Known members, by rank. */
+    readonly members: readonly Target[];
+    /** Whether as many members are known as the model needs. */
+    readonly whole: boolean;
+}
+
+const NAME_SEPARATOR = "~";
+
+/** Names a group after its domain, model and epoch, so that its model is known while its members still load. */
+export function groupName(domain: string, model: string, epoch: number): string {
+    return [domain, model, epoch].join(NAME_SEPARATOR);
+}
+
+function modelInName(name: string): string | undefined {
+    return name.split(NAME_SEPARATOR).at(-2);
+}
+
+/** Collects the groups of hosts. */
+export function groupsOf(targets: readonly Target[], models: readonly ModelProfile[]): EngineGroup[] {
+    const byIdentity = new Map<string, Target[]>();
+    targets.forEach(target => {
+        if (target.membership === undefined) {
+            return;
+        }
+        const identity = `${target.membership.group}${NAME_SEPARATOR}${target.membership.epoch}`;
+        byIdentity.set(identity, [...byIdentity.get(identity) ?? [], target]);
+    });
+    return [...byIdentity.values()].flatMap(members => {
+        const membership = members[0]?.membership;
+        return membership === undefined ? [] : [describeGroup(membership.group, membership.epoch, members, models)];
+    });
+}
+
+function describeGroup(
+    name: string,
+    epoch: number,
+    unordered: readonly Target[],
+    models: readonly ModelProfile[],
+): EngineGroup {
+    const members = [...unordered].sort((left, right) => rankOf(left) - rankOf(right));
+    const named = modelInName(name);
+    const model = models.some(profile => profile.name === named)
+        ? named
+        : members.find(member => member.model !== undefined)?.model;
+    const size = models.find(profile => profile.name === model)?.size;
+    const head = members.find(member => rankOf(member) === 0);
+    return { name, epoch, model, head, members, whole: size !== undefined && members.length === size };
+}
+
+function rankOf(target: Target): number {
+    return target.membership?.rank ?? Number.MAX_SAFE_INTEGER;
+}
+
+/** Returns whether requests may be sent to the head of a group. */
+export function isServing(group: EngineGroup): boolean {
+    return group.whole && group.head?.membership?.state === "open" && !group.head.draining;
+}
+
+/** Returns whether all members have joined and the head waits for the order to open. */
+export function isReadyToOpen(group: EngineGroup): boolean {
+    return group.whole && group.members.every(member => member.membership?.state === "ready" && !member.draining);
+}
--- /dev/null
+++ b/packages/core/src/engines/orders.ts
@@ -0,0 +1,27 @@
+/** Orders to the engines of hosts. */
+
+/** An order that the planner wants to have carried out by one host. */
+export type EngineOrder =
+    | {
+        readonly kind: "join";
+        readonly host: string;
+        readonly group: string;
+        readonly epoch: number;
+        readonly model: string;
+        /** Ids of all members; the first one is the head. */
+        readonly members: readonly string[];
+    }
+    | { readonly kind: "open"; readonly host: string; readonly group: string; readonly epoch: number; }
+    | {
+        readonly kind: "close";
+        readonly host: string;
+        readonly group: string;
+        readonly epoch: number;
+        /** Whether work in progress is finished or dropped. */
+        readonly work: "finish" | "drop";
+    }
+    | { readonly kind: "leave"; readonly host: string; readonly group: string; readonly epoch: number; }
+    | { readonly kind: "stage"; readonly host: string; readonly model: string; };
+
+/** What an engine reports of itself. */
+export type EngineOrderKind = EngineOrder["kind"];
--- /dev/null
+++ b/packages/core/src/engines/planner.ts
@@ -0,0 +1,254 @@
+/**
+ * Planning of the groups of one fabric domain: which groups to open, close and leave, which to form from which hosts,
+ * and which models idle hosts stage ahead. Pure apart from its own record of groups that are being formed.
+ */
+import type { ModelProfile } from "../routes/types.js";
+import { type EngineGroup, groupName, groupsOf, isReadyToOpen } from "./groups.js";
+import type { EngineOrder } from "./orders.js";
+import type { Target } from "./types.js";
+
+/** What the planner knows of one host. */
+export interface EngineHost {
+    readonly target: Target;
+    /** Whether an order was sent whose effect has not been seen yet. */
+    readonly awaiting: boolean;
+    /** Whether the host does not answer this daemon. It gets no orders, but may still serve. */
+    readonly unreachable: boolean;
+    /** Whether the host is taken as gone although it is still registered. */
+    readonly lost: boolean;
+}
+
+/** Input of one round of planning. */
+export interface DomainPlanInput {
+    readonly domain: string;
+    readonly hosts: readonly EngineHost[];
+    readonly models: readonly ModelProfile[];
+    /** Groups of each model that serve or are being formed in all domains. */
+    readonly groupsByModel: ReadonlyMap<string, number>;
+    /** Work of each model relative to the others, for example its share of busy slots. */
+    readonly demandByModel: ReadonlyMap<string, number>;
+    /** Loads from the weight store that may start now. */
+    readonly loadsAllowed: number;
+    /** Lowest epoch that is above all epochs seen. */
+    readonly nextEpoch: number;
+    /** Monotonic milliseconds. */
+    readonly now: number;
+}
+
+/** Planner of one domain. */
+export interface DomainPlanner {
+    plan(input: DomainPlanInput): EngineOrder[];
+}
+
+/** How long members may take to report that they join, on top of the time that the join itself takes. */
+const JOIN_GRACE_MILLISECONDS = 2_500;
+
+interface Formation {
+    readonly model: string;
+    readonly members: readonly string[];
+    readonly startedAt: number;
+}
+
+/** A group with its formation, if this planner formed it. */
+interface JudgedGroup {
+    readonly group: EngineGroup;
+    readonly forming: boolean;
+    /** Head, unless it is lost. */
+    readonly head?: Target;
+    readonly lostMember: boolean;
+    readonly drainingMember: boolean;
+}
+
+/** Makes the planner of a domain. */
+export function createDomainPlanner(): DomainPlanner {
+    const formations = new Map<string, Formation>();
+
+    const judge = (group: EngineGroup, input: DomainPlanInput): JudgedGroup => {
+        const lost = new Set(input.hosts.filter(host => host.lost).map(host => host.target.id));
+        return {
+            group,
+            forming: isForming(group, input),
+            head: group.head === undefined || lost.has(group.head.id) ? undefined : group.head,
+            lostMember: !group.whole || group.members.some(member => lost.has(member.id)),
+            drainingMember: group.members.some(member => member.draining),
+        };
+    };
+
+    const isForming = (group: EngineGroup, input: DomainPlanInput): boolean => {
+        const formation = formations.get(group.name);
+        const profile = input.models.find(model => model.name === group.model);
+        if (formation === undefined || profile === undefined) {
+            return group.members.some(member => member.membership?.state === "joining");
+        }
+        const known = new Map(input.hosts.map(host => [host.target.id, host]));
+        const lost = formation.members.some(member => {
+            const host = known.get(member);
+            return host === undefined || host.lost || host.target.draining;
+        });
+        const loading = group.members.some(member => member.membership?.state === "joining");
+        const due = formation.startedAt + JOIN_GRACE_MILLISECONDS + (loading ? 2 * profile.loadMilliseconds : 0);
+        return !lost && input.now < due;
+    };
+
+    const forgetFormations = (input: DomainPlanInput): void => {
+        const longest = Math.max(0, ...input.models.map(model => model.loadMilliseconds));
+        [...formations].forEach(([name, { startedAt }]) => {
+            if (input.now - startedAt > 2 * longest + JOIN_GRACE_MILLISECONDS) {
+                formations.delete(name);
+            }
+        });
+    };
+
+    /** Hosts that a formation waits for, although they do not report its group yet. */
+    const expectedMembers = (input: DomainPlanInput, groups: readonly JudgedGroup[]): Set<string> => {
+        const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
+        return new Set([...formations].flatMap(([name, { members, startedAt }]) =>
+            abandoned.has(name) || input.now - startedAt > JOIN_GRACE_MILLISECONDS ? [] : members
+        ));
+    };
+
+    return {
+        plan: input => {
+            forgetFormations(input);
+            const targets = input.hosts.map(host => host.target);
+            const groups = groupsOf(targets, input.models).map(group => judge(group, input));
+            const changes = groups.flatMap(group => ordersForGroup(group));
+            const expected = expectedMembers(input, groups);
+            const usable = new Map(
+                input.hosts.filter(host => !host.awaiting && !host.unreachable).map(host => [host.target.id, host]),
+            );
+            const free = freeHosts(input, groups).filter(target => usable.has(target.id) && !expected.has(target.id));
+            const formed = formGroups(input, free, (name, formation) => formations.set(name, formation));
+            const taken = new Set(formed.map(order => order.host));
+            const staged = stageIdleHosts(input, free.filter(target => !taken.has(target.id)), formed);
+            return [...changes, ...formed, ...staged].filter(order => usable.has(order.host));
+        },
+    };
+}
+
+/** Opens, closes or takes apart one group. */
+function ordersForGroup({ group, forming, head, lostMember, drainingMember }: JudgedGroup): EngineOrder[] {
+    const { name, epoch } = group;
+    if (isReadyToOpen(group) && head !== undefined && !lostMember) {
+        return [{ kind: "open", host: head.id, group: name, epoch }];
+    }
+    if (forming) {
+        return [];
+    }
+    const state = head?.membership?.state;
+    if (head !== undefined && lostMember && (state === "open" || state === "closing")) {
+        return [{ kind: "leave", host: head.id, group: name, epoch }];
+    }
+    if (head !== undefined && drainingMember && state === "open") {
+        return [{ kind: "close", host: head.id, group: name, epoch, work: "finish" }];
+    }
+    if (head === undefined) {
+        // A head that is gone may still be open behind a partition: its members leave before they join another group.
+        return group.members.map(member => ({ kind: "leave", host: member.id, group: name, epoch }));
+    }
+    return [];
+}
+
+/** Hosts that may be asked to join a group: without a group, or in one whose head does not serve. */
+function freeHosts(input: DomainPlanInput, groups: readonly JudgedGroup[]): Target[] {
+    const lost = new Set(input.hosts.filter(host => host.lost).map(host => host.target.id));
+    const held = new Set(
+        groups.filter(holdsMembers).flatMap(({ group }) => group.members.map(member => member.id)),
+    );
+    return input.hosts.map(host => host.target).filter(target =>
+        !target.draining && !held.has(target.id) && !lost.has(target.id)
+    );
+}
+
+function holdsMembers({ forming, head, lostMember, drainingMember }: JudgedGroup): boolean {
+    const state = head?.membership?.state;
+    const mayServe = state === undefined || state === "open" || state === "closing";
+    const sound = !lostMember && !drainingMember && state !== "broken";
+    return forming || mayServe || sound;
+}
+
+/** Forms groups while hosts suffice, each for the model that lacks groups most. */
+function formGroups(
+    input: DomainPlanInput,
+    free: readonly Target[],
+    note: (group: string, formation: Formation) => void,
+): EngineOrder[] {
+    const counts = new Map(input.groupsByModel);
+    const orders: EngineOrder[] = [];
+    let rest = [...free];
+    let epoch = input.nextEpoch;
+    let loads = input.loadsAllowed;
+    for (;;) {
+        const profile = mostWanted(input, counts, rest.length);
+        const members = profile === undefined ? [] : preferStaged(rest, profile.name).slice(0, profile.size);
+        const cold = members.filter(member => !holdsWeights(member, profile?.name)).length;
+        if (profile === undefined || cold > loads) {
+            return orders;
+        }
+        const group = groupName(input.domain, profile.name, epoch);
+        const ids = members.map(member => member.id);
+        orders.push(...ids.map(host =>
+            ({ kind: "join", host, group, epoch, model: profile.name, members: ids }) as const
+        ));
+        note(group, { model: profile.name, members: ids, startedAt: input.now });
+        counts.set(profile.name, (counts.get(profile.name) ?? 0) + 1);
+        rest = rest.filter(target => !ids.includes(target.id));
+        loads -= cold;
+        epoch += 1;
+    }
+}
+
+/** Model with the most work for each group it has, among those for which enough hosts are free. */
+function mostWanted(
+    input: DomainPlanInput,
+    counts: ReadonlyMap<string, number>,
+    freeHosts: number,
+): ModelProfile | undefined {
+    const want = (model: ModelProfile): number =>
+        (input.demandByModel.get(model.name) ?? 1) / ((counts.get(model.name) ?? 0) + 1);
+    return input.models.filter(model => model.size <= freeHosts)
+        .sort((left, right) => want(right) - want(left) || right.size - left.size)[0];
+}
+
+/** Sorts hosts: those that run the model, then those that hold its weights, then those that hold none. */
+function preferStaged(hosts: readonly Target[], model: string): Target[] {
+    const score = (target: Target): number => {
+        if (target.model === model) {
+            return 0;
+        }
+        if (target.stagedModels.includes(model)) {
+            return target.busy ? 2 : 1;
+        }
+        return target.stagedModels.length === 0 ? 3 : 4;
+    };
+    return [...hosts].sort((left, right) => score(left) - score(right));
+}
+
+function holdsWeights(target: Target, model: string | undefined): boolean {
+    return model !== undefined && target.stagedModels.includes(model);
+}
+
+/** Has idle hosts without weights stage the model whose groups are most likely to need them. */
+function stageIdleHosts(
+    input: DomainPlanInput,
+    idle: readonly Target[],
+    formed: readonly EngineOrder[],
+): EngineOrder[] {
+    const spares = new Map(
+        input.models.map(model => [
+            model.name,
+            idle.filter(target => target.stagedModels.includes(model.name)).length,
+        ]),
+    );
+    const coldJoins = formed.length;
+    const allowed = Math.max(0, input.loadsAllowed - coldJoins);
+    return idle.filter(target => target.stagedModels.length === 0 && !target.busy).slice(0, allowed).flatMap(target => {
+        const need = (model: ModelProfile): number => model.size / ((spares.get(model.name) ?? 0) + 1);
+        const model = [...input.models].sort((left, right) => need(right) - need(left))[0];
+        if (model === undefined) {
+            return [];
+        }
+        spares.set(model.name, (spares.get(model.name) ?? 0) + 1);
+        return [{ kind: "stage", host: target.id, model: model.name } as const];
+    });
+}
--- /dev/null
+++ b/packages/core/src/placement/board.ts
@@ -0,0 +1,109 @@
+/** What a daemon knows of the load and the progress of the targets to which it sends requests. */
+
+/** Load and progress of one target. Times are monotonic milliseconds. */
+export interface TargetLoad {
+    /** Requests that this daemon has sent and that have not ended. */
+    readonly inProgress: number;
+    /** Of these, the ones without a first event. */
+    readonly unstarted: number;
+    /** Prompt tokens of the unstarted ones. */
+    readonly unreadTokens: number;
+    /** When the last bytes of any request arrived, or the oldest request in progress was sent if none did. */
+    readonly progressAt: number;
+    /** When the target last failed to make progress; absent after progress. */
+    readonly suspectedAt?: number;
+    /** Whether the requests are streams, whose progress shows between their first and last byte. */
+    readonly streams: boolean;
+}
+
+/** Requests in progress by target, kept by the daemon that sends them. */
+export interface LoadBoard {
+    of(target: string): TargetLoad | undefined;
+    /** Notes a request that is sent. */
+    sent(target: string, work: { readonly promptTokens: number; readonly stream: boolean; }, now: number): void;
+    /** Notes the first event of a request. */
+    started(target: string, promptTokens: number, now: number): void;
+    /** Notes any bytes of a request. */
+    progressed(target: string, now: number): void;
+    /** Notes that a request ended; `started` tells whether its first event had arrived. */
+    ended(target: string, promptTokens: number, started: boolean): void;
+    /** Notes that a target made no progress for too long. */
+    suspect(target: string, now: number): void;
+    /** Ends the suspicion of a target. */
+    clear(target: string): void;
+    /** Targets that have requests in progress or are suspected. */
+    targets(): readonly string[];
+}
+
+interface MutableLoad {
+    inProgress: number;
+    unstarted: number;
+    unreadTokens: number;
+    progressAt: number;
+    suspectedAt?: number;
+    streams: boolean;
+}
+
+/** Makes an empty board. */
+export function createLoadBoard(): LoadBoard {
+    const loads = new Map<string, MutableLoad>();
+
+    const loadOf = (target: string, now: number): MutableLoad => {
+        const load = loads.get(target) ?? { inProgress: 0, unstarted: 0, unreadTokens: 0, progressAt: now, streams: false };
+        loads.set(target, load);
+        return load;
+    };
+
+    return {
+        of: target => loads.get(target),
+        sent: (target, { promptTokens, stream }, now) => {
+            const load = loadOf(target, now);
+            load.streams = stream;
+            if (load.inProgress === 0) {
+                load.progressAt = now;
+            }
+            load.inProgress += 1;
+            load.unstarted += 1;
+            load.unreadTokens += promptTokens;
+        },
+        started: (target, promptTokens, now) => {
+            const load = loadOf(target, now);
+            load.unstarted -= 1;
+            load.unreadTokens -= promptTokens;
+            load.progressAt = now;
+            load.suspectedAt = undefined;
+        },
+        progressed: (target, now) => {
+            const load = loadOf(target, now);
+            load.progressAt = now;
+            load.suspectedAt = undefined;
+        },
+        ended: (target, promptTokens, started) => {
+            const load = loads.get(target);
+            if (load === undefined) {
+                return;
+            }
+            load.inProgress -= 1;
+            if (!started) {
+                load.unstarted -= 1;
+                load.unreadTokens -= promptTokens;
+            }
+            if (load.inProgress <= 0 && load.suspectedAt === undefined) {
+                loads.delete(target);
+            }
+        },
+        suspect: (target, now) => {
+            loadOf(target, now).suspectedAt = now;
+        },
+        clear: target => {
+            const load = loads.get(target);
+            if (load !== undefined) {
+                load.suspectedAt = undefined;
+            }
+            if (load !== undefined && load.inProgress <= 0) {
+                loads.delete(target);
+            }
+        },
+        targets: () => [...loads.keys()],
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/boundedoutput.ts
@@ -0,0 +1,71 @@
+/** Output for log lines that never blocks the process: lines beyond a bound are dropped and counted. */
+import { write } from "node:fs";
+import { Writable } from "node:stream";
+
+/** The output. */
+export interface BoundedOutput {
+    readonly stream: Writable;
+    /** Lines that were dropped since the start. */
+    dropped(): number;
+}
+
+const MAXIMUM_PENDING_BYTES = 1_048_576;
+/** Lines are collected for this long, so that one write carries many. */
+const COLLECT_MILLISECONDS = 50;
+
+/** Makes an output to a file descriptor. Writes happen outside the main thread, also where it is a pipe. */
+export function createBoundedOutput(descriptor: number): BoundedOutput {
+    let pending: Buffer[] = [];
+    let pendingBytes = 0;
+    let writing = false;
+    let dropped = 0;
+
+    const flush = (): void => {
+        if (writing || pending.length === 0) {
+            return;
+        }
+        const block = Buffer.concat(pending);
+        pending = [];
+        pendingBytes = 0;
+        writing = true;
+        writeAll(descriptor, block, () => {
+            writing = false;
+            flush();
+        });
+    };
+    const timer = setInterval(flush, COLLECT_MILLISECONDS);
+    timer.unref();
+    const stream = new Writable({
+        write: (chunk: Buffer, ...[, done]) => {
+            if (pendingBytes + chunk.length > MAXIMUM_PENDING_BYTES) {
+                dropped += 1;
+            }
+            else {
+                pending.push(chunk);
+                pendingBytes += chunk.length;
+            }
+            done();
+        },
+        final: done => {
+            flush();
+            done();
+        },
+    });
+    return { stream, dropped: () => dropped };
+}
+
+function writeAll(descriptor: number, block: Buffer, done: () => void): void {
+    write(descriptor, block, 0, block.length, (error, written) => {
+        const retry = error?.code === "EAGAIN";
+        if (error !== null && !retry) {
+            done();
+            return;
+        }
+        const rest = block.subarray(retry ? 0 : written);
+        if (rest.length === 0) {
+            done();
+            return;
+        }
+        setTimeout(() => writeAll(descriptor, rest, done), retry ? COLLECT_MILLISECONDS : 0);
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -0,0 +1,124 @@
+/** What the planner keeps of each host beyond its registry entry: orders on their way, reports and reachability. */
+import type { EngineHost, Target } from "@damaskvale/core";
+import type { EngineReport, OrderResult } from "../ports/enginecontrol.js";
+
+/** Records of the hosts of the domains for which this daemon plans. Times are monotonic milliseconds. */
+export interface HostRecords {
+    /** The host as the planner sees it: its entry, or its report if that is newer. */
+    describe(target: Target, now: number): EngineHost;
+    /** Orders that the engine has accepted, if that is known. */
+    sequenceOf(target: Target): number | undefined;
+    /** Whether the engine should be asked for a report. */
+    needsReport(target: Target, now: number): boolean;
+    noteOrderSent(target: Target, now: number): void;
+    noteOrderResult(target: Target, result: OrderResult, now: number): void;
+    noteReport(target: Target, report: EngineReport | undefined, now: number): void;
+    /** Notes that the group of the host stands still, so that silence means that the host is lost. */
+    noteSuspicion(target: Target, now: number): void;
+    /** Drops the records of hosts that are not in the set. */
+    retain(ids: ReadonlySet<string>): void;
+}
+
+interface HostRecord {
+    /** Entry for which the record holds; a new one ends the wait for an order and replaces a report. */
+    entry: Target;
+    sequence?: number;
+    orderInFlight: boolean;
+    awaitingUntil: number;
+    report?: EngineReport;
+    silences: number;
+    askedAt: number;
+    suspectedUntil: number;
+}
+
+/** How long an accepted order may take to show in the registry before the engine is asked. */
+const EFFECT_MILLISECONDS = 1_200;
+/** Reports in a row that may stay unanswered before the host counts as unreachable. */
+const SILENCES = 2;
+const REPORT_INTERVAL_MILLISECONDS = 250;
+/** How long a suspicion holds. */
+const SUSPICION_MILLISECONDS = 4_000;
+
+/** Makes empty records. */
+export function createHostRecords(): HostRecords {
+    const records = new Map<string, HostRecord>();
+
+    const recordOf = (target: Target): HostRecord => {
+        const known = records.get(target.id);
+        if (known?.entry === target) {
+            return known;
+        }
+        const restarted = known !== undefined && known.entry.startedAt !== target.startedAt;
+        const record: HostRecord = {
+            entry: target,
+            sequence: restarted ? undefined : known?.sequence,
+            orderInFlight: known?.orderInFlight ?? false,
+            awaitingUntil: 0,
+            silences: known?.silences ?? 0,
+            askedAt: known?.askedAt ?? Number.NEGATIVE_INFINITY,
+            suspectedUntil: known?.suspectedUntil ?? 0,
+        };
+        records.set(target.id, record);
+        return record;
+    };
+
+    return {
+        describe: (target, now) => {
+            const record = recordOf(target);
+            const unreachable = record.silences >= SILENCES;
+            return {
+                target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
+                awaiting: record.orderInFlight || now < record.awaitingUntil,
+                unreachable,
+                lost: unreachable && now < record.suspectedUntil,
+            };
+        },
+        sequenceOf: target => recordOf(target).sequence,
+        needsReport: (target, now) => {
+            const record = recordOf(target);
+            const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS && !record.orderInFlight;
+            const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
+            const doubted = now < record.suspectedUntil || record.silences > 0;
+            return due && (effectMissing || doubted || record.sequence === undefined);
+        },
+        noteOrderSent: target => {
+            recordOf(target).orderInFlight = true;
+        },
+        noteOrderResult: (target, result, now) => {
+            const record = recordOf(target);
+            record.orderInFlight = false;
+            record.silences = result === "unanswered" ? record.silences : 0;
+            if (result === "accepted") {
+                record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
+                record.awaitingUntil = record.entry === target ? now + EFFECT_MILLISECONDS : 0;
+                record.report = undefined;
+                return;
+            }
+            record.sequence = undefined;
+        },
+        noteReport: (target, report, now) => {
+            const record = recordOf(target);
+            record.askedAt = now;
+            if (report === undefined) {
+                record.silences += 1;
+                return;
+            }
+            record.silences = 0;
+            record.sequence = report.orderSequence;
+            record.awaitingUntil = 0;
+            record.report = report;
+        },
+        noteSuspicion: (target, now) => {
+            const record = recordOf(target);
+            record.suspectedUntil = now + SUSPICION_MILLISECONDS;
+        },
+        retain: ids => [...records.keys()].filter(id => !ids.has(id)).forEach(id => records.delete(id)),
+    };
+}
+
+function engineFieldsOf(
+    report: EngineReport,
+): Pick<Target, "stagedModels" | "model" | "busy" | "orderSequence" | "membership"> {
+    const { stagedModels, model, busy, orderSequence, membership } = report;
+    return { stagedModels, model, busy, orderSequence, membership };
+}
--- /dev/null
+++ b/packages/daemon/src/engines/loadallowance.ts
@@ -0,0 +1,28 @@
+/** Allowance of loads from the weight store, so that this daemon keeps within its share of the rate. */
+
+/** Allowance of one daemon. */
+export interface LoadAllowance {
+    /** Loads that may start now, at a rate in loads a second. */
+    available(perSecond: number, now: number): number;
+    /** Takes one load. */
+    take(): void;
+}
+
+/** Loads that may start at once after a quiet time. */
+const BURST_LOADS = 3;
+
+/** Makes an allowance with its burst available. */
+export function createLoadAllowance(): LoadAllowance {
+    let tokens = BURST_LOADS;
+    let countedAt: number | undefined;
+    return {
+        available: (perSecond, now) => {
+            tokens = Math.min(BURST_LOADS, tokens + (now - (countedAt ?? now)) * perSecond / 1_000);
+            countedAt = now;
+            return Math.floor(tokens);
+        },
+        take: () => {
+            tokens -= 1;
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/relay/answers.ts
@@ -0,0 +1,60 @@
+/** Answers of the daemon itself: refusals, which state that the request has not run, and failures, which do not. */
+import type { ServerResponse } from "node:http";
+
+/** Why a request is refused before any target could run it. */
+export type RefusalReason =
+    | "no-configuration"
+    | "no-group"
+    | "no-target"
+    | "full"
+    | "too-late"
+    | "not-run"
+    | "budget";
+
+/** Why a request fails although a target may have run it. */
+export type FailureReason = "target-failed" | "deadline" | "attempts-spent";
+
+/** Why a request is not allowed. */
+export type DenialReason = "unknown-route" | "unknown-key" | "body-too-large" | "header-too-large";
+
+const denialStatus: Readonly<Record<DenialReason, number>> = {
+    "unknown-route": 404,
+    "unknown-key": 401,
+    "body-too-large": 413,
+    "header-too-large": 431,
+};
+const failureStatus: Readonly<Record<FailureReason, number>> = {
+    "target-failed": 502,
+    "attempts-spent": 502,
+    "deadline": 504,
+};
+const NOT_RUN_STATUS = 503;
+
+/** Refuses a request that no target has run or will run, and says when to come back. */
+export function writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMilliseconds: number): void {
+    const seconds = (Math.max(0, retryAfterMilliseconds) / 1_000).toFixed(3);
+    writeOwn(response, NOT_RUN_STATUS, reason, ["Retry-After", seconds]);
+}
+
+/** Ends a request that a target may have run. */
+export function writeFailure(response: ServerResponse, reason: FailureReason): void {
+    writeOwn(response, failureStatus[reason], reason, []);
+}
+
+/** Denies a request that the configuration does not allow. */
+export function writeDenial(response: ServerResponse, reason: DenialReason): void {
+    writeOwn(response, denialStatus[reason], reason, []);
+}
+
+function writeOwn(response: ServerResponse, status: number, code: string, headers: readonly string[]): void {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
+    const body = JSON.stringify({ error: { code } });
+    response.writeHead(status, [
+        ...headers,
+        ...["Content-Type", "application/json"],
+        ...["Content-Length", String(Buffer.byteLength(body))],
+    ]);
+    response.end(body);
+}
--- /dev/null
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -0,0 +1,240 @@
+/** Relays a request to a plain target and returns its whole answer. */
+import type { Target } from "@damaskvale/core";
+import type { AnswerHead, AnswerMeaning } from "../ports/relayprotocol.js";
+import { type RefusalReason, writeFailure, writeRefusal } from "./answers.js";
+import { identify, type RelayParts, type RequestContext } from "./context.js";
+import type { TargetExchange } from "./targetconnections.js";
+
+/** Statuses that promise that the request has not run; a target that sends one without saying so may have run it. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Wait of a caller whose request every target refused. */
+const REFUSED_RETRY_MILLISECONDS = 300;
+/** Wait of a caller while no target of the service is registered. */
+const NO_TARGET_RETRY_MILLISECONDS = 1_000;
+/** Extra cost of a target in another data centre, in requests. */
+const REMOTE_COST = 1.5;
+
+interface Attempt {
+    readonly target: Target;
+    exchange?: TargetExchange;
+    sent: boolean;
+    head?: AnswerHead;
+    meaning?: AnswerMeaning;
+    readonly chunks: Buffer[];
+}
+
+/** Starts to relay a request; `ended` is called once when nothing more will happen. */
+export function relayPlain(context: RequestContext, parts: RelayParts, ended: () => void): void {
+    new PlainRelayTask(context, parts, ended).start();
+}
+
+class PlainRelayTask {
+    private readonly tried: string[] = [];
+    private attempt: Attempt | undefined;
+    private sends = 0;
+    /** Whether a target of an earlier attempt may have run the request. */
+    private mayHaveRun = false;
+    private over = false;
+    private readonly deadline: NodeJS.Timeout;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly parts: RelayParts,
+        private readonly ended: () => void,
+    ) {
+        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
+        context.response.on("close", () => this.callerLeft());
+    }
+
+    start(): void {
+        this.parts.budgetOf(this.context.service).noteFirst(this.parts.clock.monotonic());
+        this.sendOrGiveUp("no-target", NO_TARGET_RETRY_MILLISECONDS);
+    }
+
+    private isRepeatable(): boolean {
+        return this.context.admitted.route.kind === "repeatable";
+    }
+
+    private sendOrGiveUp(reason: RefusalReason, retryAfter: number): void {
+        const { route } = this.context.admitted;
+        const target = this.chooseTarget();
+        if (target === undefined || this.sends >= route.maximumAttempts || (this.mayHaveRun && !this.isRepeatable())) {
+            this.giveUp(reason, retryAfter);
+            return;
+        }
+        if (this.sends > 0 && !this.parts.budgetOf(this.context.service).withdraw(this.parts.clock.monotonic())) {
+            this.giveUp("budget", REFUSED_RETRY_MILLISECONDS);
+            return;
+        }
+        this.send(target);
+    }
+
+    private chooseTarget(): Target | undefined {
+        const cost = (target: Target): number =>
+            (this.parts.board.of(target.id)?.inProgress ?? 0)
+            + (target.dataCentre === this.parts.dataCentre ? 0 : REMOTE_COST)
+            + this.parts.random();
+        return this.parts.state.servingTargets(this.context.service)
+            .filter(target => !this.tried.includes(target.id))
+            .map(target => ({ target, cost: cost(target) }))
+            .sort((left, right) => left.cost - right.cost)[0]?.target;
+    }
+
+    private send(target: Target): void {
+        const { context, parts } = this;
+        const attempt: Attempt = { target, sent: false, chunks: [] };
+        const now = parts.clock.monotonic();
+        this.attempt = attempt;
+        this.tried.push(target.id);
+        this.sends += 1;
+        parts.board.sent(target.id, { promptTokens: 0, stream: false }, now);
+        parts.log.emit("requestSent", { ...identify(context), target: target.id, attempt: this.sends });
+        const { method, path } = context.request;
+        const headers = parts.protocol.encodeForTarget(context.request, {
+            target: target.id,
+            remainingMilliseconds: context.deadlineAt - now,
+            team: context.admitted.team?.name,
+        });
+        attempt.exchange = parts.connections.send(
+            target.address,
+            { method, path, headers, body: context.body, onNewConnection: !this.isRepeatable() },
+            {
+                sent: () => {
+                    attempt.sent = true;
+                },
+                head: head => this.receiveHead(attempt, head),
+                data: chunk => void attempt.chunks.push(chunk),
+                ended: () => this.receiveEnd(attempt),
+                failed: error => this.attemptFailed(attempt, error.message),
+            },
+        );
+    }
+
+    private receiveHead(attempt: Attempt, head: AnswerHead): void {
+        attempt.head = head;
+        attempt.meaning = this.parts.protocol.decodeAnswer(head);
+        const { requestId } = attempt.meaning;
+        if (requestId !== undefined && requestId !== this.context.request.id) {
+            attempt.exchange?.cancel();
+            this.attemptFailed(attempt, "foreign-answer");
+        }
+    }
+
+    private receiveEnd(attempt: Attempt): void {
+        const { head, meaning } = attempt;
+        if (head === undefined || meaning === undefined) {
+            this.attemptFailed(attempt, "no answer");
+            return;
+        }
+        if (meaning.notRun) {
+            this.release(attempt);
+            this.noteFailure(attempt, `refused with ${head.status}`);
+            this.sendOrGiveUp("not-run", REFUSED_RETRY_MILLISECONDS);
+            return;
+        }
+        if (head.status >= 500 && this.canRepeat()) {
+            this.attemptFailed(attempt, `status ${head.status}`);
+            return;
+        }
+        this.release(attempt);
+        if (!this.isRepeatable() && PROMISING_STATUSES.has(head.status)) {
+            writeFailure(this.context.response, "target-failed");
+            this.finish("failed");
+            return;
+        }
+        this.deliver(head, meaning, Buffer.concat(attempt.chunks));
+    }
+
+    private deliver(head: AnswerHead, meaning: AnswerMeaning, body: Buffer): void {
+        const { response, request } = this.context;
+        const length = request.method === "HEAD" ? [] : ["Content-Length", String(body.length)];
+        response.writeHead(head.status, [...meaning.forwarded, ...length]);
+        response.end(body);
+        this.finish(`status ${head.status}`);
+    }
+
+    private canRepeat(): boolean {
+        return this.isRepeatable()
+            && this.sends < this.context.admitted.route.maximumAttempts
+            && this.chooseTarget() !== undefined;
+    }
+
+    private attemptFailed(attempt: Attempt, reason: string): void {
+        if (this.over || this.attempt !== attempt) {
+            return;
+        }
+        this.mayHaveRun ||= attempt.sent;
+        this.release(attempt);
+        this.noteFailure(attempt, reason);
+        this.sendOrGiveUp("not-run", REFUSED_RETRY_MILLISECONDS);
+    }
+
+    private noteFailure(attempt: Attempt, reason: string): void {
+        this.parts.log.emit("attemptFailed", {
+            ...identify(this.context),
+            target: attempt.target.id,
+            reason,
+            sent: attempt.sent,
+        });
+    }
+
+    private release(attempt: Attempt): void {
+        if (this.attempt === attempt) {
+            this.attempt = undefined;
+            this.parts.board.ended(attempt.target.id, 0, false);
+        }
+    }
+
+    private giveUp(reason: RefusalReason, retryAfter: number): void {
+        if (this.mayHaveRun) {
+            writeFailure(this.context.response, "target-failed");
+            this.finish("failed");
+            return;
+        }
+        writeRefusal(this.context.response, reason, retryAfter);
+        this.finish(`refused: ${reason}`, retryAfter);
+    }
+
+    private expire(): void {
+        if (this.over) {
+            return;
+        }
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            this.release(attempt);
+            attempt.exchange?.cancel();
+        }
+        writeFailure(this.context.response, "deadline");
+        this.finish("deadline");
+    }
+
+    private callerLeft(): void {
+        if (this.over) {
+            return;
+        }
+        const { attempt } = this;
+        if (attempt !== undefined && this.isRepeatable()) {
+            attempt.exchange?.cancel();
+        }
+        if (attempt !== undefined) {
+            this.release(attempt);
+        }
+        this.finish("caller-left");
+    }
+
+    private finish(outcome: string, retryAfterMilliseconds?: number): void {
+        if (this.over) {
+            return;
+        }
+        this.over = true;
+        clearTimeout(this.deadline);
+        this.parts.log.emit("requestEnded", {
+            ...identify(this.context),
+            outcome,
+            sends: this.sends,
+            retryAfterMilliseconds,
+            milliseconds: Math.round(this.parts.clock.monotonic() - this.context.receivedAt),
+        });
+        this.ended();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/relay/relay.ts
@@ -0,0 +1,109 @@
+/** The request path: decodes, admits and hands each request to the relay of its kind. */
+import { admitRoute, type AdmittedRoute, pickService } from "@damaskvale/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type DenialReason, writeDenial, writeRefusal } from "./answers.js";
+import { readBody } from "./body.js";
+import type { RelayParts, RequestContext } from "./context.js";
+import { relayPlain } from "./plainrelay.js";
+import { relayStream, type StreamRelay } from "./streamrelay.js";
+
+/** The request path of the daemon. */
+export interface Relay {
+    /** Handles one request; resolves when it was handed on, not when it is answered. */
+    handle(request: IncomingMessage, response: ServerResponse): Promise<void>;
+    /** Requests that are not answered yet. */
+    inProgress(): number;
+    /** Moves streams away from a head that makes no progress. */
+    moveStreams(head: string): void;
+}
+
+/** Wait of a caller while this daemon knows no configuration. */
+const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+/** Deadline of a request that states none and whose route states none. */
+const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
+
+/** Makes the request path. */
+export function createRelay(parts: RelayParts): Relay {
+    const streams = new Set<StreamRelay>();
+    let inProgress = 0;
+
+    const run = (context: RequestContext): void => {
+        const engine = context.lookup.serviceOf(context.service)?.engine;
+        if (engine !== undefined && context.request.model !== undefined) {
+            const stream = relayStream(context, parts, () => {
+                inProgress -= 1;
+                streams.delete(stream);
+            });
+            streams.add(stream);
+            return;
+        }
+        relayPlain(context, parts, () => {
+            inProgress -= 1;
+        });
+    };
+
+    const deny = (response: ServerResponse, reason: DenialReason, fields: Readonly<Record<string, unknown>>): void => {
+        parts.log.emit("requestDenied", { ...fields, reason });
+        writeDenial(response, reason);
+    };
+
+    return {
+        inProgress: () => inProgress,
+        moveStreams: head => [...streams].filter(stream => stream.head() === head).forEach(stream => stream.moveAway()),
+        handle: async (message, response) => {
+            const receivedAt = parts.clock.monotonic();
+            const request = parts.protocol.decodeRequest(
+                message.method ?? "GET",
+                message.url ?? "/",
+                message.headers,
+                message.rawHeaders,
+            );
+            const limits = parts.state.lookup()?.configuration.limits;
+            const headerBytes = message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+            if (limits !== undefined && headerBytes > limits.headerBytes) {
+                deny(response, "header-too-large", { requestId: request.id });
+                return;
+            }
+            const read = await readBody(message, limits?.bodyBytes ?? Number.POSITIVE_INFINITY);
+            if (read.kind === "too-large") {
+                response.setHeader("Connection", "close");
+                deny(response, "body-too-large", { requestId: request.id });
+                return;
+            }
+            const lookup = parts.state.lookup();
+            if (read.kind === "cut" || response.destroyed) {
+                return;
+            }
+            if (lookup === undefined) {
+                parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
+                writeRefusal(response, "no-configuration", NO_CONFIGURATION_RETRY_MILLISECONDS);
+                return;
+            }
+            const admitted = admitRoute(lookup, request);
+            if (typeof admitted === "string") {
+                deny(response, admitted, {
+                    requestId: request.id,
+                    configurationVersion: lookup.configuration.version,
+                });
+                return;
+            }
+            const service = pickService(admitted.route, parts.random()) ?? "";
+            inProgress += 1;
+            run({
+                request,
+                body: read.body,
+                response,
+                lookup,
+                admitted,
+                service,
+                receivedAt,
+                deadlineAt: receivedAt + allowedMilliseconds(request.deadlineMilliseconds, admitted),
+            });
+        },
+    };
+}
+
+function allowedMilliseconds(deadline: number | undefined, { route }: AdmittedRoute): number {
+    const stated = [deadline, route.timeoutMilliseconds].filter(value => value !== undefined && value > 0) as number[];
+    return stated.length === 0 ? DEFAULT_DEADLINE_MILLISECONDS : Math.min(...stated);
+}
--- /dev/null
+++ b/packages/daemon/src/relay/stallwatch.ts
@@ -0,0 +1,56 @@
+/** Watches the heads that serve streams of this daemon and moves the streams away when a head stops. */
+import type { LoadBoard } from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+
+/** What the watch works with. */
+export interface StallWatchParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly board: LoadBoard;
+    /** Moves the streams of a head to other groups. */
+    readonly moveStreams: (head: string) => void;
+    /** Tells others that a head stopped. */
+    readonly report: (head: string) => void;
+}
+
+const CHECK_INTERVAL_MILLISECONDS = 100;
+/** A pass of a full batch with a prompt in each step takes about 300 ms. */
+const STALL_MILLISECONDS = 500;
+/** A request without a first event also waits for prompts before it and for a new connection. */
+const FIRST_EVENT_STALL_MILLISECONDS = 1_000;
+/** After this time, a head that was suspected gets requests again. */
+const SUSPICION_MILLISECONDS = 6_000;
+
+/** Starts the watch; returns how to stop it. */
+export function startStallWatch(parts: StallWatchParts): () => void {
+    const timer = setInterval(() => check(parts), CHECK_INTERVAL_MILLISECONDS);
+    return () => clearInterval(timer);
+}
+
+function check({ clock, log, board, moveStreams, report }: StallWatchParts): void {
+    const now = clock.monotonic();
+    board.targets().forEach(target => {
+        const load = board.of(target);
+        if (load === undefined) {
+            return;
+        }
+        if (load.suspectedAt !== undefined) {
+            if (now - load.suspectedAt > SUSPICION_MILLISECONDS) {
+                board.clear(target);
+            }
+            return;
+        }
+        const limit = load.unstarted < load.inProgress ? STALL_MILLISECONDS : FIRST_EVENT_STALL_MILLISECONDS;
+        if (load.inProgress > 0 && now - load.progressAt > limit && load.streams) {
+            board.suspect(target, now);
+            log.emit("targetStalled", {
+                target,
+                inProgress: load.inProgress,
+                silentMilliseconds: Math.round(now - load.progressAt),
+            });
+            report(target);
+            moveStreams(target);
+        }
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -0,0 +1,374 @@
+/** Relays an event stream from the heads of groups, and resumes it at another group where the route allows it. */
+import { type EngineGroup, placeRequest, type Placement } from "@damaskvale/core";
+import type { AnswerHead } from "../ports/relayprotocol.js";
+import { writeFailure, writeRefusal } from "./answers.js";
+import { identify, type RelayParts, type RequestContext } from "./context.js";
+import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
+import type { TargetExchange } from "./targetconnections.js";
+
+/** A stream in progress, as the watch over stalled targets sees it. */
+export interface StreamRelay {
+    /** Head that serves the stream now. */
+    head(): string | undefined;
+    /** Moves the stream to another group if one can take it. */
+    moveAway(): void;
+}
+
+/** Wait of a caller whose request every group refused. */
+const REFUSED_RETRY_MILLISECONDS = 800;
+/** Bytes that may wait for a slow caller before the target is paused. */
+const PAUSE_AT_BYTES = 65_536;
+
+interface Attempt {
+    readonly head: string;
+    readonly address: string;
+    readonly splitter: EventSplitter;
+    exchange?: TargetExchange;
+    sent: boolean;
+    started: boolean;
+    /** Whether the attempt passes its answer on unchanged because it is a failure of the target. */
+    passing: boolean;
+    over: boolean;
+}
+
+/** Starts to relay a stream; `ended` is called once when nothing more will happen. */
+export function relayStream(context: RequestContext, parts: RelayParts, ended: () => void): StreamRelay {
+    const relay = new StreamRelayTask(context, parts, ended);
+    relay.start();
+    return relay;
+}
+
+class StreamRelayTask implements StreamRelay {
+    private readonly tried: string[] = [];
+    private attempt: Attempt | undefined;
+    private lastEventId: number | undefined;
+    private sends = 0;
+    /** Whether a target of an earlier attempt may have run the request. */
+    private mayHaveRun = false;
+    private over = false;
+    private readonly deadline: NodeJS.Timeout;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly parts: RelayParts,
+        private readonly ended: () => void,
+    ) {
+        this.lastEventId = context.request.lastEventId;
+        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
+        context.response.on("close", () => this.callerLeft());
+        context.response.on("drain", () => this.attempt?.exchange?.resume());
+    }
+
+    start(): void {
+        this.parts.budgetOf(this.context.service).noteFirst(this.parts.clock.monotonic());
+        this.sendOrGiveUp();
+    }
+
+    head(): string | undefined {
+        return this.attempt?.head;
+    }
+
+    moveAway(): void {
+        const stalled = this.attempt;
+        if (stalled === undefined || stalled.passing || !this.mayRepeat()) {
+            return;
+        }
+        const placement = this.place();
+        if (placement.kind === "placed" && this.takeFromBudget()) {
+            this.mayHaveRun ||= stalled.sent;
+            this.release(stalled);
+            stalled.exchange?.cancel();
+            this.parts.connections.renew(stalled.address);
+            this.parts.log.emit("streamMoved", {
+                ...identify(this.context),
+                from: stalled.head,
+                to: placement.head,
+                lastEventId: this.lastEventId,
+            });
+            this.send(placement.head);
+        }
+    }
+
+    private place(): Placement {
+        const { context, parts } = this;
+        const engine = context.lookup.serviceOf(context.service)?.engine;
+        const model = engine?.models.find(profile => profile.name === context.request.model);
+        if (engine === undefined || model === undefined) {
+            return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_MILLISECONDS };
+        }
+        const now = parts.clock.monotonic();
+        return placeRequest({
+            engine,
+            model,
+            candidates: parts.state.servingGroups(context.service, model.name)
+                .filter(group => !this.tried.includes(headOf(group)))
+                .map(group => this.describe(group)),
+            dataCentre: parts.dataCentre,
+            promptTokens: context.request.promptTokens,
+            objectiveMilliseconds: context.admitted.route.latencyObjectiveMilliseconds,
+            remainingMilliseconds: context.deadlineAt - now,
+            draw: parts.random(),
+        });
+    }
+
+    private describe(group: EngineGroup) {
+        const head = headOf(group);
+        const load = this.parts.board.of(head);
+        return {
+            head,
+            dataCentre: group.head?.dataCentre ?? "",
+            inProgress: (load?.inProgress ?? 0) + this.parts.othersInProgress(head),
+            unreadTokens: load?.unreadTokens ?? 0,
+            suspected: load?.suspectedAt !== undefined,
+        };
+    }
+
+    private mayRepeat(): boolean {
+        const { route } = this.context.admitted;
+        const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
+        return (route.resumable || !mayHaveRun) && this.sends < route.maximumAttempts;
+    }
+
+    private takeFromBudget(): boolean {
+        return this.sends === 0 || this.parts.budgetOf(this.context.service).withdraw(this.parts.clock.monotonic());
+    }
+
+    private sendOrGiveUp(): void {
+        const placement = this.place();
+        if (placement.kind === "refused") {
+            this.giveUp(placement.reason, placement.retryAfterMilliseconds);
+            return;
+        }
+        if (!this.takeFromBudget()) {
+            this.giveUp("budget", REFUSED_RETRY_MILLISECONDS);
+            return;
+        }
+        this.send(placement.head);
+    }
+
+    private send(headId: string): void {
+        const { context, parts } = this;
+        const target = parts.state.targetById(headId);
+        if (target === undefined) {
+            this.giveUp("no-group", REFUSED_RETRY_MILLISECONDS);
+            return;
+        }
+        const attempt: Attempt = {
+            head: headId,
+            address: target.address,
+            splitter: createEventSplitter(),
+            sent: false,
+            started: false,
+            passing: false,
+            over: false,
+        };
+        this.attempt = attempt;
+        this.tried.push(headId);
+        this.sends += 1;
+        const now = parts.clock.monotonic();
+        parts.board.sent(headId, { promptTokens: context.request.promptTokens, stream: true }, now);
+        parts.log.emit("streamSent", {
+            ...identify(context),
+            target: headId,
+            attempt: this.sends,
+            lastEventId: this.lastEventId,
+            inProgressThere: parts.board.of(headId)?.inProgress,
+        });
+        const headers = parts.protocol.encodeForTarget(context.request, {
+            target: headId,
+            remainingMilliseconds: context.deadlineAt - now,
+            team: context.admitted.team?.name,
+            lastEventId: this.lastEventId,
+        });
+        const { method, path } = context.request;
+        attempt.exchange = parts.connections.send(
+            target.address,
+            { method, path, headers, body: context.body, onNewConnection: false },
+            {
+                sent: () => {
+                    attempt.sent = true;
+                },
+                head: head => this.receiveHead(attempt, head),
+                data: chunk => this.receiveData(attempt, chunk),
+                ended: () => this.receiveEnd(attempt),
+                failed: error => this.attemptFailed(attempt, error.message),
+            },
+        );
+    }
+
+    private receiveHead(attempt: Attempt, head: AnswerHead): void {
+        const { context, parts } = this;
+        const meaning = parts.protocol.decodeAnswer(head);
+        if (meaning.requestId !== undefined && meaning.requestId !== context.request.id) {
+            this.abandon(attempt, "foreign-answer");
+            return;
+        }
+        if (meaning.notRun) {
+            attempt.sent = false;
+            this.abandon(attempt, `refused with ${head.status}`);
+            return;
+        }
+        const success = head.status >= 200 && head.status < 300;
+        if (!success && (this.mayRepeat() || context.response.headersSent)) {
+            this.abandon(attempt, `status ${head.status}`);
+            return;
+        }
+        attempt.passing = !success;
+        if (!context.response.headersSent) {
+            context.response.writeHead(head.status, [...meaning.forwarded]);
+        }
+    }
+
+    private receiveData(attempt: Attempt, chunk: Buffer): void {
+        const { context, parts } = this;
+        const now = parts.clock.monotonic();
+        if (attempt.passing) {
+            context.response.write(chunk);
+            return;
+        }
+        const events = attempt.splitter.push(chunk);
+        if (events.length === 0) {
+            return;
+        }
+        if (!attempt.started) {
+            attempt.started = true;
+            parts.board.started(attempt.head, context.request.promptTokens, now);
+        }
+        parts.board.progressed(attempt.head, now);
+        const inOrder = events.every(event => this.deliver(event));
+        if (!inOrder) {
+            this.abandon(attempt, "event-missing");
+            return;
+        }
+        if (context.response.writableLength > PAUSE_AT_BYTES) {
+            attempt.exchange?.pause();
+        }
+    }
+
+    /** Passes an event on unless the caller has it; returns whether no event before it is missing. */
+    private deliver(event: StreamEvent): boolean {
+        const { id } = event;
+        const last = this.lastEventId ?? 0;
+        if (id !== undefined && id <= last) {
+            return true;
+        }
+        if (id !== undefined && id > last + 1) {
+            return false;
+        }
+        this.lastEventId = id ?? this.lastEventId;
+        this.context.response.write(event.bytes);
+        return true;
+    }
+
+    private receiveEnd(attempt: Attempt): void {
+        if (!attempt.passing && (attempt.splitter.hasPartialEvent() || !attempt.started)) {
+            this.attemptFailed(attempt, "ended inside an event");
+            return;
+        }
+        this.release(attempt);
+        this.context.response.end();
+        this.finish("complete");
+    }
+
+    private abandon(attempt: Attempt, reason: string): void {
+        attempt.exchange?.cancel();
+        this.attemptFailed(attempt, reason);
+    }
+
+    private attemptFailed(attempt: Attempt, reason: string): void {
+        if (attempt.over || this.over) {
+            return;
+        }
+        this.mayHaveRun ||= attempt.sent;
+        this.release(attempt);
+        this.parts.log.emit("attemptFailed", {
+            ...identify(this.context),
+            target: attempt.head,
+            reason,
+            sent: attempt.sent,
+            lastEventId: this.lastEventId,
+        });
+        if (attempt.passing || !this.mayRepeat()) {
+            this.giveUp("not-run", REFUSED_RETRY_MILLISECONDS);
+            return;
+        }
+        this.sendOrGiveUp();
+    }
+
+    private release(attempt: Attempt): void {
+        if (!attempt.over) {
+            attempt.over = true;
+            this.parts.board.ended(attempt.head, this.context.request.promptTokens, attempt.started);
+        }
+        if (this.attempt === attempt) {
+            this.attempt = undefined;
+        }
+    }
+
+    private giveUp(reason: "no-group" | "full" | "too-late" | "budget" | "not-run", retryAfter: number): void {
+        const { response } = this.context;
+        if (response.headersSent) {
+            response.destroy();
+            this.finish("broken-off");
+            return;
+        }
+        if (this.mayHaveRun) {
+            writeFailure(response, "target-failed");
+            this.finish("failed");
+            return;
+        }
+        writeRefusal(response, reason, retryAfter);
+        this.finish(`refused: ${reason}`, retryAfter);
+    }
+
+    private expire(): void {
+        if (this.over) {
+            return;
+        }
+        this.cancelAttempt();
+        if (this.context.response.headersSent) {
+            this.context.response.destroy();
+        }
+        else {
+            writeFailure(this.context.response, "deadline");
+        }
+        this.finish("deadline");
+    }
+
+    private callerLeft(): void {
+        if (this.over) {
+            return;
+        }
+        this.cancelAttempt();
+        this.finish("caller-left");
+    }
+
+    private cancelAttempt(): void {
+        const { attempt } = this;
+        if (attempt !== undefined) {
+            this.release(attempt);
+            attempt.exchange?.cancel();
+        }
+    }
+
+    private finish(outcome: string, retryAfterMilliseconds?: number): void {
+        if (this.over) {
+            return;
+        }
+        this.over = true;
+        clearTimeout(this.deadline);
+        this.parts.log.emit("requestEnded", {
+            ...identify(this.context),
+            outcome,
+            sends: this.sends,
+            lastEventId: this.lastEventId,
+            retryAfterMilliseconds,
+            milliseconds: Math.round(this.parts.clock.monotonic() - this.context.receivedAt),
+        });
+        this.ended();
+    }
+}
+
+function headOf(group: EngineGroup): string {
+    return group.head?.id ?? "";
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -0,0 +1,82 @@
+/** Follows a topic of the store: reads all newest values once, then each change. */
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import { type KeyedTopic, StoreError, type TopicChange } from "../ports/registry.js";
+import { sleep } from "./sleep.js";
+
+/** What a follower works with. */
+export interface FollowOptions<Value> {
+    readonly topic: KeyedTopic<Value>;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    /** Random number from 0 to below 1, to spread retries. */
+    readonly random: () => number;
+    /** All keys with values, at start and after a gap. */
+    readonly replace: (changes: readonly TopicChange<Value>[]) => void;
+    readonly apply: (changes: readonly TopicChange<Value>[]) => void;
+    /** Wait between two reads, so that changes arrive together. */
+    readonly pauseMilliseconds: number;
+}
+
+/** A running follower. */
+export interface TopicFollower {
+    /** When the store last answered, in monotonic milliseconds. */
+    lastAnswerAt(): number;
+    stop(): void;
+}
+
+const WAIT_MILLISECONDS = 5_000;
+const RETRY_MILLISECONDS = 200;
+
+/** Starts to follow. */
+export function followTopic<Value>(options: FollowOptions<Value>): TopicFollower {
+    const { topic, clock, log } = options;
+    let stopped = false;
+    let lost = false;
+    let offset: number | undefined;
+    let lastAnswerAt = clock.monotonic();
+
+    const readOnce = async (): Promise<void> => {
+        if (offset === undefined) {
+            const page = await topic.newest();
+            options.replace(page.changes);
+            offset = page.nextOffset;
+            return;
+        }
+        const page = await topic.after(offset, WAIT_MILLISECONDS);
+        offset = page?.nextOffset;
+        if (page !== undefined && page.changes.length > 0) {
+            options.apply(page.changes);
+        }
+    };
+    const run = async (): Promise<void> => {
+        while (!stopped) {
+            try {
+                await readOnce();
+                lastAnswerAt = clock.monotonic();
+                if (lost) {
+                    lost = false;
+                    log.emit("storeRegained", { topic: topic.name, offset });
+                }
+                await sleep(options.pauseMilliseconds);
+            }
+            catch (error) {
+                if (!(error instanceof StoreError)) {
+                    throw error;
+                }
+                if (!lost) {
+                    lost = true;
+                    log.emit("storeLost", { topic: topic.name, offset, kind: error.kind, reason: error.message });
+                }
+                await sleep(RETRY_MILLISECONDS * (0.5 + options.random()));
+            }
+        }
+    };
+    run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
+    return {
+        lastAnswerAt: () => lastAnswerAt,
+        stop: () => {
+            stopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -0,0 +1,74 @@
+/** Holds this daemon's membership in the partition group and knows whether its lease is still valid. */
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import { type PartitionGroup, type PartitionShare, StoreError } from "../ports/registry.js";
+import { sleep } from "./sleep.js";
+
+/** The lease on partitions. */
+export interface PartitionLease {
+    /** Share that is valid now, or `undefined` if the lease lapsed or was never granted. */
+    current(): PartitionShare | undefined;
+    /** Leaves the group, so that the partitions go to others at once. */
+    stop(): Promise<void>;
+}
+
+/** What the lease works with. */
+export interface PartitionLeaseParts {
+    readonly group: PartitionGroup;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly leaseMilliseconds: number;
+}
+
+/** Renewals in one lease, so that one lost answer does not end it. */
+const RENEWALS_PER_LEASE = 4;
+/** The lease counts as lapsed this long before its end, for orders that are on their way. */
+const LEASE_MARGIN_MILLISECONDS = 600;
+
+/** Starts to hold the lease. */
+export function startPartitionLease({ group, clock, log, leaseMilliseconds }: PartitionLeaseParts): PartitionLease {
+    let stopped = false;
+    let share: PartitionShare | undefined;
+    let validUntil = 0;
+
+    const renewOnce = async (): Promise<void> => {
+        const sentAt = clock.monotonic();
+        const next = await group.renew(leaseMilliseconds, share?.fencingToken ?? 0);
+        if (next.fencingToken !== share?.fencingToken || next.partitions.join() !== share.partitions.join()) {
+            log.emit("partitionsChanged", { ...next });
+        }
+        share = next;
+        validUntil = sentAt + leaseMilliseconds - LEASE_MARGIN_MILLISECONDS;
+    };
+    const run = async (): Promise<void> => {
+        while (!stopped) {
+            try {
+                await renewOnce();
+            }
+            catch (error) {
+                if (!(error instanceof StoreError)) {
+                    throw error;
+                }
+                if (share !== undefined && clock.monotonic() > validUntil) {
+                    share = undefined;
+                    log.emit("partitionsLapsed", { reason: error.message });
+                }
+            }
+            await sleep(leaseMilliseconds / RENEWALS_PER_LEASE);
+        }
+    };
+    run().catch((error: unknown) => log.emit("taskFailed", { task: "partition lease", error }));
+    return {
+        current: () => clock.monotonic() < validUntil ? share : undefined,
+        stop: async () => {
+            stopped = true;
+            validUntil = 0;
+            try {
+                await group.leave();
+            }
+            catch (error) {
+                log.emit("storeLost", { topic: "partition group", reason: String(error) });
+            }
+        },
+    };
+}
