--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,8 @@
     bundle: true,
     platform: "node",
     target: "node20",
+    // The CommonJS form of ts-results picks its modules at run time, which a bundle cannot follow.
+    mainFields: ["module", "main"],
     sourcemap: "linked",
     legalComments: "none",
     alias: {
