--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -16,6 +16,8 @@
     readonly unreachable: boolean;
     /** Whether the host is taken as gone although it is still registered. */
     readonly lost: boolean;
+    /** When the host was first known, in monotonic milliseconds. */
+    readonly knownSince: number;
 }
 
 /** Input of one round of planning. */
@@ -43,6 +45,9 @@
 /** How long members may take to report that they join, on top of the time that the join itself takes. */
 const JOIN_GRACE_MILLISECONDS = 2_500;
 
+/** Hosts that come together are registered one by one; without this wait the first few would form a small group. */
+const SETTLE_MILLISECONDS = 600;
+
 interface Formation {
     readonly model: string;
     readonly members: readonly string[];
@@ -118,7 +123,7 @@
                 input.hosts.filter(host => !host.awaiting && !host.unreachable).map(host => [host.target.id, host]),
             );
             const free = freeHosts(input, groups).filter(target => usable.has(target.id) && !expected.has(target.id));
-            const formed = formGroups(input, free, (name, formation) => formations.set(name, formation));
+            const formed = formGroups(input, isSettled(input, groups) ? free : [], (name, formation) => formations.set(name, formation));
             const taken = new Set(formed.map(order => order.host));
             const staged = stageIdleHosts(input, free.filter(target => !taken.has(target.id)), formed);
             return [...changes, ...formed, ...staged].filter(order => usable.has(order.host));
@@ -126,6 +131,12 @@
     };
 }
 
+/** Returns whether groups may be formed: hosts are still being registered in a domain that has no group yet. */
+function isSettled(input: DomainPlanInput, groups: readonly JudgedGroup[]): boolean {
+    const newest = Math.max(0, ...input.hosts.map(host => host.knownSince));
+    return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS;
+}
+
 /** Opens, closes or takes apart one group. */
 function ordersForGroup({ group, forming, head, lostMember, drainingMember }: JudgedGroup): EngineOrder[] {
     const { name, epoch } = group;
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -22,6 +22,7 @@
 interface HostRecord {
     /** Entry for which the record holds; a new one ends the wait for an order and replaces a report. */
     entry: Target;
+    knownSince: number;
     sequence?: number;
     orderInFlight: boolean;
     awaitingUntil: number;
@@ -43,7 +44,7 @@
 export function createHostRecords(): HostRecords {
     const records = new Map<string, HostRecord>();
 
-    const recordOf = (target: Target): HostRecord => {
+    const recordOf = (target: Target, now = 0): HostRecord => {
         const known = records.get(target.id);
         if (known?.entry === target) {
             return known;
@@ -51,6 +52,7 @@
         const restarted = known !== undefined && known.entry.startedAt !== target.startedAt;
         const record: HostRecord = {
             entry: target,
+            knownSince: restarted ? now : known?.knownSince ?? now,
             sequence: restarted ? undefined : known?.sequence,
             orderInFlight: known?.orderInFlight ?? false,
             awaitingUntil: 0,
@@ -64,10 +66,11 @@
 
     return {
         describe: (target, now) => {
-            const record = recordOf(target);
+            const record = recordOf(target, now);
             const unreachable = record.silences >= SILENCES;
             return {
                 target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
+                knownSince: record.knownSince,
                 awaiting: record.orderInFlight || now < record.awaitingUntil,
                 unreachable,
                 lost: unreachable && now < record.suspectedUntil,
@@ -75,7 +78,7 @@
         },
         sequenceOf: target => recordOf(target).sequence,
         needsReport: (target, now) => {
-            const record = recordOf(target);
+            const record = recordOf(target, now);
             const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS && !record.orderInFlight;
             const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
             const doubted = now < record.suspectedUntil || record.silences > 0;
