--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -3,6 +3,7 @@
  * and which models idle hosts stage ahead. Pure apart from its own record of groups that are being formed.
  */
 import type { ModelProfile } from "../routes/types.js";
+import { chooseMix } from "./mix.js";
 import { type EngineGroup, groupName, groupsOf, isReadyToOpen } from "./groups.js";
 import type { EngineOrder } from "./orders.js";
 import type { Target } from "./types.js";
@@ -48,6 +49,12 @@
 /** Hosts that come together are registered one by one; without this wait the first few would form a small group. */
 const SETTLE_MILLISECONDS = 600;
 
+/** A host that stages a model without showing it yet. */
+interface Staging {
+    readonly model: string;
+    readonly until: number;
+}
+
 interface Formation {
     readonly model: string;
     readonly members: readonly string[];
@@ -67,6 +74,7 @@
 /** Makes the planner of a domain. */
 export function createDomainPlanner(): DomainPlanner {
     const formations = new Map<string, Formation>();
+    const staging = new Map<string, Staging>();
 
     const judge = (group: EngineGroup, input: DomainPlanInput): JudgedGroup => {
         const lost = new Set(input.hosts.filter(host => host.lost).map(host => host.target.id));
@@ -95,7 +103,17 @@
         return !lost && input.now < due;
     };
 
+    const noteStaging = (input: DomainPlanInput, orders: readonly EngineOrder[]): void => {
+        orders.forEach(order => {
+            const load = input.models.find(model => "model" in order && model.name === order.model)?.loadMilliseconds;
+            if (order.kind === "stage") {
+                staging.set(order.host, { model: order.model, until: input.now + 2 * (load ?? 0) });
+            }
+        });
+    };
+
     const forgetFormations = (input: DomainPlanInput): void => {
+        [...staging].filter(([, { until }]) => input.now > until).forEach(([host]) => staging.delete(host));
         const longest = Math.max(0, ...input.models.map(model => model.loadMilliseconds));
         [...formations].forEach(([name, { startedAt }]) => {
             if (input.now - startedAt > 2 * longest + JOIN_GRACE_MILLISECONDS) {
@@ -123,9 +141,15 @@
                 input.hosts.filter(host => !host.awaiting && !host.unreachable).map(host => [host.target.id, host]),
             );
             const free = freeHosts(input, groups).filter(target => usable.has(target.id) && !expected.has(target.id));
-            const formed = formGroups(input, isSettled(input, groups) ? free : [], (name, formation) => formations.set(name, formation));
+            // Hosts whose last order has not shown its effect may be free a moment later, and then allow another mix.
+            const mayForm = isSettled(input, groups) && !freeHosts(input, groups).some(target => !usable.has(target.id));
+            const formed = formGroups(input, mayForm ? free : [], (name, formation) => formations.set(name, formation));
             const taken = new Set(formed.map(order => order.host));
-            const staged = stageIdleHosts(input, free.filter(target => !taken.has(target.id)), formed);
+            const idle = free.filter(target => !taken.has(target.id));
+            const staged = isSettled(input, groups) && formed.length === 0
+                ? stageIdleHosts(input, idle, input.loadsAllowed, staging)
+                : [];
+            noteStaging(input, staged);
             return [...changes, ...formed, ...staged].filter(order => usable.has(order.host));
         },
     };
@@ -178,47 +202,38 @@
     return forming || mayServe || sound;
 }
 
-/** Forms groups while hosts suffice, each for the model that lacks groups most. */
+/** Forms groups of free hosts, of the models that need them most. */
 function formGroups(
     input: DomainPlanInput,
     free: readonly Target[],
     note: (group: string, formation: Formation) => void,
 ): EngineOrder[] {
-    const counts = new Map(input.groupsByModel);
-    const orders: EngineOrder[] = [];
-    let rest = [...free];
-    let epoch = input.nextEpoch;
+    const mix = chooseMix(
+        input.models.map(profile => ({
+            profile,
+            demand: input.demandByModel.get(profile.name) ?? profile.share,
+            groups: input.groupsByModel.get(profile.name) ?? 0,
+        })),
+        free.length,
+    );
+    const wanted = [...input.models].sort((left, right) => right.size - left.size)
+        .flatMap(profile => Array.from({ length: mix.get(profile.name) ?? 0 }, () => profile));
+    let rest = free;
     let loads = input.loadsAllowed;
-    for (;;) {
-        const profile = mostWanted(input, counts, rest.length);
-        const members = profile === undefined ? [] : preferStaged(rest, profile.name).slice(0, profile.size);
-        const cold = members.filter(member => !holdsWeights(member, profile?.name)).length;
-        if (profile === undefined || cold > loads) {
-            return orders;
+    return wanted.flatMap((profile, index) => {
+        const members = preferStaged(rest, profile.name).slice(0, profile.size);
+        const cold = members.filter(member => !member.stagedModels.includes(profile.name)).length;
+        if (cold > loads) {
+            return [];
         }
+        loads -= cold;
+        const epoch = input.nextEpoch + index;
         const group = groupName(input.domain, profile.name, epoch);
         const ids = members.map(member => member.id);
-        orders.push(...ids.map(host =>
-            ({ kind: "join", host, group, epoch, model: profile.name, members: ids }) as const
-        ));
-        note(group, { model: profile.name, members: ids, startedAt: input.now });
-        counts.set(profile.name, (counts.get(profile.name) ?? 0) + 1);
         rest = rest.filter(target => !ids.includes(target.id));
-        loads -= cold;
-        epoch += 1;
-    }
-}
-
-/** Model with the most work for each group it has, among those for which enough hosts are free. */
-function mostWanted(
-    input: DomainPlanInput,
-    counts: ReadonlyMap<string, number>,
-    freeHosts: number,
-): ModelProfile | undefined {
-    const want = (model: ModelProfile): number =>
-        (input.demandByModel.get(model.name) ?? 1) / ((counts.get(model.name) ?? 0) + 1);
-    return input.models.filter(model => model.size <= freeHosts)
-        .sort((left, right) => want(right) - want(left) || right.size - left.size)[0];
+        note(group, { model: profile.name, members: ids, startedAt: input.now });
+        return ids.map(host => ({ kind: "join", host, group, epoch, model: profile.name, members: ids }) as const);
+    });
 }
 
 /** Sorts hosts: those that run the model, then those that hold its weights, then those that hold none. */
@@ -235,25 +250,20 @@
     return [...hosts].sort((left, right) => score(left) - score(right));
 }
 
-function holdsWeights(target: Target, model: string | undefined): boolean {
-    return model !== undefined && target.stagedModels.includes(model);
-}
-
 /** Has idle hosts without weights stage the model whose groups are most likely to need them. */
 function stageIdleHosts(
     input: DomainPlanInput,
     idle: readonly Target[],
-    formed: readonly EngineOrder[],
+    loadsAllowed: number,
+    staging: ReadonlyMap<string, Staging>,
 ): EngineOrder[] {
+    const holds = (target: Target, model: string): boolean =>
+        target.stagedModels.includes(model) || staging.get(target.id)?.model === model;
     const spares = new Map(
-        input.models.map(model => [
-            model.name,
-            idle.filter(target => target.stagedModels.includes(model.name)).length,
-        ]),
+        input.models.map(model => [model.name, idle.filter(target => holds(target, model.name)).length]),
     );
-    const coldJoins = formed.length;
-    const allowed = Math.max(0, input.loadsAllowed - coldJoins);
-    return idle.filter(target => target.stagedModels.length === 0 && !target.busy).slice(0, allowed).flatMap(target => {
+    const empty = idle.filter(target => target.stagedModels.length === 0 && !target.busy && !staging.has(target.id));
+    return empty.slice(0, Math.max(0, loadsAllowed)).flatMap(target => {
         const need = (model: ModelProfile): number => model.size / ((spares.get(model.name) ?? 0) + 1);
         const model = [...input.models].sort((left, right) => need(right) - need(left))[0];
         if (model === undefined) {
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -76,7 +76,7 @@
         records.noteOrderSent(target, clock.monotonic());
         const { fencingToken } = share;
         const result = await engines.order(target, order, { fencingToken, expectedSequence });
-        records.noteOrderResult(target, result, clock.monotonic());
+        records.noteOrderResult(target, order.kind, result, clock.monotonic());
         log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, result });
         if (result === "fenced") {
             refusedTokens.set(domain, fencingToken);
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -1,5 +1,5 @@
 /** What the planner keeps of each host beyond its registry entry: orders on their way, reports and reachability. */
-import type { EngineHost, Target } from "@damaskvale/core";
+import type { EngineHost, EngineOrderKind, Target } from "@damaskvale/core";
 import type { EngineReport, OrderResult } from "../ports/enginecontrol.js";
 
 /** Records of the hosts of the domains for which this daemon plans. Times are monotonic milliseconds. */
@@ -11,7 +11,7 @@
     /** Whether the engine should be asked for a report. */
     needsReport(target: Target, now: number): boolean;
     noteOrderSent(target: Target, now: number): void;
-    noteOrderResult(target: Target, result: OrderResult, now: number): void;
+    noteOrderResult(target: Target, kind: EngineOrderKind, result: OrderResult, now: number): void;
     noteReport(target: Target, report: EngineReport | undefined, now: number): void;
     /** Notes that the group of the host stands still, so that silence means that the host is lost. */
     noteSuspicion(target: Target, now: number): void;
@@ -26,6 +26,7 @@
     sequence?: number;
     orderInFlight: boolean;
     awaitingUntil: number;
+    orderedAt: number;
     report?: EngineReport;
     silences: number;
     askedAt: number;
@@ -34,6 +35,8 @@
 
 /** How long an accepted order may take to show in the registry before the engine is asked. */
 const EFFECT_MILLISECONDS = 1_200;
+/** A report is up to this old when it arrives, so that one asked sooner after an order may not show its effect. */
+const REPORT_AGE_MILLISECONDS = 350;
 /** Reports in a row that may stay unanswered before the host counts as unreachable. */
 const SILENCES = 2;
 const REPORT_INTERVAL_MILLISECONDS = 250;
@@ -56,6 +59,7 @@
             sequence: restarted ? undefined : known?.sequence,
             orderInFlight: known?.orderInFlight ?? false,
             awaitingUntil: 0,
+            orderedAt: known?.orderedAt ?? Number.NEGATIVE_INFINITY,
             silences: known?.silences ?? 0,
             askedAt: known?.askedAt ?? Number.NEGATIVE_INFINITY,
             suspectedUntil: known?.suspectedUntil ?? 0,
@@ -79,7 +83,9 @@
         sequenceOf: target => recordOf(target).sequence,
         needsReport: (target, now) => {
             const record = recordOf(target, now);
-            const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS && !record.orderInFlight;
+            const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS
+                && now - record.orderedAt > REPORT_AGE_MILLISECONDS
+                && !record.orderInFlight;
             const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
             const doubted = now < record.suspectedUntil || record.silences > 0;
             return due && (effectMissing || doubted || record.sequence === undefined);
@@ -87,21 +93,27 @@
         noteOrderSent: target => {
             recordOf(target).orderInFlight = true;
         },
-        noteOrderResult: (target, result, now) => {
+        noteOrderResult: (target, kind, result, now) => {
             const record = recordOf(target);
             record.orderInFlight = false;
+            record.orderedAt = now;
             record.silences = result === "unanswered" ? record.silences : 0;
             if (result === "accepted") {
                 record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
-                record.awaitingUntil = record.entry === target ? now + EFFECT_MILLISECONDS : 0;
+                record.awaitingUntil = record.entry === target && kind !== "stage" ? now + EFFECT_MILLISECONDS : 0;
                 record.report = undefined;
                 return;
             }
             record.sequence = undefined;
+            record.report = undefined;
+            record.awaitingUntil = now + REPORT_AGE_MILLISECONDS;
         },
         noteReport: (target, report, now) => {
             const record = recordOf(target);
             record.askedAt = now;
+            if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
+                return;
+            }
             if (report === undefined) {
                 record.silences += 1;
                 return;
