--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -219,7 +219,7 @@
     const wanted = [...input.models].sort((left, right) => right.size - left.size)
         .flatMap(profile => Array.from({ length: mix.get(profile.name) ?? 0 }, () => profile));
     let rest = free;
-    let loads = input.loadsAllowed;
+    let loads = Math.max(0, input.loadsAllowed);
     return wanted.flatMap((profile, index) => {
         const members = preferStaged(rest, profile.name).slice(0, profile.size);
         const cold = members.filter(member => !member.stagedModels.includes(profile.name)).length;
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -57,6 +57,7 @@
     };
 
     const report = async (target: Target): Promise<void> => {
+        records.noteReportAsked(target, clock.monotonic());
         const answer = await engines.report(target);
         records.noteReport(target, answer, clock.monotonic());
         log.emit("engineReported", {
@@ -92,10 +93,6 @@
             return;
         }
         const hosts: EngineHost[] = targets.map(target => records.describe(target, now));
-        const ready = hosts.filter(host => records.sequenceOf(host.target) !== undefined);
-        if (ready.length < hosts.filter(host => !host.unreachable).length && ready.length === 0) {
-            return;
-        }
         const orders = plannerOf(domain).plan({
             domain,
             hosts,
@@ -113,7 +110,7 @@
             if (target === undefined) {
                 return;
             }
-            if ("model" in order && !target.stagedModels.includes(order.model)) {
+            if (parts.trafficSeen() && "model" in order && !target.stagedModels.includes(order.model)) {
                 loads.take();
             }
             if (order.kind === "join") {
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -12,6 +12,7 @@
     needsReport(target: Target, now: number): boolean;
     noteOrderSent(target: Target, now: number): void;
     noteOrderResult(target: Target, kind: EngineOrderKind, result: OrderResult, now: number): void;
+    noteReportAsked(target: Target, now: number): void;
     noteReport(target: Target, report: EngineReport | undefined, now: number): void;
     /** Notes that the group of the host stands still, so that silence means that the host is lost. */
     noteSuspicion(target: Target, now: number): void;
@@ -39,7 +40,8 @@
 const REPORT_AGE_MILLISECONDS = 350;
 /** Reports in a row that may stay unanswered before the host counts as unreachable. */
 const SILENCES = 2;
-const REPORT_INTERVAL_MILLISECONDS = 250;
+/** Longer than the time after which an unanswered report is given up, so that one is asked at a time. */
+const REPORT_INTERVAL_MILLISECONDS = 350;
 /** How long a suspicion holds. */
 const SUSPICION_MILLISECONDS = 4_000;
 
@@ -108,9 +110,11 @@
             record.report = undefined;
             record.awaitingUntil = now + REPORT_AGE_MILLISECONDS;
         },
+        noteReportAsked: (target, now) => {
+            recordOf(target).askedAt = now;
+        },
         noteReport: (target, report, now) => {
             const record = recordOf(target);
-            record.askedAt = now;
             if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
                 return;
             }
