--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export * from "./membership/rendezvous.js";
 export * from "./outcome.js";
 export * from "./placement/board.js";
+export * from "./placement/peerloads.js";
 export * from "./placement/place.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -39,6 +39,8 @@
 }
 
 const ROUND_INTERVAL_MILLISECONDS = 100;
+/** Orders that end together are followed by one round. */
+const ROUND_DELAY_MILLISECONDS = 5;
 
 /** Starts to plan. */
 export function startEnginePlanner(parts: EnginePlannerParts): EnginePlanner {
@@ -49,6 +51,8 @@
     /** Token with which an engine refused this daemon, by domain. */
     const refusedTokens = new Map<string, number>();
     let highestEpoch = 0;
+    let scheduled = false;
+    let stopped = false;
 
     const plannerOf = (domain: string): DomainPlanner => {
         const planner = planners.get(domain) ?? createDomainPlanner();
@@ -145,7 +149,17 @@
     };
 
     const start = (work: Promise<void>): void => {
-        work.catch((error: unknown) => log.emit("taskFailed", { task: "engine planner", error }));
+        work.then(schedule).catch((error: unknown) => log.emit("taskFailed", { task: "engine planner", error }));
+    };
+
+    const schedule = (): void => {
+        if (!scheduled && !stopped) {
+            scheduled = true;
+            setTimeout(() => {
+                scheduled = false;
+                round();
+            }, ROUND_DELAY_MILLISECONDS);
+        }
     };
 
     const timer = setInterval(round, ROUND_INTERVAL_MILLISECONDS);
@@ -160,7 +174,10 @@
             state.targets().filter(member => member.membership?.group === group)
                 .forEach(member => records.noteSuspicion(member, now));
         },
-        stop: () => clearInterval(timer),
+        stop: () => {
+            stopped = true;
+            clearInterval(timer);
+        },
     };
 }
 
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -77,7 +77,7 @@
             return {
                 target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
                 knownSince: record.knownSince,
-                awaiting: record.orderInFlight || now < record.awaitingUntil,
+                awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
                 unreachable,
                 lost: unreachable && now < record.suspectedUntil,
             };
@@ -100,6 +100,22 @@
             record.orderInFlight = false;
             record.orderedAt = now;
             record.silences = result === "unanswered" ? record.silences : 0;
+            const left = kind === "leave" && result === "already-holds" && record.report?.membership !== undefined;
+            const leftEntry = kind === "leave" && result === "already-holds" && record.report === undefined
+                && target.membership !== undefined;
+            if (left || leftEntry) {
+                // Leaving takes effect at once, which engines answer like an order that already holds.
+                record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
+                record.report = {
+                    ...record.entry,
+                    ...record.report,
+                    membership: undefined,
+                    waiting: 0,
+                    running: 0,
+                    pace: 1,
+                };
+                return;
+            }
             if (result === "accepted") {
                 record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
                 record.awaitingUntil = record.entry === target && kind !== "stage" ? now + EFFECT_MILLISECONDS : 0;
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -145,6 +145,7 @@
         "A message of another daemon did not parse and its link was closed.",
         "Check that both daemons run compatible versions.",
     ),
+    announceFailed: define(506, "warn", "This daemon could not announce itself to the others; it tries again."),
     memberChanged: define(505, "info", "The state of another daemon changed."),
 } as const satisfies Record<string, EventDefinition>;
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,6 +21,7 @@
 export type * from "./ports/eventlog.js";
 export type * from "./ports/peers.js";
 export type * from "./ports/platformlog.js";
+export type * from "./ports/presence.js";
 export * from "./ports/registry.js";
 export type * from "./ports/relayprotocol.js";
 export type * from "./ports/stream.js";
--- /dev/null
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -0,0 +1,124 @@
+/**
+ * Exchange of loads and suspicions between daemons, as datagrams. Each message replaces the one before it, so that
+ * none needs to be repeated or ordered, and no connection can go silent.
+ */
+import type { LoadBoard, PeerLoads } from "@damaskvale/core";
+import { pack, unpack } from "msgpackr";
+import { createSocket, type Socket } from "node:dgram";
+import { z } from "zod";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { DaemonPresence } from "../ports/presence.js";
+
+/** What the exchange works with. */
+export interface LoadExchangeParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly self: DaemonPresence;
+    /** Port at which every daemon receives. */
+    readonly port: number;
+    readonly board: LoadBoard;
+    readonly peerLoads: PeerLoads;
+    /** Another daemon suspects the head of a group. */
+    readonly onSuspicion: (head: string) => void;
+}
+
+/** A running exchange. */
+export interface LoadExchange {
+    /** Replaces the daemons to which messages go. */
+    setPeers(peers: readonly DaemonPresence[]): void;
+    /** Tells all daemons at once that a head makes no progress. */
+    suspect(head: string): void;
+    stop(): void;
+}
+
+const messageSchema = z.object({
+    daemon: z.string(),
+    loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
+    suspects: z.array(z.string()),
+});
+
+type LoadMessage = z.infer<typeof messageSchema>;
+
+const TELL_INTERVAL_MILLISECONDS = 150;
+/** Daemons of other data centres get every second message. */
+const REMOTE_EVERY = 2;
+/** Without changes, a message is still sent this often, so that others know that this daemon lives. */
+const IDLE_TELL_MILLISECONDS = 900;
+
+/** Starts the exchange. */
+export function startLoadExchange(parts: LoadExchangeParts): LoadExchange {
+    const { clock, log, self, board, peerLoads } = parts;
+    const socket: Socket = createSocket("udp4");
+    let peers: readonly DaemonPresence[] = [];
+    let round = 0;
+    let lastTold = "";
+    let lastToldAt = Number.NEGATIVE_INFINITY;
+
+    const send = (message: LoadMessage, receivers: readonly DaemonPresence[]): void => {
+        const bytes = pack(message);
+        receivers.forEach(peer => socket.send(bytes, parts.port, peer.ip));
+    };
+    const tell = (): void => {
+        round += 1;
+        const message = describe([]);
+        const text = JSON.stringify(message.loads);
+        const now = clock.monotonic();
+        if (text === lastTold && now - lastToldAt < IDLE_TELL_MILLISECONDS) {
+            return;
+        }
+        const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
+        const all = round % REMOTE_EVERY === 0;
+        if (all) {
+            lastTold = text;
+            lastToldAt = now;
+        }
+        send(message, all ? peers : peers.filter(isLocal));
+    };
+    const describe = (suspects: string[]): LoadMessage => ({
+        daemon: self.daemon,
+        loads: board.targets().flatMap(target => {
+            const load = board.of(target);
+            return load === undefined || load.inProgress === 0
+                ? []
+                : [[target, load.inProgress, load.unreadTokens] as [string, number, number]];
+        }),
+        suspects,
+    });
+    const receive = (bytes: Buffer): void => {
+        const parsed = messageSchema.safeParse(safeUnpack(bytes));
+        if (!parsed.success) {
+            log.emit("peerMessageRefused", { reason: parsed.error.message });
+            return;
+        }
+        const { daemon, loads, suspects } = parsed.data;
+        const told = loads.map(([target, inProgress, unreadTokens]) => ({ target, inProgress, unreadTokens }));
+        peerLoads.tell(daemon, told, clock.monotonic());
+        suspects.forEach(parts.onSuspicion);
+    };
+
+    socket.on("message", receive);
+    socket.on("error", error => log.emit("taskFailed", { task: "load exchange", error }));
+    socket.bind(parts.port, self.ip);
+    const timer = setInterval(tell, TELL_INTERVAL_MILLISECONDS);
+    return {
+        setPeers: next => {
+            peers = next.filter(peer => peer.daemon !== self.daemon);
+        },
+        suspect: head => send(describe([head]), peers),
+        stop: () => {
+            clearInterval(timer);
+            socket.close();
+        },
+    };
+}
+
+function safeUnpack(bytes: Buffer): unknown {
+    try {
+        return unpack(bytes);
+    }
+    catch {
+        // The schema refuses the missing value, which is logged with the others that it refuses.
+        return undefined;
+    }
+}
--- a/packages/daemon/src/relay/context.ts
+++ b/packages/daemon/src/relay/context.ts
@@ -30,8 +30,8 @@
     readonly connections: TargetConnections;
     readonly board: LoadBoard;
     readonly dataCentre: string;
-    /** Requests in progress at a target from other daemons, as far as known. */
-    readonly othersInProgress: (target: string) => number;
+    /** Load of a target from other daemons, as far as known. */
+    readonly loadOfOthers: (target: string) => { readonly inProgress: number; readonly unreadTokens: number; };
     /** Budget of repeats of a service. */
     readonly budgetOf: (service: string) => RetryBudget;
     /** Random number from 0 to below 1. */
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -114,11 +114,12 @@
     private describe(group: EngineGroup) {
         const head = headOf(group);
         const load = this.parts.board.of(head);
+        const others = this.parts.loadOfOthers(head);
         return {
             head,
             dataCentre: group.head?.dataCentre ?? "",
-            inProgress: (load?.inProgress ?? 0) + this.parts.othersInProgress(head),
-            unreadTokens: load?.unreadTokens ?? 0,
+            inProgress: (load?.inProgress ?? 0) + others.inProgress,
+            unreadTokens: (load?.unreadTokens ?? 0) + others.unreadTokens,
             suspected: load?.suspectedAt !== undefined,
         };
     }
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,11 +1,20 @@
 /** Wires the relay, the followers and the engine planner into a daemon behind a platform's ports. */
-import { createLoadBoard, createRetryBudget, type RetryBudget } from "@damaskvale/core";
+import {
+    createLoadBoard,
+    createPeerLoads,
+    createRetryBudget,
+    type RetryBudget,
+    type TargetLoad,
+} from "@damaskvale/core";
 import { createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
 import { startEnginePlanner } from "../engines/engineplanner.js";
+import { startLoadExchange } from "../peers/loadexchange.js";
+import { startPresence } from "../peers/presence.js";
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
+import type { PresenceTopic } from "../ports/presence.js";
 import type { ConfigurationTopic, PartitionGroup, TargetTopic } from "../ports/registry.js";
 import type { RelayProtocol } from "../ports/relayprotocol.js";
 import { followTopic } from "../tasks/followtopic.js";
@@ -20,6 +29,9 @@
 export interface RelaySettings {
     readonly daemon: string;
     readonly dataCentre: string;
+    readonly ip: string;
+    /** First and last port that are free for messages between daemons. */
+    readonly internalPorts: readonly number[];
     readonly callerListen: string;
     readonly readinessListen: string;
     readonly shutdownMilliseconds: number;
@@ -37,6 +49,7 @@
     readonly targets: (log: EventLog) => TargetTopic;
     readonly partitions: PartitionGroup;
     readonly engines: (log: EventLog) => EngineControl;
+    readonly presence: (log: EventLog) => PresenceTopic;
 }
 
 /** Descriptor of standard output. */
@@ -44,7 +57,8 @@
 const LEASE_MILLISECONDS = 2_500;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 /** Hosts write to the registry some fifty times a second; their changes are read together. */
-const TARGETS_PAUSE_MILLISECONDS = 60;
+const TARGETS_PAUSE_MILLISECONDS = 200;
+const DEFAULT_PEER_PORT = 7_340;
 const CONNECTIONS_PER_TARGET = 40;
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
 /** Share of the allowed ratio of repeats that daemons use, as their windows are not aligned with the platform's. */
@@ -52,6 +66,15 @@
 /** Daemons among which the fixed number of repeats is divided. */
 const RETRY_SHARES = 12;
 
+/** Progress within this time outweighs the suspicion of another daemon. */
+const RECENT_PROGRESS_MILLISECONDS = 300;
+
+/** Returns whether a target sent bytes of a stream lately. */
+function madeProgress(load: TargetLoad | undefined, now: number): boolean {
+    return load !== undefined && load.unstarted < load.inProgress
+        && now - load.progressAt < RECENT_PROGRESS_MILLISECONDS;
+}
+
 /** Starts the daemon; resolves when it listens. It ends the process after SIGTERM. */
 export async function startPlatformDaemon(settings: RelaySettings, ports: PlatformPorts): Promise<void> {
     const output = createBoundedOutput(STANDARD_OUTPUT);
@@ -66,6 +89,7 @@
     const random = Math.random;
     const state = createRelayState();
     const board = createLoadBoard();
+    const peerLoads = createPeerLoads();
     const connections = createTargetConnections({
         connectionsPerTarget: CONNECTIONS_PER_TARGET,
         connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
@@ -90,7 +114,7 @@
         connections,
         board,
         dataCentre: settings.dataCentre,
-        othersInProgress: () => 0,
+        loadOfOthers: target => peerLoads.of(target, clock.monotonic()),
         budgetOf,
         random,
     });
@@ -127,12 +151,32 @@
         engines: ports.engines(log),
         trafficSeen: () => trafficSeen,
     });
+    const self = { daemon: settings.daemon, ip: settings.ip, dataCentre: settings.dataCentre };
+    const exchange = startLoadExchange({
+        clock,
+        log,
+        self,
+        port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
+        board,
+        peerLoads,
+        onSuspicion: head => {
+            planner.suspect(head);
+            if (!madeProgress(board.of(head), clock.monotonic())) {
+                board.suspect(head, clock.monotonic());
+            }
+        },
+    });
+    const presence = ports.presence(log);
+    startPresence({ topic: presence, self, clock, log, random, setPeers: peers => exchange.setPeers(peers) });
     startStallWatch({
         clock,
         log,
         board,
         moveStreams: head => relay.moveStreams(head),
-        report: head => planner.suspect(head),
+        report: head => {
+            planner.suspect(head);
+            exchange.suspect(head);
+        },
     });
     const listeners = await listening;
     process.once("SIGTERM", () => {
