--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -1,5 +1,5 @@
 /** Connections to targets, and one request over one of them. */
-import { Client, type Dispatcher, Pool } from "undici";
+import { buildConnector, Client, type Dispatcher, Pool } from "undici";
 import type { AnswerHead, HeaderList } from "../ports/relayprotocol.js";
 
 /** A request as it goes to a target. */
@@ -52,7 +52,7 @@
     const pools = new Map<string, Pool>();
     const clientOptions = {
         pipelining: 1,
-        connect: { timeout: options.connectTimeoutMilliseconds },
+        connect: createConnector(options.connectTimeoutMilliseconds),
         headersTimeout: 0,
         bodyTimeout: 0,
     };
@@ -98,6 +98,24 @@
     };
 }
 
+/**
+ * Connects and renames resets. undici takes a reset for the regular end of an answer without a length on a connection
+ * that is not kept; such an answer would be passed on as whole although it was cut.
+ */
+function createConnector(timeout: number): buildConnector.connector {
+    const connect = buildConnector({ timeout });
+    return (options, callback) =>
+        connect(options, (...result) => {
+            const [, socket] = result;
+            socket?.on("error", (error: NodeJS.ErrnoException) => {
+                if (error.code === "ECONNRESET") {
+                    error.code = "ECONNABORTED";
+                }
+            });
+            callback(...result);
+        });
+}
+
 function dispatch(
     dispatcher: Dispatcher,
     request: TargetRequest,
