--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -18,9 +18,12 @@
 
 const NAME_SEPARATOR = "~";
 
-/** Names a group after its domain, model and epoch, so that its model is known while its members still load. */
-export function groupName(domain: string, model: string, epoch: number): string {
-    return [domain, model, epoch].join(NAME_SEPARATOR);
+/**
+ * Names a group after its domain, model, and the owner's fencing token with the epoch. The model is thus known while the
+ * members still load, and two owners never use the same name for different members.
+ */
+export function groupName(domain: string, model: string, fencingToken: number, epoch: number): string {
+    return [domain, model, `${fencingToken}.${epoch}`].join(NAME_SEPARATOR);
 }
 
 function modelInName(name: string): string | undefined {
@@ -63,9 +66,13 @@
     return target.membership?.rank ?? Number.MAX_SAFE_INTEGER;
 }
 
-/** Returns whether requests may be sent to the head of a group. */
+/**
+ * Returns whether requests may be sent to the head of a group. Only whole groups are opened; one that loses a member
+ * afterwards is recognised by its lack of progress.
+ */
 export function isServing(group: EngineGroup): boolean {
-    return group.whole && group.head?.membership?.state === "open" && !group.head.draining;
+    const { head } = group;
+    return head !== undefined && head.membership?.state === "open" && head.registered && !head.draining;
 }
 
 /** Returns whether all members have joined and the head waits for the order to open. */
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -32,6 +32,8 @@
     readonly demandByModel: ReadonlyMap<string, number>;
     /** Loads from the weight store that may start now. */
     readonly loadsAllowed: number;
+    /** Token of the owner that plans. */
+    readonly fencingToken: number;
     /** Lowest epoch that is above all epochs seen. */
     readonly nextEpoch: number;
     /** Monotonic milliseconds. */
@@ -46,6 +48,9 @@
 /** How long members may take to report that they join, on top of the time that the join itself takes. */
 const JOIN_GRACE_MILLISECONDS = 2_500;
 
+/** Hosts whose entry lapsed are taken before hosts that must load the weights. */
+const UNREGISTERED_SCORE = 1.5;
+
 /** Hosts that come together are registered one by one; without this wait the first few would form a small group. */
 const SETTLE_MILLISECONDS = 600;
 
@@ -68,7 +73,8 @@
     /** Head, unless it is lost. */
     readonly head?: Target;
     readonly lostMember: boolean;
-    readonly drainingMember: boolean;
+    /** Whether a member drains, or the head may get no requests because its entry lapsed. */
+    readonly retiring: boolean;
 }
 
 /** Makes the planner of a domain. */
@@ -83,7 +89,7 @@
             forming: isForming(group, input),
             head: group.head === undefined || lost.has(group.head.id) ? undefined : group.head,
             lostMember: !group.whole || group.members.some(member => lost.has(member.id)),
-            drainingMember: group.members.some(member => member.draining),
+            retiring: group.members.some(member => member.draining) || group.head?.registered === false,
         };
     };
 
@@ -165,7 +171,7 @@
 }
 
 /** Opens, closes or takes apart one group. */
-function ordersForGroup({ group, forming, head, lostMember, drainingMember }: JudgedGroup): EngineOrder[] {
+function ordersForGroup({ group, forming, head, lostMember, retiring }: JudgedGroup): EngineOrder[] {
     const { name, epoch } = group;
     if (isReadyToOpen(group) && head !== undefined && !lostMember) {
         return [{ kind: "open", host: head.id, group: name, epoch }];
@@ -177,7 +183,7 @@
     if (head !== undefined && lostMember && (state === "open" || state === "closing")) {
         return [{ kind: "leave", host: head.id, group: name, epoch }];
     }
-    if (head !== undefined && drainingMember && state === "open") {
+    if (head !== undefined && retiring && state === "open") {
         return [{ kind: "close", host: head.id, group: name, epoch, work: "finish" }];
     }
     if (head === undefined) {
@@ -198,10 +204,10 @@
     );
 }
 
-function holdsMembers({ forming, head, lostMember, drainingMember }: JudgedGroup): boolean {
+function holdsMembers({ forming, head, lostMember, retiring }: JudgedGroup): boolean {
     const state = head?.membership?.state;
     const mayServe = state === undefined || state === "open" || state === "closing";
-    const sound = !lostMember && !drainingMember && state !== "broken";
+    const sound = !lostMember && !retiring && state !== "broken";
     return forming || mayServe || sound;
 }
 
@@ -224,14 +230,17 @@
     let rest = free;
     let loads = Math.max(0, input.loadsAllowed);
     return wanted.flatMap((profile, index) => {
-        const members = preferStaged(rest, profile.name).slice(0, profile.size);
+        const members = headFirst(preferStaged(rest, profile.name), profile.size);
+        if (members.length < profile.size) {
+            return [];
+        }
         const cold = members.filter(member => !member.stagedModels.includes(profile.name)).length;
         if (cold > loads) {
             return [];
         }
         loads -= cold;
         const epoch = input.nextEpoch + index;
-        const group = groupName(input.domain, profile.name, epoch);
+        const group = groupName(input.domain, profile.name, input.fencingToken, epoch);
         const ids = members.map(member => member.id);
         rest = rest.filter(target => !ids.includes(target.id));
         note(group, { model: profile.name, members: ids, startedAt: input.now });
@@ -239,6 +248,12 @@
     });
 }
 
+/** Takes so many hosts with a registered one first, as requests go to the head; none if no host is registered. */
+function headFirst(hosts: readonly Target[], size: number): Target[] {
+    const head = hosts.find(host => host.registered);
+    return head === undefined ? [] : [head, ...hosts.filter(host => host !== head)].slice(0, size);
+}
+
 /** Sorts hosts: those that run the model, then those that hold its weights, then those that hold none. */
 function preferStaged(hosts: readonly Target[], model: string): Target[] {
     const score = (target: Target): number => {
@@ -250,7 +265,8 @@
         }
         return target.stagedModels.length === 0 ? 3 : 4;
     };
-    return [...hosts].sort((left, right) => score(left) - score(right));
+    const rank = (target: Target): number => score(target) + (target.registered ? 0 : UNREGISTERED_SCORE);
+    return [...hosts].sort((left, right) => rank(left) - rank(right));
 }
 
 /** Has idle hosts without weights stage the model whose groups are most likely to need them. */
--- a/packages/core/src/engines/types.ts
+++ b/packages/core/src/engines/types.ts
@@ -22,6 +22,11 @@
     readonly address: string;
     readonly dataCentre: string;
     readonly draining: boolean;
+    /**
+     * Whether the target is registered now. One whose entry lapsed may still run, but gets no requests; a host may go on
+     * as a member of a group.
+     */
+    readonly registered: boolean;
     /** Requests that the target processes at once. */
     readonly slots: number;
     /** Start of the process in Unix milliseconds, if stated. A restart under the same id forgets everything. */
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -5,6 +5,7 @@
     type EngineHost,
     type EngineOrder,
     type EngineProfile,
+    type GroupMembership,
     groupsOf,
     type Service,
     type Target,
@@ -14,7 +15,7 @@
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PartitionShare } from "../ports/registry.js";
-import type { RelayState } from "../relay/state.js";
+import type { RelayState, ToldMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
 import { createHostRecords } from "./hostrecords.js";
 import { createLoadAllowance } from "./loadallowance.js";
@@ -29,6 +30,8 @@
     readonly engines: EngineControl;
     /** Whether requests have been seen; loads before the first one are not limited. */
     readonly trafficSeen: () => boolean;
+    /** Receives memberships that an engine reported and that the registry does not show yet. */
+    readonly onMembership: (told: ToldMembership) => void;
 }
 
 /** A running planner. */
@@ -64,6 +67,12 @@
         records.noteReportAsked(target, clock.monotonic());
         const answer = await engines.report(target);
         records.noteReport(target, answer, clock.monotonic());
+        if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
+            parts.onMembership({ host: target.id, model: answer.model, membership: answer.membership });
+        }
+        if (records.describe(target, clock.monotonic()).lost) {
+            state.forget(target.id);
+        }
         log.emit("engineReported", {
             host: target.id,
             answered: answer !== undefined,
@@ -106,6 +115,7 @@
             loadsAllowed: parts.trafficSeen()
                 ? loads.available(engine.loadsPerSecond * share.partitions.length / parts.partitionCount, now)
                 : Number.POSITIVE_INFINITY,
+            fencingToken: share.fencingToken,
             nextEpoch: nextEpoch(share),
             now,
         });
@@ -181,6 +191,10 @@
     };
 }
 
+function differs(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
+    return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
+}
+
 function domainsOf(state: RelayState, service: string): string[] {
     const domains = state.targets().filter(target => target.service === service).map(target => target.domain);
     return [...new Set(domains)].filter(domain => domain !== undefined);
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -35,13 +35,15 @@
 }
 
 /** How long an accepted order may take to show in the registry before the engine is asked. */
-const EFFECT_MILLISECONDS = 1_200;
+const EFFECT_MILLISECONDS = 600;
 /** A report is up to this old when it arrives, so that one asked sooner after an order may not show its effect. */
 const REPORT_AGE_MILLISECONDS = 350;
 /** Reports in a row that may stay unanswered before the host counts as unreachable. */
 const SILENCES = 2;
 /** Longer than the time after which an unanswered report is given up, so that one is asked at a time. */
 const REPORT_INTERVAL_MILLISECONDS = 350;
+/** Hosts whose entry lapsed are asked this often whether they still run. */
+const LAPSED_REPORT_INTERVAL_MILLISECONDS = 600;
 /** How long a suspicion holds. */
 const SUSPICION_MILLISECONDS = 4_000;
 
@@ -79,7 +81,7 @@
                 knownSince: record.knownSince,
                 awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
                 unreachable,
-                lost: unreachable && now < record.suspectedUntil,
+                lost: unreachable && (now < record.suspectedUntil || !target.registered),
             };
         },
         sequenceOf: target => recordOf(target).sequence,
@@ -88,6 +90,9 @@
             const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS
                 && now - record.orderedAt > REPORT_AGE_MILLISECONDS
                 && !record.orderInFlight;
+            if (!target.registered) {
+                return !record.orderInFlight && now - record.askedAt > LAPSED_REPORT_INTERVAL_MILLISECONDS;
+            }
             const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
             const doubted = now < record.suspectedUntil || record.silences > 0;
             return due && (effectMissing || doubted || record.sequence === undefined);
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
+import type { ToldMembership } from "../relay/state.js";
 
 /** What the exchange works with. */
 export interface LoadExchangeParts {
@@ -21,6 +22,8 @@
     readonly peerLoads: PeerLoads;
     /** Another daemon suspects the head of a group. */
     readonly onSuspicion: (head: string) => void;
+    /** Another daemon learned a membership from the engine itself. */
+    readonly onMembership: (told: ToldMembership) => void;
 }
 
 /** A running exchange. */
@@ -29,6 +32,8 @@
     setPeers(peers: readonly DaemonPresence[]): void;
     /** Tells all daemons at once that a head makes no progress. */
     suspect(head: string): void;
+    /** Tells all daemons a membership that an engine reported. */
+    tellMembership(told: ToldMembership): void;
     stop(): void;
 }
 
@@ -36,6 +41,16 @@
     daemon: z.string(),
     loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
     suspects: z.array(z.string()),
+    memberships: z.array(z.object({
+        host: z.string(),
+        model: z.string().optional(),
+        membership: z.object({
+            group: z.string(),
+            epoch: z.number(),
+            rank: z.number(),
+            state: z.enum(["joining", "ready", "open", "closing", "broken"]),
+        }).optional(),
+    })),
 });
 
 type LoadMessage = z.infer<typeof messageSchema>;
@@ -61,7 +76,7 @@
     };
     const tell = (): void => {
         round += 1;
-        const message = describe([]);
+        const message = describe({});
         const text = JSON.stringify(message.loads);
         const now = clock.monotonic();
         if (text === lastTold && now - lastToldAt < IDLE_TELL_MILLISECONDS) {
@@ -75,7 +90,7 @@
         }
         send(message, all ? peers : peers.filter(isLocal));
     };
-    const describe = (suspects: string[]): LoadMessage => ({
+    const describe = (news: Partial<Pick<LoadMessage, "suspects" | "memberships">>): LoadMessage => ({
         daemon: self.daemon,
         loads: board.targets().flatMap(target => {
             const load = board.of(target);
@@ -83,7 +98,9 @@
                 ? []
                 : [[target, load.inProgress, load.unreadTokens] as [string, number, number]];
         }),
-        suspects,
+        suspects: [],
+        memberships: [],
+        ...news,
     });
     const receive = (bytes: Buffer): void => {
         const parsed = messageSchema.safeParse(safeUnpack(bytes));
@@ -91,10 +108,11 @@
             log.emit("peerMessageRefused", { reason: parsed.error.message });
             return;
         }
-        const { daemon, loads, suspects } = parsed.data;
+        const { daemon, loads, suspects, memberships } = parsed.data;
         const told = loads.map(([target, inProgress, unreadTokens]) => ({ target, inProgress, unreadTokens }));
         peerLoads.tell(daemon, told, clock.monotonic());
         suspects.forEach(parts.onSuspicion);
+        memberships.forEach(parts.onMembership);
     };
 
     socket.on("message", receive);
@@ -105,7 +123,8 @@
         setPeers: next => {
             peers = next.filter(peer => peer.daemon !== self.daemon);
         },
-        suspect: head => send(describe([head]), peers),
+        suspect: head => send(describe({ suspects: [head] }), peers),
+        tellMembership: told => send(describe({ memberships: [told] }), peers),
         stop: () => {
             clearInterval(timer);
             socket.close();
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -40,6 +40,8 @@
     readonly retryWindowMilliseconds: number;
     readonly retrySlack: number;
     readonly minimumLeaseMilliseconds: number;
+    /** Whether engines refuse orders with a lower fencing token than one they have seen. */
+    readonly enginesRefuseOldTokens: boolean;
 }
 
 /** What a platform provides. */
@@ -55,6 +57,8 @@
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
 const LEASE_MILLISECONDS = 2_500;
+/** How long this daemon plans on while the store does not answer, where engines refuse the orders of old owners. */
+const LEASE_EXTENSION_MILLISECONDS = 20_000;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 /** Hosts write to the registry some fifty times a second; their changes are read together. */
 const TARGETS_PAUSE_MILLISECONDS = 200;
@@ -141,7 +145,13 @@
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
         apply: changes => state.applyTargets(changes),
     });
-    const lease = startPartitionLease({ group: ports.partitions, clock, log, leaseMilliseconds: LEASE_MILLISECONDS });
+    const lease = startPartitionLease({
+        group: ports.partitions,
+        clock,
+        log,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        extensionMilliseconds: settings.enginesRefuseOldTokens ? LEASE_EXTENSION_MILLISECONDS : 0,
+    });
     const planner = startEnginePlanner({
         clock,
         log,
@@ -150,6 +160,10 @@
         partitionCount: ports.partitions.partitionCount,
         engines: ports.engines(log),
         trafficSeen: () => trafficSeen,
+        onMembership: told => {
+            state.applyMembership(told);
+            exchange.tellMembership(told);
+        },
     });
     const self = { daemon: settings.daemon, ip: settings.ip, dataCentre: settings.dataCentre };
     const exchange = startLoadExchange({
@@ -159,6 +173,7 @@
         port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
         board,
         peerLoads,
+        onMembership: told => state.applyMembership(told),
         onSuspicion: head => {
             planner.suspect(head);
             if (!madeProgress(board.of(head), clock.monotonic())) {
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -25,7 +25,8 @@
     stop(): void;
 }
 
-const WAIT_MILLISECONDS = 5_000;
+/** A read that waits longer would notice a silent connection too late. */
+const WAIT_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 200;
 
 /** Starts to follow. */
@@ -43,7 +44,7 @@
             offset = page.nextOffset;
             return;
         }
-        const page = await topic.after(offset, WAIT_MILLISECONDS);
+        const page = await topic.after(offset, lost ? 0 : WAIT_MILLISECONDS);
         offset = page?.nextOffset;
         if (page !== undefined && page.changes.length > 0) {
             options.apply(page.changes);
--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -18,6 +18,11 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly leaseMilliseconds: number;
+    /**
+     * How long the share counts on after the lease while the store does not answer. Another daemon may own the
+     * partitions by then, so that this must be 0 unless the receivers of orders refuse old fencing tokens.
+     */
+    readonly extensionMilliseconds: number;
 }
 
 /** Renewals in one lease, so that one lost answer does not end it. */
@@ -26,7 +31,8 @@
 const LEASE_MARGIN_MILLISECONDS = 600;
 
 /** Starts to hold the lease. */
-export function startPartitionLease({ group, clock, log, leaseMilliseconds }: PartitionLeaseParts): PartitionLease {
+export function startPartitionLease(parts: PartitionLeaseParts): PartitionLease {
+    const { group, clock, log, leaseMilliseconds } = parts;
     let stopped = false;
     let share: PartitionShare | undefined;
     let validUntil = 0;
@@ -49,7 +55,7 @@
                 if (!(error instanceof StoreError)) {
                     throw error;
                 }
-                if (share !== undefined && clock.monotonic() > validUntil) {
+                if (share !== undefined && clock.monotonic() > validUntil + parts.extensionMilliseconds) {
                     share = undefined;
                     log.emit("partitionsLapsed", { reason: error.message });
                 }
@@ -59,9 +65,10 @@
     };
     run().catch((error: unknown) => log.emit("taskFailed", { task: "partition lease", error }));
     return {
-        current: () => clock.monotonic() < validUntil ? share : undefined,
+        current: () => clock.monotonic() < validUntil + parts.extensionMilliseconds ? share : undefined,
         stop: async () => {
             stopped = true;
+            share = undefined;
             validUntil = 0;
             try {
                 await group.leave();
