--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -11,10 +11,10 @@
 ];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "packages/*/bin/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "packages/*/bin/**", "target/**", "journal/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         plugins: { jsdoc },
         rules: {
@@ -44,7 +44,7 @@
         },
     },
     {
-        files: ["packages/**/tests/**/*.ts"],
+        files: ["packages/**/tests/**/*.ts", "platform/**/tests/**/*.ts"],
         rules: {
             "max-lines-per-function": "off",
             "@typescript-eslint/no-unused-expressions": "off",
--- /dev/null
+++ b/packages/core/src/engines/formations.ts
@@ -0,0 +1,82 @@
+/** What a planner remembers of its own orders until the hosts show their effect: groups being formed, models staged. */
+import type { ModelProfile } from "../routes/types.js";
+import type { EngineGroup } from "./groups.js";
+import type { EngineOrder } from "./orders.js";
+
+/** A group that is being formed. */
+export interface Formation {
+    readonly model: string;
+    /** Ids of the members; the first one is the head. */
+    readonly members: readonly string[];
+    /** Monotonic milliseconds. */
+    readonly startedAt: number;
+}
+
+interface Staging {
+    readonly model: string;
+    readonly until: number;
+}
+
+/** How long members may take to report that they join, on top of the time that the join itself takes. */
+const JOIN_GRACE_MILLISECONDS = 2_500;
+/** Loads take longer than their profile when many run at once. */
+const LOAD_FACTOR = 2;
+
+/** Record of one domain. Times are monotonic milliseconds. */
+export class Formations {
+    private readonly groups = new Map<string, Formation>();
+    private readonly staging = new Map<string, Staging>();
+
+    note(group: string, formation: Formation): void {
+        this.groups.set(group, formation);
+    }
+
+    noteStaging(orders: readonly EngineOrder[], models: readonly ModelProfile[], now: number): void {
+        orders.filter(order => order.kind === "stage").forEach(order => {
+            const load = models.find(model => model.name === order.model)?.loadMilliseconds ?? 0;
+            this.staging.set(order.host, { model: order.model, until: now + LOAD_FACTOR * load });
+        });
+    }
+
+    /** Model that a host was ordered to stage, while that may still be in progress. */
+    stagingOf(host: string): string | undefined {
+        return this.staging.get(host)?.model;
+    }
+
+    /** Returns whether a group may still become whole. `lost` tells which hosts will not join. */
+    isForming(
+        group: EngineGroup,
+        models: readonly ModelProfile[],
+        lost: (host: string) => boolean,
+        now: number,
+    ): boolean {
+        const formation = this.groups.get(group.name);
+        const profile = models.find(model => model.name === group.model);
+        const loading = group.members.some(member => member.membership?.state === "joining");
+        if (formation === undefined || profile === undefined) {
+            return loading;
+        }
+        const due = formation.startedAt + JOIN_GRACE_MILLISECONDS
+            + (loading ? LOAD_FACTOR * profile.loadMilliseconds : 0);
+        return now < due && !formation.members.some(lost);
+    }
+
+    /** Hosts that were asked to join a group and may not report it yet, leaving out groups that were given up. */
+    expectedMembers(abandoned: ReadonlySet<string>, now: number): Set<string> {
+        return new Set(
+            [...this.groups]
+                .filter(([name, { startedAt }]) => !abandoned.has(name) && now - startedAt < JOIN_GRACE_MILLISECONDS)
+                .flatMap(([, { members }]) => members),
+        );
+    }
+
+    /** Drops what is too old to matter. */
+    forgetOld(models: readonly ModelProfile[], now: number): void {
+        const longest = Math.max(0, ...models.map(model => model.loadMilliseconds));
+        const oldest = now - LOAD_FACTOR * longest - JOIN_GRACE_MILLISECONDS;
+        [...this.groups].filter(([, { startedAt }]) => startedAt < oldest).forEach(([name]) =>
+            this.groups.delete(name)
+        );
+        [...this.staging].filter(([, { until }]) => until < now).forEach(([host]) => this.staging.delete(host));
+    }
+}
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -3,219 +3,83 @@
  * and which models idle hosts stage ahead. Pure apart from its own record of groups that are being formed.
  */
 import type { ModelProfile } from "../routes/types.js";
-import { type EngineGroup, groupName, groupsOf, isReadyToOpen } from "./groups.js";
+import { Formations } from "./formations.js";
+import { groupName, groupsOf } from "./groups.js";
+import { freeHosts, type JudgedGroup, judgeGroup, ordersForGroup } from "./judge.js";
 import { chooseMix } from "./mix.js";
 import type { EngineOrder } from "./orders.js";
+import type { DomainPlanInput, EngineHost } from "./planinput.js";
 import type { Target } from "./types.js";
 
-/** What the planner knows of one host. */
-export interface EngineHost {
-    readonly target: Target;
-    /** Whether an order was sent whose effect has not been seen yet. */
-    readonly awaiting: boolean;
-    /** Whether the host does not answer this daemon. It gets no orders, but may still serve. */
-    readonly unreachable: boolean;
-    /** Whether the host is taken as gone although it is still registered. */
-    readonly lost: boolean;
-    /** When the host was first known, in monotonic milliseconds. */
-    readonly knownSince: number;
-}
-
-/** Input of one round of planning. */
-export interface DomainPlanInput {
-    readonly domain: string;
-    readonly hosts: readonly EngineHost[];
-    readonly models: readonly ModelProfile[];
-    /** Groups of each model that serve or are being formed in all domains. */
-    readonly groupsByModel: ReadonlyMap<string, number>;
-    /** Work of each model relative to the others, for example its share of busy slots. */
-    readonly demandByModel: ReadonlyMap<string, number>;
-    /** Loads from the weight store that may start now. */
-    readonly loadsAllowed: number;
-    /** Token of the owner that plans. */
-    readonly fencingToken: number;
-    /** Lowest epoch that is above all epochs seen. */
-    readonly nextEpoch: number;
-    /** Monotonic milliseconds. */
-    readonly now: number;
-}
-
 /** Planner of one domain. */
 export interface DomainPlanner {
     plan(input: DomainPlanInput): EngineOrder[];
 }
 
-/** How long members may take to report that they join, on top of the time that the join itself takes. */
-const JOIN_GRACE_MILLISECONDS = 2_500;
-
 /** Hosts whose entry lapsed are taken before hosts that must load the weights. */
 const UNREGISTERED_SCORE = 1.5;
 
 /** Hosts that come together are registered one by one; without this wait the first few would form a small group. */
 const SETTLE_MILLISECONDS = 600;
 
-/** A host that stages a model without showing it yet. */
-interface Staging {
-    readonly model: string;
-    readonly until: number;
-}
-
-interface Formation {
-    readonly model: string;
-    readonly members: readonly string[];
-    readonly startedAt: number;
-}
-
-/** A group with its formation, if this planner formed it. */
-interface JudgedGroup {
-    readonly group: EngineGroup;
-    readonly forming: boolean;
-    /** Head, unless it is lost. */
-    readonly head?: Target;
-    readonly lostMember: boolean;
-    /** Whether a member drains, or the head may get no requests because its entry lapsed. */
-    readonly retiring: boolean;
-}
-
 /** Makes the planner of a domain. */
 export function createDomainPlanner(): DomainPlanner {
-    const formations = new Map<string, Formation>();
-    const staging = new Map<string, Staging>();
-
-    const judge = (group: EngineGroup, input: DomainPlanInput): JudgedGroup => {
-        const lost = new Set(input.hosts.filter(host => host.lost).map(host => host.target.id));
-        return {
-            group,
-            forming: isForming(group, input),
-            head: group.head === undefined || lost.has(group.head.id) ? undefined : group.head,
-            lostMember: !group.whole || group.members.some(member => lost.has(member.id)),
-            retiring: group.members.some(member => member.draining) || group.head?.registered === false,
-        };
-    };
-
-    const isForming = (group: EngineGroup, input: DomainPlanInput): boolean => {
-        const formation = formations.get(group.name);
-        const profile = input.models.find(model => model.name === group.model);
-        if (formation === undefined || profile === undefined) {
-            return group.members.some(member => member.membership?.state === "joining");
-        }
-        const known = new Map(input.hosts.map(host => [host.target.id, host]));
-        const lost = formation.members.some(member => {
-            const host = known.get(member);
-            return host === undefined || host.lost || host.target.draining;
-        });
-        const loading = group.members.some(member => member.membership?.state === "joining");
-        const due = formation.startedAt + JOIN_GRACE_MILLISECONDS + (loading ? 2 * profile.loadMilliseconds : 0);
-        return !lost && input.now < due;
-    };
-
-    const noteStaging = (input: DomainPlanInput, orders: readonly EngineOrder[]): void => {
-        orders.forEach(order => {
-            const load = input.models.find(model => "model" in order && model.name === order.model)?.loadMilliseconds;
-            if (order.kind === "stage") {
-                staging.set(order.host, { model: order.model, until: input.now + 2 * (load ?? 0) });
-            }
-        });
-    };
-
-    const forgetFormations = (input: DomainPlanInput): void => {
-        [...staging].filter(([, { until }]) => input.now > until).forEach(([host]) => staging.delete(host));
-        const longest = Math.max(0, ...input.models.map(model => model.loadMilliseconds));
-        [...formations].forEach(([name, { startedAt }]) => {
-            if (input.now - startedAt > 2 * longest + JOIN_GRACE_MILLISECONDS) {
-                formations.delete(name);
-            }
-        });
-    };
-
-    /** Hosts that a formation waits for, although they do not report its group yet. */
-    const expectedMembers = (input: DomainPlanInput, groups: readonly JudgedGroup[]): Set<string> => {
-        const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
-        return new Set(
-            [...formations].flatMap(([name, { members, startedAt }]) =>
-                abandoned.has(name) || input.now - startedAt > JOIN_GRACE_MILLISECONDS ? [] : members
-            ),
-        );
-    };
-
+    const formations = new Formations();
     return {
         plan: input => {
-            forgetFormations(input);
-            const targets = input.hosts.map(host => host.target);
-            const groups = groupsOf(targets, input.models).map(group => judge(group, input));
-            const changes = groups.flatMap(group => ordersForGroup(group));
-            const expected = expectedMembers(input, groups);
-            const usable = new Map(
-                input.hosts.filter(host => !host.awaiting && !host.unreachable).map(host => [host.target.id, host]),
-            );
-            const free = freeHosts(input, groups).filter(target => usable.has(target.id) && !expected.has(target.id));
-            // Hosts whose last order has not shown its effect may be free a moment later, and then allow another mix.
-            const mayForm = isSettled(input, groups)
-                && !freeHosts(input, groups).some(target => !usable.has(target.id));
-            const formed = formGroups(input, mayForm ? free : [], (name, formation) => formations.set(name, formation));
-            const taken = new Set(formed.map(order => order.host));
-            const idle = free.filter(target => !taken.has(target.id));
-            const staged = isSettled(input, groups) && formed.length === 0
-                ? stageIdleHosts(input, idle, input.loadsAllowed, staging)
+            formations.forgetOld(input.models, input.now);
+            const groups = groupsOf(input.hosts.map(host => host.target), input.models)
+                .map(group => judgeGroup(group, input, formations));
+            const changes = groups.flatMap(ordersForGroup);
+            const formed = canForm(input, groups, changes) ? formGroups(input, free(input, groups), formations) : [];
+            const staged = formed.length === 0 && isSettled(input, groups)
+                ? stageIdleHosts(input, free(input, groups), formations)
                 : [];
-            noteStaging(input, staged);
+            formations.noteStaging(staged, input.models, input.now);
+            const usable = new Set(input.hosts.filter(isUsable).map(host => host.target.id));
             return [...changes, ...formed, ...staged].filter(order => usable.has(order.host));
         },
     };
-}
 
-/** Returns whether groups may be formed: hosts are still being registered in a domain that has no group yet. */
-function isSettled(input: DomainPlanInput, groups: readonly JudgedGroup[]): boolean {
-    const newest = Math.max(0, ...input.hosts.map(host => host.knownSince));
-    return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS;
+    /** Free hosts that can be given an order now and are not expected in a group that is being formed. */
+    function free(input: DomainPlanInput, groups: readonly JudgedGroup[]): Target[] {
+        const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
+        const expected = formations.expectedMembers(abandoned, input.now);
+        return freeHosts(input.hosts.filter(isUsable), groups).filter(target => !expected.has(target.id));
+    }
 }
 
-/** Opens, closes or takes apart one group. */
-function ordersForGroup({ group, forming, head, lostMember, retiring }: JudgedGroup): EngineOrder[] {
-    const { name, epoch } = group;
-    if (isReadyToOpen(group) && head !== undefined && !lostMember) {
-        return [{ kind: "open", host: head.id, group: name, epoch }];
-    }
-    if (forming) {
-        return [];
-    }
-    const state = head?.membership?.state;
-    if (head !== undefined && lostMember && (state === "open" || state === "closing")) {
-        return [{ kind: "leave", host: head.id, group: name, epoch }];
-    }
-    if (head !== undefined && retiring && state === "open") {
-        return [{ kind: "close", host: head.id, group: name, epoch, work: "finish" }];
-    }
-    if (head === undefined) {
-        // A head that is gone may still be open behind a partition: its members leave before they join another group.
-        return group.members.map(member => ({ kind: "leave", host: member.id, group: name, epoch }));
-    }
-    return [];
+function isUsable(host: EngineHost): boolean {
+    return !host.awaiting && !host.unreachable;
 }
 
-/** Hosts that may be asked to join a group: without a group, or in one whose head does not serve. */
-function freeHosts(input: DomainPlanInput, groups: readonly JudgedGroup[]): Target[] {
-    const lost = new Set(input.hosts.filter(host => host.lost).map(host => host.target.id));
-    const held = new Set(
-        groups.filter(holdsMembers).flatMap(({ group }) => group.members.map(member => member.id)),
-    );
-    return input.hosts.map(host => host.target).filter(target =>
-        !target.draining && !held.has(target.id) && !lost.has(target.id)
-    );
+/**
+ * Returns whether groups may be formed now. Hosts whose last order has not shown its effect, and members that leave a
+ * group, are free a moment later and then allow another mix.
+ */
+function canForm(
+    input: DomainPlanInput,
+    groups: readonly JudgedGroup[],
+    changes: readonly EngineOrder[],
+): boolean {
+    const reachable = input.hosts.filter(host => !host.unreachable);
+    const waiting = freeHosts(reachable.filter(host => host.awaiting), groups).length > 0;
+    const reachableIds = new Set(reachable.map(host => host.target.id));
+    const leaving = changes.some(order => order.kind === "leave" && reachableIds.has(order.host));
+    return isSettled(input, groups) && !waiting && !leaving;
 }
 
-function holdsMembers({ forming, head, lostMember, retiring }: JudgedGroup): boolean {
-    const state = head?.membership?.state;
-    const mayServe = state === undefined || state === "open" || state === "closing";
-    const sound = !lostMember && !retiring && state !== "broken";
-    return forming || mayServe || sound;
+/** Returns whether groups may be formed: hosts are still being registered in a domain that has no group yet. */
+function isSettled(input: DomainPlanInput, groups: readonly JudgedGroup[]): boolean {
+    const newest = Math.max(0, ...input.hosts.map(host => host.knownSince));
+    return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS;
 }
 
 /** Forms groups of free hosts, of the models that need them most. */
 function formGroups(
     input: DomainPlanInput,
     free: readonly Target[],
-    note: (group: string, formation: Formation) => void,
+    formations: Formations,
 ): EngineOrder[] {
     const mix = chooseMix(
         input.models.map(profile => ({
@@ -243,7 +107,7 @@
         const group = groupName(input.domain, profile.name, input.fencingToken, epoch);
         const ids = members.map(member => member.id);
         rest = rest.filter(target => !ids.includes(target.id));
-        note(group, { model: profile.name, members: ids, startedAt: input.now });
+        formations.note(group, { model: profile.name, members: ids, startedAt: input.now });
         return ids.map(host => ({ kind: "join", host, group, epoch, model: profile.name, members: ids }) as const);
     });
 }
@@ -273,16 +137,17 @@
 function stageIdleHosts(
     input: DomainPlanInput,
     idle: readonly Target[],
-    loadsAllowed: number,
-    staging: ReadonlyMap<string, Staging>,
+    formations: Formations,
 ): EngineOrder[] {
     const holds = (target: Target, model: string): boolean =>
-        target.stagedModels.includes(model) || staging.get(target.id)?.model === model;
+        target.stagedModels.includes(model) || formations.stagingOf(target.id) === model;
     const spares = new Map(
         input.models.map(model => [model.name, idle.filter(target => holds(target, model.name)).length]),
     );
-    const empty = idle.filter(target => target.stagedModels.length === 0 && !target.busy && !staging.has(target.id));
-    return empty.slice(0, Math.max(0, loadsAllowed)).flatMap(target => {
+    const empty = idle.filter(target =>
+        target.stagedModels.length === 0 && !target.busy && formations.stagingOf(target.id) === undefined
+    );
+    return empty.slice(0, Math.max(0, input.loadsAllowed)).flatMap(target => {
         const held = (model: ModelProfile): number => spares.get(model.name) ?? 0;
         const need = (model: ModelProfile): number => model.size / (held(model) + 1);
         const model = [...input.models]
--- a/packages/daemon/src/adapters/boundedoutput.ts
+++ b/packages/daemon/src/adapters/boundedoutput.ts
@@ -57,7 +57,7 @@
 function writeAll(descriptor: number, block: Buffer, done: () => void): void {
     write(descriptor, block, 0, block.length, (error, written) => {
         const retry = error?.code === "EAGAIN";
-        if (error !== null && !retry) {
+        if (error && !retry) {
             done();
             return;
         }
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -2,7 +2,6 @@
 import {
     createDomainPlanner,
     type DomainPlanner,
-    type EngineHost,
     type EngineOrder,
     type EngineProfile,
     type GroupMembership,
@@ -47,148 +46,168 @@
 
 /** Starts to plan. */
 export function startEnginePlanner(parts: EnginePlannerParts): EnginePlanner {
-    const { clock, log, state, engines } = parts;
-    const planners = new Map<string, DomainPlanner>();
-    const records = createHostRecords();
-    const loads = createLoadAllowance();
-    /** Token with which an engine refused this daemon, by domain. */
-    const refusedTokens = new Map<string, number>();
-    let highestEpoch = 0;
-    let scheduled = false;
-    let stopped = false;
-
-    const plannerOf = (domain: string): DomainPlanner => {
-        const planner = planners.get(domain) ?? createDomainPlanner();
-        planners.set(domain, planner);
-        return planner;
-    };
+    const planner = new EnginePlannerTask(parts);
+    planner.start();
+    return planner;
+}
 
-    const report = async (target: Target): Promise<void> => {
-        records.noteReportAsked(target, clock.monotonic());
-        const answer = await engines.report(target);
-        records.noteReport(target, answer, clock.monotonic());
-        if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
-            parts.onMembership({ host: target.id, model: answer.model, membership: answer.membership });
-        }
-        if (records.describe(target, clock.monotonic()).lost) {
-            state.forget(target.id);
+class EnginePlannerTask implements EnginePlanner {
+    private readonly planners = new Map<string, DomainPlanner>();
+    private readonly records = createHostRecords();
+    private readonly loads = createLoadAllowance();
+    /** Token with which an engine refused this daemon, by domain. */
+    private readonly refusedTokens = new Map<string, number>();
+    private highestEpoch = 0;
+    private scheduled = false;
+    private stopped = false;
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(private readonly parts: EnginePlannerParts) {}
+
+    start(): void {
+        this.timer = setInterval(() => this.round(), ROUND_INTERVAL_MILLISECONDS);
+    }
+
+    stop(): void {
+        this.stopped = true;
+        clearInterval(this.timer);
+    }
+
+    suspect(head: string): void {
+        const { clock, state } = this.parts;
+        const group = state.targetById(head)?.membership?.group;
+        if (group === undefined) {
+            return;
         }
-        log.emit("engineReported", {
-            host: target.id,
-            answered: answer !== undefined,
-            membership: answer?.membership,
-            orderSequence: answer?.orderSequence,
-        });
-    };
+        const now = clock.monotonic();
+        state.targets().filter(member => member.membership?.group === group)
+            .forEach(member => this.records.noteSuspicion(member, now));
+    }
 
-    const give = async (target: Target, order: EngineOrder, domain: string, share: PartitionShare): Promise<void> => {
-        const expectedSequence = records.sequenceOf(target);
-        if (expectedSequence === undefined) {
-            await report(target);
+    private round(): void {
+        const { state, lease, partitionCount } = this.parts;
+        const share = lease.current();
+        if (share === undefined) {
             return;
         }
-        records.noteOrderSent(target, clock.monotonic());
-        const { fencingToken } = share;
-        const result = await engines.order(target, order, { fencingToken, expectedSequence });
-        records.noteOrderResult(target, order.kind, result, clock.monotonic());
-        log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, result });
-        if (result === "fenced") {
-            refusedTokens.set(domain, fencingToken);
-            log.emit("domainFenced", { domain, host: target.id, fencingToken });
-        }
-    };
+        this.records.retain(new Set(state.targets().map(target => target.id)));
+        (state.lookup()?.configuration.services ?? []).forEach(service => {
+            const { engine } = service;
+            if (engine !== undefined) {
+                domainsOf(state, service.name)
+                    .filter(domain => share.partitions.includes(partitionOf(domain, partitionCount)))
+                    .forEach(domain => this.planDomain(domain, service, engine, share));
+            }
+        });
+    }
 
-    const planDomain = (domain: string, service: Service, engine: EngineProfile, share: PartitionShare): void => {
+    private planDomain(domain: string, service: Service, engine: EngineProfile, share: PartitionShare): void {
+        const { clock, state, partitionCount, trafficSeen } = this.parts;
         const now = clock.monotonic();
         const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
-        targets.filter(target => records.needsReport(target, now)).forEach(target => start(report(target)));
-        if (refusedTokens.get(domain) === share.fencingToken) {
+        targets.filter(target => this.records.needsReport(target, now)).forEach(target =>
+            this.run(this.askForReport(target))
+        );
+        if (this.refusedTokens.get(domain) === share.fencingToken) {
             return;
         }
-        const hosts: EngineHost[] = targets.map(target => records.describe(target, now));
-        const orders = plannerOf(domain).plan({
+        const loadsPerSecond = engine.loadsPerSecond * share.partitions.length / partitionCount;
+        const orders = this.plannerOf(domain).plan({
             domain,
-            hosts,
+            hosts: targets.map(target => this.records.describe(target, now)),
             models: engine.models,
             groupsByModel: countGroups(state, service.name),
             demandByModel: new Map(),
-            loadsAllowed: parts.trafficSeen()
-                ? loads.available(engine.loadsPerSecond * share.partitions.length / parts.partitionCount, now)
-                : Number.POSITIVE_INFINITY,
+            loadsAllowed: trafficSeen() ? this.loads.available(loadsPerSecond, now) : Number.POSITIVE_INFINITY,
             fencingToken: share.fencingToken,
-            nextEpoch: nextEpoch(share),
+            nextEpoch: this.nextEpoch(share),
             now,
         });
+        const byId = new Map(targets.map(target => [target.id, target]));
         orders.forEach(order => {
-            const target = targets.find(candidate => candidate.id === order.host);
-            if (target === undefined) {
-                return;
-            }
-            if (parts.trafficSeen() && "model" in order && !target.stagedModels.includes(order.model)) {
-                loads.take();
+            const target = byId.get(order.host);
+            if (target !== undefined) {
+                this.note(target, order);
+                this.run(this.give(target, order, domain, share));
             }
-            if (order.kind === "join") {
-                highestEpoch = Math.max(highestEpoch, order.epoch);
-            }
-            start(give(target, order, domain, share));
         });
-    };
+    }
 
-    const nextEpoch = (share: PartitionShare): number => {
-        const seen = state.targets().map(target => target.membership?.epoch ?? 0);
-        highestEpoch = Math.max(highestEpoch, share.fencingToken, ...seen);
-        return highestEpoch + 1;
-    };
+    /** Counts a load against the allowance, and remembers the epoch of a join. */
+    private note(target: Target, order: EngineOrder): void {
+        if (this.parts.trafficSeen() && "model" in order && !target.stagedModels.includes(order.model)) {
+            this.loads.take();
+        }
+        if (order.kind === "join") {
+            this.highestEpoch = Math.max(this.highestEpoch, order.epoch);
+        }
+    }
 
-    const round = (): void => {
-        const share = parts.lease.current();
-        const services = state.lookup()?.configuration.services ?? [];
-        if (share === undefined) {
+    private async give(target: Target, order: EngineOrder, domain: string, share: PartitionShare): Promise<void> {
+        const { clock, log, engines } = this.parts;
+        const expectedSequence = this.records.sequenceOf(target, clock.monotonic());
+        if (expectedSequence === undefined) {
+            await this.askForReport(target);
             return;
         }
-        records.retain(new Set(state.targets().map(target => target.id)));
-        services.forEach(service => {
-            const { engine } = service;
-            if (engine === undefined) {
-                return;
-            }
-            domainsOf(state, service.name)
-                .filter(domain => share.partitions.includes(partitionOf(domain, parts.partitionCount)))
-                .forEach(domain => planDomain(domain, service, engine, share));
+        this.records.noteOrderSent(target, clock.monotonic());
+        const { fencingToken } = share;
+        const result = await engines.order(target, order, { fencingToken, expectedSequence });
+        this.records.noteOrderResult(target, order.kind, result, clock.monotonic());
+        log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, result });
+        if (result === "fenced") {
+            this.refusedTokens.set(domain, fencingToken);
+            log.emit("domainFenced", { domain, host: target.id, fencingToken });
+        }
+    }
+
+    private async askForReport(target: Target): Promise<void> {
+        const { clock, log, state, engines } = this.parts;
+        this.records.noteReportAsked(target, clock.monotonic());
+        const answer = await engines.report(target);
+        this.records.noteReport(target, answer, clock.monotonic());
+        if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
+            this.parts.onMembership({ host: target.id, model: answer.model, membership: answer.membership });
+        }
+        if (this.records.describe(target, clock.monotonic()).lost) {
+            state.forget(target.id);
+        }
+        log.emit("engineReported", {
+            host: target.id,
+            answered: answer !== undefined,
+            membership: answer?.membership,
+            orderSequence: answer?.orderSequence,
         });
-    };
-
-    const start = (work: Promise<void>): void => {
-        work.then(schedule).catch((error: unknown) => log.emit("taskFailed", { task: "engine planner", error }));
-    };
-
-    const schedule = (): void => {
-        if (!scheduled && !stopped) {
-            scheduled = true;
-            setTimeout(() => {
-                scheduled = false;
-                round();
-            }, ROUND_DELAY_MILLISECONDS);
+    }
+
+    private plannerOf(domain: string): DomainPlanner {
+        const planner = this.planners.get(domain) ?? createDomainPlanner();
+        this.planners.set(domain, planner);
+        return planner;
+    }
+
+    private nextEpoch(share: PartitionShare): number {
+        const seen = this.parts.state.targets().map(target => target.membership?.epoch ?? 0);
+        this.highestEpoch = Math.max(this.highestEpoch, share.fencingToken, ...seen);
+        return this.highestEpoch + 1;
+    }
+
+    /** Lets work go on, and plans again when it is done. */
+    private run(work: Promise<void>): void {
+        work.then(() => this.schedule())
+            .catch((error: unknown) => this.parts.log.emit("taskFailed", { task: "engine planner", error }));
+    }
+
+    private schedule(): void {
+        if (this.scheduled || this.stopped) {
+            return;
         }
-    };
-
-    const timer = setInterval(round, ROUND_INTERVAL_MILLISECONDS);
-    return {
-        suspect: head => {
-            const target = state.targetById(head);
-            const group = target?.membership?.group;
-            if (group === undefined) {
-                return;
-            }
-            const now = clock.monotonic();
-            state.targets().filter(member => member.membership?.group === group)
-                .forEach(member => records.noteSuspicion(member, now));
-        },
-        stop: () => {
-            stopped = true;
-            clearInterval(timer);
-        },
-    };
+        this.scheduled = true;
+        setTimeout(() => {
+            this.scheduled = false;
+            this.round();
+        }, ROUND_DELAY_MILLISECONDS);
+    }
 }
 
 function differs(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -7,7 +7,7 @@
     /** The host as the planner sees it: its entry, or its report if that is newer. */
     describe(target: Target, now: number): EngineHost;
     /** Orders that the engine has accepted, if that is known. */
-    sequenceOf(target: Target): number | undefined;
+    sequenceOf(target: Target, now: number): number | undefined;
     /** Whether the engine should be asked for a report. */
     needsReport(target: Target, now: number): boolean;
     noteOrderSent(target: Target, now: number): void;
@@ -49,10 +49,97 @@
 
 /** Makes empty records. */
 export function createHostRecords(): HostRecords {
-    const records = new Map<string, HostRecord>();
+    return new HostRecordMap();
+}
+
+class HostRecordMap implements HostRecords {
+    private readonly records = new Map<string, HostRecord>();
+
+    describe(target: Target, now: number): EngineHost {
+        const record = this.recordOf(target, now);
+        const unreachable = record.silences >= SILENCES;
+        return {
+            target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
+            knownSince: record.knownSince,
+            awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
+            unreachable,
+            lost: unreachable && (now < record.suspectedUntil || !target.registered),
+        };
+    }
+
+    sequenceOf(target: Target, now: number): number | undefined {
+        return this.recordOf(target, now).sequence;
+    }
+
+    needsReport(target: Target, now: number): boolean {
+        const record = this.recordOf(target, now);
+        if (record.orderInFlight) {
+            return false;
+        }
+        if (!target.registered) {
+            return now - record.askedAt > LAPSED_REPORT_INTERVAL_MILLISECONDS;
+        }
+        const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS
+            && now - record.orderedAt > REPORT_AGE_MILLISECONDS;
+        const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
+        const doubted = now < record.suspectedUntil || record.silences > 0;
+        return due && (effectMissing || doubted || record.sequence === undefined);
+    }
+
+    noteOrderSent(target: Target, now: number): void {
+        this.recordOf(target, now).orderInFlight = true;
+    }
 
-    const recordOf = (target: Target, now = 0): HostRecord => {
-        const known = records.get(target.id);
+    noteOrderResult(target: Target, kind: EngineOrderKind, result: OrderResult, now: number): void {
+        const record = this.recordOf(target, now);
+        record.orderInFlight = false;
+        record.orderedAt = now;
+        record.silences = result === "unanswered" ? record.silences : 0;
+        const known = record.report ?? record.entry;
+        // Leaving takes effect at once, and engines answer it like an order that already holds.
+        const left = kind === "leave" && result === "already-holds" && known.membership !== undefined;
+        if (result !== "accepted" && !left) {
+            record.sequence = undefined;
+            record.report = undefined;
+            record.awaitingUntil = now + REPORT_AGE_MILLISECONDS;
+            return;
+        }
+        record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
+        record.report = left ? { ...known, membership: undefined, waiting: 0, running: 0, pace: 1 } : undefined;
+        const shows = left || record.entry !== target || kind === "stage";
+        record.awaitingUntil = shows ? 0 : now + EFFECT_MILLISECONDS;
+    }
+
+    noteReportAsked(target: Target, now: number): void {
+        this.recordOf(target, now).askedAt = now;
+    }
+
+    noteReport(target: Target, report: EngineReport | undefined, now: number): void {
+        const record = this.recordOf(target, now);
+        if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
+            return;
+        }
+        if (report === undefined) {
+            record.silences += 1;
+            return;
+        }
+        record.silences = 0;
+        record.sequence = report.orderSequence;
+        record.awaitingUntil = 0;
+        record.report = report;
+    }
+
+    noteSuspicion(target: Target, now: number): void {
+        this.recordOf(target, now).suspectedUntil = now + SUSPICION_MILLISECONDS;
+    }
+
+    retain(ids: ReadonlySet<string>): void {
+        [...this.records.keys()].filter(id => !ids.has(id)).forEach(id => this.records.delete(id));
+    }
+
+    /** Record of a host. A changed entry ends the wait for an order and replaces a report. */
+    private recordOf(target: Target, now: number): HostRecord {
+        const known = this.records.get(target.id);
         if (known?.entry === target) {
             return known;
         }
@@ -68,92 +155,9 @@
             askedAt: known?.askedAt ?? Number.NEGATIVE_INFINITY,
             suspectedUntil: known?.suspectedUntil ?? 0,
         };
-        records.set(target.id, record);
+        this.records.set(target.id, record);
         return record;
-    };
-
-    return {
-        describe: (target, now) => {
-            const record = recordOf(target, now);
-            const unreachable = record.silences >= SILENCES;
-            return {
-                target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
-                knownSince: record.knownSince,
-                awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
-                unreachable,
-                lost: unreachable && (now < record.suspectedUntil || !target.registered),
-            };
-        },
-        sequenceOf: target => recordOf(target).sequence,
-        needsReport: (target, now) => {
-            const record = recordOf(target, now);
-            const due = now - record.askedAt > REPORT_INTERVAL_MILLISECONDS
-                && now - record.orderedAt > REPORT_AGE_MILLISECONDS
-                && !record.orderInFlight;
-            if (!target.registered) {
-                return !record.orderInFlight && now - record.askedAt > LAPSED_REPORT_INTERVAL_MILLISECONDS;
-            }
-            const effectMissing = record.awaitingUntil > 0 && now >= record.awaitingUntil;
-            const doubted = now < record.suspectedUntil || record.silences > 0;
-            return due && (effectMissing || doubted || record.sequence === undefined);
-        },
-        noteOrderSent: target => {
-            recordOf(target).orderInFlight = true;
-        },
-        noteOrderResult: (target, kind, result, now) => {
-            const record = recordOf(target);
-            record.orderInFlight = false;
-            record.orderedAt = now;
-            record.silences = result === "unanswered" ? record.silences : 0;
-            const left = kind === "leave" && result === "already-holds" && record.report?.membership !== undefined;
-            const leftEntry = kind === "leave" && result === "already-holds" && record.report === undefined
-                && target.membership !== undefined;
-            if (left || leftEntry) {
-                // Leaving takes effect at once, which engines answer like an order that already holds.
-                record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
-                record.report = {
-                    ...record.entry,
-                    ...record.report,
-                    membership: undefined,
-                    waiting: 0,
-                    running: 0,
-                    pace: 1,
-                };
-                return;
-            }
-            if (result === "accepted") {
-                record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
-                record.awaitingUntil = record.entry === target && kind !== "stage" ? now + EFFECT_MILLISECONDS : 0;
-                record.report = undefined;
-                return;
-            }
-            record.sequence = undefined;
-            record.report = undefined;
-            record.awaitingUntil = now + REPORT_AGE_MILLISECONDS;
-        },
-        noteReportAsked: (target, now) => {
-            recordOf(target).askedAt = now;
-        },
-        noteReport: (target, report, now) => {
-            const record = recordOf(target);
-            if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
-                return;
-            }
-            if (report === undefined) {
-                record.silences += 1;
-                return;
-            }
-            record.silences = 0;
-            record.sequence = report.orderSequence;
-            record.awaitingUntil = 0;
-            record.report = report;
-        },
-        noteSuspicion: (target, now) => {
-            const record = recordOf(target);
-            record.suspectedUntil = now + SUSPICION_MILLISECONDS;
-        },
-        retain: ids => [...records.keys()].filter(id => !ids.has(id)).forEach(id => records.delete(id)),
-    };
+    }
 }
 
 function engineFieldsOf(
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -35,6 +35,11 @@
         "Raise the shutdown bound if callers lost answers.",
     ),
     controlFailed: define(107, "warn", "A request of an operator failed.", "Look at the error; retry the command."),
+    settingsUnchanged: define(
+        109,
+        "info",
+        "The daemon was asked to read its settings; all of them hold from its start.",
+    ),
     metricsFailed: define(108, "warn", "The metrics could not be sent.", "Check the address of the StatsD receiver."),
     taskFailed: define(106, "error", "A task failed to handle a message.", "Report the error with its stack."),
     streamUnreachable: define(
--- /dev/null
+++ b/packages/daemon/src/relay/budgets.ts
@@ -0,0 +1,40 @@
+/** Budgets of repeats by service: this daemon's part of what the platform allows to all daemons together. */
+import { createRetryBudget, type RetryBudget } from "@damaskvale/core";
+
+/** What the platform allows over a window. */
+export interface RepeatAllowance {
+    /** Repeats for each request. */
+    readonly ratio: number;
+    /** Further repeats, over all daemons. */
+    readonly slack: number;
+    readonly windowMilliseconds: number;
+}
+
+/** Budgets of this daemon. */
+export interface ServiceBudgets {
+    of(service: string): RetryBudget;
+    /** Whether any request has been counted. */
+    used(): boolean;
+}
+
+/** Share of the allowed ratio that daemons use, as their windows are not aligned with the platform's. */
+const RATIO_SHARE = 0.7;
+/** Daemons among which the fixed number of repeats is divided. */
+const SLACK_SHARES = 12;
+
+/** Makes the budgets. */
+export function createServiceBudgets({ ratio, slack, windowMilliseconds }: RepeatAllowance): ServiceBudgets {
+    const budgets = new Map<string, RetryBudget>();
+    return {
+        of: service => {
+            const budget = budgets.get(service) ?? createRetryBudget({
+                ratio: ratio * RATIO_SHARE,
+                minimumPerSecond: slack / SLACK_SHARES * 1_000 / windowMilliseconds,
+                windowMilliseconds,
+            });
+            budgets.set(service, budget);
+            return budget;
+        },
+        used: () => budgets.size > 0,
+    };
+}
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -1,6 +1,7 @@
 /** The request path: decodes, admits and hands each request to the relay of its kind. */
 import { admitRoute, type AdmittedRoute, pickService } from "@damaskvale/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerRequest } from "../ports/relayprotocol.js";
 import { type DenialReason, writeDenial, writeRefusal } from "./answers.js";
 import { readBody } from "./body.js";
 import type { RelayParts, RequestContext } from "./context.js";
@@ -19,6 +20,8 @@
 
 /** Wait of a caller while this daemon knows no configuration. */
 const NO_CONFIGURATION_RETRY_MILLISECONDS = 500;
+/** Colon and space after a name, or the end of a line after a value. */
+const HEADER_SEPARATOR_BYTES = 2;
 /** Deadline of a request that states none and whose route states none. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
 
@@ -47,20 +50,35 @@
         writeDenial(response, reason);
     };
 
+    const admit = (request: CallerRequest, body: Buffer, response: ServerResponse, receivedAt: number): void => {
+        const lookup = parts.state.lookup();
+        if (lookup === undefined) {
+            parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
+            writeRefusal(response, "no-configuration", NO_CONFIGURATION_RETRY_MILLISECONDS);
+            return;
+        }
+        const admitted = admitRoute(lookup, request);
+        if (typeof admitted === "string") {
+            const configurationVersion = lookup.configuration.version;
+            deny(response, admitted, { requestId: request.id, configurationVersion });
+            return;
+        }
+        inProgress += 1;
+        const service = pickService(admitted.route, parts.random()) ?? "";
+        const deadlineAt = receivedAt + allowedMilliseconds(request.deadlineMilliseconds, admitted);
+        run({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
+    };
+
     return {
         inProgress: () => inProgress,
         moveStreams: head => [...streams].filter(stream => stream.head() === head).forEach(stream => stream.moveAway()),
         handle: async (message, response) => {
             const receivedAt = parts.clock.monotonic();
-            const request = parts.protocol.decodeRequest(
-                message.method ?? "GET",
-                message.url ?? "/",
-                message.headers,
-                message.rawHeaders,
-            );
-            const limits = parts.state.lookup()?.configuration.limits;
-            const headerBytes = message.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-            if (limits !== undefined && headerBytes > limits.headerBytes) {
+            const { protocol, state } = parts;
+            const { method = "GET", url = "/", headers, rawHeaders } = message;
+            const request = protocol.decodeRequest(method, url, headers, rawHeaders);
+            const limits = state.lookup()?.configuration.limits;
+            if (limits !== undefined && bytesOf(rawHeaders) > limits.headerBytes) {
                 deny(response, "header-too-large", { requestId: request.id });
                 return;
             }
@@ -70,39 +88,17 @@
                 deny(response, "body-too-large", { requestId: request.id });
                 return;
             }
-            const lookup = parts.state.lookup();
-            if (read.kind === "cut" || response.destroyed) {
-                return;
-            }
-            if (lookup === undefined) {
-                parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
-                writeRefusal(response, "no-configuration", NO_CONFIGURATION_RETRY_MILLISECONDS);
-                return;
-            }
-            const admitted = admitRoute(lookup, request);
-            if (typeof admitted === "string") {
-                deny(response, admitted, {
-                    requestId: request.id,
-                    configurationVersion: lookup.configuration.version,
-                });
-                return;
+            if (read.kind === "whole" && !response.destroyed) {
+                admit(request, read.body, response, receivedAt);
             }
-            const service = pickService(admitted.route, parts.random()) ?? "";
-            inProgress += 1;
-            run({
-                request,
-                body: read.body,
-                response,
-                lookup,
-                admitted,
-                service,
-                receivedAt,
-                deadlineAt: receivedAt + allowedMilliseconds(request.deadlineMilliseconds, admitted),
-            });
         },
     };
 }
 
+function bytesOf(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
+}
+
 function allowedMilliseconds(deadline: number | undefined, { route }: AdmittedRoute): number {
     const stated = [deadline, route.timeoutMilliseconds].filter(value => value !== undefined && value > 0) as number[];
     return stated.length === 0 ? DEFAULT_DEADLINE_MILLISECONDS : Math.min(...stated);
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -53,103 +53,134 @@
 
 /** Makes an empty state. */
 export function createRelayState(): RelayState {
-    let lookup: RouteLookup | undefined;
-    const targets = new Map<string, Target>();
-    let groups = new Map<string, EngineGroup[]>();
-    let byService = new Map<string, Target[]>();
-    const listeners: (() => void)[] = [];
-
-    const derive = (): void => {
-        byService = new Map();
-        targets.forEach(target => {
-            byService.set(target.service, [...byService.get(target.service) ?? [], target]);
-        });
-        groups = new Map(
-            (lookup?.configuration.services ?? []).flatMap(service =>
-                service.engine === undefined
-                    ? []
-                    : [[service.name, groupsOf(byService.get(service.name) ?? [], service.engine.models)] as const]
-            ),
-        );
-        listeners.forEach(listener => listener());
-    };
+    return new RelayStateTask();
+}
+
+class RelayStateTask implements RelayState {
+    private current: RouteLookup | undefined;
+    private readonly known = new Map<string, Target>();
+    private groupsByService = new Map<string, EngineGroup[]>();
+    private targetsByService = new Map<string, Target[]>();
+    /** Steps that follow the removal of an entry, by target. */
+    private readonly removals = new Map<string, NodeJS.Timeout>();
+    private readonly listeners: (() => void)[] = [];
+
+    lookup(): RouteLookup | undefined {
+        return this.current;
+    }
+
+    targets(): readonly Target[] {
+        return [...this.known.values()];
+    }
+
+    targetById(id: string): Target | undefined {
+        return this.known.get(id);
+    }
+
+    servingTargets(service: string): readonly Target[] {
+        return (this.targetsByService.get(service) ?? []).filter(target => !target.draining && target.registered);
+    }
+
+    servingGroups(service: string, model: string): readonly EngineGroup[] {
+        return this.groups(service).filter(group => group.model === model && isServing(group));
+    }
+
+    groups(service: string): readonly EngineGroup[] {
+        return this.groupsByService.get(service) ?? [];
+    }
+
+    applyConfiguration(configuration: RelayConfiguration): boolean {
+        if (this.current !== undefined && configuration.version <= this.current.configuration.version) {
+            return false;
+        }
+        this.current = createRouteLookup(configuration);
+        this.derive();
+        return true;
+    }
 
-    const change = ({ key, value }: TopicChange<Target>): void => {
-        const known = targets.get(key);
+    applyTargets(changes: readonly TopicChange<Target>[]): void {
+        changes.forEach(change => this.change(change));
+        this.derive();
+    }
+
+    replaceTargets(newest: readonly Target[]): void {
+        const ids = new Set(newest.map(target => target.id));
+        [...this.known.keys()].filter(id => !ids.has(id)).forEach(key => this.change({ key }));
+        newest.forEach(target => this.change({ key: target.id, value: target }));
+        this.derive();
+    }
+
+    applyMembership({ host, model, membership }: ToldMembership): void {
+        const target = this.known.get(host);
+        const isOlder = membership !== undefined && membership.epoch < (target?.membership?.epoch ?? 0);
+        if (target !== undefined && !isOlder) {
+            this.known.set(host, { ...target, membership, model: model ?? target.model });
+            this.derive();
+        }
+    }
+
+    forget(id: string): void {
+        if (this.known.get(id)?.registered === false) {
+            this.known.delete(id);
+            this.derive();
+        }
+    }
+
+    onChange(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    private change({ key, value }: TopicChange<Target>): void {
+        const target = this.known.get(key);
         if (value !== undefined) {
-            targets.set(key, value);
-            return;
+            clearTimeout(this.removals.get(key));
+            this.removals.delete(key);
+            this.known.set(key, value);
         }
-        if (known === undefined || known.draining) {
-            targets.delete(key);
-            return;
+        else if (target === undefined || target.draining) {
+            this.known.delete(key);
         }
-        if (known.registered) {
-            after(REGISTRATION_GRACE_MILLISECONDS, known, () => lapse(known));
+        else if (!this.removals.has(key)) {
+            this.later(key, REGISTRATION_GRACE_MILLISECONDS, () => this.lapse(key));
         }
-    };
-    const lapse = (known: Target): void => {
-        if (known.domain === undefined) {
-            targets.delete(known.id);
+    }
+
+    /** Keeps a host whose entry lapsed as a possible member of a group; plain targets are forgotten. */
+    private lapse(id: string): void {
+        const target = this.known.get(id);
+        if (target?.domain === undefined) {
+            this.known.delete(id);
         }
         else {
-            const lapsed = { ...known, registered: false };
-            targets.set(known.id, lapsed);
-            after(LAPSED_MILLISECONDS, lapsed, () => targets.delete(known.id));
+            this.known.set(id, { ...target, registered: false });
+            this.later(id, LAPSED_MILLISECONDS, () => this.forget(id));
         }
-        derive();
-    };
-    /** Does something later unless the target changed in the meantime. */
-    const after = (milliseconds: number, known: Target, act: () => void): void => {
-        setTimeout(() => {
-            if (targets.get(known.id) === known) {
-                act();
-            }
-        }, milliseconds).unref();
-    };
-
-    return {
-        lookup: () => lookup,
-        targets: () => [...targets.values()],
-        targetById: id => targets.get(id),
-        servingTargets: service =>
-            (byService.get(service) ?? []).filter(target => !target.draining && target.registered),
-        servingGroups: (service, model) =>
-            (groups.get(service) ?? []).filter(group => group.model === model && isServing(group)),
-        groups: service => groups.get(service) ?? [],
-        applyConfiguration: configuration => {
-            if (lookup !== undefined && configuration.version <= lookup.configuration.version) {
-                return false;
-            }
-            lookup = createRouteLookup(configuration);
-            derive();
-            return true;
-        },
-        applyTargets: changes => {
-            changes.forEach(change);
-            derive();
-        },
-        applyMembership: ({ host, model, membership }) => {
-            const known = targets.get(host);
-            if (known !== undefined && (membership?.epoch ?? Number.MAX_VALUE) >= (known.membership?.epoch ?? 0)) {
-                targets.set(host, { ...known, membership, model: model ?? known.model });
-                derive();
-            }
-        },
-        forget: id => {
-            if (targets.get(id)?.registered === false) {
-                targets.delete(id);
-                derive();
-            }
-        },
-        replaceTargets: newest => {
-            const ids = new Set(newest.map(target => target.id));
-            [...targets.keys()].filter(id => !ids.has(id)).forEach(key => change({ key }));
-            newest.forEach(target => change({ key: target.id, value: target }));
-            derive();
-        },
-        onChange: listener => {
-            listeners.push(listener);
-        },
-    };
+        this.derive();
+    }
+
+    /** Does something later unless the target is registered again in the meantime. */
+    private later(id: string, milliseconds: number, act: () => void): void {
+        const timer = setTimeout(() => {
+            this.removals.delete(id);
+            act();
+        }, milliseconds);
+        this.removals.set(id, timer.unref());
+    }
+
+    private derive(): void {
+        this.targetsByService = new Map();
+        this.known.forEach(target => {
+            const ofService = this.targetsByService.get(target.service) ?? [];
+            ofService.push(target);
+            this.targetsByService.set(target.service, ofService);
+        });
+        this.groupsByService = new Map(
+            (this.current?.configuration.services ?? []).flatMap(({ name, engine }) =>
+                engine === undefined
+                    ? []
+                    : [[name, groupsOf(this.targetsByService.get(name) ?? [], engine.models)] as const]
+            ),
+        );
+        this.listeners.forEach(listener => listener());
+    }
 }
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -2,27 +2,30 @@
 import {
     createLoadBoard,
     createPeerLoads,
-    createRetryBudget,
-    type RetryBudget,
+    type LoadBoard,
+    type PeerLoads,
+    type RelayConfiguration,
     type TargetLoad,
 } from "@damaskvale/core";
 import { createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
-import { startEnginePlanner } from "../engines/engineplanner.js";
+import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
 import { startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
+import type { Clock } from "../ports/clock.js";
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PresenceTopic } from "../ports/presence.js";
-import type { ConfigurationTopic, PartitionGroup, TargetTopic } from "../ports/registry.js";
+import type { ConfigurationTopic, PartitionGroup, TargetTopic, TopicChange } from "../ports/registry.js";
 import type { RelayProtocol } from "../ports/relayprotocol.js";
 import { followTopic } from "../tasks/followtopic.js";
-import { startPartitionLease } from "../tasks/partitionlease.js";
+import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
+import { createServiceBudgets, type RepeatAllowance, type ServiceBudgets } from "./budgets.js";
 import { startListeners } from "./lifecycle.js";
-import { createRelay } from "./relay.js";
+import { createRelay, type Relay } from "./relay.js";
 import { startStallWatch } from "./stallwatch.js";
-import { createRelayState } from "./state.js";
+import { createRelayState, type RelayState } from "./state.js";
 import { createTargetConnections } from "./targetconnections.js";
 
 /** Settings of the daemon behind a platform. */
@@ -35,11 +38,7 @@
     readonly callerListen: string;
     readonly readinessListen: string;
     readonly shutdownMilliseconds: number;
-    /** Repeats for each request that the platform allows over a window, plus a fixed number, over all daemons. */
-    readonly retryRatio: number;
-    readonly retryWindowMilliseconds: number;
-    readonly retrySlack: number;
-    readonly minimumLeaseMilliseconds: number;
+    readonly repeats: RepeatAllowance;
     /** Whether engines refuse orders with a lower fencing token than one they have seen. */
     readonly enginesRefuseOldTokens: boolean;
 }
@@ -65,11 +64,6 @@
 const DEFAULT_PEER_PORT = 7_340;
 const CONNECTIONS_PER_TARGET = 40;
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
-/** Share of the allowed ratio of repeats that daemons use, as their windows are not aligned with the platform's. */
-const RETRY_RATIO_SHARE = 0.7;
-/** Daemons among which the fixed number of repeats is divided. */
-const RETRY_SHARES = 12;
-
 /** Progress within this time outweighs the suspicion of another daemon. */
 const RECENT_PROGRESS_MILLISECONDS = 300;
 
@@ -79,62 +73,93 @@
         && now - load.progressAt < RECENT_PROGRESS_MILLISECONDS;
 }
 
+/** Parts that most others need. */
+interface Base {
+    readonly settings: RelaySettings;
+    readonly ports: PlatformPorts;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    /** Random number from 0 to below 1. */
+    readonly random: () => number;
+    readonly state: RelayState;
+    readonly board: LoadBoard;
+    readonly peerLoads: PeerLoads;
+    readonly budgets: ServiceBudgets;
+}
+
 /** Starts the daemon; resolves when it listens. It ends the process after SIGTERM. */
 export async function startPlatformDaemon(settings: RelaySettings, ports: PlatformPorts): Promise<void> {
-    const output = createBoundedOutput(STANDARD_OUTPUT);
+    const base = createBase(settings, ports);
+    const { log } = base;
+    const relay = wireRelay(base);
+    const listening = startListeners({ ...settings, log, relay, state: base.state });
+    log.emit("daemonStarted", { daemon: settings.daemon });
+    followStore(base);
+    const { planner, lease } = wirePlanning(base, relay);
+    const listeners = await listening;
+    process.once("SIGTERM", () => {
+        planner.stop();
+        Promise.all([listeners.shutDown(), lease.stop()])
+            .catch((error: unknown) => log.emit("taskFailed", { task: "shutdown", error }))
+            .finally(() => process.exit(0));
+    });
+    process.on("SIGHUP", () => log.emit("settingsUnchanged"));
+}
+
+function createBase(settings: RelaySettings, ports: PlatformPorts): Base {
     const log = createBunyanLog({
         daemon: settings.daemon,
         dataCentre: settings.dataCentre,
         level: "info",
         secrets: [],
-        stream: output.stream,
+        stream: createBoundedOutput(STANDARD_OUTPUT).stream,
     });
-    const clock = systemClock;
-    const random = Math.random;
-    const state = createRelayState();
-    const board = createLoadBoard();
-    const peerLoads = createPeerLoads();
-    const connections = createTargetConnections({
-        connectionsPerTarget: CONNECTIONS_PER_TARGET,
-        connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-    });
-    let trafficSeen = false;
-    const budgets = new Map<string, RetryBudget>();
-    const budgetOf = (service: string): RetryBudget => {
-        const budget = budgets.get(service) ?? createRetryBudget({
-            ratio: settings.retryRatio * RETRY_RATIO_SHARE,
-            minimumPerSecond: settings.retrySlack / RETRY_SHARES * 1_000 / settings.retryWindowMilliseconds,
-            windowMilliseconds: settings.retryWindowMilliseconds,
-        });
-        budgets.set(service, budget);
-        trafficSeen = true;
-        return budget;
+    return {
+        settings,
+        ports,
+        clock: systemClock,
+        log,
+        random: Math.random,
+        state: createRelayState(),
+        board: createLoadBoard(),
+        peerLoads: createPeerLoads(),
+        budgets: createServiceBudgets(settings.repeats),
     };
-    const relay = createRelay({
+}
+
+function wireRelay({ settings, ports, clock, log, random, state, board, peerLoads, budgets }: Base): Relay {
+    return createRelay({
         clock,
         log,
         protocol: ports.protocol,
         state,
-        connections,
+        connections: createTargetConnections({
+            connectionsPerTarget: CONNECTIONS_PER_TARGET,
+            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+        }),
         board,
         dataCentre: settings.dataCentre,
         loadOfOthers: target => peerLoads.of(target, clock.monotonic()),
-        budgetOf,
+        budgetOf: budgets.of,
         random,
     });
-    const listening = startListeners({ ...settings, log, relay, state });
-    log.emit("daemonStarted", { daemon: settings.daemon });
+}
 
+function followStore({ ports, clock, log, random, state }: Base): void {
+    const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
+        changes.forEach(({ value }) => {
+            if (value !== undefined && state.applyConfiguration(value)) {
+                log.emit("configurationApplied", { configurationVersion: value.version });
+            }
+        });
     followTopic({
         topic: ports.configuration(log),
         clock,
         log,
         random,
         pauseMilliseconds: CONFIGURATION_PAUSE_MILLISECONDS,
-        replace: changes =>
-            changes.forEach(({ value }) => value && applyConfiguration(value.version, state.applyConfiguration(value))),
-        apply: changes =>
-            changes.forEach(({ value }) => value && applyConfiguration(value.version, state.applyConfiguration(value))),
+        replace: applyConfigurations,
+        apply: applyConfigurations,
     });
     followTopic({
         topic: ports.targets(log),
@@ -145,6 +170,10 @@
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
         apply: changes => state.applyTargets(changes),
     });
+}
+
+function wirePlanning(base: Base, relay: Relay): { readonly planner: EnginePlanner; readonly lease: PartitionLease; } {
+    const { settings, ports, clock, log, random, state, board, peerLoads, budgets } = base;
     const lease = startPartitionLease({
         group: ports.partitions,
         clock,
@@ -152,19 +181,6 @@
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesRefuseOldTokens ? LEASE_EXTENSION_MILLISECONDS : 0,
     });
-    const planner = startEnginePlanner({
-        clock,
-        log,
-        state,
-        lease,
-        partitionCount: ports.partitions.partitionCount,
-        engines: ports.engines(log),
-        trafficSeen: () => trafficSeen,
-        onMembership: told => {
-            state.applyMembership(told);
-            exchange.tellMembership(told);
-        },
-    });
     const self = { daemon: settings.daemon, ip: settings.ip, dataCentre: settings.dataCentre };
     const exchange = startLoadExchange({
         clock,
@@ -181,28 +197,29 @@
             }
         },
     });
-    const presence = ports.presence(log);
-    startPresence({ topic: presence, self, clock, log, random, setPeers: peers => exchange.setPeers(peers) });
+    const planner = startEnginePlanner({
+        clock,
+        log,
+        state,
+        lease,
+        partitionCount: ports.partitions.partitionCount,
+        engines: ports.engines(log),
+        trafficSeen: budgets.used,
+        onMembership: told => {
+            state.applyMembership(told);
+            exchange.tellMembership(told);
+        },
+    });
+    startPresence({ topic: ports.presence(log), self, clock, log, random, setPeers: exchange.setPeers });
     startStallWatch({
         clock,
         log,
         board,
-        moveStreams: head => relay.moveStreams(head),
+        moveStreams: relay.moveStreams,
         report: head => {
             planner.suspect(head);
             exchange.suspect(head);
         },
     });
-    const listeners = await listening;
-    process.once("SIGTERM", () => {
-        planner.stop();
-        Promise.all([listeners.shutDown(), lease.stop()]).finally(() => process.exit(0));
-    });
-    process.on("SIGHUP", () => undefined);
-
-    function applyConfiguration(version: number, taken: boolean): void {
-        if (taken) {
-            log.emit("configurationApplied", { configurationVersion: version });
-        }
-    }
+    return { planner, lease };
 }
