--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -1,5 +1,9 @@
-/** Connections to targets, and one request over one of them. */
-import { buildConnector, Client, type Dispatcher, Pool } from "undici";
+/**
+ * Connections to targets, and one request over one of them. Node's client is used because it tells a whole answer from
+ * one that ended early with its connection, also where the connection was not to be kept.
+ */
+import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
+import type { Socket } from "node:net";
 import type { AnswerHead, HeaderList } from "../ports/relayprotocol.js";
 
 /** A request as it goes to a target. */
@@ -18,6 +22,7 @@
     sent(): void;
     head(head: AnswerHead): void;
     data(chunk: Buffer): void;
+    /** The answer is whole. */
     ended(): void;
     failed(error: Error): void;
 }
@@ -30,14 +35,11 @@
     resume(): void;
 }
 
-/** Connections to all targets. */
+/** Connections to all targets. Addresses are `IP:PORT`. */
 export interface TargetConnections {
     send(address: string, request: TargetRequest, receiver: AnswerReceiver): TargetExchange;
-    /** Stops using the idle connections to an address; requests in progress there go on. */
+    /** Closes the idle connections to an address; requests in progress there go on. */
     renew(address: string): void;
-    /** Closes what is kept for addresses that are no longer used. */
-    retain(addresses: ReadonlySet<string>): void;
-    close(): Promise<void>;
 }
 
 /** Options of the connections. */
@@ -47,128 +49,122 @@
     readonly connectTimeoutMilliseconds: number;
 }
 
+/** Idle connections are closed after this time unless the target states another one. */
+const IDLE_TIMEOUT_MILLISECONDS = 4_000;
+
 /** Makes the connections. */
 export function createTargetConnections(options: TargetConnectionOptions): TargetConnections {
-    const pools = new Map<string, Pool>();
-    const clientOptions = {
-        pipelining: 1,
-        connect: createConnector(options.connectTimeoutMilliseconds),
-        headersTimeout: 0,
-        bodyTimeout: 0,
-    };
-
-    const poolOf = (address: string): Pool => {
-        const pool = pools.get(address)
-            ?? new Pool(`http://${address}`, { ...clientOptions, connections: options.connectionsPerTarget });
-        pools.set(address, pool);
-        return pool;
-    };
-    const retire = (address: string): void => {
-        const pool = pools.get(address);
-        pools.delete(address);
-        pool?.close().catch(() => undefined);
-    };
-
+    const kept = new Agent({
+        keepAlive: true,
+        maxSockets: options.connectionsPerTarget,
+        maxFreeSockets: options.connectionsPerTarget,
+        timeout: IDLE_TIMEOUT_MILLISECONDS,
+    });
     return {
         send: (address, request, receiver) => {
-            if (!request.onNewConnection) {
-                return dispatch(poolOf(address), request, receiver);
-            }
-            const client = new Client(`http://${address}`, clientOptions);
-            const release = (): void => void client.destroy().catch(() => undefined);
-            return dispatch(client, request, {
-                ...receiver,
-                ended: () => {
-                    receiver.ended();
-                    release();
-                },
-                failed: error => {
-                    receiver.failed(error);
-                    release();
-                },
-            }, release);
+            const [host = "", port = ""] = address.split(":");
+            const message = startRequest({
+                host,
+                port: Number(port),
+                method: request.method,
+                path: request.path,
+                headers: [...request.headers, ...contentLengthOf(request)],
+                agent: request.onNewConnection ? new Agent({ keepAlive: false }) : kept,
+            });
+            const exchange = new Exchange(message, receiver, options.connectTimeoutMilliseconds);
+            message.end(request.body.length === 0 ? undefined : request.body);
+            return exchange;
         },
-        renew: retire,
-        retain: addresses => [...pools.keys()].filter(address => !addresses.has(address)).forEach(retire),
-        close: async () => {
-            const all = [...pools.values()];
-            pools.clear();
-            await Promise.all(all.map(pool => pool.destroy()));
+        renew: address => {
+            const [host = "", port = ""] = address.split(":");
+            const name = kept.getName({ host, port: Number(port) });
+            kept.freeSockets[name]?.forEach(socket => socket.destroy());
         },
     };
 }
 
-/**
- * Connects and renames resets. undici takes a reset for the regular end of an answer without a length on a connection
- * that is not kept; such an answer would be passed on as whole although it was cut.
- */
-function createConnector(timeout: number): buildConnector.connector {
-    const connect = buildConnector({ timeout });
-    return (options, callback) =>
-        connect(options, (...result) => {
-            const [, socket] = result;
-            socket?.on("error", (error: NodeJS.ErrnoException) => {
-                if (error.code === "ECONNRESET") {
-                    error.code = "ECONNABORTED";
-                }
-            });
-            callback(...result);
-        });
+function contentLengthOf({ method, body }: TargetRequest): HeaderList {
+    const mayHaveNone = body.length === 0 && (method === "GET" || method === "HEAD");
+    return mayHaveNone ? [] : ["Content-Length", String(body.length)];
 }
 
-function dispatch(
-    dispatcher: Dispatcher,
-    request: TargetRequest,
-    receiver: AnswerReceiver,
-    cancelled?: () => void,
-): TargetExchange {
-    let controller: Dispatcher.DispatchController | undefined;
-    let done = false;
-    const finish = (notify: () => void): void => {
-        if (!done) {
-            done = true;
-            notify();
+class Exchange implements TargetExchange {
+    private answer: IncomingMessage | undefined;
+    private done = false;
+
+    constructor(
+        private readonly message: ClientRequest,
+        private readonly receiver: AnswerReceiver,
+        private readonly connectTimeoutMilliseconds: number,
+    ) {
+        message.on("socket", socket => this.watchConnecting(socket));
+        message.on("response", answer => this.receive(answer));
+        message.on("error", error => this.finish(() => receiver.failed(error)));
+        message.on("close", () => this.finish(() => receiver.failed(new Error("The connection closed."))));
+    }
+
+    cancel(): void {
+        this.done = true;
+        this.message.destroy();
+    }
+
+    pause(): void {
+        this.answer?.pause();
+    }
+
+    resume(): void {
+        this.answer?.resume();
+    }
+
+    private watchConnecting(socket: Socket): void {
+        if (this.done) {
+            return;
         }
-    };
-    const abort = (): void => controller?.abort(new Error("The request was cancelled."));
-
-    dispatcher.dispatch({
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-        headers: [...request.headers],
-        body: request.body.length === 0 ? undefined : request.body,
-        reset: request.onNewConnection,
-    }, {
-        onRequestStart: started => {
-            controller = started;
-            if (done) {
-                abort();
-                return;
-            }
-            receiver.sent();
-        },
-        onResponseStart: (...[, status, headers]) => {
-            if (!done && status >= 200) {
-                receiver.head({ status, headers });
-            }
-        },
-        onResponseData: (...[, chunk]) => {
-            if (!done) {
-                receiver.data(chunk);
+        if (!socket.connecting) {
+            this.receiver.sent();
+            return;
+        }
+        const timer = setTimeout(
+            () => this.message.destroy(new Error("The target did not accept a connection in time.")),
+            this.connectTimeoutMilliseconds,
+        );
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            if (!this.done) {
+                this.receiver.sent();
             }
-        },
-        onResponseEnd: () => finish(() => receiver.ended()),
-        onResponseError: (...[, error]) => finish(() => receiver.failed(error)),
-    });
-    return {
-        cancel: () => {
-            if (!done) {
-                done = true;
-                abort();
-                cancelled?.();
+        });
+        socket.once("close", () => clearTimeout(timer));
+    }
+
+    private receive(answer: IncomingMessage): void {
+        if (this.done) {
+            answer.destroy();
+            return;
+        }
+        this.answer = answer;
+        this.receiver.head({ status: answer.statusCode ?? 0, headers: answer.headers });
+        answer.on("data", (chunk: Buffer) => {
+            if (!this.done) {
+                this.receiver.data(chunk);
             }
-        },
-        pause: () => controller?.pause(),
-        resume: () => controller?.resume(),
-    };
+        });
+        answer.on("error", error => this.finish(() => this.receiver.failed(error)));
+        answer.on(
+            "end",
+            () =>
+                this.finish(() =>
+                    answer.complete
+                        ? this.receiver.ended()
+                        : this.receiver.failed(new Error("The answer is not whole."))
+                ),
+        );
+    }
+
+    private finish(notify: () => void): void {
+        if (!this.done) {
+            this.done = true;
+            notify();
+        }
+    }
 }
--- /dev/null
+++ b/packages/daemon/src/relay/tests/targetconnections.test.ts
@@ -0,0 +1,98 @@
+/** Answers that end early must never look whole, whatever their framing. */
+import { expect } from "chai";
+import { createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { createTargetConnections } from "../targetconnections.js";
+
+interface Case {
+    readonly guards: string;
+    readonly answer: string;
+    /** How the target ends the connection after the answer. */
+    readonly end: "close" | "reset" | "keep";
+    readonly outcome: "ended" | "failed";
+}
+
+const head = "HTTP/1.1 200 OK\r\n";
+const cases: readonly Case[] = [
+    {
+        guards: "a whole answer with a length",
+        answer: `${head}Content-Length: 2\r\n\r\nok`,
+        end: "keep",
+        outcome: "ended",
+    },
+    {
+        guards: "a whole answer without a length",
+        answer: `${head}Connection: close\r\n\r\nok`,
+        end: "close",
+        outcome: "ended",
+    },
+    {
+        guards: "an answer without a length that is reset",
+        answer: `${head}Connection: close\r\n\r\no`,
+        end: "reset",
+        outcome: "failed",
+    },
+    {
+        guards: "an answer in chunks that ends with its connection",
+        answer: `${head}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`,
+        end: "close",
+        outcome: "failed",
+    },
+    {
+        guards: "an answer that is shorter than its length",
+        answer: `${head}Content-Length: 9\r\n\r\nok`,
+        end: "close",
+        outcome: "failed",
+    },
+    { guards: "a connection that closes without an answer", answer: "", end: "close", outcome: "failed" },
+];
+
+const endings: Readonly<Record<Case["end"], (socket: Socket) => void>> = {
+    close: socket => socket.end(),
+    reset: socket => void setTimeout(() => socket.resetAndDestroy(), 20),
+    keep: () => undefined,
+};
+
+function listen(answer: string, end: Case["end"]): Promise<Server> {
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => {
+            socket.write(answer);
+            endings[end](socket);
+        });
+    });
+    return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server)));
+}
+
+describe("target connections", () => {
+    [true, false].forEach(onNewConnection => {
+        cases.forEach(({ guards, answer, end, outcome }) => {
+            it(`${outcome === "ended" ? "accepts" : "refuses"} ${guards} (new connection: ${onNewConnection})`, async () => {
+                const server = await listen(answer, end);
+                const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+                const connections = createTargetConnections({
+                    connectionsPerTarget: 2,
+                    connectTimeoutMilliseconds: 500,
+                });
+                const seen = await new Promise<string>(resolve => {
+                    connections.send(address, {
+                        method: "GET",
+                        path: "/",
+                        headers: ["Host", "test"],
+                        body: Buffer.alloc(0),
+                        onNewConnection,
+                    }, {
+                        sent: () => undefined,
+                        head: () => undefined,
+                        data: () => undefined,
+                        ended: () => resolve("ended"),
+                        failed: () => resolve("failed"),
+                    });
+                });
+                connections.renew(address);
+                server.close();
+                expect(seen).to.equal(outcome);
+            });
+        });
+    });
+});
