--- /dev/null
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -0,0 +1,206 @@
+/** Groups are formed from a whole domain, opened only when whole, and taken apart before their members are used again. */
+import { expect } from "chai";
+import type { ModelProfile } from "../../routes/types.js";
+import type { EngineOrder } from "../orders.js";
+import type { DomainPlanInput, EngineHost } from "../planinput.js";
+import { createDomainPlanner } from "../planner.js";
+import type { GroupMembership, Target } from "../types.js";
+
+const models: ModelProfile[] = [
+    { name: "large", size: 3, share: 0.67, pace: 1, loadMilliseconds: 16_000, warmMilliseconds: 1_600 },
+    { name: "small", size: 2, share: 0.33, pace: 0.6, loadMilliseconds: 12_000, warmMilliseconds: 1_100 },
+];
+const START = 10_000;
+
+function host(id: string, fields: Partial<Target> = {}, seen: Partial<Omit<EngineHost, "target">> = {}): EngineHost {
+    return {
+        target: {
+            id,
+            service: "pool",
+            address: "10.0.0.1:80",
+            dataCentre: "a",
+            draining: false,
+            registered: true,
+            slots: 18,
+            domain: "d",
+            stagedModels: [],
+            busy: false,
+            orderSequence: 0,
+            ...fields,
+        },
+        awaiting: false,
+        unreachable: false,
+        lost: false,
+        knownSince: 0,
+        ...seen,
+    };
+}
+
+function input(hosts: readonly EngineHost[], fields: Partial<DomainPlanInput> = {}): DomainPlanInput {
+    return {
+        domain: "d",
+        hosts,
+        models,
+        groupsByModel: new Map(),
+        demandByModel: new Map(),
+        loadsAllowed: 100,
+        fencingToken: 4,
+        nextEpoch: 10,
+        now: START,
+        ...fields,
+    };
+}
+
+const member = (rank: number, state: GroupMembership["state"], group = "d~large~4.9"): Partial<Target> => ({
+    membership: { group, epoch: 9, rank, state },
+    model: "large",
+    stagedModels: ["large"],
+});
+
+const brief = (orders: readonly EngineOrder[]): string[] =>
+    orders.map(order => `${order.kind} ${order.host}${"model" in order ? ` ${order.model}` : ""}`).sort();
+
+interface Case {
+    readonly guards: string;
+    readonly hosts: readonly EngineHost[];
+    readonly orders: readonly string[];
+    readonly fields?: Partial<DomainPlanInput>;
+}
+
+const whole = [host("a", member(0, "open")), host("b", member(1, "ready")), host("c", member(2, "ready"))];
+const [wholeHead, ...wholeRest] = whole as [EngineHost, ...EngineHost[]];
+
+const cases: readonly Case[] = [
+    {
+        guards: "a domain of which small groups take all hosts before the large one",
+        hosts: ["a", "b", "c", "e", "f"].map(id => host(id)),
+        orders: ["join a large", "join b large", "join c large", "join e small", "join f small"],
+    },
+    {
+        guards: "groups of the first few hosts of a domain that is still being registered",
+        hosts: [host("a"), host("b"), host("c", {}, { knownSince: START - 100 })],
+        orders: [],
+    },
+    { guards: "orders for a group that serves", hosts: whole, orders: [] },
+    {
+        guards: "a whole group that stays shut",
+        hosts: [host("a", member(0, "ready")), ...wholeRest],
+        orders: ["open a"],
+    },
+    {
+        guards: "an open order for a group without one of its members",
+        hosts: [host("a", member(0, "ready")), host("b", member(1, "ready"))],
+        orders: ["join a small", "join b small"],
+    },
+    {
+        guards: "members of an open group that join another one before its head left",
+        hosts: [wholeHead, host("b", member(1, "ready")), host("e", { stagedModels: ["large"] })],
+        orders: ["leave a"],
+    },
+    {
+        guards: "members of a head that is gone but may still be open",
+        hosts: [host("b", member(1, "ready")), host("c", member(2, "ready")), host("e", { stagedModels: ["large"] })],
+        orders: ["leave b", "leave c"],
+    },
+    {
+        guards: "a group that is taken apart although its silent member only lost this daemon",
+        hosts: [wholeHead, host("b", member(1, "ready"), { unreachable: true }), host("c", member(2, "ready"))],
+        orders: [],
+    },
+    {
+        guards: "a stalled group with a lost member that stays",
+        hosts: [
+            wholeHead,
+            host("b", member(1, "ready"), { unreachable: true, lost: true }),
+            host("c", member(2, "ready")),
+        ],
+        orders: ["leave a"],
+    },
+    {
+        guards: "a member whose entry lapsed although it works",
+        hosts: [wholeHead, host("b", { ...member(1, "ready"), registered: false }), host("c", member(2, "ready"))],
+        orders: [],
+    },
+    {
+        guards: "a head whose entry lapsed and that gets no requests any more",
+        hosts: [host("a", { ...member(0, "open"), registered: false }), ...wholeRest],
+        orders: ["close a"],
+    },
+    {
+        guards: "a group with a draining member that goes on until it breaks",
+        hosts: [wholeHead, host("b", { ...member(1, "ready"), draining: true }), host("c", member(2, "ready"))],
+        orders: ["close a"],
+    },
+    {
+        guards: "a smaller group that is formed while members of another one still leave",
+        hosts: [
+            host("a", { stagedModels: ["large"] }),
+            host("e", { stagedModels: ["large"] }),
+            host("b", member(1, "ready")),
+            host("c", member(2, "ready")),
+        ],
+        orders: ["leave b", "leave c"],
+    },
+    {
+        guards: "a mix chosen while the effect of an order is not known",
+        hosts: [host("a"), host("b"), host("c", {}, { awaiting: true })],
+        orders: ["stage a large", "stage b small"],
+    },
+    {
+        guards: "a spare host without weights",
+        hosts: [...whole, host("e")],
+        orders: ["stage e large"],
+    },
+    {
+        guards: "more loads than the weight store allows",
+        hosts: ["a", "b", "c"].map(id => host(id)),
+        orders: [],
+        fields: { loadsAllowed: 0 },
+    },
+    {
+        guards: "a group of staged hosts that waits for an allowance it does not need",
+        hosts: ["a", "b", "c"].map(id => host(id, { stagedModels: ["large"] })),
+        orders: ["join a large", "join b large", "join c large"],
+        fields: { loadsAllowed: -5 },
+    },
+];
+
+describe("createDomainPlanner", () => {
+    cases.forEach(({ guards, hosts, orders, fields }) => {
+        it(`prevents ${guards}`, () => {
+            const planned = createDomainPlanner().plan(input(hosts, fields));
+            expect(brief(planned)).to.deep.equal([...orders].sort());
+        });
+    });
+
+    it("takes a registered host as head, because requests go there", () => {
+        const hosts = [
+            host("a", { stagedModels: ["large"], registered: false }),
+            host("b", { stagedModels: ["large"] }),
+            host("c", { stagedModels: ["large"] }),
+        ];
+        const planned = createDomainPlanner().plan(input(hosts));
+        expect(planned[0]).to.deep.include({ kind: "join", members: ["b", "c", "a"] });
+    });
+
+    it("does not ask hosts twice while they do not report the group yet", () => {
+        const planner = createDomainPlanner();
+        const hosts = ["a", "b", "c"].map(id => host(id));
+        planner.plan(input(hosts));
+        expect(planner.plan(input(hosts, { now: START + 500 }))).to.deep.equal([]);
+    });
+
+    it("does not stage a host twice while its load shows no effect", () => {
+        const planner = createDomainPlanner();
+        planner.plan(input([...whole, host("e")]));
+        expect(planner.plan(input([...whole, host("e")], { now: START + 5_000 }))).to.deep.equal([]);
+    });
+
+    it("gives a group of another owner another name", () => {
+        const nameOf = (fencingToken: number): unknown => {
+            const [order] = createDomainPlanner().plan(input(["a", "b", "c"].map(id => host(id)), { fencingToken }));
+            return order !== undefined && "group" in order ? order.group : undefined;
+        };
+        expect(nameOf(4)).to.not.equal(nameOf(5));
+    });
+});
--- /dev/null
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -0,0 +1,91 @@
+/** Requests go where they cost least, and are refused at once with a time to come back when nothing can take them. */
+import { expect } from "chai";
+import type { EngineProfile } from "../../routes/types.js";
+import { type PlacementCandidate, type PlacementInput, placeRequest } from "../place.js";
+
+const model = { name: "large", size: 6, share: 0.67, pace: 1, loadMilliseconds: 16_000, warmMilliseconds: 1_600 };
+const engine: EngineProfile = {
+    slots: 18,
+    cacheTokens: 1_710_000,
+    stepsPerPass: 6,
+    models: [model],
+    stepMilliseconds: 6.45,
+    stepMillisecondsPerSequence: 0.14,
+    stepMillisecondsPerThousandContextTokens: 0.004,
+    readTokensPerSecond: 56_100,
+    readMillisecondsPerMillionPairs: 0.3,
+    readChunkTokens: 2_048,
+    loadsPerSecond: 5,
+    concurrentLoads: 8,
+    openMilliseconds: 300,
+    usualPromptTokens: 1_115,
+    usualAnswerTokens: 152,
+};
+const candidate = (head: string, fields: Partial<PlacementCandidate> = {}): PlacementCandidate => ({
+    head,
+    dataCentre: "a",
+    inProgress: 0,
+    unreadTokens: 0,
+    suspected: false,
+    ...fields,
+});
+const input = (candidates: readonly PlacementCandidate[], fields: Partial<PlacementInput> = {}): PlacementInput => ({
+    engine,
+    model,
+    candidates,
+    dataCentre: "a",
+    promptTokens: 1_000,
+    objectiveMilliseconds: 400,
+    remainingMilliseconds: 8_000,
+    draw: 0,
+    ...fields,
+});
+
+const cases: readonly { guards: string; input: PlacementInput; expected: string; }[] = [
+    {
+        guards: "the busier of two groups",
+        input: input([candidate("x", { inProgress: 5 }), candidate("y", { inProgress: 1 })]),
+        expected: "y",
+    },
+    {
+        guards: "a group that has long prompts to read",
+        input: input([candidate("x", { unreadTokens: 50_000 }), candidate("y", { inProgress: 3 })]),
+        expected: "y",
+    },
+    {
+        guards: "traffic between data centres for a small difference",
+        input: input([candidate("x", { inProgress: 2 }), candidate("y", { dataCentre: "b" })]),
+        expected: "x",
+    },
+    {
+        guards: "a full data centre while another one is idle",
+        input: input([candidate("x", { inProgress: 9 }), candidate("y", { dataCentre: "b" })]),
+        expected: "y",
+    },
+    {
+        guards: "a head that makes no progress",
+        input: input([candidate("x", { suspected: true }), candidate("y", { inProgress: 9 })]),
+        expected: "y",
+    },
+    { guards: "waiting although no group serves", input: input([]), expected: "no-group" },
+    { guards: "a queue at full groups", input: input([candidate("x", { inProgress: 18 })]), expected: "full" },
+    {
+        guards: "a request that cannot begin before it is given up",
+        input: input([candidate("x", { unreadTokens: 200_000 })], { remainingMilliseconds: 1_000 }),
+        expected: "too-late",
+    },
+];
+
+describe("placeRequest", () => {
+    cases.forEach(({ guards, input: given, expected }) => {
+        it(`prevents ${guards}`, () => {
+            const placement = placeRequest(given);
+            expect(placement.kind === "placed" ? placement.head : placement.reason).to.equal(expected);
+        });
+    });
+
+    it("tells a refused caller when a slot is free", () => {
+        const placement = placeRequest(input([candidate("x", { inProgress: 18 }), candidate("y", { inProgress: 18 })]));
+        expect(placement.kind === "refused" && placement.retryAfterMilliseconds).to.be.within(100, 3_000);
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/relay/tests/plainrelay.test.ts
@@ -0,0 +1,152 @@
+/** A request that may run once runs once, and what is called a refusal has not run. */
+import { expect } from "chai";
+import type { AnswerHead } from "../../ports/relayprotocol.js";
+import { relayPlain } from "../plainrelay.js";
+import { createScene, type FakeSend, heads, type Scene, type SceneOptions } from "./scene.js";
+
+function start(options: SceneOptions): Scene {
+    const scene = createScene(options);
+    relayPlain(scene.context, scene.parts, () => undefined);
+    return scene;
+}
+
+function answer(send: FakeSend | undefined, head: AnswerHead, body = "body"): void {
+    send?.receiver.sent();
+    send?.receiver.head(head);
+    send?.receiver.data(Buffer.from(body));
+    send?.receiver.ended();
+}
+
+interface Step {
+    readonly kind: "answer" | "connection-refused" | "reset" | "cut";
+    readonly head?: AnswerHead;
+}
+
+const steps: Readonly<Record<Step["kind"], (send: FakeSend | undefined, step: Step) => void>> = {
+    "answer": (send, { head = heads.ok }) => answer(send, head),
+    "connection-refused": send => send?.receiver.failed(new Error("refused")),
+    "reset": send => {
+        send?.receiver.sent();
+        send?.receiver.failed(new Error("reset"));
+    },
+    "cut": send => {
+        send?.receiver.sent();
+        send?.receiver.head(heads.ok);
+        send?.receiver.data(Buffer.from("bo"));
+        send?.receiver.failed(new Error("cut"));
+    },
+};
+
+const cases: readonly {
+    readonly guards: string;
+    readonly kind: "repeatable" | "once";
+    readonly steps: readonly Step[];
+    readonly status: number;
+    readonly sends: number;
+}[] = [
+    { guards: "a lost answer", kind: "once", steps: [{ kind: "answer" }], status: 200, sends: 1 },
+    { guards: "a second run after a reset", kind: "once", steps: [{ kind: "reset" }], status: 502, sends: 1 },
+    { guards: "a second run after a cut answer", kind: "once", steps: [{ kind: "cut" }], status: 502, sends: 1 },
+    {
+        guards: "a failure although nothing was sent",
+        kind: "once",
+        steps: [{ kind: "connection-refused" }, { kind: "answer" }],
+        status: 200,
+        sends: 2,
+    },
+    {
+        guards: "a failure although the first target has not run it",
+        kind: "once",
+        steps: [{ kind: "answer", head: heads.notRun }, { kind: "answer" }],
+        status: 200,
+        sends: 2,
+    },
+    {
+        guards: "a refusal of what a target may have run",
+        kind: "once",
+        steps: [{ kind: "answer", head: heads.silent503 }],
+        status: 502,
+        sends: 1,
+    },
+    {
+        guards: "a failure of what no target has run",
+        kind: "once",
+        steps: [{ kind: "answer", head: heads.notRun }, { kind: "answer", head: heads.notRun }],
+        status: 503,
+        sends: 2,
+    },
+    {
+        guards: "a refusal after one target may have run it",
+        kind: "repeatable",
+        steps: [{ kind: "reset" }, { kind: "answer", head: heads.notRun }],
+        status: 502,
+        sends: 2,
+    },
+    {
+        guards: "an answer to another request",
+        kind: "repeatable",
+        steps: [{ kind: "answer", head: heads.foreign }, { kind: "answer" }],
+        status: 200,
+        sends: 2,
+    },
+    {
+        guards: "a changed failure of the target",
+        kind: "repeatable",
+        steps: [{ kind: "answer", head: heads.error }, { kind: "answer", head: heads.error }],
+        status: 500,
+        sends: 2,
+    },
+    {
+        guards: "a failure that another target can mend",
+        kind: "repeatable",
+        steps: [{ kind: "cut" }, { kind: "answer" }],
+        status: 200,
+        sends: 2,
+    },
+];
+
+describe("plain relay", () => {
+    cases.forEach(({ guards, kind, steps: given, status, sends: count }) => {
+        it(`guards against ${guards} (${kind})`, () => {
+            const { sends, caller } = start({ kind });
+            given.forEach((step, index) => steps[step.kind](sends[index], step));
+            expect([caller.status, sends.length]).to.deep.equal([status, count]);
+        });
+    });
+
+    it("sends what may run once on a new connection only", () => {
+        expect(start({ kind: "once" }).sends[0]?.request.onNewConnection).to.equal(true);
+        expect(start({ kind: "repeatable" }).sends[0]?.request.onNewConnection).to.equal(false);
+    });
+
+    it("returns nothing of an answer that was cut", () => {
+        const { sends, caller } = start({ kind: "repeatable", maximumAttempts: 1 });
+        steps.cut(sends[0], { kind: "cut" });
+        expect(caller.body).to.not.contain('bo"').and.not.match(/^bo$/);
+        expect(caller.status).to.equal(502);
+    });
+
+    [
+        { kind: "repeatable", cancelled: true, guards: "work for a caller that left" },
+        { kind: "once", cancelled: false, guards: "a cut of work that must not be repeated" },
+    ].forEach(({ kind, cancelled, guards }) => {
+        it(`guards against ${guards}`, () => {
+            const { sends, caller } = start({ kind: kind as "repeatable" | "once" });
+            sends[0]?.receiver.sent();
+            caller.leave();
+            expect(sends[0]?.cancelled).to.equal(cancelled);
+        });
+    });
+
+    it("refuses at once with a time to come back while no target is registered", () => {
+        const { caller } = start({ kind: "once", targets: [] });
+        expect([caller.status, caller.headers[0]]).to.deep.equal([503, "Retry-After"]);
+    });
+
+    it("answers at the timeout of the route", async () => {
+        const { caller, sends } = start({ kind: "repeatable", timeoutMilliseconds: 30 });
+        sends[0]?.receiver.sent();
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect([caller.status, sends[0]?.cancelled]).to.deep.equal([504, true]);
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/relay/tests/scene.ts
@@ -0,0 +1,238 @@
+/** Fakes for tests of the relay: connections whose answers the test gives, and a caller that records what it gets. */
+import {
+    admitRoute,
+    createLoadBoard,
+    createRetryBudget,
+    createRouteLookup,
+    type EngineProfile,
+    type Route,
+    type RouteKind,
+    type Target,
+} from "@damaskvale/core";
+import { EventEmitter } from "node:events";
+import type { ServerResponse } from "node:http";
+import type { AnswerHead, CallerRequest, RelayProtocol } from "../../ports/relayprotocol.js";
+import type { RelayParts, RequestContext } from "../context.js";
+import { createRelayState } from "../state.js";
+import type { AnswerReceiver, TargetRequest } from "../targetconnections.js";
+
+/** One request that the relay sent, and the means to answer it. */
+export interface FakeSend {
+    readonly address: string;
+    readonly request: TargetRequest;
+    readonly receiver: AnswerReceiver;
+    cancelled: boolean;
+}
+
+/** What the caller got. */
+export interface FakeCaller {
+    status?: number;
+    headers: readonly string[];
+    body: string;
+    ended: boolean;
+    destroyed: boolean;
+    /** Closes the caller's connection. */
+    leave(): void;
+}
+
+/** Everything that a test of the relay needs. */
+export interface Scene {
+    readonly sends: FakeSend[];
+    readonly caller: FakeCaller;
+    readonly parts: RelayParts;
+    readonly context: RequestContext;
+    readonly events: { readonly name: string; readonly fields: Readonly<Record<string, unknown>>; }[];
+}
+
+/** Options of a scene. */
+export interface SceneOptions {
+    readonly kind: RouteKind;
+    readonly resumable?: boolean;
+    readonly maximumAttempts?: number;
+    readonly timeoutMilliseconds?: number;
+    readonly targets?: readonly string[];
+    readonly lastEventId?: number;
+    /** Further attempts that the budget allows. */
+    readonly repeats?: number;
+}
+
+/** Answer heads in the words of the fake protocol. */
+export const heads = {
+    stream: { status: 200, headers: { "request-id": "r1", "stamp": "s1" } },
+    ok: { status: 200, headers: { "request-id": "r1" } },
+    foreign: { status: 200, headers: { "request-id": "r0" } },
+    notRun: { status: 503, headers: { "request-id": "r1", "not-run": "1" } },
+    silent503: { status: 503, headers: { "request-id": "r1" } },
+    error: { status: 500, headers: { "request-id": "r1", "stamp": "s1" } },
+} as const satisfies Record<string, AnswerHead>;
+
+const engine = {
+    slots: 18,
+    stepsPerPass: 6,
+    models: [{ name: "m", size: 1, share: 1, pace: 1, loadMilliseconds: 1, warmMilliseconds: 1 }],
+    stepMilliseconds: 6,
+    stepMillisecondsPerSequence: 0.1,
+    stepMillisecondsPerThousandContextTokens: 0,
+    readTokensPerSecond: 50_000,
+    readMillisecondsPerMillionPairs: 0,
+    usualPromptTokens: 1_000,
+    usualAnswerTokens: 150,
+} as unknown as EngineProfile;
+
+const protocol: RelayProtocol = {
+    decodeRequest: () => {
+        throw new Error("Not used here.");
+    },
+    encodeForTarget: (...[, fields]) => Object.entries(fields).flatMap(([name, value]) => [name, String(value)]),
+    decodeAnswer: ({ headers }) => ({
+        notRun: headers["not-run"] !== undefined,
+        requestId: headers["request-id"] as string | undefined,
+        forwarded: Object.entries(headers).flat() as string[],
+    }),
+};
+
+/** Makes a scene with one request. */
+export function createScene(options: SceneOptions): Scene {
+    const stream = options.kind === "stream";
+    const state = createRelayState();
+    const route: Route = {
+        name: "route",
+        hostname: "h",
+        pathPrefix: "/",
+        kind: options.kind,
+        resumable: options.resumable ?? false,
+        maximumAttempts: options.maximumAttempts ?? 2,
+        timeoutMilliseconds: options.timeoutMilliseconds ?? 8_000,
+        latencyObjectiveMilliseconds: 400,
+        priority: 1,
+        isPublic: true,
+        targets: [{ service: "pool", weight: 1 }],
+    };
+    state.applyConfiguration({
+        version: 1,
+        routes: [route],
+        services: [{ name: "pool", healthPath: "/", maximumConnections: 9, engine: stream ? engine : undefined }],
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+    });
+    state.replaceTargets((options.targets ?? ["a", "b"]).map(id => targetOf(id, stream)));
+    const lookup = state.lookup() ?? createRouteLookup({} as never);
+    const admitted = admitRoute(lookup, { hostname: "h", path: "/" });
+    if (typeof admitted === "string") {
+        throw new Error(admitted);
+    }
+    const sends: FakeSend[] = [];
+    const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
+    const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.repeats ?? 5) / 10 });
+    const { caller, response } = createCaller();
+    return {
+        sends,
+        caller,
+        events,
+        parts: {
+            clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+            log: { emit: (name, fields = {}) => void events.push({ name, fields }) },
+            protocol,
+            state,
+            connections: {
+                send: (address, request, receiver) => {
+                    const send: FakeSend = { address, request, receiver, cancelled: false };
+                    sends.push(send);
+                    return {
+                        cancel: () => {
+                            send.cancelled = true;
+                        },
+                        pause: () => undefined,
+                        resume: () => undefined,
+                    };
+                },
+                renew: () => undefined,
+            },
+            board: createLoadBoard(),
+            dataCentre: "x",
+            loadOfOthers: () => ({ inProgress: 0, unreadTokens: 0 }),
+            budgetOf: () => budget,
+            random: () => 0,
+        },
+        context: {
+            request: requestOf(stream, options.lastEventId),
+            body: Buffer.from("body"),
+            response,
+            lookup,
+            admitted,
+            service: "pool",
+            receivedAt: performance.now(),
+            deadlineAt: performance.now() + route.timeoutMilliseconds,
+        },
+    };
+}
+
+function targetOf(id: string, stream: boolean): Target {
+    return {
+        id,
+        service: "pool",
+        address: `${id}:1`,
+        dataCentre: "x",
+        draining: false,
+        registered: true,
+        slots: 6,
+        domain: stream ? "d" : undefined,
+        stagedModels: [],
+        model: "m",
+        busy: false,
+        orderSequence: 0,
+        membership: stream ? { group: `d~m~1.${id}`, epoch: 1, rank: 0, state: "open" } : undefined,
+    };
+}
+
+function requestOf(stream: boolean, lastEventId: number | undefined): CallerRequest {
+    return {
+        method: "POST",
+        path: "/",
+        hostname: "h",
+        id: "r1",
+        lastEventId,
+        model: stream ? "m" : undefined,
+        promptTokens: 100,
+        maximumAnswerTokens: 100,
+        forwarded: [],
+    };
+}
+
+function createCaller(): { readonly caller: FakeCaller; readonly response: ServerResponse; } {
+    const emitter = new EventEmitter();
+    const caller: FakeCaller = {
+        headers: [],
+        body: "",
+        ended: false,
+        destroyed: false,
+        leave: () => void emitter.emit("close"),
+    };
+    const response = Object.assign(emitter, {
+        headersSent: false,
+        destroyed: false,
+        writableLength: 0,
+        writeHead: (status: number, headers: readonly string[]) => {
+            caller.status = status;
+            caller.headers = headers;
+            response.headersSent = true;
+            return response;
+        },
+        write: (chunk: Buffer) => {
+            caller.body += chunk.toString();
+            return true;
+        },
+        end: (chunk?: Buffer | string) => {
+            caller.body += chunk?.toString() ?? "";
+            caller.ended = true;
+            emitter.emit("close");
+            return response;
+        },
+        destroy: () => {
+            caller.destroyed = true;
+            response.destroyed = true;
+            emitter.emit("close");
+            return response;
+        },
+    });
+    return { caller, response: response as unknown as ServerResponse };
+}
--- /dev/null
+++ b/packages/daemon/src/relay/tests/streamrelay.test.ts
@@ -0,0 +1,159 @@
+/** Streams reach the caller whole, in order and once, whatever becomes of the targets. */
+import { expect } from "chai";
+import { relayStream, type StreamRelay } from "../streamrelay.js";
+import { createScene, type FakeSend, heads, type Scene, type SceneOptions } from "./scene.js";
+
+const event = (id: number): Buffer => Buffer.from(`id: ${id}\ndata: ${id}\n\n`);
+const text = (...ids: number[]): string => ids.map(event).join("");
+
+function start(
+    options: Partial<SceneOptions> = {},
+): Scene & { readonly relay: StreamRelay; readonly ends: () => number; } {
+    const scene = createScene({ kind: "stream", resumable: true, ...options });
+    let ends = 0;
+    const relay = relayStream(scene.context, scene.parts, () => {
+        ends += 1;
+    });
+    return { ...scene, relay, ends: () => ends };
+}
+
+function begin(send: FakeSend | undefined, ...ids: number[]): FakeSend {
+    if (send === undefined) {
+        throw new Error("Nothing was sent.");
+    }
+    send.receiver.sent();
+    send.receiver.head(heads.stream);
+    ids.forEach(id => send.receiver.data(event(id)));
+    return send;
+}
+
+describe("stream relay", () => {
+    it("passes events on as they arrive and ends with its target", () => {
+        const { sends, caller, ends } = start();
+        const send = begin(sends[0], 1, 2);
+        expect([caller.status, caller.body, caller.ended]).to.deep.equal([200, text(1, 2), false]);
+        send.receiver.ended();
+        expect([caller.ended, ends()]).to.deep.equal([true, 1]);
+    });
+
+    it("goes on at another target after the last delivered event, without a piece twice", () => {
+        const { sends, caller } = start();
+        const first = begin(sends[0], 1, 2);
+        first.receiver.data(Buffer.from("id: 3\ndata: ha"));
+        first.receiver.failed(new Error("reset"));
+        expect(sends[1]?.request.headers).to.include.members(["lastEventId", "2"]);
+        begin(sends[1], 2, 3, 4).receiver.ended();
+        expect([caller.body, caller.ended]).to.deep.equal([text(1, 2, 3, 4), true]);
+        expect(sends[1]?.address).to.not.equal(sends[0]?.address);
+    });
+
+    it("does not end a stream as whole that stopped inside an event", () => {
+        const { sends, caller } = start({ maximumAttempts: 1 });
+        const send = begin(sends[0], 1);
+        send.receiver.data(Buffer.from("id: 2\nda"));
+        send.receiver.ended();
+        expect([caller.ended, caller.destroyed]).to.deep.equal([false, true]);
+    });
+
+    it("does not pass on an event after a missing one", () => {
+        const { sends, caller } = start();
+        begin(sends[0], 1, 3);
+        expect(caller.body).to.equal(text(1));
+        expect(sends[0]?.cancelled).to.equal(true);
+        expect(sends.length).to.equal(2);
+    });
+
+    it("does not send a stream again that must not be resumed", () => {
+        const { sends, caller } = start({ resumable: false });
+        begin(sends[0], 1).receiver.failed(new Error("reset"));
+        expect([sends.length, caller.destroyed]).to.deep.equal([1, true]);
+    });
+
+    it("answers 502, not a refusal, when a target may have run the request", () => {
+        const { sends, caller } = start({ resumable: false });
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.failed(new Error("reset"));
+        expect(caller.status).to.equal(502);
+    });
+
+    it("refuses with a time to come back when all targets state that they have not run the request", () => {
+        const { sends, caller } = start({ resumable: false });
+        [0, 1].forEach(index => {
+            sends[index]?.receiver.sent();
+            sends[index]?.receiver.head(heads.notRun);
+        });
+        expect([sends.length, caller.status, caller.headers[0]]).to.deep.equal([2, 503, "Retry-After"]);
+    });
+
+    it("refuses when no connection could be made", () => {
+        const { sends, caller } = start({ targets: ["a"] });
+        sends[0]?.receiver.failed(new Error("refused"));
+        expect(caller.status).to.equal(503);
+    });
+
+    it("refuses at once while no group serves the model", () => {
+        const { caller } = start({ targets: [] });
+        expect([caller.status, caller.headers[0]]).to.deep.equal([503, "Retry-After"]);
+    });
+
+    it("drops the answer to another request and asks another target", () => {
+        const { sends, caller } = start();
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head(heads.foreign);
+        sends[0]?.receiver.data(event(1));
+        begin(sends[1], 1).receiver.ended();
+        expect([caller.body, sends[0]?.cancelled]).to.deep.equal([text(1), true]);
+    });
+
+    it("sends nothing more than the budget of repeats allows", () => {
+        const { sends, caller } = start({ repeats: 0 });
+        begin(sends[0], 1).receiver.failed(new Error("reset"));
+        expect([sends.length, caller.destroyed]).to.deep.equal([1, true]);
+    });
+
+    it("ends the work at the target when the caller leaves, also before the first event", () => {
+        const { sends, caller, ends, parts } = start();
+        sends[0]?.receiver.sent();
+        caller.leave();
+        expect([sends[0]?.cancelled, ends(), parts.board.of("a")]).to.deep.equal([true, 1, undefined]);
+    });
+
+    it("moves away from a head that makes no progress and resumes", () => {
+        const { sends, caller, relay } = start();
+        begin(sends[0], 1, 2);
+        relay.moveAway();
+        begin(sends[1], 3).receiver.ended();
+        expect([caller.body, sends[0]?.cancelled]).to.deep.equal([text(1, 2, 3), true]);
+    });
+
+    it("waits on at a silent head when there is no other one", () => {
+        const { sends, caller, relay } = start({ targets: ["a"] });
+        const send = begin(sends[0], 1);
+        relay.moveAway();
+        send.receiver.data(event(2));
+        send.receiver.ended();
+        expect([caller.body, sends.length]).to.deep.equal([text(1, 2), 1]);
+    });
+
+    it("continues where the caller left off", () => {
+        const { sends, caller } = start({ lastEventId: 7 });
+        begin(sends[0], 7, 8).receiver.ended();
+        expect(caller.body).to.equal(text(8));
+    });
+
+    it("ends at the timeout of the route and closes the target's connection", async () => {
+        const { sends, caller, ends } = start({ timeoutMilliseconds: 300 });
+        begin(sends[0], 1);
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect([caller.destroyed, sends[0]?.cancelled, ends()]).to.deep.equal([true, true, 1]);
+    });
+
+    it("passes a target's own failure on unchanged when it cannot be repeated", () => {
+        const { sends, caller } = start({ resumable: false });
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head(heads.error);
+        sends[0]?.receiver.data(Buffer.from("why"));
+        sends[0]?.receiver.ended();
+        expect([caller.status, caller.body, caller.ended]).to.deep.equal([500, "why", true]);
+    });
+});
