--- a/packages/daemon/src/relay/tests/streamrelay.test.ts
+++ b/packages/daemon/src/relay/tests/streamrelay.test.ts
@@ -144,7 +144,7 @@
     it("ends at the timeout of the route and closes the target's connection", async () => {
         const { sends, caller, ends } = start({ timeoutMilliseconds: 300 });
         begin(sends[0], 1);
-        await new Promise(resolve => setTimeout(resolve, 60));
+        await new Promise(resolve => setTimeout(resolve, 400));
         expect([caller.destroyed, sends[0]?.cancelled, ends()]).to.deep.equal([true, true, 1]);
     });
 
