--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -44,6 +44,11 @@
 export interface AnswerHead {
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
+    /**
+     * Whether the end of the body is marked. A body that ends with its connection may have been cut, and is passed on
+     * in the same way, so that the caller does not take it for whole on our word.
+     */
+    readonly delimited: boolean;
 }
 
 /** What the head of an answer says. */
--- a/packages/daemon/src/relay/answers.ts
+++ b/packages/daemon/src/relay/answers.ts
@@ -1,5 +1,6 @@
 /** Answers of the daemon itself: refusals, which state that the request has not run, and failures, which do not. */
 import type { ServerResponse } from "node:http";
+import type { AnswerHead, HeaderList } from "../ports/relayprotocol.js";
 
 /** Why a request is refused before any target could run it. */
 export type RefusalReason =
@@ -30,6 +31,19 @@
 };
 const NOT_RUN_STATUS = 503;
 
+/** Writes the head of a target's answer, whose body ends as the target's does: marked, or with the connection. */
+export function writeAnswerHead(
+    response: ServerResponse,
+    head: AnswerHead,
+    headers: HeaderList,
+): void {
+    if (!head.delimited) {
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+    }
+    response.writeHead(head.status, [...headers]);
+}
+
 /** Refuses a request that no target has run or will run, and says when to come back. */
 export function writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMilliseconds: number): void {
     const seconds = (Math.max(0, retryAfterMilliseconds) / 1_000).toFixed(3);
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,7 +1,7 @@
 /** Relays a request to a plain target and returns its whole answer. */
 import type { Target } from "@damaskvale/core";
 import type { AnswerHead, AnswerMeaning } from "../ports/relayprotocol.js";
-import { type RefusalReason, writeFailure, writeRefusal } from "./answers.js";
+import { type RefusalReason, writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
 import type { TargetExchange } from "./targetconnections.js";
 
@@ -147,8 +147,9 @@
 
     private deliver(head: AnswerHead, meaning: AnswerMeaning, body: Buffer): void {
         const { response, request } = this.context;
-        const length = request.method === "HEAD" ? [] : ["Content-Length", String(body.length)];
-        response.writeHead(head.status, [...meaning.forwarded, ...length]);
+        const hasLength = head.delimited && request.method !== "HEAD";
+        const length = hasLength ? ["Content-Length", String(body.length)] : [];
+        writeAnswerHead(response, head, [...meaning.forwarded, ...length]);
         response.end(body);
         this.finish(`status ${head.status}`);
     }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,7 +1,7 @@
 /** Relays an event stream from the heads of groups, and resumes it at another group where the route allows it. */
 import { type EngineGroup, type Placement, placeRequest } from "@damaskvale/core";
 import type { AnswerHead } from "../ports/relayprotocol.js";
-import { writeFailure, writeRefusal } from "./answers.js";
+import { writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import type { TargetExchange } from "./targetconnections.js";
@@ -29,6 +29,8 @@
     /** Whether the attempt passes its answer on unchanged because it is a failure of the target. */
     passing: boolean;
     over: boolean;
+    /** Whether the target marks the end of its answer. */
+    delimited: boolean;
 }
 
 /** Starts to relay a stream; `ended` is called once when nothing more will happen. */
@@ -43,6 +45,8 @@
     private attempt: Attempt | undefined;
     private lastEventId: number | undefined;
     private sends = 0;
+    /** Whether the answer to the caller marks its end. */
+    private marksEnd = true;
     /** Whether a target of an earlier attempt may have run the request. */
     private mayHaveRun = false;
     private over = false;
@@ -162,6 +166,7 @@
             started: false,
             passing: false,
             over: false,
+            delimited: true,
         };
         this.attempt = attempt;
         this.tried.push(headId);
@@ -215,8 +220,10 @@
             return;
         }
         attempt.passing = !success;
+        attempt.delimited = head.delimited;
         if (!context.response.headersSent) {
-            context.response.writeHead(head.status, [...meaning.forwarded]);
+            this.marksEnd = head.delimited;
+            writeAnswerHead(context.response, head, meaning.forwarded);
         }
     }
 
@@ -267,6 +274,12 @@
             return;
         }
         this.release(attempt);
+        if (this.marksEnd && !attempt.delimited) {
+            // The caller would take the marked end for that of a whole stream, which is not known.
+            this.context.response.destroy();
+            this.finish("end-unknown");
+            return;
+        }
         this.context.response.end();
         this.finish("complete");
     }
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -2,7 +2,13 @@
  * Connections to targets, and one request over one of them. Node's client is used because it tells a whole answer from
  * one that ended early with its connection, also where the connection was not to be kept.
  */
-import { Agent, type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
+import {
+    Agent,
+    type ClientRequest,
+    type IncomingHttpHeaders,
+    type IncomingMessage,
+    request as startRequest,
+} from "node:http";
 import type { Socket } from "node:net";
 import type { AnswerHead, HeaderList } from "../ports/relayprotocol.js";
 
@@ -88,6 +94,11 @@
     return mayHaveNone ? [] : ["Content-Length", String(body.length)];
 }
 
+function isDelimited(status: number, headers: IncomingHttpHeaders): boolean {
+    const hasBody = status !== 204 && status !== 304;
+    return !hasBody || headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 class Exchange implements TargetExchange {
     private answer: IncomingMessage | undefined;
     private done = false;
@@ -143,7 +154,8 @@
             return;
         }
         this.answer = answer;
-        this.receiver.head({ status: answer.statusCode ?? 0, headers: answer.headers });
+        const { statusCode: status = 0, headers } = answer;
+        this.receiver.head({ status, headers, delimited: isDelimited(status, headers) });
         answer.on("data", (chunk: Buffer) => {
             if (!this.done) {
                 this.receiver.data(chunk);
--- a/packages/daemon/src/relay/tests/scene.ts
+++ b/packages/daemon/src/relay/tests/scene.ts
@@ -58,12 +58,12 @@
 
 /** Answer heads in the words of the fake protocol. */
 export const heads = {
-    stream: { status: 200, headers: { "request-id": "r1", "stamp": "s1" } },
-    ok: { status: 200, headers: { "request-id": "r1" } },
-    foreign: { status: 200, headers: { "request-id": "r0" } },
-    notRun: { status: 503, headers: { "request-id": "r1", "not-run": "1" } },
-    silent503: { status: 503, headers: { "request-id": "r1" } },
-    error: { status: 500, headers: { "request-id": "r1", "stamp": "s1" } },
+    stream: { status: 200, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
+    ok: { status: 200, headers: { "request-id": "r1" }, delimited: true },
+    foreign: { status: 200, headers: { "request-id": "r0" }, delimited: true },
+    notRun: { status: 503, headers: { "request-id": "r1", "not-run": "1" }, delimited: true },
+    silent503: { status: 503, headers: { "request-id": "r1" }, delimited: true },
+    error: { status: 500, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
 } as const satisfies Record<string, AnswerHead>;
 
 const engine = {
--- /dev/null
+++ b/packages/daemon/src/relay/tests/undelimited.test.ts
@@ -0,0 +1,74 @@
+/** An answer that ends with its connection may have been cut, and must not be given an end that says it is whole. */
+import { expect } from "chai";
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { writeAnswerHead } from "../answers.js";
+import { relayPlain } from "../plainrelay.js";
+import { relayStream } from "../streamrelay.js";
+import { createScene, heads } from "./scene.js";
+
+/** Bytes that a caller gets of an answer with this head and body. */
+function bytesOf(delimited: boolean): Promise<string> {
+    const server = createServer((...[, response]) => {
+        const length = delimited ? ["Content-Length", "2"] : [];
+        writeAnswerHead(response, { status: 200, headers: {}, delimited }, length);
+        response.end("ok");
+    });
+    return new Promise(resolve => {
+        server.listen(0, "127.0.0.1", () => {
+            const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+            let text = "";
+            socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            socket.on("data", chunk => {
+                text += chunk.toString();
+                if (delimited) {
+                    socket.end();
+                }
+            });
+            socket.on("close", () => {
+                server.close();
+                resolve(text.toLowerCase());
+            });
+        });
+    });
+}
+
+describe("an answer without a marked end", () => {
+    it("is passed on without a marked end", async () => {
+        const text = await bytesOf(false);
+        expect(text).to.contain("connection: close").and.not.contain("content-length").and.not.contain("chunked");
+    });
+
+    it("leaves others their length", async () => {
+        expect(await bytesOf(true)).to.contain("content-length: 2");
+    });
+
+    it("gets no length from the plain relay", () => {
+        const { context, parts, sends, caller } = createScene({ kind: "once" });
+        relayPlain(context, parts, () => undefined);
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head({ ...heads.ok, delimited: false });
+        sends[0]?.receiver.data(Buffer.from("cut"));
+        sends[0]?.receiver.ended();
+        expect([caller.status, caller.body, caller.headers.includes("Content-Length")]).to.deep.equal([
+            200,
+            "cut",
+            false,
+        ]);
+    });
+
+    it("does not end a stream that began with a marked end", () => {
+        const { context, parts, sends, caller } = createScene({ kind: "stream", resumable: true });
+        relayStream(context, parts, () => undefined);
+        const event = (id: number): Buffer => Buffer.from(`id: ${id}\ndata: x\n\n`);
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head(heads.stream);
+        sends[0]?.receiver.data(event(1));
+        sends[0]?.receiver.failed(new Error("reset"));
+        sends[1]?.receiver.sent();
+        sends[1]?.receiver.head({ ...heads.stream, delimited: false });
+        sends[1]?.receiver.data(event(2));
+        sends[1]?.receiver.ended();
+        expect([caller.ended, caller.destroyed]).to.deep.equal([false, true]);
+    });
+});
