--- /dev/null
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -0,0 +1,113 @@
+/** The planner waits for the effect of its orders and does not mistake a partition for the loss of a host. */
+import type { Target } from "@damaskvale/core";
+import { expect } from "chai";
+import type { EngineReport } from "../../ports/enginecontrol.js";
+import { createHostRecords } from "../hostrecords.js";
+
+const target: Target = {
+    id: "a",
+    service: "pool",
+    address: "10.0.0.1:80",
+    dataCentre: "x",
+    draining: false,
+    registered: true,
+    slots: 18,
+    domain: "d",
+    stagedModels: ["m"],
+    busy: false,
+    orderSequence: 0,
+    membership: { group: "g", epoch: 1, rank: 0, state: "ready" },
+};
+const report: EngineReport = {
+    stagedModels: ["m"],
+    busy: false,
+    orderSequence: 3,
+    waiting: 0,
+    running: 0,
+    pace: 1,
+    membership: target.membership,
+};
+
+describe("host records", () => {
+    it("give a host no order before its count of orders is known", () => {
+        const records = createHostRecords();
+        expect(records.describe(target, 0).awaiting).to.equal(true);
+        records.noteReport(target, report, 0);
+        expect([records.describe(target, 0).awaiting, records.sequenceOf(target, 0)]).to.deep.equal([false, 3]);
+    });
+
+    it("wait for the effect of an order and then ask", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "open", "accepted", 12);
+        expect([records.describe(target, 100).awaiting, records.sequenceOf(target, 100)]).to.deep.equal([true, 4]);
+        expect([records.needsReport(target, 300), records.needsReport(target, 700)]).to.deep.equal([false, true]);
+    });
+
+    it("do not open a group twice when an entry arrives that does not show the first order yet", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "open", "accepted", 12);
+        expect(records.describe({ ...target }, 100).awaiting).to.equal(true);
+        const open: Target = { ...target, membership: { group: "g", epoch: 1, rank: 0, state: "open" } };
+        expect(records.describe(open, 120).awaiting).to.equal(false);
+    });
+
+    it("drop a report that is older than the last order", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "open", "accepted", 12);
+        records.noteReport(target, report, 100);
+        expect(records.sequenceOf(target, 100)).to.equal(4);
+    });
+
+    it("take a leave that is answered as already done as an order that took effect", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "leave", "already-holds", 12);
+        const described = records.describe(target, 13);
+        expect([described.awaiting, described.target.membership, records.sequenceOf(target, 13)])
+            .to.deep.equal([false, undefined, 4]);
+    });
+
+    it("ask anew after a conflict or an order without an answer", () => {
+        (["conflict", "unanswered"] as const).forEach(result => {
+            const records = createHostRecords();
+            records.noteReport(target, report, 0);
+            records.noteOrderSent(target, 10);
+            records.noteOrderResult(target, "open", result, 12);
+            expect(records.sequenceOf(target, 13), result).to.equal(undefined);
+            expect(records.needsReport(target, 400), result).to.equal(true);
+        });
+    });
+
+    it("forget the count of orders when a host starts again under its id", () => {
+        const records = createHostRecords();
+        records.noteReport({ ...target, startedAt: 5 }, report, 0);
+        expect(records.sequenceOf({ ...target, startedAt: 9 }, 1)).to.equal(undefined);
+    });
+
+    it("take a silent host as lost only if its group stands still or its entry is gone", () => {
+        const records = createHostRecords();
+        [0, 400].forEach(now => records.noteReport(target, undefined, now));
+        expect(records.describe(target, 400)).to.deep.include({ unreachable: true, lost: false });
+        records.noteSuspicion(target, 400);
+        expect(records.describe(target, 401).lost).to.equal(true);
+        expect(records.describe({ ...target, registered: false }, 9_000).lost).to.equal(true);
+    });
+
+    it("take an entry as lapsed for good only while the host answers", () => {
+        const records = createHostRecords();
+        const lapsed = { ...target, registered: false };
+        const lapsedAt = (now: number): boolean => records.describe(lapsed, now).lapsed;
+        records.noteReport(lapsed, undefined, 0);
+        records.noteReport(lapsed, report, 5_000);
+        expect(lapsedAt(6_000)).to.equal(false);
+        records.noteReport(lapsed, report, 6_500);
+        expect(lapsedAt(7_300)).to.equal(true);
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -0,0 +1,83 @@
+/** A follower neither misses a change nor hangs at a store that is silent. */
+import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { StoreError, type TopicPage } from "../../ports/registry.js";
+import { followTopic, type TopicFollower } from "../followtopic.js";
+
+type Answer = TopicPage<string> | "removed" | "lost";
+
+describe("topic follower", () => {
+    let clock: FakeClock;
+    let follower: TopicFollower;
+    let calls: string[];
+    let seen: string[];
+
+    const start = (answers: readonly Answer[]): void => {
+        clock = install({ toFake: ["setTimeout", "clearTimeout"] });
+        calls = [];
+        seen = [];
+        const rest = [...answers];
+        const next = async (): Promise<TopicPage<string> | undefined> => {
+            const answer = rest.shift();
+            if (answer === undefined) {
+                return new Promise(() => undefined);
+            }
+            if (answer === "lost") {
+                throw new StoreError("unanswered", "silent");
+            }
+            return answer === "removed" ? undefined : answer;
+        };
+        follower = followTopic({
+            topic: {
+                name: "topic",
+                newest: async () => {
+                    calls.push("newest");
+                    return await next() ?? { changes: [], nextOffset: 0 };
+                },
+                after: (offset, wait) => {
+                    calls.push(`after ${offset} wait ${wait}`);
+                    return next();
+                },
+            },
+            clock: { monotonic: () => 0, wall: () => 0 },
+            log: { emit: () => undefined },
+            random: () => 0,
+            pauseMilliseconds: 10,
+            replace: changes => void seen.push(`all ${changes.map(({ key, value }) => `${key}=${value}`).join()}`),
+            apply: changes => void seen.push(changes.map(({ key, value }) => `${key}=${value}`).join()),
+        });
+    };
+    afterEach(() => {
+        follower.stop();
+        clock.uninstall();
+    });
+
+    it("reads all newest values and then each change", async () => {
+        start([
+            { changes: [{ key: "a", value: "1" }], nextOffset: 5 },
+            { changes: [{ key: "a", value: "2" }, { key: "b" }], nextOffset: 7 },
+        ]);
+        await clock.tickAsync(100);
+        expect(seen).to.deep.equal(["all a=1", "a=2,b=undefined"]);
+        expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 7 wait 2500"]);
+    });
+
+    it("reads all newest values again when changes were removed before it read them", async () => {
+        start([{ changes: [], nextOffset: 5 }, "removed", { changes: [{ key: "c", value: "3" }], nextOffset: 90 }]);
+        await clock.tickAsync(100);
+        expect(calls.slice(0, 4)).to.deep.equal(["newest", "after 5 wait 2500", "newest", "after 90 wait 2500"]);
+        expect(seen.at(-1)).to.equal("all c=3");
+    });
+
+    it("does not wait at a store that was lost, so that it notices its return at once", async () => {
+        start([{ changes: [], nextOffset: 5 }, "lost", "lost", { changes: [], nextOffset: 6 }]);
+        await clock.tickAsync(1_000);
+        expect(calls).to.deep.equal([
+            "newest",
+            "after 5 wait 2500",
+            "after 5 wait 0",
+            "after 5 wait 0",
+            "after 6 wait 2500",
+        ]);
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -0,0 +1,74 @@
+/** A daemon whose lease lapsed gives no orders, and partitions pass on quickly. */
+import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { type PartitionShare, StoreError } from "../../ports/registry.js";
+import { type PartitionLease, startPartitionLease } from "../partitionlease.js";
+
+type Answer = PartitionShare | "silent";
+
+const share: PartitionShare = { fencingToken: 4, partitions: [1] };
+
+describe("partition lease", () => {
+    let clock: FakeClock;
+    let answers: Answer[];
+    let tokens: number[];
+    let lease: PartitionLease;
+
+    const start = (extensionMilliseconds: number): void => {
+        clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
+        tokens = [];
+        lease = startPartitionLease({
+            group: {
+                partitionCount: 8,
+                renew: (...[, token]) => {
+                    tokens.push(token);
+                    const answer = answers.length > 1 ? answers.shift() : answers[0];
+                    return answer === "silent" || answer === undefined
+                        ? Promise.reject(new StoreError("unanswered", "silent"))
+                        : Promise.resolve(answer);
+                },
+                leave: () => Promise.resolve(),
+            },
+            clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+            log: { emit: () => undefined },
+            leaseMilliseconds: 2_500,
+            extensionMilliseconds,
+        });
+    };
+    afterEach(async () => {
+        await lease.stop();
+        clock.uninstall();
+    });
+
+    it("holds while it is renewed", async () => {
+        answers = [share];
+        start(0);
+        await clock.tickAsync(10_000);
+        expect(lease.current()).to.deep.equal(share);
+    });
+
+    it("lapses before the platform gives the partitions to another daemon", async () => {
+        answers = [share, "silent"];
+        start(0);
+        await clock.tickAsync(1_800);
+        expect(lease.current()).to.deep.equal(share);
+        await clock.tickAsync(200);
+        expect(lease.current()).to.equal(undefined);
+    });
+
+    it("goes on without the store where engines refuse old owners, but not for ever", async () => {
+        answers = [share, "silent"];
+        start(20_000);
+        await clock.tickAsync(15_000);
+        expect(lease.current()).to.deep.equal(share);
+        await clock.tickAsync(8_000);
+        expect(lease.current()).to.equal(undefined);
+    });
+
+    it("renews at once with a new token, because partitions wait for that", async () => {
+        answers = [share, { fencingToken: 5, partitions: [] }];
+        start(0);
+        await clock.tickAsync(300);
+        expect(tokens).to.deep.equal([0, 4, 5]);
+    });
+});
