--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -21,6 +21,8 @@
 const RETRY_MILLISECONDS = 250;
 const MAXIMUM_RETRY_MILLISECONDS = 3_000;
 const FOLLOW_PAUSE_MILLISECONDS = 100;
+/** Daemons come and go seldom, and a late notice of one does no harm. */
+const FOLLOW_WAIT_MILLISECONDS = 15_000;
 
 /** Starts to announce and to follow. */
 export function startPresence({ topic, self, clock, log, random, setPeers }: PresenceParts): void {
@@ -55,6 +57,7 @@
         clock,
         log,
         random,
+        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
         pauseMilliseconds: FOLLOW_PAUSE_MILLISECONDS,
         replace: changes => {
             peers.clear();
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -59,6 +59,8 @@
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon plans on while the store does not answer, where engines refuse the orders of old owners. */
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
+/** A version must be in force within two seconds also if the connection of a waiting read goes silent before. */
+const FOLLOW_WAIT_MILLISECONDS = 2_500;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 /** Hosts write to the registry some fifty times a second; their changes are read together. */
 const TARGETS_PAUSE_MILLISECONDS = 400;
@@ -158,6 +160,7 @@
         clock,
         log,
         random,
+        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
         pauseMilliseconds: CONFIGURATION_PAUSE_MILLISECONDS,
         replace: applyConfigurations,
         apply: applyConfigurations,
@@ -167,6 +170,7 @@
         clock,
         log,
         random,
+        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
         pauseMilliseconds: TARGETS_PAUSE_MILLISECONDS,
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
         apply: changes => state.applyTargets(changes),
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -14,6 +14,8 @@
     /** All keys with values, at start and after a gap. */
     readonly replace: (changes: readonly TopicChange<Value>[]) => void;
     readonly apply: (changes: readonly TopicChange<Value>[]) => void;
+    /** How long a read waits for a change. One that waits longer notices a silent connection later. */
+    readonly waitMilliseconds: number;
     /** Wait between two reads, so that changes arrive together. */
     readonly pauseMilliseconds: number;
 }
@@ -25,8 +27,6 @@
     stop(): void;
 }
 
-/** A read that waits longer would notice a silent connection too late. */
-const WAIT_MILLISECONDS = 2_500;
 const RETRY_MILLISECONDS = 200;
 
 /** Starts to follow. */
@@ -44,7 +44,7 @@
             offset = page.nextOffset;
             return;
         }
-        const page = await topic.after(offset, lost ? 0 : WAIT_MILLISECONDS);
+        const page = await topic.after(offset, lost ? 0 : options.waitMilliseconds);
         offset = page?.nextOffset;
         if (page !== undefined && page.changes.length > 0) {
             options.apply(page.changes);
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -42,6 +42,7 @@
             clock: { monotonic: () => 0, wall: () => 0 },
             log: { emit: () => undefined },
             random: () => 0,
+            waitMilliseconds: 2_500,
             pauseMilliseconds: 10,
             replace: changes => void seen.push(`all ${changes.map(({ key, value }) => `${key}=${value}`).join()}`),
             apply: changes => void seen.push(changes.map(({ key, value }) => `${key}=${value}`).join()),
