--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -45,7 +45,7 @@
     function free(input: DomainPlanInput, groups: readonly JudgedGroup[]): Target[] {
         const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
         const expected = formations.expectedMembers(abandoned, input.now);
-        return freeHosts(input.hosts.filter(isUsable), groups).filter(target => !expected.has(target.id));
+        return freeHosts(input.hosts.filter(isUsable)).filter(target => !expected.has(target.id));
     }
 }
 
@@ -63,7 +63,7 @@
     changes: readonly EngineOrder[],
 ): boolean {
     const reachable = input.hosts.filter(host => !host.unreachable);
-    const waiting = freeHosts(reachable.filter(host => host.awaiting), groups).length > 0;
+    const waiting = freeHosts(reachable.filter(host => host.awaiting)).length > 0;
     const reachableIds = new Set(reachable.map(host => host.target.id));
     const leaving = changes.some(order => order.kind === "leave" && reachableIds.has(order.host));
     return isSettled(input, groups) && !waiting && !leaving;
