--- a/packages/daemon/src/adapters/boundedoutput.ts
+++ b/packages/daemon/src/adapters/boundedoutput.ts
@@ -13,8 +13,17 @@
 /** Lines are collected for this long, so that one write carries many. */
 const COLLECT_MILLISECONDS = 50;
 
-/** Makes an output to a file descriptor. Writes happen outside the main thread, also where it is a pipe. */
-export function createBoundedOutput(descriptor: number): BoundedOutput {
+/** Writes part of a block and tells how much; `node:fs` writes outside the main thread, also to a pipe. */
+export type BlockWriter = (
+    descriptor: number,
+    block: Buffer,
+    offset: number,
+    length: number,
+    done: (error: NodeJS.ErrnoException | null, written: number) => void, // eslint-disable-line no-restricted-syntax
+) => void;
+
+/** Makes an output to a file descriptor. */
+export function createBoundedOutput(descriptor: number, writeBlock: BlockWriter = write): BoundedOutput {
     let pending: Buffer[] = [];
     let pendingBytes = 0;
     let writing = false;
@@ -28,7 +37,7 @@
         pending = [];
         pendingBytes = 0;
         writing = true;
-        writeAll(descriptor, block, () => {
+        writeAll(writeBlock, descriptor, block, () => {
             writing = false;
             flush();
         });
@@ -54,8 +63,8 @@
     return { stream, dropped: () => dropped };
 }
 
-function writeAll(descriptor: number, block: Buffer, done: () => void): void {
-    write(descriptor, block, 0, block.length, (error, written) => {
+function writeAll(writeBlock: BlockWriter, descriptor: number, block: Buffer, done: () => void): void {
+    writeBlock(descriptor, block, 0, block.length, (error, written) => {
         const retry = error?.code === "EAGAIN";
         if (error && !retry) {
             done();
@@ -66,6 +75,6 @@
             done();
             return;
         }
-        setTimeout(() => writeAll(descriptor, rest, done), retry ? COLLECT_MILLISECONDS : 0);
+        setTimeout(() => writeAll(writeBlock, descriptor, rest, done), retry ? COLLECT_MILLISECONDS : 0);
     });
 }
--- /dev/null
+++ b/packages/daemon/src/relay/measure.ts
@@ -0,0 +1,114 @@
+/** Counters and histograms of the daemon on a platform, derived from its log events and served as Prometheus text. */
+import { createServer, type Server } from "node:http";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { EventName } from "../events.js";
+import { listenOn } from "../front/server.js";
+import type { EventFields, EventLog } from "../ports/eventlog.js";
+
+/** Values that are read when the metrics are asked for. */
+export interface MeasuredValues {
+    /** Requests that are not answered yet. */
+    readonly requestsInProgress: () => number;
+    /** Log lines that were dropped because the reader was slow. */
+    readonly linesDropped: () => number;
+    /** Version of the configuration in force, 0 if there is none. */
+    readonly configurationVersion: () => number;
+    /** Groups that may get requests. */
+    readonly servingGroups: () => number;
+}
+
+/** Metrics of one daemon. */
+export interface Measurements {
+    /** Log that counts the events that it passes on. */
+    readonly log: EventLog;
+    /** Serves the metrics at `IP:PORT`, whatever the path. */
+    serve(listen: string): Promise<Server>;
+    /** The metrics as text. */
+    text(): Promise<string>;
+}
+
+const DURATION_BUCKETS_MILLISECONDS = [10, 25, 50, 100, 200, 400, 800, 1_500, 3_000, 6_000, 12_000];
+
+/** Measures the events of a log. */
+export function measureEvents(log: EventLog, values: MeasuredValues): Measurements {
+    const registry = new Registry();
+    const registers = [registry];
+    const events = new Counter({
+        name: "damaskvale_events_total",
+        help: "Log events by name.",
+        labelNames: ["event"],
+        registers,
+    });
+    const requests = new Counter({
+        name: "damaskvale_requests_total",
+        help: "Requests that ended, by outcome.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const orders = new Counter({
+        name: "damaskvale_orders_total",
+        help: "Orders to engines, by kind and result.",
+        labelNames: ["kind", "result"],
+        registers,
+    });
+    const duration = histogram("damaskvale_request_milliseconds", "Time from a request to its end.", registers);
+    const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
+    addGauges(values, registers);
+
+    const observe: Partial<Record<EventName, (fields: EventFields) => void>> = {
+        requestEnded: fields => {
+            requests.inc({ outcome: String(fields["outcome"]) });
+            duration.observe(Number(fields["milliseconds"]));
+            if (typeof fields["firstEventMilliseconds"] === "number") {
+                firstEvent.observe(fields["firstEventMilliseconds"]);
+            }
+        },
+        requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
+        engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
+    };
+    return {
+        log: {
+            emit: (name, fields = {}) => {
+                events.inc({ event: name });
+                observe[name]?.(fields);
+                log.emit(name, fields);
+            },
+        },
+        text: () => registry.metrics(),
+        serve: async listen => {
+            const server = createServer((...[, response]) => {
+                registry.metrics()
+                    .then(text => response.writeHead(200, { "Content-Type": registry.contentType }).end(text))
+                    .catch((error: unknown) => {
+                        log.emit("metricsFailed", { error });
+                        response.writeHead(500).end();
+                    });
+            });
+            await listenOn(server, listen);
+            return server;
+        },
+    };
+}
+
+function histogram(name: string, help: string, registers: Registry[]): Histogram {
+    return new Histogram({ name, help, buckets: DURATION_BUCKETS_MILLISECONDS, registers });
+}
+
+function addGauges(values: MeasuredValues, registers: Registry[]): void {
+    const gauges: readonly (readonly [string, string, () => number])[] = [
+        ["damaskvale_requests_in_progress", "Requests that are not answered yet.", values.requestsInProgress],
+        ["damaskvale_log_lines_dropped", "Log lines dropped for a slow reader.", values.linesDropped],
+        ["damaskvale_configuration_version", "Configuration in force.", values.configurationVersion],
+        ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
+    ];
+    gauges.forEach(([name, help, read]) =>
+        new Gauge({
+            name,
+            help,
+            registers,
+            collect() {
+                this.set(read());
+            },
+        })
+    );
+}
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -30,6 +30,8 @@
     /** Groups of an engine service that may get requests for a model. */
     servingGroups(service: string, model: string): readonly EngineGroup[];
     groups(service: string): readonly EngineGroup[];
+    /** Groups of all services that may get requests. */
+    countServingGroups(): number;
     /** Takes a configuration unless an equal or newer one is in force; returns whether it was taken. */
     applyConfiguration(configuration: RelayConfiguration): boolean;
     applyTargets(changes: readonly TopicChange<Target>[]): void;
@@ -89,6 +91,10 @@
         return this.groupsByService.get(service) ?? [];
     }
 
+    countServingGroups(): number {
+        return [...this.groupsByService.values()].flat().filter(isServing).length;
+    }
+
     applyConfiguration(configuration: RelayConfiguration): boolean {
         if (this.current !== undefined && configuration.version <= this.current.configuration.version) {
             return false;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -50,6 +50,7 @@
     /** Whether a target of an earlier attempt may have run the request. */
     private mayHaveRun = false;
     private over = false;
+    private firstEventAt: number | undefined;
     private readonly deadline: NodeJS.Timeout;
 
     constructor(
@@ -240,6 +241,7 @@
         }
         if (!attempt.started) {
             attempt.started = true;
+            this.firstEventAt ??= now;
             parts.board.started(attempt.head, context.request.promptTokens, now);
         }
         parts.board.progressed(attempt.head, now);
@@ -377,6 +379,9 @@
             sends: this.sends,
             lastEventId: this.lastEventId,
             retryAfterMilliseconds,
+            firstEventMilliseconds: this.firstEventAt === undefined
+                ? undefined
+                : Math.round(this.firstEventAt - this.context.receivedAt),
             milliseconds: Math.round(this.parts.clock.monotonic() - this.context.receivedAt),
         });
         this.ended();
--- /dev/null
+++ b/packages/daemon/src/relay/tests/measure.test.ts
@@ -0,0 +1,36 @@
+/** Metrics count what the log tells, without labels that grow with requests or targets. */
+import { expect } from "chai";
+import type { EventName } from "../../events.js";
+import { measureEvents } from "../measure.js";
+
+describe("measurements", () => {
+    it("count events, requests by outcome and times, and pass the events on", async () => {
+        const passed: EventName[] = [];
+        const { log, text } = measureEvents({ emit: name => void passed.push(name) }, {
+            requestsInProgress: () => 3,
+            linesDropped: () => 7,
+            configurationVersion: () => 12,
+            servingGroups: () => 5,
+        });
+        log.emit("requestEnded", {
+            requestId: "r1",
+            outcome: "complete",
+            milliseconds: 120,
+            firstEventMilliseconds: 60,
+        });
+        log.emit("engineOrdered", { host: "i-1", kind: "join", result: "accepted" });
+        const lines = (await text()).split("\n");
+        expect(lines).to.include.members([
+            'damaskvale_events_total{event="requestEnded"} 1',
+            'damaskvale_requests_total{outcome="complete"} 1',
+            'damaskvale_orders_total{kind="join",result="accepted"} 1',
+            "damaskvale_request_milliseconds_sum 120",
+            'damaskvale_first_event_milliseconds_bucket{le="100"} 1',
+            "damaskvale_requests_in_progress 3",
+            "damaskvale_log_lines_dropped 7",
+            "damaskvale_serving_groups 5",
+        ]);
+        expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
+        expect(passed).to.deep.equal(["requestEnded", "engineOrdered"]);
+    });
+});
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -24,6 +24,7 @@
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import { createServiceBudgets, type RepeatAllowance, type ServiceBudgets } from "./budgets.js";
 import { startListeners } from "./lifecycle.js";
+import { measureEvents, type Measurements } from "./measure.js";
 import { createRelay, type Relay } from "./relay.js";
 import { startStallWatch } from "./stallwatch.js";
 import { createRelayState, type RelayState } from "./state.js";
@@ -39,6 +40,8 @@
     readonly callerListen: string;
     readonly readinessListen: string;
     readonly shutdownMilliseconds: number;
+    /** `IP:PORT` at which metrics are served, if they are. */
+    readonly metricsListen?: string;
     readonly repeats: RepeatAllowance;
     /** Whether engines refuse orders with a lower fencing token than one they have seen. */
     readonly enginesRefuseOldTokens: boolean;
@@ -92,10 +95,13 @@
 
 /** Starts the daemon; resolves when it listens. It ends the process after SIGTERM. */
 export async function startPlatformDaemon(settings: RelaySettings, ports: PlatformPorts): Promise<void> {
-    const base = createBase(settings, ports);
+    const { base, measurements } = createBase(settings, ports, () => relay.inProgress());
     const { log } = base;
     const relay = wireRelay(base);
     const listening = startListeners({ ...settings, log, relay, state: base.state });
+    if (settings.metricsListen !== undefined) {
+        await measurements.serve(settings.metricsListen);
+    }
     log.emit("daemonStarted", { daemon: settings.daemon });
     followStore(base);
     const { planner, lease } = wirePlanning(base, relay);
@@ -109,25 +115,38 @@
     process.on("SIGHUP", () => log.emit("settingsUnchanged"));
 }
 
-function createBase(settings: RelaySettings, ports: PlatformPorts): Base {
-    const log = createBunyanLog({
+function createBase(
+    settings: RelaySettings,
+    ports: PlatformPorts,
+    requestsInProgress: () => number,
+): { readonly base: Base; readonly measurements: Measurements; } {
+    const output = createBoundedOutput(STANDARD_OUTPUT);
+    const state = createRelayState();
+    const lines = createBunyanLog({
         daemon: settings.daemon,
         dataCentre: settings.dataCentre,
         level: "info",
         secrets: [],
-        stream: createBoundedOutput(STANDARD_OUTPUT).stream,
+        stream: output.stream,
     });
-    return {
+    const measurements = measureEvents(lines, {
+        requestsInProgress,
+        linesDropped: output.dropped,
+        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
+        servingGroups: () => state.countServingGroups(),
+    });
+    const base: Base = {
         settings,
         ports,
         clock: systemClock,
-        log,
+        log: measurements.log,
         random: Math.random,
-        state: createRelayState(),
+        state,
         board: createLoadBoard(),
         peerLoads: createPeerLoads(),
         budgets: createServiceBudgets(settings.repeats),
     };
+    return { base, measurements };
 }
 
 function wireRelay({ settings, ports, clock, log, random, state, board, peerLoads, budgets }: Base): Relay {
