--- a/packages/cli/src/exitcodes.ts
+++ b/packages/cli/src/exitcodes.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the command line, documented in `docs/operations.md`. */
+/** Exit codes of the command line, documented in `docs/OPERATIONS.md`. */
 
 /** Exit codes by what happened. */
 export const exitCodes = {
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -17,6 +17,7 @@
 interface Attempt {
     readonly target: Target;
     exchange?: TargetExchange;
+    /** Whether bytes of the request were written to the target. */
     sent: boolean;
     head?: AnswerHead;
     meaning?: AnswerMeaning;
@@ -165,6 +166,8 @@
             return;
         }
         this.mayHaveRun ||= attempt.sent;
+        // A target that took no connection was not sent the request; the next one is tried in its place.
+        this.sends -= attempt.sent ? 0 : 1;
         this.release(attempt);
         this.noteFailure(attempt, reason);
         this.sendOrGiveUp("not-run", REFUSED_RETRY_MILLISECONDS);
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -24,7 +24,10 @@
     readonly address: string;
     readonly splitter: EventSplitter;
     exchange?: TargetExchange;
+    /** Whether the target may run the request; false again after its statement that it has not. */
     sent: boolean;
+    /** Whether bytes of the request were written to the target at all. */
+    written: boolean;
     started: boolean;
     /** Whether the attempt passes its answer on unchanged because it is a failure of the target. */
     passing: boolean;
@@ -94,6 +97,14 @@
         }
     }
 
+    /** Groups that were weighed, for the log: head, requests in progress, and whether it makes no progress. */
+    private weighed(): readonly string[] {
+        const { context, parts } = this;
+        return parts.state.servingGroups(context.service, context.request.model ?? "")
+            .map(group => this.describe(group))
+            .map(({ head, inProgress, suspected }) => `${head}:${inProgress}${suspected ? ":suspected" : ""}`);
+    }
+
     private place(): Placement {
         const { context, parts } = this;
         const engine = context.lookup.serviceOf(context.service)?.engine;
@@ -164,6 +175,7 @@
             address: target.address,
             splitter: createEventSplitter(),
             sent: false,
+            written: false,
             started: false,
             passing: false,
             over: false,
@@ -194,6 +206,7 @@
             {
                 sent: () => {
                     attempt.sent = true;
+                    attempt.written = true;
                 },
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
@@ -296,6 +309,8 @@
             return;
         }
         this.mayHaveRun ||= attempt.sent;
+        // A target that took no connection was not sent the request; the next one is tried in its place.
+        this.sends -= attempt.written ? 0 : 1;
         this.release(attempt);
         this.parts.log.emit("attemptFailed", {
             ...identify(this.context),
@@ -334,7 +349,7 @@
             return;
         }
         writeRefusal(response, reason, retryAfter);
-        this.finish(`refused: ${reason}`, retryAfter);
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds: retryAfter, groups: this.weighed() });
     }
 
     private expire(): void {
@@ -367,7 +382,7 @@
         }
     }
 
-    private finish(outcome: string, retryAfterMilliseconds?: number): void {
+    private finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
         if (this.over) {
             return;
         }
@@ -378,7 +393,7 @@
             outcome,
             sends: this.sends,
             lastEventId: this.lastEventId,
-            retryAfterMilliseconds,
+            ...details,
             firstEventMilliseconds: this.firstEventAt === undefined
                 ? undefined
                 : Math.round(this.firstEventAt - this.context.receivedAt),
--- a/packages/daemon/src/relay/tests/plainrelay.test.ts
+++ b/packages/daemon/src/relay/tests/plainrelay.test.ts
@@ -114,6 +114,19 @@
         });
     });
 
+    it("tries the next target for a request of one attempt when the first took no connection", () => {
+        const { sends, caller } = start({ kind: "once", maximumAttempts: 1 });
+        steps["connection-refused"](sends[0], { kind: "connection-refused" });
+        steps.answer(sends[1], { kind: "answer" });
+        expect([sends.length, caller.status]).to.deep.equal([2, 200]);
+    });
+
+    it("sends a request of one attempt to one target when that took the connection", () => {
+        const { sends, caller } = start({ kind: "once", maximumAttempts: 1 });
+        steps.answer(sends[0], { kind: "answer", head: heads.notRun });
+        expect([sends.length, caller.status]).to.deep.equal([1, 503]);
+    });
+
     it("sends what may run once on a new connection only", () => {
         expect(start({ kind: "once" }).sends[0]?.request.onNewConnection).to.equal(true);
         expect(start({ kind: "repeatable" }).sends[0]?.request.onNewConnection).to.equal(false);
