--- a/packages/proofs/src/index.ts
+++ b/packages/proofs/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./cluster/ports.js";
