--- /dev/null
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -0,0 +1,48 @@
+/** Asks the placement for a group, with what this daemon knows of the groups that serve the model. */
+import { type EngineGroup, type Placement, type PlacementCandidate, placeRequest } from "@damaskvale/core";
+import type { RelayParts, RequestContext } from "./context.js";
+
+/** Wait of a caller whose request every group refused. */
+export const REFUSED_RETRY_MILLISECONDS = 800;
+
+/** Places a request at a group that it has not tried. */
+export function placeStream(context: RequestContext, parts: RelayParts, tried: readonly string[]): Placement {
+    const engine = context.lookup.serviceOf(context.service)?.engine;
+    const model = engine?.models.find(profile => profile.name === context.request.model);
+    if (engine === undefined || model === undefined) {
+        return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_MILLISECONDS };
+    }
+    return placeRequest({
+        engine,
+        model,
+        candidates: candidatesOf(context, parts).filter(({ head }) => !tried.includes(head)),
+        dataCentre: parts.dataCentre,
+        promptTokens: context.request.promptTokens,
+        objectiveMilliseconds: context.admitted.route.latencyObjectiveMilliseconds,
+        remainingMilliseconds: context.deadlineAt - parts.clock.monotonic(),
+        draw: parts.random(),
+    });
+}
+
+/** Groups that were weighed, for the log: head, requests in progress, and whether it makes no progress. */
+export function weighedGroups(context: RequestContext, parts: RelayParts): readonly string[] {
+    return candidatesOf(context, parts)
+        .map(({ head, inProgress, suspected }) => `${head}:${inProgress}${suspected ? ":suspected" : ""}`);
+}
+
+function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
+    return parts.state.servingGroups(service, request.model ?? "").map(group => describe(group, parts));
+}
+
+function describe(group: EngineGroup, { board, loadOfOthers }: RelayParts): PlacementCandidate {
+    const head = group.head?.id ?? "";
+    const load = board.of(head);
+    const others = loadOfOthers(head);
+    return {
+        head,
+        dataCentre: group.head?.dataCentre ?? "",
+        inProgress: (load?.inProgress ?? 0) + others.inProgress,
+        unreadTokens: (load?.unreadTokens ?? 0) + others.unreadTokens,
+        suspected: load?.suspectedAt !== undefined,
+    };
+}
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,6 +4,7 @@
 import { writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
+import { placeStream, REFUSED_RETRY_MILLISECONDS, weighedGroups } from "./streamplacement.js";
 import type { TargetExchange } from "./targetconnections.js";
 
 /** A stream in progress, as the watch over stalled targets sees it. */
@@ -14,8 +15,6 @@
     moveAway(): void;
 }
 
-/** Wait of a caller whose request every group refused. */
-const REFUSED_RETRY_MILLISECONDS = 800;
 /** Bytes that may wait for a slow caller before the target is paused. */
 const PAUSE_AT_BYTES = 65_536;
 
@@ -81,7 +80,7 @@
         if (stalled === undefined || stalled.passing || !this.mayRepeat()) {
             return;
         }
-        const placement = this.place();
+        const placement = placeStream(this.context, this.parts, this.tried);
         if (placement.kind === "placed" && this.takeFromBudget()) {
             this.mayHaveRun ||= stalled.sent;
             this.release(stalled);
@@ -97,49 +96,6 @@
         }
     }
 
-    /** Groups that were weighed, for the log: head, requests in progress, and whether it makes no progress. */
-    private weighed(): readonly string[] {
-        const { context, parts } = this;
-        return parts.state.servingGroups(context.service, context.request.model ?? "")
-            .map(group => this.describe(group))
-            .map(({ head, inProgress, suspected }) => `${head}:${inProgress}${suspected ? ":suspected" : ""}`);
-    }
-
-    private place(): Placement {
-        const { context, parts } = this;
-        const engine = context.lookup.serviceOf(context.service)?.engine;
-        const model = engine?.models.find(profile => profile.name === context.request.model);
-        if (engine === undefined || model === undefined) {
-            return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_MILLISECONDS };
-        }
-        const now = parts.clock.monotonic();
-        return placeRequest({
-            engine,
-            model,
-            candidates: parts.state.servingGroups(context.service, model.name)
-                .filter(group => !this.tried.includes(headOf(group)))
-                .map(group => this.describe(group)),
-            dataCentre: parts.dataCentre,
-            promptTokens: context.request.promptTokens,
-            objectiveMilliseconds: context.admitted.route.latencyObjectiveMilliseconds,
-            remainingMilliseconds: context.deadlineAt - now,
-            draw: parts.random(),
-        });
-    }
-
-    private describe(group: EngineGroup) {
-        const head = headOf(group);
-        const load = this.parts.board.of(head);
-        const others = this.parts.loadOfOthers(head);
-        return {
-            head,
-            dataCentre: group.head?.dataCentre ?? "",
-            inProgress: (load?.inProgress ?? 0) + others.inProgress,
-            unreadTokens: (load?.unreadTokens ?? 0) + others.unreadTokens,
-            suspected: load?.suspectedAt !== undefined,
-        };
-    }
-
     private mayRepeat(): boolean {
         const { route } = this.context.admitted;
         const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
@@ -151,7 +107,7 @@
     }
 
     private sendOrGiveUp(): void {
-        const placement = this.place();
+        const placement = placeStream(this.context, this.parts, this.tried);
         if (placement.kind === "refused") {
             this.giveUp(placement.reason, placement.retryAfterMilliseconds);
             return;
@@ -349,7 +305,10 @@
             return;
         }
         writeRefusal(response, reason, retryAfter);
-        this.finish(`refused: ${reason}`, { retryAfterMilliseconds: retryAfter, groups: this.weighed() });
+        this.finish(`refused: ${reason}`, {
+            retryAfterMilliseconds: retryAfter,
+            groups: weighedGroups(this.context, this.parts),
+        });
     }
 
     private expire(): void {
@@ -402,7 +361,3 @@
         this.ended();
     }
 }
-
-function headOf(group: EngineGroup): string {
-    return group.head?.id ?? "";
-}
