--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,5 +1,4 @@
 /** Relays an event stream from the heads of groups, and resumes it at another group where the route allows it. */
-import { type EngineGroup, type Placement, placeRequest } from "@damaskvale/core";
 import type { AnswerHead } from "../ports/relayprotocol.js";
 import { writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
