--- a/packages/core/src/routes/lookup.ts
+++ b/packages/core/src/routes/lookup.ts
@@ -27,7 +27,7 @@
     const routes = new Map<string, Map<string, Route>>();
     configuration.routes.forEach(route => {
         const ofHost = routes.get(route.hostname) ?? new Map<string, Route>();
-        ofHost.set(route.pathPrefix, route);
+        ofHost.set(route.prefix, route);
         routes.set(route.hostname, ofHost);
     });
     const teams = new Map((configuration.teams ?? []).flatMap(team => team.keys.map(key => [key, team] as const)));
--- a/packages/core/src/routes/tests/lookup.test.ts
+++ b/packages/core/src/routes/tests/lookup.test.ts
@@ -3,10 +3,10 @@
 import { admitRoute, createRouteLookup, pickService } from "../lookup.js";
 import type { RelayConfiguration, Route } from "../types.js";
 
-const route = (name: string, pathPrefix: string, fields: Partial<Route> = {}): Route => ({
+const route = (name: string, prefix: string, fields: Partial<Route> = {}): Route => ({
     name,
     hostname: "one.example",
-    pathPrefix,
+    prefix,
     kind: "repeatable",
     resumable: false,
     maximumAttempts: 2,
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -18,7 +18,7 @@
     readonly name: string;
     readonly hostname: string;
     /** Begins and ends with a slash. */
-    readonly pathPrefix: string;
+    readonly prefix: string;
     readonly kind: RouteKind;
     /** Whether a stream may go on at another target after its last delivered event. */
     readonly resumable: boolean;
--- a/packages/daemon/src/relay/tests/scene.ts
+++ b/packages/daemon/src/relay/tests/scene.ts
@@ -98,7 +98,7 @@
     const route: Route = {
         name: "route",
         hostname: "h",
-        pathPrefix: "/",
+        prefix: "/",
         kind: options.kind,
         resumable: options.resumable ?? false,
         maximumAttempts: options.maximumAttempts ?? 2,
