--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -17,7 +17,7 @@
 import type { PartitionShare } from "../ports/registry.js";
 import type { RelayState, ToldMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
-import { createHostRecords } from "./hostrecords.js";
+import { createHostRecords, reportOfTarget } from "./hostrecords.js";
 import { createLoadAllowance } from "./loadallowance.js";
 
 /** What the planner works with. */
@@ -94,7 +94,12 @@
             membership?.state === "open" && domain !== undefined && domains.includes(domain)
         );
         serving.filter(target => !this.toldServing.has(target.membership?.group ?? "")).forEach(target =>
-            onMembership({ host: target.id, model: target.model, membership: target.membership })
+            onMembership({
+                host: target.id,
+                startedAt: target.startedAt,
+                model: target.model,
+                membership: target.membership,
+            })
         );
         this.toldServing = new Set(serving.map(target => target.membership?.group ?? ""));
     }
@@ -174,7 +179,7 @@
         this.records.noteOrderResult(target, order.kind, result, clock.monotonic());
         log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, result });
         if (order.kind === "leave" && (result === "accepted" || result === "already-holds")) {
-            this.parts.onMembership({ host: target.id });
+            this.parts.onMembership({ host: target.id, startedAt: target.startedAt });
         }
         if (result === "fenced") {
             this.refusedTokens.set(domain, fencingToken);
@@ -185,10 +190,11 @@
     private async askForReport(target: Target): Promise<void> {
         const { clock, log, state, engines } = this.parts;
         this.records.noteReportAsked(target, clock.monotonic());
-        const answer = await engines.report(target);
+        const answer = reportOfTarget(target, await engines.report(target));
         this.records.noteReport(target, answer, clock.monotonic());
         if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
-            this.parts.onMembership({ host: target.id, model: answer.model, membership: answer.membership });
+            const { model, membership } = answer;
+            this.parts.onMembership({ host: target.id, startedAt: target.startedAt, model, membership });
         }
         log.emit("engineReported", {
             host: target.id,
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -51,6 +51,16 @@
 /** How long a suspicion holds. */
 const SUSPICION_MILLISECONDS = 4_000;
 
+/**
+ * Returns a report unless another process gave it than the one that is registered: a later start of the host, or another
+ * engine at its address.
+ */
+export function reportOfTarget(target: Target, report: EngineReport | undefined): EngineReport | undefined {
+    const otherStart = target.startedAt !== undefined && report?.startedAt !== undefined
+        && report.startedAt !== target.startedAt;
+    return otherStart ? undefined : report;
+}
+
 /** Makes empty records. */
 export function createHostRecords(): HostRecords {
     return new HostRecordMap();
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -2,7 +2,7 @@
 import type { Target } from "@damaskvale/core";
 import { expect } from "chai";
 import type { EngineReport } from "../../ports/enginecontrol.js";
-import { createHostRecords } from "../hostrecords.js";
+import { createHostRecords, reportOfTarget } from "../hostrecords.js";
 
 const target: Target = {
     id: "a",
@@ -29,6 +29,20 @@
 };
 
 describe("host records", () => {
+    // An address may be taken over by another engine, whose membership would make a lost member look ready.
+    const starts: readonly [string, number | undefined, number | undefined, boolean][] = [
+        ["the same start", 5, 5, true],
+        ["an entry without a start", undefined, 5, true],
+        ["a report without a start", 5, undefined, true],
+        ["another start", 5, 6, false],
+    ];
+    starts.forEach(([name, entry, answer, accepted]) =>
+        it(`${accepted ? "take" : "refuse"} the report of an engine with ${name}`, () => {
+            const given: EngineReport = { ...report, startedAt: answer };
+            expect(reportOfTarget({ ...target, startedAt: entry }, given)).to.equal(accepted ? given : undefined);
+        })
+    );
+
     it("give a host no order before its count of orders is known", () => {
         const records = createHostRecords();
         expect(records.describe(target, 0).awaiting).to.equal(true);
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -43,6 +43,7 @@
     suspects: z.array(z.string()),
     memberships: z.array(z.object({
         host: z.string(),
+        startedAt: z.number().optional(),
         model: z.string().optional(),
         membership: z.object({
             group: z.string(),
--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -1,5 +1,4 @@
 /** Announces this daemon to the others and keeps the list of them. */
-import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence, PresenceTopic } from "../ports/presence.js";
 import { StoreError, type TopicChange } from "../ports/registry.js";
@@ -10,7 +9,6 @@
 export interface PresenceParts {
     readonly topic: PresenceTopic;
     readonly self: DaemonPresence;
-    readonly clock: Clock;
     readonly log: EventLog;
     /** Random number from 0 to below 1. */
     readonly random: () => number;
@@ -25,7 +23,7 @@
 const FOLLOW_WAIT_MILLISECONDS = 15_000;
 
 /** Starts to announce and to follow. */
-export function startPresence({ topic, self, clock, log, random, setPeers }: PresenceParts): void {
+export function startPresence({ topic, self, log, random, setPeers }: PresenceParts): void {
     const peers = new Map<string, DaemonPresence>();
     const apply = (changes: readonly TopicChange<DaemonPresence>[]): void => {
         changes.forEach(({ key, value }) => {
@@ -54,7 +52,6 @@
     announce(0).catch((error: unknown) => log.emit("taskFailed", { task: "presence", error }));
     followTopic({
         topic,
-        clock,
         log,
         random,
         waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -14,6 +14,8 @@
 /** Membership of a host that another source than the registry tells. */
 export interface ToldMembership {
     readonly host: string;
+    /** Start of the host that said it, as in its entry. */
+    readonly startedAt?: number;
     readonly model?: string;
     readonly membership?: GroupMembership;
 }
@@ -116,8 +118,11 @@
         this.derive();
     }
 
-    applyMembership({ host, model, membership }: ToldMembership): void {
+    applyMembership({ host, startedAt, model, membership }: ToldMembership): void {
         const target = this.known.get(host);
+        if (target?.startedAt !== startedAt) {
+            return;
+        }
         const isOlder = membership !== undefined && membership.epoch < (target?.membership?.epoch ?? 0);
         if (target !== undefined && !isOlder) {
             this.known.set(host, { ...target, membership, model: model ?? target.model });
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -100,6 +100,14 @@
         expect(heads()).to.deep.equal(["h"]);
     });
 
+    it("ignores a membership that was told of an earlier start of the host", () => {
+        state.applyTargets([{ key: "h", value: { ...head, startedAt: 2, membership: undefined } }]);
+        state.applyMembership({ host: "h", startedAt: 1, model: "m", membership: head.membership });
+        expect(heads()).to.deep.equal([]);
+        state.applyMembership({ host: "h", startedAt: 2, model: "m", membership: head.membership });
+        expect(heads()).to.deep.equal(["h"]);
+    });
+
     it("marks as lapsed what a new reading of the registry does not hold", () => {
         state.applyTargets([{ key: "p", value: target("p") }, { key: "q", value: target("q") }]);
         state.replaceTargets([target("q")]);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -62,8 +62,11 @@
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon plans on while the store does not answer, where engines refuse the orders of old owners. */
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
-/** A version must be in force within two seconds also if the connection of a waiting read goes silent before. */
-const FOLLOW_WAIT_MILLISECONDS = 2_500;
+/**
+ * A version must be in force within two seconds also if the connection of a waiting read goes silent, which is noticed
+ * only after the wait.
+ */
+const FOLLOW_WAIT_MILLISECONDS = 900;
 const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 /** Hosts write to the registry some fifty times a second; their changes are read together. */
 const TARGETS_PAUSE_MILLISECONDS = 400;
@@ -167,7 +170,7 @@
     });
 }
 
-function followStore({ ports, clock, log, random, state }: Base): void {
+function followStore({ ports, log, random, state }: Base): void {
     const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
         changes.forEach(({ value }) => {
             if (value !== undefined && state.applyConfiguration(value)) {
@@ -176,7 +179,6 @@
         });
     followTopic({
         topic: ports.configuration(log),
-        clock,
         log,
         random,
         waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
@@ -186,7 +188,6 @@
     });
     followTopic({
         topic: ports.targets(log),
-        clock,
         log,
         random,
         waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
@@ -236,7 +237,7 @@
             exchange.tellMembership(told);
         },
     });
-    startPresence({ topic: ports.presence(log), self, clock, log, random, setPeers: exchange.setPeers });
+    startPresence({ topic: ports.presence(log), self, log, random, setPeers: exchange.setPeers });
     startStallWatch({
         clock,
         log,
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -1,5 +1,4 @@
 /** Follows a topic of the store: reads all newest values once, then each change. */
-import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import { type KeyedTopic, StoreError, type TopicChange } from "../ports/registry.js";
 import { sleep } from "./sleep.js";
@@ -7,7 +6,6 @@
 /** What a follower works with. */
 export interface FollowOptions<Value> {
     readonly topic: KeyedTopic<Value>;
-    readonly clock: Clock;
     readonly log: EventLog;
     /** Random number from 0 to below 1, to spread retries. */
     readonly random: () => number;
@@ -22,8 +20,6 @@
 
 /** A running follower. */
 export interface TopicFollower {
-    /** When the store last answered, in monotonic milliseconds. */
-    lastAnswerAt(): number;
     stop(): void;
 }
 
@@ -31,11 +27,10 @@
 
 /** Starts to follow. */
 export function followTopic<Value>(options: FollowOptions<Value>): TopicFollower {
-    const { topic, clock, log } = options;
+    const { topic, log } = options;
     let stopped = false;
     let lost = false;
     let offset: number | undefined;
-    let lastAnswerAt = clock.monotonic();
 
     const readOnce = async (): Promise<void> => {
         if (offset === undefined) {
@@ -54,7 +49,6 @@
         while (!stopped) {
             try {
                 await readOnce();
-                lastAnswerAt = clock.monotonic();
                 if (lost) {
                     lost = false;
                     log.emit("storeRegained", { topic: topic.name, offset });
@@ -75,7 +69,6 @@
     };
     run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
     return {
-        lastAnswerAt: () => lastAnswerAt,
         stop: () => {
             stopped = true;
         },
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -39,7 +39,6 @@
                     return next();
                 },
             },
-            clock: { monotonic: () => 0, wall: () => 0 },
             log: { emit: () => undefined },
             random: () => 0,
             waitMilliseconds: 2_500,
