Let requests that were sent before a retirement was known end before the group is dissolved

Ruled out: load alone (the order to clear the members follows 3 ms after the dissolve, the cut 8 ms after it). Change: a group counts as drained by a report that was made 3 s or more after its retirement, when no daemon sends to it any more.

--- a/packages/core/src/groups/constants.ts
+++ b/packages/core/src/groups/constants.ts
@@ -10,6 +10,8 @@
 export const LEASE_MARGIN_MILLISECONDS = 1_000;
 /** How long a group may miss a member before it is dissolved. */
 export const MEMBER_LOSS_GRACE_MILLISECONDS = 5_000;
+/** How long daemons may send requests to a group after one of its members was listed as leaving. */
+export const RETIREMENT_NOTICE_MILLISECONDS = 3_000;
 /** Poll interval of an observer. */
 export const REPORT_INTERVAL_MILLISECONDS = 500;
 /** Maximum age of the confirmation of a member while requests are dispatched to its group. */
--- a/packages/core/src/groups/plan.ts
+++ b/packages/core/src/groups/plan.ts
@@ -3,6 +3,7 @@
  * which hosts must be cleared first. Pure: the same input gives the same actions.
  */
 import type { RowOf } from "../table/row.js";
+import { RETIREMENT_NOTICE_MILLISECONDS } from "./constants.js";
 import type { GroupsState, HeldGroup } from "./fold.js";
 import { groupById, groupOf, revisionOf } from "./fold.js";
 import { isCurrent, modelsIn, retiringGroups } from "./retire.js";
@@ -16,6 +17,8 @@
     readonly draining: boolean;
     /** Newest report within the confirmation bound; absent while the host does not report. */
     readonly report?: Report;
+    /** Age of the report in milliseconds; 0 if absent. */
+    readonly reportAgeMilliseconds?: number;
 }
 
 /** State of a group that the planner cannot derive from the hosts' reports alone. */
@@ -113,7 +116,7 @@
             return [];
         }
         const retirement = retiring.get(planned.group);
-        const drained = hasDrained(input, held) || planned.retiringMilliseconds >= input.drainMilliseconds;
+        const drained = hasDrained(input, held, planned) || planned.retiringMilliseconds >= input.drainMilliseconds;
         const reason = planned.missingMilliseconds >= input.graceMilliseconds
             ? "a member is missing"
             : drained
@@ -128,10 +131,18 @@
     return report?.group === group.group && report.fence === group.fence && report.state === "ready";
 }
 
-/** Returns whether the leader reports no requests. A group that does not report is handled by the grace instead. */
-function hasDrained(input: PlanInput, group: HeldGroup): boolean {
-    const report = input.hosts.find(host => host.listed.host === group.leader)?.report;
-    return report !== undefined && report.load.running === 0 && report.load.queued === 0;
+/**
+ * Returns whether the leader has reported no requests since all daemons know that the group retires. A group that does
+ * not report is handled by the grace instead.
+ */
+function hasDrained(input: PlanInput, group: HeldGroup, { retiringMilliseconds }: PlannedGroup): boolean {
+    const leader = input.hosts.find(host => host.listed.host === group.leader);
+    if (leader?.report === undefined) {
+        return false;
+    }
+    const { running, queued } = leader.report.load;
+    const retiredBefore = retiringMilliseconds - (leader.reportAgeMilliseconds ?? 0);
+    return running === 0 && queued === 0 && retiredBefore >= RETIREMENT_NOTICE_MILLISECONDS;
 }
 
 /**
--- a/packages/daemon/src/tasks/planinput.ts
+++ b/packages/daemon/src/tasks/planinput.ts
@@ -73,6 +73,7 @@
                 listed,
                 draining: table.target(listed.host)?.state === "draining",
                 report: fresh ? seen.report : undefined,
+                reportAgeMilliseconds: fresh ? now - seen.observedAt : undefined,
             };
         }),
         groups: Object.values(state.groups).map(group => ({
