Forget a lapsed host when its address is taken over, and count each rank of a group once

A lost host is kept for 30 s while it answers reports, and the new engine answers them without looking for whom they are meant (a report has no id and here no start either). The lost host thus showed the membership of another member, the count of members was complete, and the head was opened before the last member had joined. Change: a registered target ends the memory of a lapsed host at its address; members are counted by rank. Also mended by it: a serving group was taken apart because one member showed under two ids. Tests: two cases of the planner, two of the state, all failed first.

--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -52,7 +52,7 @@
     unordered: readonly Target[],
     models: readonly ModelProfile[],
 ): EngineGroup {
-    const members = [...unordered].sort((left, right) => rankOf(left) - rankOf(right));
+    const members = oneByRank(unordered);
     const named = modelInName(name);
     const model = models.some(profile => profile.name === named)
         ? named
@@ -62,6 +62,21 @@
     return { name, epoch, model, head, members, whole: size !== undefined && members.length === size };
 }
 
+/**
+ * Members by rank. Two hosts have one rank when the address of a lost host was taken over by a member, which then answers
+ * for both; the registered one counts.
+ */
+function oneByRank(members: readonly Target[]): Target[] {
+    const byRank = new Map<number, Target>();
+    members.forEach(member => {
+        const other = byRank.get(rankOf(member));
+        if (other === undefined || !other.registered) {
+            byRank.set(rankOf(member), member);
+        }
+    });
+    return [...byRank.values()].sort((left, right) => rankOf(left) - rankOf(right));
+}
+
 function rankOf(target: Target): number {
     return target.membership?.rank ?? Number.MAX_SAFE_INTEGER;
 }
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -72,6 +72,25 @@
 const [wholeHead, ...wholeRest] = whole as [EngineHost, ...EngineHost[]];
 
 const cases: readonly Case[] = [
+    {
+        guards: "a head opened while one member has not joined and another is counted under two ids",
+        hosts: [
+            host("a", member(0, "ready")),
+            host("b", member(1, "ready")),
+            host("b-before", { ...member(1, "ready"), registered: false }),
+        ],
+        orders: ["leave a"],
+    },
+    {
+        guards: "a group taken apart because a member is counted under two ids",
+        hosts: [
+            host("a", member(0, "open")),
+            host("b", member(1, "ready")),
+            host("b-before", { ...member(1, "ready"), registered: false }),
+            host("c", member(2, "ready")),
+        ],
+        orders: [],
+    },
     {
         guards: "a domain of which small groups take all hosts before the large one",
         hosts: ["a", "b", "c", "e", "f"].map(id => host(id)),
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -147,6 +147,7 @@
             clearTimeout(this.removals.get(key));
             this.removals.delete(key);
             this.known.set(key, value);
+            this.forgetLapsedAt(value.address);
         }
         else if (target === undefined || target.draining) {
             this.known.delete(key);
@@ -156,10 +157,20 @@
         }
     }
 
-    /** Keeps a host whose entry lapsed as a possible member of a group; plain targets are forgotten. */
+    /** Forgets the lapsed host that had an address which now belongs to a registered target. */
+    private forgetLapsedAt(address: string): void {
+        [...this.known.values()].filter(target => !target.registered && target.address === address)
+            .forEach(target => this.known.delete(target.id));
+    }
+
+    /**
+     * Keeps a host whose entry lapsed as a possible member of a group, unless its address was taken over; plain targets
+     * are forgotten.
+     */
     private lapse(id: string): void {
         const target = this.known.get(id);
-        if (target?.domain === undefined) {
+        const taken = [...this.known.values()].some(other => other.id !== id && other.address === target?.address);
+        if (target?.domain === undefined || taken) {
             this.known.delete(id);
         }
         else {
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -7,7 +7,7 @@
 const target = (id: string, fields: Partial<Target> = {}): Target => ({
     id,
     service: "pool",
-    address: "10.0.0.1:80",
+    address: `${id}.example:80`,
     dataCentre: "a",
     draining: false,
     registered: true,
@@ -79,6 +79,21 @@
         expect(state.targets().map(({ id, registered }) => [id, registered])).to.deep.equal([["h", false]]);
     });
 
+    // The newcomer answers reports sent to the lost host's address, which would make the lost host look like a member.
+    it("forgets a host whose entry lapsed when another target is registered at its address", () => {
+        const newcomer: Target = { ...head, id: "n", membership: undefined };
+        state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
+        clock.tick(1_000);
+        state.applyTargets([{ key: "n", value: newcomer }]);
+        expect(state.targets().map(({ id }) => id)).to.deep.equal(["n"]);
+    });
+
+    it("forgets a host at once when its entry lapses and its address is already taken", () => {
+        state.applyTargets([{ key: "h", value: head }, { key: "n", value: { ...head, id: "n" } }, { key: "h" }]);
+        clock.tick(1_000);
+        expect(state.targets().map(({ id }) => id)).to.deep.equal(["n"]);
+    });
+
     it("lapses a host whose membership was told within the second after its removal", () => {
         state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
         state.applyMembership({ host: "h", membership: { group: "d~m~1.2", epoch: 2, rank: 0, state: "open" } });
