Read the store and tell loads at a pace that fits the number of daemons

Change: the pause between two reads of the registry grows with the fleet, within 0.4 of the time in which leaving targets must be known; a waiting read of the configuration lasts 8 s while other daemons are heard, which tell the version that is in force, and is repeated at once when the registry's read fails; messages between daemons grow rarer with their number; the fixed part of the repeats is divided by the daemons that are known. Ruled out: one reader for each data centre that passes records on; it would need an owner and a way back when it dies.

--- a/packages/core/src/retry/budget.ts
+++ b/packages/core/src/retry/budget.ts
@@ -5,7 +5,7 @@
     /** Further attempts for each first attempt, over the window. */
     readonly ratio?: number;
     /** Further attempts a second that are always allowed, so that a quiet daemon can retry. */
-    readonly minimumPerSecond?: number;
+    readonly minimumPerSecond?: number | (() => number);
     readonly windowMilliseconds?: number;
 }
 
@@ -36,6 +36,7 @@
     { ratio = 0.1, minimumPerSecond = 0.5, windowMilliseconds = 10_000 }: RetryBudgetOptions = {},
 ): RetryBudget {
     const slotMilliseconds = windowMilliseconds / SLOTS;
+    const minimum = (): number => typeof minimumPerSecond === "number" ? minimumPerSecond : minimumPerSecond();
     let slots: Slot[] = [];
 
     const slotAt = (now: number): Slot => {
@@ -53,7 +54,7 @@
         slotAt(now);
         const first = slots.reduce((sum, slot) => sum + slot.first, 0);
         const further = slots.reduce((sum, slot) => sum + slot.further, 0);
-        return first * ratio + minimumPerSecond * windowMilliseconds / 1_000 - further;
+        return first * ratio + minimum() * windowMilliseconds / 1_000 - further;
     };
 
     return {
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -9,13 +9,16 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
+import { tellingRounds } from "../relay/pace.js";
 import type { ToldMembership } from "../relay/state.js";
+import type { DaemonList } from "./daemonlist.js";
 
 /** What the exchange works with. */
 export interface LoadExchangeParts {
     readonly clock: Clock;
     readonly log: EventLog;
     readonly self: DaemonPresence;
+    readonly daemons: DaemonList;
     /** Port at which every daemon receives. */
     readonly port: number;
     readonly board: LoadBoard;
@@ -24,12 +27,14 @@
     readonly onSuspicion: (head: string, daemon: string) => void;
     /** Another daemon learned a membership from the engine itself. */
     readonly onMembership: (told: ToldMembership) => void;
+    /** Version of the configuration in force here, 0 if none is. */
+    readonly configurationVersion: () => number;
+    /** Another daemon has a newer configuration in force. */
+    readonly onNewerConfiguration: () => void;
 }
 
 /** A running exchange. */
 export interface LoadExchange {
-    /** Replaces the daemons to which messages go. */
-    setPeers(peers: readonly DaemonPresence[]): void;
     /** Tells all daemons at once that a head makes no progress. */
     suspect(head: string): void;
     /** Tells all daemons a membership that an engine reported. */
@@ -39,6 +44,7 @@
 
 const messageSchema = z.object({
     daemon: z.string(),
+    configurationVersion: z.number(),
     loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
     suspects: z.array(z.string()),
     memberships: z.array(z.object({
@@ -57,16 +63,13 @@
 type LoadMessage = z.infer<typeof messageSchema>;
 
 const TELL_INTERVAL_MILLISECONDS = 150;
-/** Daemons of other data centres get every second message. */
-const REMOTE_EVERY = 2;
 /** Without changes, a message is still sent this often, so that others know that this daemon lives. */
 const IDLE_TELL_MILLISECONDS = 900;
 
 /** Starts the exchange. */
 export function startLoadExchange(parts: LoadExchangeParts): LoadExchange {
-    const { clock, log, self, board, peerLoads } = parts;
+    const { clock, log, self, daemons, board, peerLoads } = parts;
     const socket: Socket = createSocket("udp4");
-    let peers: readonly DaemonPresence[] = [];
     let round = 0;
     let lastTold = "";
     let lastToldAt = Number.NEGATIVE_INFINITY;
@@ -84,15 +87,20 @@
             return;
         }
         const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
-        const all = round % REMOTE_EVERY === 0;
+        const { near, far } = tellingRounds(daemons.count());
+        const peers = daemons.others();
+        const all = round % far === 0;
         if (all) {
             lastTold = text;
             lastToldAt = now;
         }
-        send(message, all ? peers : peers.filter(isLocal));
+        if (all || round % near === 0) {
+            send(message, all ? peers : peers.filter(isLocal));
+        }
     };
     const describe = (news: Partial<Pick<LoadMessage, "suspects" | "memberships">>): LoadMessage => ({
         daemon: self.daemon,
+        configurationVersion: parts.configurationVersion(),
         loads: board.targets().flatMap(target => {
             const load = board.of(target);
             return load === undefined || load.inProgress === 0
@@ -109,11 +117,14 @@
             log.emit("peerMessageRefused", { reason: parsed.error.message });
             return;
         }
-        const { daemon, loads, suspects, memberships } = parsed.data;
+        const { daemon, configurationVersion, loads, suspects, memberships } = parsed.data;
         const told = loads.map(([target, inProgress, unreadTokens]) => ({ target, inProgress, unreadTokens }));
         peerLoads.tell(daemon, told, clock.monotonic());
         suspects.forEach(head => parts.onSuspicion(head, daemon));
         memberships.forEach(parts.onMembership);
+        if (configurationVersion > parts.configurationVersion()) {
+            parts.onNewerConfiguration();
+        }
     };
 
     socket.on("message", receive);
@@ -121,11 +132,8 @@
     socket.bind(parts.port, self.ip);
     const timer = setInterval(tell, TELL_INTERVAL_MILLISECONDS);
     return {
-        setPeers: next => {
-            peers = next.filter(peer => peer.daemon !== self.daemon);
-        },
-        suspect: head => send(describe({ suspects: [head] }), peers),
-        tellMembership: told => send(describe({ memberships: [told] }), peers),
+        suspect: head => send(describe({ suspects: [head] }), daemons.others()),
+        tellMembership: told => send(describe({ memberships: [told] }), daemons.others()),
         stop: () => {
             clearInterval(timer);
             socket.close();
--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -54,8 +54,8 @@
         topic,
         log,
         random,
-        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
-        pauseMilliseconds: FOLLOW_PAUSE_MILLISECONDS,
+        waitMilliseconds: () => FOLLOW_WAIT_MILLISECONDS,
+        pauseMilliseconds: () => FOLLOW_PAUSE_MILLISECONDS,
         replace: changes => {
             peers.clear();
             apply(changes);
--- a/packages/daemon/src/ports/registry.ts
+++ b/packages/daemon/src/ports/registry.ts
@@ -30,7 +30,7 @@
     /** All keys with their newest values. */
     newest(): Promise<TopicPage<Value>>;
     /** Changes from an offset on, as soon as there are any; `undefined` if they are no longer kept. */
-    after(offset: number, waitMilliseconds: number): Promise<TopicPage<Value> | undefined>;
+    after(offset: number, waitMilliseconds: number, signal?: AbortSignal): Promise<TopicPage<Value> | undefined>;
 }
 
 /** Registered targets by id. */
--- a/packages/daemon/src/relay/budgets.ts
+++ b/packages/daemon/src/relay/budgets.ts
@@ -19,17 +19,23 @@
 
 /** Share of the allowed ratio that daemons use, as their windows are not aligned with the platform's. */
 const RATIO_SHARE = 0.7;
-/** Daemons among which the fixed number of repeats is divided. */
-const SLACK_SHARES = 12;
+/** Fewest daemons among which the fixed number of repeats is divided. */
+const MINIMUM_SLACK_SHARES = 12;
+/** Shares for each daemon that is known, so that some may come before all have heard of them. */
+const SLACK_SHARES_PER_DAEMON = 1.25;
 
-/** Makes the budgets. */
-export function createServiceBudgets({ ratio, slack, windowMilliseconds }: RepeatAllowance): ServiceBudgets {
+/** Makes the budgets of one of `daemons` daemons. */
+export function createServiceBudgets(
+    { ratio, slack, windowMilliseconds }: RepeatAllowance,
+    daemons: () => number,
+): ServiceBudgets {
+    const slackShares = (): number => Math.max(MINIMUM_SLACK_SHARES, daemons() * SLACK_SHARES_PER_DAEMON);
     const budgets = new Map<string, RetryBudget>();
     return {
         of: service => {
             const budget = budgets.get(service) ?? createRetryBudget({
                 ratio: ratio * RATIO_SHARE,
-                minimumPerSecond: slack / SLACK_SHARES * 1_000 / windowMilliseconds,
+                minimumPerSecond: () => slack / slackShares() * 1_000 / windowMilliseconds,
                 windowMilliseconds,
             });
             budgets.set(service, budget);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -12,6 +12,7 @@
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
+import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
 import type { Clock } from "../ports/clock.js";
@@ -20,11 +21,12 @@
 import type { PresenceTopic } from "../ports/presence.js";
 import type { ConfigurationTopic, PartitionGroup, TargetTopic, TopicChange } from "../ports/registry.js";
 import type { RelayProtocol } from "../ports/relayprotocol.js";
-import { followTopic } from "../tasks/followtopic.js";
+import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import { createServiceBudgets, type RepeatAllowance, type ServiceBudgets } from "./budgets.js";
 import { startListeners } from "./lifecycle.js";
 import { measureEvents, type Measurements } from "./measure.js";
+import { targetsPauseMilliseconds } from "./pace.js";
 import { createRelay, type Relay } from "./relay.js";
 import { startStallWatch } from "./stallwatch.js";
 import { createRelayState, type RelayState } from "./state.js";
@@ -40,6 +42,10 @@
     readonly callerListen: string;
     readonly readinessListen: string;
     readonly shutdownMilliseconds: number;
+    /** How soon after the notice of its leaving a target must get no requests. */
+    readonly drainNoticeMilliseconds: number;
+    /** How soon after its publication a configuration must be in force. */
+    readonly configurationMilliseconds: number;
     /** `IP:PORT` at which metrics are served, if they are. */
     readonly metricsListen?: string;
     readonly repeats: RepeatAllowance;
@@ -62,14 +68,19 @@
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon plans on while the store does not answer, where engines refuse the orders of old owners. */
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
+/** Hosts write to the registry all the time, so that a read seldom waits, and a silent connection is noticed soon. */
+const TARGETS_WAIT_MILLISECONDS = 900;
+const CONFIGURATION_PAUSE_MILLISECONDS = 50;
 /**
- * A version must be in force within two seconds also if the connection of a waiting read goes silent, which is noticed
- * only after the wait.
+ * While other daemons are heard, they tell of a newer configuration if the connection of the waiting read is silent. If
+ * the store is silent for all of them, their reads of the registry end, which ends this one.
  */
-const FOLLOW_WAIT_MILLISECONDS = 900;
-const CONFIGURATION_PAUSE_MILLISECONDS = 50;
-/** Hosts write to the registry some fifty times a second; their changes are read together. */
-const TARGETS_PAUSE_MILLISECONDS = 400;
+const CONFIGURATION_WAIT_MILLISECONDS = 8_000;
+/**
+ * Otherwise a silent connection is noticed only after the wait, which is therefore shorter by this than the time in which
+ * a configuration must be in force: the overrun of the read, the wait before the next one, and its answer.
+ */
+const CONFIGURATION_RESERVE_MILLISECONDS = 1_100;
 const DEFAULT_PEER_PORT = 7_340;
 const CONNECTIONS_PER_TARGET = 40;
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
@@ -94,6 +105,7 @@
     readonly board: LoadBoard;
     readonly peerLoads: PeerLoads;
     readonly budgets: ServiceBudgets;
+    readonly daemons: DaemonList;
 }
 
 /** Starts the daemon; resolves when it listens. It ends the process after SIGTERM. */
@@ -106,8 +118,8 @@
         await measurements.serve(settings.metricsListen);
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
-    followStore(base);
-    const { planner, lease } = wirePlanning(base, relay);
+    const configuration = followStore(base);
+    const { planner, lease } = wirePlanning(base, relay, configuration);
     const listeners = await listening;
     process.once("SIGTERM", () => {
         planner.stop();
@@ -138,6 +150,7 @@
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
     });
+    const daemons = createDaemonList(settings.daemon);
     const base: Base = {
         settings,
         ports,
@@ -147,7 +160,8 @@
         state,
         board: createLoadBoard(),
         peerLoads: createPeerLoads(),
-        budgets: createServiceBudgets(settings.repeats),
+        budgets: createServiceBudgets(settings.repeats, daemons.count),
+        daemons,
     };
     return { base, measurements };
 }
@@ -170,19 +184,22 @@
     });
 }
 
-function followStore({ ports, log, random, state }: Base): void {
+/** Follows the configuration and the targets; returns the follower of the configuration. */
+function followStore({ settings, ports, clock, log, random, state, peerLoads, daemons }: Base): TopicFollower {
+    const shortWait = Math.max(0, settings.configurationMilliseconds - CONFIGURATION_RESERVE_MILLISECONDS);
+    const hearsOthers = (): boolean => peerLoads.peers(clock.monotonic()).length > 0;
     const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
         changes.forEach(({ value }) => {
             if (value !== undefined && state.applyConfiguration(value)) {
                 log.emit("configurationApplied", { configurationVersion: value.version });
             }
         });
-    followTopic({
+    const configuration = followTopic({
         topic: ports.configuration(log),
         log,
         random,
-        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
-        pauseMilliseconds: CONFIGURATION_PAUSE_MILLISECONDS,
+        waitMilliseconds: () => hearsOthers() ? CONFIGURATION_WAIT_MILLISECONDS : shortWait,
+        pauseMilliseconds: () => CONFIGURATION_PAUSE_MILLISECONDS,
         replace: applyConfigurations,
         apply: applyConfigurations,
     });
@@ -190,15 +207,22 @@
         topic: ports.targets(log),
         log,
         random,
-        waitMilliseconds: FOLLOW_WAIT_MILLISECONDS,
-        pauseMilliseconds: TARGETS_PAUSE_MILLISECONDS,
+        waitMilliseconds: () => TARGETS_WAIT_MILLISECONDS,
+        pauseMilliseconds: () => targetsPauseMilliseconds(daemons.count(), settings.drainNoticeMilliseconds),
+        // A waiting read of the configuration on the same network is then probably silent, too.
+        onLost: () => configuration.refresh(),
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
         apply: changes => state.applyTargets(changes),
     });
+    return configuration;
 }
 
-function wirePlanning(base: Base, relay: Relay): { readonly planner: EnginePlanner; readonly lease: PartitionLease; } {
-    const { settings, ports, clock, log, random, state, board, peerLoads, budgets } = base;
+function wirePlanning(
+    base: Base,
+    relay: Relay,
+    configuration: TopicFollower,
+): { readonly planner: EnginePlanner; readonly lease: PartitionLease; } {
+    const { settings, ports, clock, log, random, state, board, peerLoads, budgets, daemons } = base;
     const lease = startPartitionLease({
         group: ports.partitions,
         clock,
@@ -212,10 +236,13 @@
         clock,
         log,
         self,
+        daemons,
         port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
         board,
         peerLoads,
         onMembership: told => state.applyMembership(told),
+        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
+        onNewerConfiguration: () => configuration.refresh(),
         onSuspicion: (head, daemon) => {
             planner.suspect(head);
             const agreed = suspicions.note(head, daemon, clock.monotonic());
@@ -237,7 +264,7 @@
             exchange.tellMembership(told);
         },
     });
-    startPresence({ topic: ports.presence(log), self, log, random, setPeers: exchange.setPeers });
+    startPresence({ topic: ports.presence(log), self, log, random, setPeers: daemons.replace });
     startStallWatch({
         clock,
         log,
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -34,15 +34,18 @@
                     calls.push("newest");
                     return await next() ?? { changes: [], nextOffset: 0 };
                 },
-                after: (offset, wait) => {
+                after: (offset, wait, signal) => {
                     calls.push(`after ${offset} wait ${wait}`);
-                    return next();
+                    const aborted = new Promise<never>((...[, reject]) =>
+                        signal?.addEventListener("abort", () => reject(new StoreError("unanswered", "aborted")))
+                    );
+                    return Promise.race([next(), aborted]);
                 },
             },
             log: { emit: () => undefined },
             random: () => 0,
-            waitMilliseconds: 2_500,
-            pauseMilliseconds: 10,
+            waitMilliseconds: () => 2_500,
+            pauseMilliseconds: () => 10,
             replace: changes => void seen.push(`all ${changes.map(({ key, value }) => `${key}=${value}`).join()}`),
             apply: changes => void seen.push(changes.map(({ key, value }) => `${key}=${value}`).join()),
         });
@@ -80,4 +83,13 @@
             "after 6 wait 2500",
         ]);
     });
+
+    it("reads at once in place of a read that waits on a silent connection when it is told of a change", async () => {
+        start([{ changes: [], nextOffset: 5 }]);
+        await clock.tickAsync(100);
+        follower.refresh();
+        follower.refresh();
+        await clock.tickAsync(5);
+        expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 5 wait 0"]);
+    });
 });
