--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -101,12 +101,7 @@
     const describe = (news: Partial<Pick<LoadMessage, "suspects" | "memberships">>): LoadMessage => ({
         daemon: self.daemon,
         configurationVersion: parts.configurationVersion(),
-        loads: board.targets().flatMap(target => {
-            const load = board.of(target);
-            return load === undefined || load.inProgress === 0
-                ? []
-                : [[target, load.inProgress, load.unreadTokens] as [string, number, number]];
-        }),
+        loads: describeLoads(board),
         suspects: [],
         memberships: [],
         ...news,
@@ -141,6 +136,16 @@
     };
 }
 
+/** Requests in progress and prompt tokens to be read, for each target that has any. */
+function describeLoads(board: LoadBoard): LoadMessage["loads"] {
+    return board.targets().flatMap(target => {
+        const load = board.of(target);
+        return load === undefined || load.inProgress === 0
+            ? []
+            : [[target, load.inProgress, load.unreadTokens] satisfies [string, number, number]];
+    });
+}
+
 function safeUnpack(bytes: Buffer): unknown {
     try {
         return unpack(bytes);
