Form groups for the work that callers ask for

Cause: the mix of groups followed the shares of the configuration. Change: each daemon counts the work of the requests that it gets, by model, served or not; the planner takes this in place of the shares once it has seen some. Tests: demand.test.ts.

--- /dev/null
+++ b/packages/core/src/engines/tests/demand.test.ts
@@ -0,0 +1,74 @@
+/** Groups are formed for the work that callers bring, not for the shares that were configured before. */
+import { expect } from "chai";
+import type { EngineProfile, ModelProfile } from "../../routes/types.js";
+import { createDemandMeter, groupWork } from "../demand.js";
+import { chooseMix } from "../mix.js";
+
+const model = (name: string, size: number, pace = 1): ModelProfile => ({
+    name,
+    size,
+    pace,
+    share: 0.5,
+    loadMilliseconds: 16_000,
+    warmMilliseconds: 1_600,
+});
+const models = [model("large", 12), model("small", 6, 0.6)];
+const engine: EngineProfile = {
+    slots: 34,
+    cacheTokens: 1_700_000,
+    stepsPerPass: 5,
+    models,
+    stepMilliseconds: 6.45,
+    stepMillisecondsPerSequence: 0.0967,
+    stepMillisecondsPerThousandContextTokens: 0.003,
+    readTokensPerSecond: 56_100,
+    readMillisecondsPerMillionPairs: 0.309,
+    readChunkTokens: 2_048,
+    usualPromptTokens: 1_000,
+    usualAnswerTokens: 150,
+    loadsPerSecond: 14,
+    concurrentLoads: 20,
+    openMilliseconds: 300,
+};
+
+describe("demand by model", () => {
+    it("is the configured share before any request", () => {
+        expect([...createDemandMeter().of(models, 0).values()].map(value => value / 10)).to.deep.equal([0.5, 0.5]);
+    });
+
+    it("follows the requests, and forgets them when they end", () => {
+        const meter = createDemandMeter();
+        Array.from({ length: 400 }, (...[, index]) => meter.note("small", 10, index * 20));
+        const [large = 0, small = 0] = meter.of(models, 8_000).values();
+        expect(small / large).to.be.greaterThan(20);
+        const [laterLarge = 0, laterSmall = 0] = meter.of(models, 80_000).values();
+        expect(laterSmall / laterLarge).to.be.lessThan(1.2);
+    });
+
+    it("counts reading and writing: a long prompt with a short answer is work, too", () => {
+        const [large] = models;
+        if (large === undefined) {
+            throw new Error("There is no model.");
+        }
+        const check = groupWork(engine, large, { prompt: 2_000, answer: 24 });
+        const draft = groupWork(engine, large, { prompt: 1_460, answer: 150 });
+        expect([check > 30, draft > check]).to.deep.equal([true, true]);
+    });
+
+    it("forms more groups of the model that most callers ask for", () => {
+        const meter = createDemandMeter();
+        // A second of a heavy day: 58 requests for the large model, 220 for the small one.
+        models.forEach((profile, index) =>
+            Array.from(
+                { length: index === 0 ? 58 : 220 },
+                () => meter.note(profile.name, groupWork(engine, profile, { prompt: 900, answer: 140 }), 0),
+            )
+        );
+        const demand = meter.of(models, 0);
+        const mix = chooseMix(
+            models.map(profile => ({ profile, demand: demand.get(profile.name) ?? 0, groups: 6 })),
+            24,
+        );
+        expect([mix.get("large"), mix.get("small")]).to.deep.equal([0, 4]);
+    });
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./claims/fold.js";
 export * from "./claims/state.js";
 export * from "./control/messages.js";
+export * from "./engines/demand.js";
 export * from "./engines/groups.js";
 export * from "./engines/orders.js";
 export * from "./engines/planinput.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -1,6 +1,7 @@
 /** Plans the groups of the domains that this daemon owns, gives the orders and reads back their effect. */
 import {
     createDomainPlanner,
+    type DemandMeter,
     type DomainPlanner,
     type EngineHost,
     type EngineOrder,
@@ -30,6 +31,8 @@
     readonly engines: EngineControl;
     /** Whether requests have been seen; loads before the first one are not limited. */
     readonly trafficSeen: () => boolean;
+    /** Meter of the work that callers ask of a service. */
+    readonly demandOf: (service: string) => DemandMeter;
     /** Receives memberships that an engine reported and that the registry does not show yet. */
     readonly onMembership: (told: ToldMembership) => void;
 }
@@ -123,7 +126,7 @@
     }
 
     private planDomain(domain: string, service: Service, engine: EngineProfile, share: PartitionShare): void {
-        const { clock, state, partitionCount, trafficSeen } = this.parts;
+        const { clock, state, partitionCount, trafficSeen, demandOf } = this.parts;
         const now = clock.monotonic();
         const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
         targets.filter(target => this.records.needsReport(target, now)).forEach(target =>
@@ -140,7 +143,7 @@
             hosts,
             models: engine.models,
             groupsByModel: countGroups(state, service.name),
-            demandByModel: new Map(),
+            demandByModel: demandOf(service.name).of(engine.models, now),
             loadsAllowed: trafficSeen() ? this.loads.available(loadsPerSecond, now) : Number.POSITIVE_INFINITY,
             fencingToken: share.fencingToken,
             nextEpoch: this.nextEpoch(share),
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -1,5 +1,5 @@
 /** Asks the placement for a group, with what this daemon knows of the groups that serve the model. */
-import { type EngineGroup, type Placement, type PlacementCandidate, placeRequest } from "@damaskvale/core";
+import { type EngineGroup, groupWork, type Placement, type PlacementCandidate, placeRequest } from "@damaskvale/core";
 import type { RelayParts, RequestContext } from "./context.js";
 
 /** Wait of a caller whose request every group refused. */
@@ -24,6 +24,17 @@
     });
 }
 
+/** Counts the work of a request towards the demand for its model, whether it can be served or not. */
+export function noteDemand({ request, service, lookup }: RequestContext, { clock, demandOf }: RelayParts): void {
+    const engine = lookup.serviceOf(service)?.engine;
+    const model = engine?.models.find(profile => profile.name === request.model);
+    if (engine !== undefined && model !== undefined) {
+        const answer = request.expectedAnswerTokens ?? engine.usualAnswerTokens;
+        const work = groupWork(engine, model, { prompt: request.promptTokens, answer });
+        demandOf(service).note(model.name, work, clock.monotonic());
+    }
+}
+
 /** Groups that were weighed, for the log: head, requests in progress, and whether it makes no progress. */
 export function weighedGroups(context: RequestContext, parts: RelayParts): readonly string[] {
     return candidatesOf(context, parts)
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -3,7 +3,7 @@
 import { writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
-import { placeStream, REFUSED_RETRY_MILLISECONDS, weighedGroups } from "./streamplacement.js";
+import { noteDemand, placeStream, REFUSED_RETRY_MILLISECONDS, weighedGroups } from "./streamplacement.js";
 import type { TargetExchange } from "./targetconnections.js";
 
 /** A stream in progress, as the watch over stalled targets sees it. */
@@ -67,6 +67,7 @@
 
     start(): void {
         this.parts.budgetOf(this.context.service).noteFirst(this.parts.clock.monotonic());
+        noteDemand(this.context, this.parts);
         this.sendOrGiveUp();
     }
 
--- a/packages/daemon/src/relay/tests/scene.ts
+++ b/packages/daemon/src/relay/tests/scene.ts
@@ -1,6 +1,7 @@
 /** Fakes for tests of the relay: connections whose answers the test gives, and a caller that records what it gets. */
 import {
     admitRoute,
+    createDemandMeter,
     createLoadBoard,
     createRetryBudget,
     createRouteLookup,
@@ -122,6 +123,7 @@
     }
     const sends: FakeSend[] = [];
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
+    const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.repeats ?? 5) / 10 });
     const { caller, response } = createCaller();
     return {
@@ -150,6 +152,7 @@
             board: createLoadBoard(),
             dataCentre: "x",
             loadOfOthers: () => ({ inProgress: 0, unreadTokens: 0 }),
+            demandOf: () => demand,
             budgetOf: () => budget,
             random: () => 0,
         },
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,8 +1,10 @@
 /** Wires the relay, the followers and the engine planner into a daemon behind a platform's ports. */
 import {
+    createDemandMeter,
     createLoadBoard,
     createPeerLoads,
     createSuspicions,
+    type DemandMeter,
     type LoadBoard,
     type PeerLoads,
     type RelayConfiguration,
@@ -105,6 +107,7 @@
     readonly board: LoadBoard;
     readonly peerLoads: PeerLoads;
     readonly budgets: ServiceBudgets;
+    readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
 }
 
@@ -161,12 +164,23 @@
         board: createLoadBoard(),
         peerLoads: createPeerLoads(),
         budgets: createServiceBudgets(settings.repeats, daemons.count),
+        demandOf: createDemandMeters(),
         daemons,
     };
     return { base, measurements };
 }
 
-function wireRelay({ settings, ports, clock, log, random, state, board, peerLoads, budgets }: Base): Relay {
+function createDemandMeters(): (service: string) => DemandMeter {
+    const meters = new Map<string, DemandMeter>();
+    return service => {
+        const meter = meters.get(service) ?? createDemandMeter();
+        meters.set(service, meter);
+        return meter;
+    };
+}
+
+function wireRelay(base: Base): Relay {
+    const { settings, ports, clock, log, random, state, board, peerLoads, budgets, demandOf } = base;
     return createRelay({
         clock,
         log,
@@ -179,6 +193,7 @@
         board,
         dataCentre: settings.dataCentre,
         loadOfOthers: target => peerLoads.of(target, clock.monotonic()),
+        demandOf,
         budgetOf: budgets.of,
         random,
     });
@@ -259,6 +274,7 @@
         partitionCount: ports.partitions.partitionCount,
         engines: ports.engines(log),
         trafficSeen: budgets.used,
+        demandOf: base.demandOf,
         onMembership: told => {
             state.applyMembership(told);
             exchange.tellMembership(told);
