--- a/packages/core/src/engines/demand.ts
+++ b/packages/core/src/engines/demand.ts
@@ -49,9 +49,11 @@
             forget(now);
             const total = models.reduce((sum, { name }) => sum + (work.get(name) ?? 0), 0);
             const usual = requests === 0 || total === 0 ? 1 : total / requests;
-            return new Map(
-                models.map(({ name, share }) => [name, (work.get(name) ?? 0) + share * PRIOR_REQUESTS * usual]),
-            );
+            // The configured shares are shares of the hosts, while demand is met by groups.
+            const groupShares = models.reduce((sum, { share, size }) => sum + share / size, 0);
+            const prior = ({ share, size }: ModelProfile): number =>
+                PRIOR_REQUESTS * usual * share / size / groupShares;
+            return new Map(models.map(model => [model.name, (work.get(model.name) ?? 0) + prior(model)]));
         },
     };
 }
--- a/packages/core/src/engines/mix.ts
+++ b/packages/core/src/engines/mix.ts
@@ -8,21 +8,56 @@
     readonly demand: number;
     /** Groups that the model has elsewhere. */
     readonly groups: number;
+    /** Free hosts that hold its weights. */
+    readonly holders: number;
+}
+
+/** Hosts that can form groups. */
+export interface FreeHosts {
+    readonly count: number;
+    /** Hosts of these that hold no weights. */
+    readonly empty: number;
+    /** Loads from the weight store that may start now. */
+    readonly loadsAllowed: number;
 }
 
 /**
  * Chooses how many new groups to form of each model. The load of a group is the demand of its model over the number
- * of its groups; the choice minimises the sum of demand times load. Of equal choices, the one with fewer idle hosts.
+ * of its groups; the choice minimises the sum of demand times load. A group whose members hold other weights must gain
+ * more than one that can serve at once. Of equal choices, the one with fewer idle hosts.
  */
-export function chooseMix(demands: readonly ModelDemand[], freeHosts: number): ReadonlyMap<string, number> {
-    const best = combinations(demands, freeHosts)
-        .map(counts => ({ counts, cost: costOf(demands, counts), idle: freeHosts - hostsOf(demands, counts) }))
+export function chooseMix(demands: readonly ModelDemand[], free: FreeHosts): ReadonlyMap<string, number> {
+    const best = combinations(demands, free.count)
+        .filter(counts => loadsOf(demands, counts) <= free.loadsAllowed)
+        .map(counts => ({
+            counts,
+            cost: costOf(demands, counts) * (1 + RELOAD_COST * reloadedGroups(demands, counts, free)),
+            idle: free.count - hostsOf(demands, counts),
+        }))
         .reduce((left, right) =>
             right.cost < left.cost || (right.cost === left.cost && right.idle < left.idle) ? right : left
         );
     return new Map(demands.map(({ profile }, index) => [profile.name, best.counts[index] ?? 0]));
 }
 
+/** Cost of a group whose members drop the weights that they hold, as a share of the cost of all load. */
+const RELOAD_COST = 0.02;
+
+/** Hosts that must load the weights of the model of their group. */
+function loadsOf(demands: readonly ModelDemand[], counts: readonly number[]): number {
+    return demands.reduce(
+        (sum, { profile, holders }, index) => sum + Math.max(0, profile.size * (counts[index] ?? 0) - holders),
+        0,
+    );
+}
+
+/** Groups that cannot be formed without hosts that hold the weights of another model. */
+function reloadedGroups(demands: readonly ModelDemand[], counts: readonly number[], { empty }: FreeHosts): number {
+    const reloading = Math.max(0, loadsOf(demands, counts) - empty);
+    const smallest = Math.min(...demands.map(({ profile }) => profile.size));
+    return Math.ceil(reloading / smallest);
+}
+
 /** A model without any group must not be left so; a group that cannot be reached costs more than any load. */
 const NO_GROUP_COST = 1_000;
 
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -84,10 +84,15 @@
     const mix = chooseMix(
         input.models.map(profile => ({
             profile,
-            demand: input.demandByModel.get(profile.name) ?? profile.share,
+            demand: input.demandByModel.get(profile.name) ?? profile.share / profile.size,
             groups: input.groupsByModel.get(profile.name) ?? 0,
+            holders: free.filter(({ stagedModels }) => stagedModels.includes(profile.name)).length,
         })),
-        free.length,
+        {
+            count: free.length,
+            empty: free.filter(({ stagedModels }) => stagedModels.length === 0).length,
+            loadsAllowed: Math.max(0, input.loadsAllowed),
+        },
     );
     const wanted = [...input.models].sort((left, right) => right.size - left.size)
         .flatMap(profile => Array.from({ length: mix.get(profile.name) ?? 0 }, () => profile));
--- a/packages/core/src/engines/tests/demand.test.ts
+++ b/packages/core/src/engines/tests/demand.test.ts
@@ -32,8 +32,9 @@
 };
 
 describe("demand by model", () => {
-    it("is the configured share before any request", () => {
-        expect([...createDemandMeter().of(models, 0).values()].map(value => value / 10)).to.deep.equal([0.5, 0.5]);
+    it("is the configured share of the hosts, counted in groups, before any request", () => {
+        const [large = 0, small = 0] = createDemandMeter().of(models, 0).values();
+        expect(small / large).to.be.closeTo(2, 0.001);
     });
 
     it("follows the requests, and forgets them when they end", () => {
@@ -42,7 +43,7 @@
         const [large = 0, small = 0] = meter.of(models, 8_000).values();
         expect(small / large).to.be.greaterThan(20);
         const [laterLarge = 0, laterSmall = 0] = meter.of(models, 80_000).values();
-        expect(laterSmall / laterLarge).to.be.lessThan(1.2);
+        expect(laterSmall / laterLarge).to.be.closeTo(2, 0.2);
     });
 
     it("counts reading and writing: a long prompt with a short answer is work, too", () => {
@@ -66,8 +67,8 @@
         );
         const demand = meter.of(models, 0);
         const mix = chooseMix(
-            models.map(profile => ({ profile, demand: demand.get(profile.name) ?? 0, groups: 6 })),
-            24,
+            models.map(profile => ({ profile, demand: demand.get(profile.name) ?? 0, groups: 6, holders: 0 })),
+            { count: 24, empty: 24, loadsAllowed: 24 },
         );
         expect([mix.get("large"), mix.get("small")]).to.deep.equal([0, 4]);
     });
--- a/packages/core/src/engines/tests/mix.test.ts
+++ b/packages/core/src/engines/tests/mix.test.ts
@@ -1,7 +1,7 @@
 /** The mix of groups serves all models, by demand, and leaves few hosts idle. */
 import { expect } from "chai";
 import type { ModelProfile } from "../../routes/types.js";
-import { chooseMix } from "../mix.js";
+import { chooseMix, type ModelDemand } from "../mix.js";
 
 const profile = (name: string, size: number): ModelProfile => ({
     name,
@@ -11,12 +11,26 @@
     loadMilliseconds: 1,
     warmMilliseconds: 1,
 });
-const demands = (large: number, small: number, groups: readonly [number, number] = [0, 0]) => [
-    { profile: profile("large", 6), demand: large, groups: groups[0] },
-    { profile: profile("small", 3), demand: small, groups: groups[1] },
+const demands = (
+    large: number,
+    small: number,
+    groups: readonly [number, number] = [0, 0],
+    holders: readonly [number, number] = [0, 0],
+) => [
+    { profile: profile("large", 6), demand: large, groups: groups[0], holders: holders[0] },
+    { profile: profile("small", 3), demand: small, groups: groups[1], holders: holders[1] },
 ];
 
-const cases = [
+interface Case {
+    readonly guards: string;
+    readonly demand: readonly ModelDemand[];
+    readonly hosts: number;
+    readonly empty?: number;
+    readonly loads?: number;
+    readonly mix: readonly [number, number];
+}
+
+const cases: readonly Case[] = [
     { guards: "a model is left without a group", demand: demands(0.67, 0.33), hosts: 11, mix: [1, 1] },
     {
         guards: "a small group takes the hosts of a large one",
@@ -26,13 +40,35 @@
     },
     { guards: "hosts stay idle that could form a group", demand: demands(0.67, 0.33, [5, 6]), hosts: 5, mix: [0, 1] },
     { guards: "groups are formed of too few hosts", demand: demands(0.67, 0.33), hosts: 2, mix: [0, 0] },
+    {
+        guards: "hosts drop the weights of a lost group for a mix that is little better",
+        demand: demands(0.5, 0.5, [6, 7], [6, 0]),
+        hosts: 6,
+        empty: 0,
+        mix: [1, 0],
+    },
+    {
+        guards: "nothing is formed because the best mix needs more loads than are allowed",
+        demand: demands(0.1, 0.9, [6, 2], [6, 0]),
+        hosts: 8,
+        empty: 2,
+        loads: 2,
+        mix: [1, 0],
+    },
+    {
+        guards: "hosts keep weights that nobody asks for",
+        demand: demands(0.1, 0.9, [6, 2], [6, 0]),
+        hosts: 6,
+        empty: 0,
+        mix: [0, 2],
+    },
     { guards: "a model with little demand gets most groups", demand: demands(0.1, 0.9, [2, 1]), hosts: 6, mix: [0, 2] },
 ];
 
 describe("chooseMix", () => {
-    cases.forEach(({ guards, demand, hosts, mix }) => {
+    cases.forEach(({ guards, demand, hosts, empty = hosts, loads = hosts, mix }) => {
         it(`guards against: ${guards}`, () => {
-            const chosen = chooseMix(demand, hosts);
+            const chosen = chooseMix(demand, { count: hosts, empty, loadsAllowed: loads });
             expect([chosen.get("large"), chosen.get("small")]).to.deep.equal(mix);
         });
     });
--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -22,12 +22,10 @@
     /** Data centre of this daemon. */
     readonly dataCentre: string;
     readonly promptTokens: number;
-    /** Time left until the first event is expected, in milliseconds. */
-    readonly objectiveMilliseconds: number;
     /** Time left until the request is given up, in milliseconds. */
     readonly remainingMilliseconds: number;
-    /** Random number from 0 to below 1, to spread equal choices. */
-    readonly draw: number;
+    /** Random numbers from 0 to below 1. */
+    readonly random: () => number;
 }
 
 /** Result: the chosen head with the time until its first event, or why there is none. */
@@ -39,14 +37,17 @@
         readonly retryAfterMilliseconds: number;
     };
 
-/** Extra cost of a group in another data centre, as a share of its slots. */
-const REMOTE_COST = 0.12;
+/** Weight of a group in another data centre beside one in this data centre. */
+const REMOTE_WEIGHT = 0.55;
+/** Free places for which a group counts that has less than one, so that it can still be chosen. */
+const MINIMUM_PLACES = 0.5;
 /** How soon a caller may come back when no group serves the model. */
 const NO_GROUP_RETRY_MILLISECONDS = 1_500;
-/** Spread of equal choices, as a share of a group's slots. */
-const SPREAD = 0.03;
-
-/** Places a request at the group where it costs least, if one can begin it in time. */
+/**
+ * Places a request at a group that can begin it in time. Groups are chosen at random in proportion to their free places:
+ * what a daemon knows of the others' requests is old, and if all daemons chose the group that looks best, they would flood
+ * it until they hear of each other again.
+ */
 export function placeRequest(input: PlacementInput): Placement {
     const { candidates, engine } = input;
     const sound = candidates.filter(candidate => !candidate.suspected);
@@ -57,21 +58,31 @@
     if (open.length === 0) {
         return { kind: "refused", reason: "full", retryAfterMilliseconds: slotMilliseconds(input, sound) };
     }
-    const best = open.map(candidate => ({ candidate, cost: costOf(candidate, input) }))
-        .reduce((left, right) => right.cost < left.cost ? right : left).candidate;
-    const firstEventMilliseconds = estimateFirstEvent(input, best);
+    const chosen = drawByWeight(
+        open.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
+        input.random,
+    );
+    const firstEventMilliseconds = estimateFirstEvent(input, chosen);
     return firstEventMilliseconds > input.remainingMilliseconds
         ? { kind: "refused", reason: "too-late", retryAfterMilliseconds: slotMilliseconds(input, sound) }
-        : { kind: "placed", head: best.head, firstEventMilliseconds };
+        : { kind: "placed", head: chosen.head, firstEventMilliseconds };
 }
 
-function costOf(candidate: PlacementCandidate, input: PlacementInput): number {
-    const { engine, dataCentre } = input;
+function weightOf(candidate: PlacementCandidate, { engine, dataCentre }: PlacementInput): number {
     const reading = candidate.unreadTokens / engine.readTokensPerSecond * 1_000 / engine.stepMilliseconds;
-    const remote = candidate.dataCentre === dataCentre ? 0 : REMOTE_COST;
-    const phase = candidate.head.charCodeAt(candidate.head.length - 1) / 128;
-    const spread = (input.draw + phase) % 1 * SPREAD;
-    return (candidate.inProgress + reading) / engine.slots + remote + spread;
+    const places = Math.max(MINIMUM_PLACES, engine.slots - candidate.inProgress - reading);
+    return places * (candidate.dataCentre === dataCentre ? 1 : REMOTE_WEIGHT);
+}
+
+interface Weighted {
+    readonly candidate: PlacementCandidate;
+    readonly weight: number;
+}
+
+/** Draws one of the candidates, of which there is at least one. */
+function drawByWeight(candidates: readonly Weighted[], random: () => number): PlacementCandidate {
+    const waits = candidates.map(({ candidate, weight }) => ({ candidate, wait: -Math.log(1 - random()) / weight }));
+    return waits.reduce((left, right) => right.wait < left.wait ? right : left).candidate;
 }
 
 /** Time of one token step of a group with so many requests, in milliseconds. */
--- /dev/null
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Placing by many daemons that each know late what the others have sent. The model plays the requests for one model of a
+ * heavy day; it guards against all daemons sending to the group that looked best when they were last told.
+ */
+import { expect } from "chai";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { EngineProfile, ModelProfile } from "../../routes/types.js";
+import { placeRequest, readMilliseconds, stepMilliseconds } from "../place.js";
+
+const model: ModelProfile = {
+    name: "small",
+    size: 6,
+    share: 0.5,
+    pace: 0.6,
+    loadMilliseconds: 12_000,
+    warmMilliseconds: 1_100,
+};
+const engine: EngineProfile = {
+    slots: 34,
+    cacheTokens: 1_749_583,
+    stepsPerPass: 5,
+    models: [model],
+    stepMilliseconds: 6.45,
+    stepMillisecondsPerSequence: 0.0967,
+    stepMillisecondsPerThousandContextTokens: 0.00293,
+    readTokensPerSecond: 56_100,
+    readMillisecondsPerMillionPairs: 0.309,
+    readChunkTokens: 2_048,
+    loadsPerSecond: 14,
+    concurrentLoads: 20,
+    openMilliseconds: 300,
+    usualPromptTokens: 714,
+    usualAnswerTokens: 148,
+};
+const DAEMONS = 63;
+const GROUPS = 12;
+const SECONDS = 30;
+const TOLD_EVERY_MILLISECONDS = 600;
+const STEP_MILLISECONDS = 10;
+const PROMPT_TOKENS = 714;
+const ANSWER_TOKENS = 148;
+
+interface Running {
+    readonly daemon: number;
+    remaining: number;
+}
+
+type Choose = (known: readonly number[], random: () => number) => number | undefined;
+
+/** Plays the load of a number of requests a second; returns the share of requests that a daemon sent to a full group or had to refuse. */
+function play(requestsPerSecond: number, choose: Choose): { readonly full: number; readonly refused: number; } {
+    const generator = xoroshiro128plus(7);
+    const draw = (): number => uniformFloat64(generator);
+    const groups: Running[][] = Array.from({ length: GROUPS }, () => []);
+    const countOf = (group: number, daemon: number): number =>
+        (groups[group] ?? []).filter(running => running.daemon === daemon).length;
+    let told: number[][] = [];
+    let requests = 0;
+    let full = 0;
+    let refused = 0;
+    for (let now = 0; now < SECONDS * 1_000; now += STEP_MILLISECONDS) {
+        if (now % TOLD_EVERY_MILLISECONDS === 0) {
+            told = Array.from(
+                { length: DAEMONS },
+                (...[, daemon]) => groups.map((...[, group]) => countOf(group, daemon)),
+            );
+        }
+        groups.forEach((group, index) => {
+            const tokens = STEP_MILLISECONDS / stepMilliseconds(engine, model, group.length);
+            groups[index] = group.filter(running => (running.remaining -= tokens) > 0);
+        });
+        const arrivals = Math.floor((now + STEP_MILLISECONDS) * requestsPerSecond / 1_000)
+            - Math.floor(now * requestsPerSecond / 1_000);
+        for (let arrival = 0; arrival < arrivals; arrival += 1) {
+            const daemon = Math.floor(draw() * DAEMONS);
+            const known = groups.map((...[, group]) =>
+                told.reduce((sum, counts, other) => sum + (other === daemon ? 0 : counts[group] ?? 0), 0)
+                + countOf(group, daemon)
+            );
+            const chosen = choose(known, draw);
+            requests += 1;
+            if (chosen === undefined) {
+                refused += 1;
+                continue;
+            }
+            const group = groups[chosen] ?? [];
+            full += group.length >= engine.slots ? 1 : 0;
+            const reading = readMilliseconds(engine, model, PROMPT_TOKENS)
+                / stepMilliseconds(engine, model, engine.slots / 2);
+            group.push({ daemon, remaining: ANSWER_TOKENS + reading });
+        }
+    }
+    return { full: full / requests, refused: refused / requests };
+}
+
+const place: Choose = (known, random) => {
+    const placement = placeRequest({
+        engine,
+        model,
+        candidates: known.map((inProgress, group) => ({
+            head: `i-${group.toString(16)}`,
+            dataCentre: "a",
+            inProgress,
+            unreadTokens: 0,
+            suspected: false,
+        })),
+        dataCentre: "a",
+        promptTokens: PROMPT_TOKENS,
+        remainingMilliseconds: 6_000,
+        random,
+    });
+    return placement.kind === "placed" ? Number.parseInt(placement.head.slice(2), 16) : undefined;
+};
+
+/** The group with the fewest requests that the daemon knows of, unless all are full. */
+const leastKnown: Choose = known => {
+    const fewest = Math.min(...known);
+    return fewest < engine.slots ? known.indexOf(fewest) : undefined;
+};
+
+describe("placing by a large fleet", () => {
+    const loads: readonly [string, number][] = [["usual", 220], ["heavy", 330]];
+    loads.forEach(([name, requestsPerSecond]) =>
+        it(`sends fewer requests to full groups than a choice of the least loaded one, under ${name} load`, () => {
+            const placed = play(requestsPerSecond, place);
+            const least = play(requestsPerSecond, leastKnown);
+            const figures = JSON.stringify({ placed, least });
+            expect(placed.full + placed.refused, figures).to.be.below((least.full + least.refused) / 2);
+        })
+    );
+
+    it("sends hardly any request to a full group under usual load", () => {
+        const { full, refused } = play(220, place);
+        expect(full + refused).to.be.below(0.01);
+    });
+});
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -35,9 +35,8 @@
     candidates,
     dataCentre: "a",
     promptTokens: 1_000,
-    objectiveMilliseconds: 400,
     remainingMilliseconds: 8_000,
-    draw: 0,
+    random: () => 0.5,
     ...fields,
 });
 
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -38,6 +38,8 @@
 
 /** How long an accepted order may take to show in the registry before the engine is asked. */
 const EFFECT_MILLISECONDS = 600;
+/** An order to open shows only when the group serves. */
+const OPEN_EFFECT_MILLISECONDS = 1_000;
 /** A report is up to this old when it arrives, so that one asked sooner after an order may not show its effect. */
 const REPORT_AGE_MILLISECONDS = 350;
 /** Reports in a row that may stay unanswered before the host counts as unreachable. */
@@ -122,7 +124,7 @@
         record.sequence = record.sequence === undefined ? undefined : record.sequence + 1;
         record.report = left ? { ...known, membership: undefined, waiting: 0, running: 0, pace: 1 } : undefined;
         const shows = left || record.entry !== target || kind === "stage";
-        record.awaitingUntil = shows ? 0 : now + EFFECT_MILLISECONDS;
+        record.awaitingUntil = shows ? 0 : now + (kind === "open" ? OPEN_EFFECT_MILLISECONDS : EFFECT_MILLISECONDS);
     }
 
     noteReportAsked(target: Target, now: number): void {
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -50,14 +50,21 @@
         expect([records.describe(target, 0).awaiting, records.sequenceOf(target, 0)]).to.deep.equal([false, 3]);
     });
 
-    it("wait for the effect of an order and then ask", () => {
-        const records = createHostRecords();
-        records.noteReport(target, report, 0);
-        records.noteOrderSent(target, 10);
-        records.noteOrderResult(target, "open", "accepted", 12);
-        expect([records.describe(target, 100).awaiting, records.sequenceOf(target, 100)]).to.deep.equal([true, 4]);
-        expect([records.needsReport(target, 300), records.needsReport(target, 700)]).to.deep.equal([false, true]);
-    });
+    // A group takes longer to serve after the order to open than a host takes to show that it joins.
+    const effects: readonly ["join" | "open", number, number][] = [["join", 300, 700], ["open", 900, 1_100]];
+    effects.forEach(([kind, early, late]) =>
+        it(`wait for the effect of an order to ${kind} and then ask`, () => {
+            const records = createHostRecords();
+            records.noteReport(target, report, 0);
+            records.noteOrderSent(target, 10);
+            records.noteOrderResult(target, kind, "accepted", 12);
+            expect([records.describe(target, 100).awaiting, records.sequenceOf(target, 100)]).to.deep.equal([true, 4]);
+            expect([records.needsReport(target, early), records.needsReport(target, late)]).to.deep.equal([
+                false,
+                true,
+            ]);
+        })
+    );
 
     it("do not open a group twice when an entry arrives that does not show the first order yet", () => {
         const records = createHostRecords();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -35,3 +35,4 @@
 export * from "./tasks/follower.js";
 export * from "./tasks/published.js";
 export * from "./tasks/tableview.js";
+export * from "./tasks/withtimeout.js";
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -18,9 +18,8 @@
         candidates: candidatesOf(context, parts).filter(({ head }) => !tried.includes(head)),
         dataCentre: parts.dataCentre,
         promptTokens: context.request.promptTokens,
-        objectiveMilliseconds: context.admitted.route.latencyObjectiveMilliseconds,
         remainingMilliseconds: context.deadlineAt - parts.clock.monotonic(),
-        draw: parts.random(),
+        random: parts.random,
     });
 }
 
