Tell refused callers to come back when lost groups have been formed again

The time to come back was that of the next free place, some 150 ms, while a lost group takes two to four seconds. Change: while fewer groups serve the model than within the last 10 s, the time is 1.5 to 2.5 s; otherwise the short one.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./placement/board.js";
 export * from "./placement/peerloads.js";
 export * from "./placement/place.js";
+export * from "./placement/recentmaximum.js";
 export * from "./placement/suspicions.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -24,6 +24,8 @@
     readonly promptTokens: number;
     /** Time left until the request is given up, in milliseconds. */
     readonly remainingMilliseconds: number;
+    /** Whether fewer groups serve the model than a short time ago, so that more may soon serve it again. */
+    readonly recovering: boolean;
     /** Random numbers from 0 to below 1. */
     readonly random: () => number;
 }
@@ -41,8 +43,9 @@
 const REMOTE_WEIGHT = 0.55;
 /** Free places for which a group counts that has less than one, so that it can still be chosen. */
 const MINIMUM_PLACES = 0.5;
-/** How soon a caller may come back when no group serves the model. */
-const NO_GROUP_RETRY_MILLISECONDS = 1_500;
+/** How soon a caller may come back while groups that were lost are formed again, and the spread of that. */
+const RECOVERY_RETRY_MILLISECONDS = 1_500;
+const RECOVERY_SPREAD_MILLISECONDS = 1_000;
 /**
  * Places a request at a group that can begin it in time. Groups are chosen at random in proportion to their free places:
  * what a daemon knows of the others' requests is old, and if all daemons chose the group that looks best, they would flood
@@ -52,11 +55,11 @@
     const { candidates, engine } = input;
     const sound = candidates.filter(candidate => !candidate.suspected);
     if (sound.length === 0) {
-        return { kind: "refused", reason: "no-group", retryAfterMilliseconds: NO_GROUP_RETRY_MILLISECONDS };
+        return { kind: "refused", reason: "no-group", retryAfterMilliseconds: recoveryMilliseconds(input) };
     }
     const open = sound.filter(candidate => candidate.inProgress < engine.slots);
     if (open.length === 0) {
-        return { kind: "refused", reason: "full", retryAfterMilliseconds: slotMilliseconds(input, sound) };
+        return { kind: "refused", reason: "full", retryAfterMilliseconds: returnMilliseconds(input, sound) };
     }
     const chosen = drawByWeight(
         open.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
@@ -64,7 +67,7 @@
     );
     const firstEventMilliseconds = estimateFirstEvent(input, chosen);
     return firstEventMilliseconds > input.remainingMilliseconds
-        ? { kind: "refused", reason: "too-late", retryAfterMilliseconds: slotMilliseconds(input, sound) }
+        ? { kind: "refused", reason: "too-late", retryAfterMilliseconds: returnMilliseconds(input, sound) }
         : { kind: "placed", head: chosen.head, firstEventMilliseconds };
 }
 
@@ -104,6 +107,18 @@
     return readMilliseconds(engine, model, candidate.unreadTokens + input.promptTokens) + 2 * pass;
 }
 
+/**
+ * Time after which a refused caller should come back. While all groups are there and full, the next free place is soon,
+ * and an answer may still be on time. While groups are missing, a place is more likely when they are back.
+ */
+function returnMilliseconds(input: PlacementInput, candidates: readonly PlacementCandidate[]): number {
+    return input.recovering ? recoveryMilliseconds(input) : slotMilliseconds(input, candidates);
+}
+
+function recoveryMilliseconds({ random }: PlacementInput): number {
+    return Math.round(RECOVERY_RETRY_MILLISECONDS + random() * RECOVERY_SPREAD_MILLISECONDS);
+}
+
 /** Time until a slot becomes free: the usual duration of an answer over the slots of all groups. */
 function slotMilliseconds({ engine, model }: PlacementInput, candidates: readonly PlacementCandidate[]): number {
     const duration = stepMilliseconds(engine, model, engine.slots) * engine.usualAnswerTokens;
--- a/packages/core/src/placement/tests/fleetload.test.ts
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -108,6 +108,7 @@
         dataCentre: "a",
         promptTokens: PROMPT_TOKENS,
         remainingMilliseconds: 6_000,
+        recovering: false,
         random,
     });
     return placement.kind === "placed" ? Number.parseInt(placement.head.slice(2), 16) : undefined;
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -36,6 +36,7 @@
     dataCentre: "a",
     promptTokens: 1_000,
     remainingMilliseconds: 8_000,
+    recovering: false,
     random: () => 0.5,
     ...fields,
 });
@@ -87,4 +88,14 @@
         const placement = placeRequest(input([candidate("x", { inProgress: 18 }), candidate("y", { inProgress: 18 })]));
         expect(placement.kind === "refused" && placement.retryAfterMilliseconds).to.be.within(100, 3_000);
     });
+
+    it("tells a refused caller to come back when lost groups have been formed again", () => {
+        const full = [candidate("x", { inProgress: 18 })];
+        const waits = [true, false].map(recovering => {
+            const placement = placeRequest(input(full, { recovering }));
+            return placement.kind === "refused" ? placement.retryAfterMilliseconds : 0;
+        });
+        expect(waits[0]).to.be.within(1_500, 2_500);
+        expect(waits[1]).to.be.below(1_500);
+    });
 });
--- a/packages/daemon/src/relay/context.ts
+++ b/packages/daemon/src/relay/context.ts
@@ -1,5 +1,5 @@
 /** One request of a caller on its way through the relay, and the parts that the relay works with. */
-import type { AdmittedRoute, DemandMeter, LoadBoard, RetryBudget, RouteLookup } from "@damaskvale/core";
+import type { AdmittedRoute, DemandMeter, LoadBoard, RecentMaximum, RetryBudget, RouteLookup } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -32,6 +32,8 @@
     readonly dataCentre: string;
     /** Load of a target from other daemons, as far as known. */
     readonly loadOfOthers: (target: string) => { readonly inProgress: number; readonly unreadTokens: number; };
+    /** Sound groups by service and model. */
+    readonly groupsLately: RecentMaximum;
     /** Meter of the work that callers ask of a service. */
     readonly demandOf: (service: string) => DemandMeter;
     /** Budget of repeats of a service. */
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -12,13 +12,17 @@
     if (engine === undefined || model === undefined) {
         return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_MILLISECONDS };
     }
+    const candidates = candidatesOf(context, parts);
+    const sound = candidates.filter(({ suspected }) => !suspected).length;
+    const now = parts.clock.monotonic();
     return placeRequest({
         engine,
         model,
-        candidates: candidatesOf(context, parts).filter(({ head }) => !tried.includes(head)),
+        candidates: candidates.filter(({ head }) => !tried.includes(head)),
+        recovering: sound < parts.groupsLately.note(`${context.service}/${model.name}`, sound, now),
         dataCentre: parts.dataCentre,
         promptTokens: context.request.promptTokens,
-        remainingMilliseconds: context.deadlineAt - parts.clock.monotonic(),
+        remainingMilliseconds: context.deadlineAt - now,
         random: parts.random,
     });
 }
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -3,6 +3,7 @@
     createDemandMeter,
     createLoadBoard,
     createPeerLoads,
+    createRecentMaximum,
     createSuspicions,
     type DemandMeter,
     type LoadBoard,
@@ -83,6 +84,8 @@
  * a configuration must be in force: the overrun of the read, the wait before the next one, and its answer.
  */
 const CONFIGURATION_RESERVE_MILLISECONDS = 1_100;
+/** A group that was lost is usually formed again within this time. */
+const GROUP_MEMORY_MILLISECONDS = 10_000;
 const DEFAULT_PEER_PORT = 7_340;
 const CONNECTIONS_PER_TARGET = 40;
 const CONNECT_TIMEOUT_MILLISECONDS = 400;
@@ -193,6 +196,7 @@
         board,
         dataCentre: settings.dataCentre,
         loadOfOthers: target => peerLoads.of(target, clock.monotonic()),
+        groupsLately: createRecentMaximum(GROUP_MEMORY_MILLISECONDS),
         demandOf,
         budgetOf: budgets.of,
         random,
