Share deadline, leaving callers and the end of a request between the relays

plainrelay.ts and streamrelay.ts held the same four methods twice; they extend RelayTask now. No change of behaviour: the relay tests are as they were and pass.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -3,6 +3,7 @@
 import type { AnswerHead, AnswerMeaning } from "../ports/relayprotocol.js";
 import { type RefusalReason, writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
+import { type CancelReason, RelayTask } from "./relaytask.js";
 import type { TargetExchange } from "./targetconnections.js";
 
 /** Statuses that promise that the request has not run; a target that sends one without saying so may have run it. */
@@ -29,23 +30,9 @@
     new PlainRelayTask(context, parts, ended).start();
 }
 
-class PlainRelayTask {
+class PlainRelayTask extends RelayTask {
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
-    private sends = 0;
-    /** Whether a target of an earlier attempt may have run the request. */
-    private mayHaveRun = false;
-    private over = false;
-    private readonly deadline: NodeJS.Timeout;
-
-    constructor(
-        private readonly context: RequestContext,
-        private readonly parts: RelayParts,
-        private readonly ended: () => void,
-    ) {
-        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
-        context.response.on("close", () => this.callerLeft());
-    }
 
     start(): void {
         this.parts.budgetOf(this.context.service).noteFirst(this.parts.clock.monotonic());
@@ -63,7 +50,7 @@
             this.giveUp(reason, retryAfter);
             return;
         }
-        if (this.sends > 0 && !this.parts.budgetOf(this.context.service).withdraw(this.parts.clock.monotonic())) {
+        if (!this.takeFromBudget()) {
             this.giveUp("budget", REFUSED_RETRY_MILLISECONDS);
             return;
         }
@@ -196,49 +183,18 @@
             return;
         }
         writeRefusal(this.context.response, reason, retryAfter);
-        this.finish(`refused: ${reason}`, retryAfter);
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds: retryAfter });
     }
 
-    private expire(): void {
-        if (this.over) {
-            return;
-        }
+    /** A request that may run once goes on when its caller has left: it may be running. */
+    protected cancelAttempt(reason: CancelReason): void {
         const { attempt } = this;
-        if (attempt !== undefined) {
-            this.release(attempt);
-            attempt.exchange?.cancel();
-        }
-        writeFailure(this.context.response, "deadline");
-        this.finish("deadline");
-    }
-
-    private callerLeft(): void {
-        if (this.over) {
+        if (attempt === undefined) {
             return;
         }
-        const { attempt } = this;
-        if (attempt !== undefined && this.isRepeatable()) {
+        this.release(attempt);
+        if (reason === "deadline" || this.isRepeatable()) {
             attempt.exchange?.cancel();
         }
-        if (attempt !== undefined) {
-            this.release(attempt);
-        }
-        this.finish("caller-left");
-    }
-
-    private finish(outcome: string, retryAfterMilliseconds?: number): void {
-        if (this.over) {
-            return;
-        }
-        this.over = true;
-        clearTimeout(this.deadline);
-        this.parts.log.emit("requestEnded", {
-            ...identify(this.context),
-            outcome,
-            sends: this.sends,
-            retryAfterMilliseconds,
-            milliseconds: Math.round(this.parts.clock.monotonic() - this.context.receivedAt),
-        });
-        this.ended();
     }
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -3,6 +3,7 @@
 import { writeAnswerHead, writeFailure, writeRefusal } from "./answers.js";
 import { identify, type RelayParts, type RequestContext } from "./context.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
+import { type EndDetails, RelayTask } from "./relaytask.js";
 import { noteDemand, placeStream, REFUSED_RETRY_MILLISECONDS, weighedGroups } from "./streamplacement.js";
 import type { TargetExchange } from "./targetconnections.js";
 
@@ -41,27 +42,17 @@
     return relay;
 }
 
-class StreamRelayTask implements StreamRelay {
+class StreamRelayTask extends RelayTask implements StreamRelay {
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
     private lastEventId: number | undefined;
-    private sends = 0;
     /** Whether the answer to the caller marks its end. */
     private marksEnd = true;
-    /** Whether a target of an earlier attempt may have run the request. */
-    private mayHaveRun = false;
-    private over = false;
     private firstEventAt: number | undefined;
-    private readonly deadline: NodeJS.Timeout;
 
-    constructor(
-        private readonly context: RequestContext,
-        private readonly parts: RelayParts,
-        private readonly ended: () => void,
-    ) {
+    constructor(context: RequestContext, parts: RelayParts, ended: () => void) {
+        super(context, parts, ended);
         this.lastEventId = context.request.lastEventId;
-        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
-        context.response.on("close", () => this.callerLeft());
         context.response.on("drain", () => this.attempt?.exchange?.resume());
     }
 
@@ -102,10 +93,6 @@
         return (route.resumable || !mayHaveRun) && this.sends < route.maximumAttempts;
     }
 
-    private takeFromBudget(): boolean {
-        return this.sends === 0 || this.parts.budgetOf(this.context.service).withdraw(this.parts.clock.monotonic());
-    }
-
     private sendOrGiveUp(): void {
         const placement = placeStream(this.context, this.parts, this.tried);
         if (placement.kind === "refused") {
@@ -311,29 +298,7 @@
         });
     }
 
-    private expire(): void {
-        if (this.over) {
-            return;
-        }
-        this.cancelAttempt();
-        if (this.context.response.headersSent) {
-            this.context.response.destroy();
-        }
-        else {
-            writeFailure(this.context.response, "deadline");
-        }
-        this.finish("deadline");
-    }
-
-    private callerLeft(): void {
-        if (this.over) {
-            return;
-        }
-        this.cancelAttempt();
-        this.finish("caller-left");
-    }
-
-    private cancelAttempt(): void {
+    protected cancelAttempt(): void {
         const { attempt } = this;
         if (attempt !== undefined) {
             this.release(attempt);
@@ -341,23 +306,11 @@
         }
     }
 
-    private finish(outcome: string, details: Readonly<Record<string, unknown>> = {}): void {
-        if (this.over) {
-            return;
-        }
-        this.over = true;
-        clearTimeout(this.deadline);
-        this.parts.log.emit("requestEnded", {
-            ...identify(this.context),
-            outcome,
-            sends: this.sends,
+    protected override finish(outcome: string, details: EndDetails = {}): void {
+        super.finish(outcome, {
             lastEventId: this.lastEventId,
             ...details,
-            firstEventMilliseconds: this.firstEventAt === undefined
-                ? undefined
-                : Math.round(this.firstEventAt - this.context.receivedAt),
-            milliseconds: Math.round(this.parts.clock.monotonic() - this.context.receivedAt),
+            firstEventMilliseconds: this.firstEventAt === undefined ? undefined : this.elapsed(this.firstEventAt),
         });
-        this.ended();
     }
 }
