Remember which hosts have run a model, so that a spare is warmed up once

Change: the planner notes the hosts that were ready in a group, and also prefers them when it forms one. Test: does not warm it up again after it has left.

--- a/packages/core/src/engines/formations.ts
+++ b/packages/core/src/engines/formations.ts
@@ -2,6 +2,7 @@
 import type { ModelProfile } from "../routes/types.js";
 import type { EngineGroup } from "./groups.js";
 import type { EngineOrder } from "./orders.js";
+import type { Target } from "./types.js";
 
 /** A group that is being formed. */
 export interface Formation {
@@ -26,6 +27,8 @@
 export class Formations {
     private readonly groups = new Map<string, Formation>();
     private readonly staging = new Map<string, Staging>();
+    /** Model of the last group in which a host was ready since its start. Entries tell it only while the group lasts. */
+    private readonly ran = new Map<string, { readonly model: string; readonly startedAt?: number; }>();
 
     note(group: string, formation: Formation): void {
         this.groups.set(group, formation);
@@ -43,6 +46,20 @@
         return this.staging.get(host)?.model;
     }
 
+    /** Notes the members of a group that are ready or serve. */
+    noteReady({ model, members }: EngineGroup): void {
+        if (model !== undefined) {
+            members.filter(({ membership }) => membership !== undefined && membership.state !== "joining")
+                .forEach(({ id, startedAt }) => this.ran.set(id, { model, startedAt }));
+        }
+    }
+
+    /** Model of the last group in which a host was ready since its start, as far as this planner has seen it. */
+    lastModelOf({ id, startedAt, model }: Target): string | undefined {
+        const ran = this.ran.get(id);
+        return ran !== undefined && ran.startedAt === startedAt ? ran.model : model;
+    }
+
     /** Returns whether a group may still become whole. `lost` tells which hosts will not join. */
     isForming(
         group: EngineGroup,
@@ -77,8 +94,9 @@
         );
     }
 
-    /** Drops what is too old to matter. */
-    forgetOld(models: readonly ModelProfile[], now: number): void {
+    /** Drops what is too old to matter, and what concerns hosts that are gone. */
+    forgetOld(models: readonly ModelProfile[], known: ReadonlySet<string>, now: number): void {
+        [...this.ran.keys()].filter(host => !known.has(host)).forEach(host => this.ran.delete(host));
         const longest = Math.max(0, ...models.map(model => model.loadMilliseconds));
         const oldest = now - LOAD_FACTOR * longest - JOIN_GRACE_MILLISECONDS;
         [...this.groups].filter(([, { startedAt }]) => startedAt < oldest).forEach(([name]) =>
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -27,9 +27,10 @@
     const formations = new Formations();
     return {
         plan: input => {
-            formations.forgetOld(input.models, input.now);
+            formations.forgetOld(input.models, new Set(input.hosts.map(host => host.target.id)), input.now);
             const groups = groupsOf(input.hosts.map(host => host.target), input.models)
                 .map(group => judgeGroup(group, input, formations));
+            groups.forEach(({ group }) => formations.noteReady(group));
             const changes = groups.flatMap(ordersForGroup);
             const formed = canForm(input, groups, changes) ? formGroups(input, free(input, groups), formations) : [];
             const staged = formed.length === 0 && isSettled(input, groups)
@@ -102,7 +103,7 @@
     let rest = free;
     let loads = Math.max(0, input.loadsAllowed);
     return wanted.flatMap((profile, index) => {
-        const members = headFirst(preferStaged(rest, profile.name), profile.size);
+        const members = headFirst(preferStaged(rest, profile.name, formations), profile.size);
         if (members.length < profile.size) {
             return [];
         }
@@ -126,10 +127,10 @@
     return head === undefined ? [] : [head, ...hosts.filter(host => host !== head)].slice(0, size);
 }
 
-/** Sorts hosts: those that run the model, then those that hold its weights, then those that hold none. */
-function preferStaged(hosts: readonly Target[], model: string): Target[] {
+/** Sorts hosts: those whose last group ran the model, then those that hold its weights, then those that hold none. */
+function preferStaged(hosts: readonly Target[], model: string, formations: Formations): Target[] {
     const score = (target: Target): number => {
-        if (target.model === model) {
+        if (formations.lastModelOf(target) === model) {
             return 0;
         }
         if (target.stagedModels.includes(model)) {
@@ -152,8 +153,9 @@
     formations: Formations,
 ): EngineOrder[] {
     const warming = groups.some(({ group, forming }) => forming && group.members.length === 1);
-    const spare = idle.find(({ registered, busy, stagedModels, model }) =>
-        registered && !busy && stagedModels[0] !== undefined && stagedModels[0] !== model
+    const spare = idle.find(target =>
+        target.registered && !target.busy && target.stagedModels[0] !== undefined
+        && target.stagedModels[0] !== formations.lastModelOf(target)
     );
     const model = spare?.stagedModels[0];
     if (warming || spare === undefined || model === undefined) {
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -261,6 +261,14 @@
             expect(brief(planned)).to.deep.equal(["join e large", "join f large", "join g large"]);
         });
 
+        // Engines tell the model of their last group only while they are in it.
+        it("does not warm it up again after it has left", () => {
+            const planner = createDomainPlanner();
+            planner.plan(input([...whole, spare()]));
+            planner.plan(input([...whole, spare(warming("ready"))], { now: START + 1_700 }));
+            expect(planner.plan(input([...whole, spare()], { now: START + 9_000 }))).to.deep.equal([]);
+        });
+
         it("does not warm up one that has run the model, nor two at a time", () => {
             expect(createDomainPlanner().plan(input([...whole, spare({ model: "large" })]))).to.deep.equal([]);
             const planner = createDomainPlanner();
