--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -73,7 +73,8 @@
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
 /** Hosts write to the registry all the time, so that a read seldom waits, and a silent connection is noticed soon. */
 const TARGETS_WAIT_MILLISECONDS = 900;
-const CONFIGURATION_PAUSE_MILLISECONDS = 50;
+/** Versions that come in quick succession are read together. */
+const CONFIGURATION_PAUSE_MILLISECONDS = 200;
 /**
  * While other daemons are heard, they tell of a newer configuration if the connection of the waiting read is silent. If
  * the store is silent for all of them, their reads of the registry end, which ends this one.
