Let a read of the configuration end that is answered while others tell of the change

Cause: found by reading the diff. A daemon that heard of a newer configuration ended its waiting read at once, and ended the read that replaced it again every 0.5 s until it had the version. A configuration of half a megabyte takes a link of 14 Mbit/s some 0.3 s, several versions up to a second, so that a small host could be kept from it. After a gap in the history, failed readings of all values were also repeated without a pause. Change: only a read that waits is ended, 0.4 s after the news if it has not answered; the read that replaces it is not. Tests: three cases of followtopic.test.ts. Two of the old form's expectations (the aborted read, one repeat) are kept.

--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -80,6 +80,8 @@
  * the store is silent for all of them, their reads of the registry end, which ends this one.
  */
 const CONFIGURATION_WAIT_MILLISECONDS = 8_000;
+/** Others may tell of a configuration while it is still on its way over a slower link. */
+const TOLD_CONFIGURATION_GRACE_MILLISECONDS = 400;
 /**
  * Otherwise a silent connection is noticed only after the wait, which is therefore shorter by this than the time in which
  * a configuration must be in force: the overrun of the read, the wait before the next one, and its answer.
@@ -230,7 +232,7 @@
         waitMilliseconds: () => TARGETS_WAIT_MILLISECONDS,
         pauseMilliseconds: () => targetsPauseMilliseconds(daemons.count(), settings.drainNoticeMilliseconds),
         // A waiting read of the configuration on the same network is then probably silent, too.
-        onLost: () => configuration.refresh(),
+        onLost: () => configuration.refresh(0),
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
         apply: changes => state.applyTargets(changes),
     });
@@ -262,7 +264,7 @@
         peerLoads,
         onMembership: told => state.applyMembership(told),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
-        onNewerConfiguration: () => configuration.refresh(),
+        onNewerConfiguration: () => configuration.refresh(TOLD_CONFIGURATION_GRACE_MILLISECONDS),
         onSuspicion: (head, daemon) => {
             planner.suspect(head);
             const agreed = suspicions.note(head, daemon, clock.monotonic());
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -22,14 +22,15 @@
 
 /** A running follower. */
 export interface TopicFollower {
-    /** Reads at once, in place of a read that waits, because there is a change that it has not told. */
-    refresh(): void;
+    /**
+     * Reads at once, in place of a read that waits, because there is a change that it has not told. The read that waits
+     * has a time to end by itself: its answer may be on the way.
+     */
+    refresh(graceMilliseconds: number): void;
     stop(): void;
 }
 
 const RETRY_MILLISECONDS = 200;
-/** A change that others know may not be readable here; asking for it all the time would flood the store. */
-const REFRESH_INTERVAL_MILLISECONDS = 500;
 
 /** Starts to follow. */
 export function followTopic<Value>(options: FollowOptions<Value>): TopicFollower {
@@ -37,9 +38,9 @@
     let stopped = false;
     let lost = false;
     let offset: number | undefined;
+    /** The read that waits, if there is one. */
     let waiting: AbortController | undefined;
     let refreshing = false;
-    let resting = false;
 
     const readOnce = async (): Promise<void> => {
         if (offset === undefined) {
@@ -48,8 +49,9 @@
             offset = page.nextOffset;
             return;
         }
-        waiting = new AbortController();
-        const page = await topic.after(offset, lost || refreshing ? 0 : options.waitMilliseconds(), waiting.signal);
+        const wait = lost || refreshing ? 0 : options.waitMilliseconds();
+        waiting = wait > 0 ? new AbortController() : undefined;
+        const page = await topic.after(offset, wait, waiting?.signal);
         refreshing = false;
         offset = page?.nextOffset;
         if (page !== undefined && page.changes.length > 0) {
@@ -60,6 +62,7 @@
         while (!stopped) {
             try {
                 await readOnce();
+                waiting = undefined;
                 if (lost) {
                     lost = false;
                     log.emit("storeRegained", { topic: topic.name, offset });
@@ -70,7 +73,9 @@
                 if (!(error instanceof StoreError)) {
                     throw error;
                 }
-                if (refreshing && waiting?.signal.aborted === true) {
+                const ended = waiting?.signal.aborted === true;
+                waiting = undefined;
+                if (ended) {
                     continue;
                 }
                 if (!lost) {
@@ -84,15 +89,17 @@
     };
     run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
     return {
-        refresh: () => {
-            if (!resting) {
-                resting = true;
-                refreshing = true;
-                waiting?.abort();
-                setTimeout(() => {
-                    resting = false;
-                }, REFRESH_INTERVAL_MILLISECONDS).unref();
+        refresh: graceMilliseconds => {
+            const read = waiting;
+            if (read === undefined) {
+                return;
             }
+            setTimeout(() => {
+                if (waiting === read && !read.signal.aborted) {
+                    refreshing = true;
+                    read.abort();
+                }
+            }, graceMilliseconds).unref();
         },
         stop: () => {
             stopped = true;
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -4,7 +4,7 @@
 import { StoreError, type TopicPage } from "../../ports/registry.js";
 import { followTopic, type TopicFollower } from "../followtopic.js";
 
-type Answer = TopicPage<string> | "removed" | "lost";
+type Answer = TopicPage<string> | "removed" | "lost" | "silent";
 
 describe("topic follower", () => {
     let clock: FakeClock;
@@ -19,7 +19,7 @@
         const rest = [...answers];
         const next = async (): Promise<TopicPage<string> | undefined> => {
             const answer = rest.shift();
-            if (answer === undefined) {
+            if (answer === undefined || answer === "silent") {
                 return new Promise(() => undefined);
             }
             if (answer === "lost") {
@@ -87,9 +87,40 @@
     it("reads at once in place of a read that waits on a silent connection when it is told of a change", async () => {
         start([{ changes: [], nextOffset: 5 }]);
         await clock.tickAsync(100);
-        follower.refresh();
-        follower.refresh();
+        follower.refresh(0);
+        follower.refresh(0);
         await clock.tickAsync(5);
         expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 5 wait 0"]);
     });
+
+    // A large configuration takes a slow link longer than others take to tell of it.
+    it("lets a read that answers a moment after it was told of the change end", async () => {
+        start([{ changes: [], nextOffset: 5 }, { changes: [{ key: "a", value: "1" }], nextOffset: 6 }]);
+        follower.refresh(400);
+        await clock.tickAsync(1_000);
+        expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 6 wait 2500"]);
+    });
+
+    it("does not end the read that it made because it was told, however often it is told", async () => {
+        start([{ changes: [], nextOffset: 5 }]);
+        await clock.tickAsync(100);
+        for (let told = 0; told < 20; told += 1) {
+            follower.refresh(0);
+            await clock.tickAsync(100);
+        }
+        expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 5 wait 0"]);
+    });
+
+    it("waits between two failed readings of all values also when it was told of a change", async () => {
+        start([
+            { changes: [], nextOffset: 5 },
+            "silent",
+            "removed",
+            ...Array.from({ length: 50 }, () => "lost" as const),
+        ]);
+        await clock.tickAsync(100);
+        follower.refresh(0);
+        await clock.tickAsync(1_000);
+        expect(calls.length).to.be.below(15);
+    });
 });
