--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -91,11 +91,8 @@
     return {
         refresh: graceMilliseconds => {
             const read = waiting;
-            if (read === undefined) {
-                return;
-            }
             setTimeout(() => {
-                if (waiting === read && !read.signal.aborted) {
+                if (read !== undefined && waiting === read && !read.signal.aborted) {
                     refreshing = true;
                     read.abort();
                 }
