Log what an order was answered with, changes of the registry, and the inputs of each choice of groups

The hypotheses of the incident could not be told apart: an order that another process at the address refuses was logged as 'rejected', like any other refusal; the registry's changes (event 420) were defined and never written; and nothing said from which holders, demand and groups a mix was chosen. Now 421 is a result of its own ('misdirected'), orders and reports carry the start that the planner believes and the start that answered, event 420 is written once for each target that registers, starts again, drains, lapses or is removed, and event 424 for each choice that differs from the last one of its domain. No decision changes: results other than accepted are handled as before.

--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -6,14 +6,29 @@
 import { Formations } from "./formations.js";
 import { groupName, groupsOf } from "./groups.js";
 import { freeHosts, type JudgedGroup, judgeGroup, ordersForGroup } from "./judge.js";
-import { chooseMix } from "./mix.js";
+import { chooseMix, type FreeHosts, type ModelDemand } from "./mix.js";
 import type { EngineOrder } from "./orders.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
 import type { Target } from "./types.js";
 
+/** Groups chosen for the free hosts of a domain, with what the choice was made from. */
+export interface GroupChoice {
+    readonly demands: readonly ModelDemand[];
+    readonly free: FreeHosts;
+    /** New groups by model. */
+    readonly mix: ReadonlyMap<string, number>;
+}
+
+/** Result of one round. */
+export interface DomainPlan {
+    readonly orders: readonly EngineOrder[];
+    /** Absent if no groups could be formed in this round. */
+    readonly choice?: GroupChoice;
+}
+
 /** Planner of one domain. */
 export interface DomainPlanner {
-    plan(input: DomainPlanInput): EngineOrder[];
+    plan(input: DomainPlanInput): DomainPlan;
 }
 
 /** Hosts whose entry lapsed are taken before hosts that must load the weights. */
@@ -32,7 +47,10 @@
                 .map(group => judgeGroup(group, input, formations));
             groups.forEach(({ group }) => formations.noteReady(group));
             const changes = groups.flatMap(ordersForGroup);
-            const formed = canForm(input, groups, changes) ? formGroups(input, free(input, groups), formations) : [];
+            const choice = canForm(input, groups, changes) ? chooseGroups(input, free(input, groups)) : undefined;
+            const formed = choice === undefined
+                ? []
+                : formGroups(input, choice.mix, free(input, groups), formations);
             const staged = formed.length === 0 && isSettled(input, groups)
                 ? stageIdleHosts(input, free(input, groups), formations)
                 : [];
@@ -41,7 +59,8 @@
                 ? warmSpare(input, groups, free(input, groups), formations)
                 : [];
             const usable = new Set(input.hosts.filter(isUsable).map(host => host.target.id));
-            return [...changes, ...formed, ...staged, ...warmed].filter(order => usable.has(order.host));
+            const orders = [...changes, ...formed, ...staged, ...warmed].filter(order => usable.has(order.host));
+            return { orders, choice };
         },
     };
 
@@ -79,25 +98,29 @@
     return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS;
 }
 
-/** Forms groups of free hosts, of the models that need them most. */
+/** Chooses the groups to form of free hosts, of the models that need them most. */
+function chooseGroups(input: DomainPlanInput, targets: readonly Target[]): GroupChoice {
+    const demands = input.models.map(profile => ({
+        profile,
+        demand: input.demandByModel.get(profile.name) ?? profile.share / profile.size,
+        groups: input.groupsByModel.get(profile.name) ?? 0,
+        holders: targets.filter(({ stagedModels }) => stagedModels.includes(profile.name)).length,
+    }));
+    const free = {
+        count: targets.length,
+        empty: targets.filter(({ stagedModels }) => stagedModels.length === 0).length,
+        loadsAllowed: Math.max(0, input.loadsAllowed),
+    };
+    return { demands, free, mix: chooseMix(demands, free) };
+}
+
+/** Forms the chosen groups of free hosts. */
 function formGroups(
     input: DomainPlanInput,
+    mix: ReadonlyMap<string, number>,
     free: readonly Target[],
     formations: Formations,
 ): EngineOrder[] {
-    const mix = chooseMix(
-        input.models.map(profile => ({
-            profile,
-            demand: input.demandByModel.get(profile.name) ?? profile.share / profile.size,
-            groups: input.groupsByModel.get(profile.name) ?? 0,
-            holders: free.filter(({ stagedModels }) => stagedModels.includes(profile.name)).length,
-        })),
-        {
-            count: free.length,
-            empty: free.filter(({ stagedModels }) => stagedModels.length === 0).length,
-            loadsAllowed: Math.max(0, input.loadsAllowed),
-        },
-    );
     const wanted = [...input.models].sort((left, right) => right.size - left.size)
         .flatMap(profile => Array.from({ length: mix.get(profile.name) ?? 0 }, () => profile));
     let rest = free;
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -3,7 +3,7 @@
 import type { ModelProfile } from "../../routes/types.js";
 import type { EngineOrder } from "../orders.js";
 import type { DomainPlanInput, EngineHost } from "../planinput.js";
-import { createDomainPlanner } from "../planner.js";
+import { createDomainPlanner, type DomainPlanner } from "../planner.js";
 import type { GroupMembership, Target } from "../types.js";
 
 const models: ModelProfile[] = [
@@ -58,6 +58,9 @@
     stagedModels: ["large"],
 });
 
+/** Orders of one round. */
+const ordersOf = (planner: DomainPlanner, round: DomainPlanInput): readonly EngineOrder[] => planner.plan(round).orders;
+
 const brief = (orders: readonly EngineOrder[]): string[] =>
     orders.map(order => `${order.kind} ${order.host}${"model" in order ? ` ${order.model}` : ""}`).sort();
 
@@ -208,7 +211,7 @@
 describe("createDomainPlanner", () => {
     cases.forEach(({ guards, hosts, orders, fields }) => {
         it(`prevents ${guards}`, () => {
-            const planned = createDomainPlanner().plan(input(hosts, fields));
+            const planned = ordersOf(createDomainPlanner(), input(hosts, fields));
             expect(brief(planned)).to.deep.equal([...orders].sort());
         });
     });
@@ -219,21 +222,21 @@
             host("b", { stagedModels: ["large"] }),
             host("c", { stagedModels: ["large"] }),
         ];
-        const planned = createDomainPlanner().plan(input(hosts));
+        const planned = ordersOf(createDomainPlanner(), input(hosts));
         expect(planned[0]).to.deep.include({ kind: "join", members: ["b", "c", "a"] });
     });
 
     it("does not ask hosts twice while they do not report the group yet", () => {
         const planner = createDomainPlanner();
         const hosts = ["a", "b", "c"].map(id => host(id));
-        planner.plan(input(hosts));
-        expect(planner.plan(input(hosts, { now: START + 500 }))).to.deep.equal([]);
+        ordersOf(planner, input(hosts));
+        expect(ordersOf(planner, input(hosts, { now: START + 500 }))).to.deep.equal([]);
     });
 
     it("does not stage a host twice while its load shows no effect", () => {
         const planner = createDomainPlanner();
-        planner.plan(input([...whole, host("e")]));
-        expect(planner.plan(input([...whole, host("e")], { now: START + 5_000 }))).to.deep.equal([]);
+        ordersOf(planner, input([...whole, host("e")]));
+        expect(ordersOf(planner, input([...whole, host("e")], { now: START + 5_000 }))).to.deep.equal([]);
     });
 
     describe("with a spare that holds the weights", () => {
@@ -245,45 +248,51 @@
 
         it("warms it up and lets it leave as soon as it is ready", () => {
             const planner = createDomainPlanner();
-            expect(brief(planner.plan(input([...whole, spare()])))).to.deep.equal(["join e large"]);
+            expect(brief(ordersOf(planner, input([...whole, spare()])))).to.deep.equal(["join e large"]);
             const joining = input([...whole, spare(warming("joining"))], { now: START + 600 });
-            expect(brief(planner.plan(joining))).to.deep.equal([]);
+            expect(brief(ordersOf(planner, joining))).to.deep.equal([]);
             const ready = input([...whole, spare(warming("ready"))], { now: START + 1_700 });
-            expect(brief(planner.plan(ready))).to.deep.equal(["leave e"]);
+            expect(brief(ordersOf(planner, ready))).to.deep.equal(["leave e"]);
         });
 
         it("uses it for a group as soon as it has left", () => {
             const planner = createDomainPlanner();
-            planner.plan(input([...whole, spare()]));
-            planner.plan(input([...whole, spare(warming("ready"))], { now: START + 1_700 }));
+            ordersOf(planner, input([...whole, spare()]));
+            ordersOf(planner, input([...whole, spare(warming("ready"))], { now: START + 1_700 }));
             const free = ["f", "g"].map(id => host(id, { stagedModels: ["large"], model: "large" }));
-            const planned = planner.plan(input([...whole, spare({ model: "large" }), ...free], { now: START + 1_800 }));
+            const planned = ordersOf(
+                planner,
+                input([...whole, spare({ model: "large" }), ...free], { now: START + 1_800 }),
+            );
             expect(brief(planned)).to.deep.equal(["join e large", "join f large", "join g large"]);
         });
 
         // Engines tell the model of their last group only while they are in it.
         it("does not warm it up again after it has left", () => {
             const planner = createDomainPlanner();
-            planner.plan(input([...whole, spare()]));
-            planner.plan(input([...whole, spare(warming("ready"))], { now: START + 1_700 }));
-            expect(planner.plan(input([...whole, spare()], { now: START + 9_000 }))).to.deep.equal([]);
+            ordersOf(planner, input([...whole, spare()]));
+            ordersOf(planner, input([...whole, spare(warming("ready"))], { now: START + 1_700 }));
+            expect(ordersOf(planner, input([...whole, spare()], { now: START + 9_000 }))).to.deep.equal([]);
         });
 
         it("does not warm up one that has run the model, nor two at a time", () => {
-            expect(createDomainPlanner().plan(input([...whole, spare({ model: "large" })]))).to.deep.equal([]);
+            expect(ordersOf(createDomainPlanner(), input([...whole, spare({ model: "large" })]))).to.deep.equal([]);
             const planner = createDomainPlanner();
             const other = host("f", { stagedModels: ["small"] });
             // Without loads the two cannot form a group.
             const loadsAllowed = 0;
-            expect(planner.plan(input([...whole, spare(), other], { loadsAllowed })).length).to.equal(1);
+            expect(ordersOf(planner, input([...whole, spare(), other], { loadsAllowed })).length).to.equal(1);
             const later = { loadsAllowed, now: START + 500 };
-            expect(planner.plan(input([...whole, spare(warming("joining")), other], later))).to.deep.equal([]);
+            expect(ordersOf(planner, input([...whole, spare(warming("joining")), other], later))).to.deep.equal([]);
         });
     });
 
     it("gives a group of another owner another name", () => {
         const nameOf = (fencingToken: number): unknown => {
-            const [order] = createDomainPlanner().plan(input(["a", "b", "c"].map(id => host(id)), { fencingToken }));
+            const [order] = ordersOf(
+                createDomainPlanner(),
+                input(["a", "b", "c"].map(id => host(id)), { fencingToken }),
+            );
             return order !== undefined && "group" in order ? order.group : undefined;
         };
         expect(nameOf(4)).to.not.equal(nameOf(5));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./control/messages.js";
 export * from "./engines/demand.js";
 export * from "./engines/groups.js";
+export * from "./engines/mix.js";
 export * from "./engines/orders.js";
 export * from "./engines/planinput.js";
 export * from "./engines/planner.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -6,6 +6,7 @@
     type EngineHost,
     type EngineOrder,
     type EngineProfile,
+    type GroupChoice,
     type GroupMembership,
     groupsOf,
     type Service,
@@ -45,6 +46,8 @@
 }
 
 const ROUND_INTERVAL_MILLISECONDS = 100;
+/** Significant digits of a demand in the log. */
+const DEMAND_DIGITS = 3;
 /** Orders that end together are followed by one round. */
 const ROUND_DELAY_MILLISECONDS = 5;
 
@@ -61,6 +64,8 @@
     private readonly loads = createLoadAllowance();
     /** Token with which an engine refused this daemon, by domain. */
     private readonly refusedTokens = new Map<string, number>();
+    /** Last choice of groups that was logged, by domain. */
+    private readonly loggedChoices = new Map<string, string>();
     private highestEpoch = 0;
     /** Groups whose heads were told to the other daemons as serving. */
     private toldServing: ReadonlySet<string> = new Set();
@@ -138,7 +143,7 @@
         }
         hosts.filter(host => host.lost && !host.target.registered).forEach(host => state.forget(host.target.id));
         const loadsPerSecond = engine.loadsPerSecond * share.partitions.length / partitionCount;
-        const orders = this.plannerOf(domain).plan({
+        const { orders, choice } = this.plannerOf(domain).plan({
             domain,
             hosts,
             models: engine.models,
@@ -149,6 +154,7 @@
             nextEpoch: this.nextEpoch(share),
             now,
         });
+        this.logChoice(domain, choice);
         const byId = new Map(targets.map(target => [target.id, target]));
         orders.forEach(order => {
             const target = byId.get(order.host);
@@ -159,6 +165,28 @@
         });
     }
 
+    /** Logs a choice of groups if there were hosts to choose for and it is not the last one once more. */
+    private logChoice(domain: string, choice: GroupChoice | undefined): void {
+        if (choice === undefined || choice.free.count === 0) {
+            return;
+        }
+        const models = choice.demands.map(({ profile: { name }, demand, groups, holders }) => ({
+            name,
+            demand: roundTo(demand, DEMAND_DIGITS),
+            groups,
+            holders,
+            chosen: choice.mix.get(name),
+        }));
+        const seen = JSON.stringify([
+            choice.free.count,
+            models.map(({ name, holders, chosen }) => [name, holders, chosen]),
+        ]);
+        if (this.loggedChoices.get(domain) !== seen) {
+            this.loggedChoices.set(domain, seen);
+            this.parts.log.emit("groupsChosen", { domain, ...choice.free, models });
+        }
+    }
+
     /** Counts a load against the allowance, and remembers the epoch of a join. */
     private note(target: Target, order: EngineOrder): void {
         if (this.parts.trafficSeen() && "model" in order && !target.stagedModels.includes(order.model)) {
@@ -180,7 +208,8 @@
         const { fencingToken } = share;
         const result = await engines.order(target, order, { fencingToken, expectedSequence });
         this.records.noteOrderResult(target, order.kind, result, clock.monotonic());
-        log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, result });
+        const { startedAt, registered } = target;
+        log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, startedAt, registered, result });
         if (order.kind === "leave" && (result === "accepted" || result === "already-holds")) {
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt });
         }
@@ -193,7 +222,8 @@
     private async askForReport(target: Target): Promise<void> {
         const { clock, log, state, engines } = this.parts;
         this.records.noteReportAsked(target, clock.monotonic());
-        const answer = reportOfTarget(target, await engines.report(target));
+        const report = await engines.report(target);
+        const answer = reportOfTarget(target, report);
         this.records.noteReport(target, answer, clock.monotonic());
         if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
             const { model, membership } = answer;
@@ -202,6 +232,9 @@
         log.emit("engineReported", {
             host: target.id,
             answered: answer !== undefined,
+            startedAt: target.startedAt,
+            registered: target.registered,
+            reportedStart: report?.startedAt,
             membership: answer?.membership,
             orderSequence: answer?.orderSequence,
         });
@@ -237,6 +270,10 @@
     }
 }
 
+function roundTo(value: number, digits: number): number {
+    return Number(value.toPrecision(digits));
+}
+
 /** Returns whether so many hosts do not answer that this daemon is probably cut off from a domain that works. */
 function isCutOff(hosts: readonly EngineHost[]): boolean {
     return hosts.filter(host => host.unreachable).length * 2 > hosts.length;
--- a/packages/daemon/src/ports/enginecontrol.ts
+++ b/packages/daemon/src/ports/enginecontrol.ts
@@ -3,9 +3,17 @@
 
 /**
  * Outcome of an order. `conflict`: it does not fit the state of the engine. `fenced`: a newer owner has given orders.
+ * `misdirected`: another engine, or another start of the same one, answers at the address. `rejected`: any other refusal.
  * `unanswered`: it may have been accepted, or may be carried out later.
  */
-export type OrderResult = "accepted" | "already-holds" | "conflict" | "fenced" | "rejected" | "unanswered";
+export type OrderResult =
+    | "accepted"
+    | "already-holds"
+    | "conflict"
+    | "fenced"
+    | "misdirected"
+    | "rejected"
+    | "unanswered";
 
 /** What goes with an order, so that an old owner or a late copy changes nothing. */
 export interface OrderGuard {
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -20,6 +20,12 @@
     readonly membership?: GroupMembership;
 }
 
+/** What may happen to a target, for the log. Changes of load and membership are not among them. */
+export type TargetChangeKind = "registered" | "restarted" | "draining" | "removed" | "lapsed" | "forgotten";
+
+/** Receives changes of targets, with the target as it was or is. */
+export type TargetChangeListener = (kind: TargetChangeKind, target: Target) => void;
+
 /** Current knowledge. All values are replaced, never changed in place. */
 export interface RelayState {
     /** Absent until the first configuration is known. */
@@ -56,8 +62,8 @@
 const LAPSED_MILLISECONDS = 30_000;
 
 /** Makes an empty state. */
-export function createRelayState(): RelayState {
-    return new RelayStateTask();
+export function createRelayState(onTarget: TargetChangeListener = () => undefined): RelayState {
+    return new RelayStateTask(onTarget);
 }
 
 class RelayStateTask implements RelayState {
@@ -69,6 +75,8 @@
     private readonly removals = new Map<string, NodeJS.Timeout>();
     private readonly listeners: (() => void)[] = [];
 
+    constructor(private readonly onTarget: TargetChangeListener) {}
+
     lookup(): RouteLookup | undefined {
         return this.current;
     }
@@ -131,8 +139,9 @@
     }
 
     forget(id: string): void {
-        if (this.known.get(id)?.registered === false) {
-            this.known.delete(id);
+        const target = this.known.get(id);
+        if (target?.registered === false) {
+            this.drop(target, "forgotten");
             this.derive();
         }
     }
@@ -147,10 +156,14 @@
             clearTimeout(this.removals.get(key));
             this.removals.delete(key);
             this.known.set(key, value);
+            this.tellChange(target, value);
             this.forgetLapsedAt(value.address);
         }
-        else if (target === undefined || target.draining) {
-            this.known.delete(key);
+        else if (target === undefined) {
+            return;
+        }
+        else if (target.draining) {
+            this.drop(target, "removed");
         }
         else if (!this.removals.has(key)) {
             this.later(key, REGISTRATION_GRACE_MILLISECONDS, () => this.lapse(key));
@@ -160,7 +173,24 @@
     /** Forgets the lapsed host that had an address which now belongs to a registered target. */
     private forgetLapsedAt(address: string): void {
         [...this.known.values()].filter(target => !target.registered && target.address === address)
-            .forEach(target => this.known.delete(target.id));
+            .forEach(target => this.drop(target, "forgotten"));
+    }
+
+    private drop(target: Target, kind: TargetChangeKind): void {
+        this.known.delete(target.id);
+        this.onTarget(kind, target);
+    }
+
+    private tellChange(before: Target | undefined, after: Target): void {
+        if (before?.registered !== true) {
+            this.onTarget("registered", after);
+        }
+        else if (before.startedAt !== after.startedAt) {
+            this.onTarget("restarted", after);
+        }
+        if (after.draining && before?.draining !== true) {
+            this.onTarget("draining", after);
+        }
     }
 
     /**
@@ -169,12 +199,16 @@
      */
     private lapse(id: string): void {
         const target = this.known.get(id);
-        const taken = [...this.known.values()].some(other => other.id !== id && other.address === target?.address);
-        if (target?.domain === undefined || taken) {
-            this.known.delete(id);
+        if (target === undefined) {
+            return;
+        }
+        const taken = [...this.known.values()].some(other => other.id !== id && other.address === target.address);
+        if (target.domain === undefined || taken) {
+            this.drop(target, "removed");
         }
         else {
             this.known.set(id, { ...target, registered: false });
+            this.onTarget("lapsed", target);
             this.later(id, LAPSED_MILLISECONDS, () => this.forget(id));
         }
         this.derive();
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -145,7 +145,6 @@
     requestsInProgress: () => number,
 ): { readonly base: Base; readonly measurements: Measurements; } {
     const output = createBoundedOutput(STANDARD_OUTPUT);
-    const state = createRelayState();
     const lines = createBunyanLog({
         daemon: settings.daemon,
         dataCentre: settings.dataCentre,
@@ -153,6 +152,9 @@
         secrets: [],
         stream: output.stream,
     });
+    const state = createRelayState((kind, { id, service, address, startedAt, domain }) =>
+        measurements.log.emit("targetsChanged", { kind, target: id, service, address, startedAt, domain })
+    );
     const measurements = measureEvents(lines, {
         requestsInProgress,
         linesDropped: output.dropped,
