Take a host as lost when another process answers its orders

Cause: a process that starts again behind a cut has a new id and the old address. Reports are answered whoever is meant, so that the planner took the entry of the old process for a free host, asked it into a group, was refused with 421, read another good report and asked it again. Ruled out: a start that the planner mistakes; entries of this deployment state none, so that comparing starts cannot help. Why it works: 421 to an order says for certain that the id is not there; the record keeps that until the entry states another start. A report of fewer orders than the host has accepted is not its own either and counts as silence. A lost host gets no orders although it is registered. Tests: two in hostrecords.test.ts, which failed before, and one case of planner.test.ts.

--- a/packages/core/src/engines/planinput.ts
+++ b/packages/core/src/engines/planinput.ts
@@ -9,7 +9,7 @@
     readonly awaiting: boolean;
     /** Whether the host does not answer this daemon. It gets no orders, but may still serve. */
     readonly unreachable: boolean;
-    /** Whether the host is taken as gone although it is still registered. */
+    /** Whether the host is taken as gone although it is still registered, for example as another process has its address. */
     readonly lost: boolean;
     /** Whether its entry has been missing for so long, while the host answers, that it will not come back by itself. */
     readonly lapsed: boolean;
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -73,7 +73,7 @@
 }
 
 function isUsable(host: EngineHost): boolean {
-    return !host.awaiting && !host.unreachable;
+    return !host.awaiting && !host.unreachable && !host.lost;
 }
 
 /**
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -154,6 +154,15 @@
         ],
         orders: ["leave a"],
     },
+    {
+        guards: "orders to a registered member whose address another process has",
+        hosts: [
+            host("a", member(0, "open"), { lost: true }),
+            host("b", member(1, "ready")),
+            host("c", member(2, "ready")),
+        ],
+        orders: ["leave b", "leave c"],
+    },
     {
         guards: "a member whose entry lapsed although it works",
         hosts: [wholeHead, host("b", { ...member(1, "ready"), registered: false }), host("c", member(2, "ready"))],
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -25,6 +25,10 @@
     entry: Target;
     knownSince: number;
     sequence?: number;
+    /** Orders that this start of the engine has certainly accepted; a report of fewer comes from another process. */
+    acceptedOrders: number;
+    /** Whether another process answered at the address of this one, which is therefore gone. */
+    replaced: boolean;
     orderInFlight: boolean;
     awaitingUntil: number;
     orderedAt: number;
@@ -80,7 +84,7 @@
             awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
             unreachable,
             lapsed: record.unregisteredSince !== undefined && now - record.unregisteredSince > LAPSE_MILLISECONDS,
-            lost: unreachable && (now < record.suspectedUntil || !target.registered),
+            lost: record.replaced || (unreachable && (now < record.suspectedUntil || !target.registered)),
         };
     }
 
@@ -90,7 +94,7 @@
 
     needsReport(target: Target, now: number): boolean {
         const record = this.recordOf(target, now);
-        if (record.orderInFlight) {
+        if (record.orderInFlight || record.replaced) {
             return false;
         }
         if (!target.registered) {
@@ -111,6 +115,8 @@
         const record = this.recordOf(target, now);
         record.orderInFlight = false;
         record.orderedAt = now;
+        record.replaced ||= result === "misdirected";
+        record.acceptedOrders = Math.max(record.acceptedOrders, ordersAfter(record.sequence, result));
         record.silences = result === "unanswered" ? record.silences : 0;
         const known = record.report ?? record.entry;
         // Leaving takes effect at once, and engines answer it like an order that already holds.
@@ -136,7 +142,7 @@
         if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
             return;
         }
-        if (report === undefined) {
+        if (report === undefined || report.orderSequence < record.acceptedOrders) {
             record.silences += 1;
             record.unregisteredSince = undefined;
             return;
@@ -144,6 +150,7 @@
         record.unregisteredSince = target.registered ? undefined : record.unregisteredSince ?? now;
         record.silences = 0;
         record.sequence = report.orderSequence;
+        record.acceptedOrders = report.orderSequence;
         record.awaitingUntil = 0;
         record.report = report;
     }
@@ -167,6 +174,8 @@
             entry: target,
             knownSince: restarted ? now : known?.knownSince ?? now,
             sequence: restarted ? undefined : known?.sequence,
+            acceptedOrders: restarted ? 0 : known?.acceptedOrders ?? 0,
+            replaced: !restarted && known?.replaced === true,
             orderInFlight: known?.orderInFlight ?? false,
             awaitingUntil: known !== undefined && sameMembership(known, target) ? known.awaitingUntil : 0,
             orderedAt: known?.orderedAt ?? Number.NEGATIVE_INFINITY,
@@ -180,6 +189,15 @@
     }
 }
 
+/** Orders that an engine has accepted for certain when it answers one that was sent with an expected count. */
+function ordersAfter(expected: number | undefined, result: OrderResult): number {
+    if (expected === undefined) {
+        return 0;
+    }
+    const begun: Partial<Record<OrderResult, number>> = { "accepted": expected + 1, "already-holds": expected };
+    return begun[result] ?? 0;
+}
+
 function sameMembership({ entry, report }: HostRecord, target: Target): boolean {
     const known = (report ?? entry).membership;
     const { membership } = target;
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -112,6 +112,26 @@
         expect(records.sequenceOf({ ...target, startedAt: 9 }, 1)).to.equal(undefined);
     });
 
+    // A process that starts again behind a cut answers reports for the entry of the one before it.
+    it("take a host as lost when another process refuses an order that was meant for it", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "join", "misdirected", 12);
+        records.noteReport(target, { ...report, orderSequence: 0 }, 400);
+        expect(records.describe({ ...target }, 500)).to.deep.include({ lost: true, unreachable: false });
+        expect(records.needsReport(target, 5_000)).to.equal(false);
+        expect(records.describe({ ...target, startedAt: 9 }, 600).lost).to.equal(false);
+    });
+
+    it("do not take a report with fewer orders than the host has accepted for its own", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        [400, 800].forEach(now => records.noteReport(target, { ...report, orderSequence: 0 }, now));
+        expect(records.describe(target, 800)).to.deep.include({ unreachable: true });
+        expect(records.describe({ ...target, registered: false }, 900).lost).to.equal(true);
+    });
+
     it("take a silent host as lost only if its group stands still or its entry is gone", () => {
         const records = createHostRecords();
         [0, 400].forEach(now => records.noteReport(target, undefined, now));
