Ignore a late entry of a process whose address another one has taken over

Cause: an entry that was written before a partition, or in it, reaches the registry after its process was replaced. The newer process at the address was registered, the old one forgotten; the late write of the old id then made it a target again until its entry lapsed for a second time. Why it works: of two ids at one address the one that came later is the process that runs. An id that was replaced is remembered for a minute with its start, so that a restart under the old id, which states another start, still counts. Tests: two in state.test.ts; the first failed before.

--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -61,6 +61,9 @@
 /** How long a host whose entry lapsed is kept, as long as it answers. */
 const LAPSED_MILLISECONDS = 30_000;
 
+/** A write that was held up by a partition may arrive this long after its process was replaced. */
+const REPLACED_MEMORY_MILLISECONDS = 60_000;
+
 /** Makes an empty state. */
 export function createRelayState(onTarget: TargetChangeListener = () => undefined): RelayState {
     return new RelayStateTask(onTarget);
@@ -73,6 +76,8 @@
     private targetsByService = new Map<string, Target[]>();
     /** Steps that follow the removal of an entry, by target. */
     private readonly removals = new Map<string, NodeJS.Timeout>();
+    /** Targets whose address another one took over, by id, as they were. */
+    private readonly replaced = new Map<string, Target>();
     private readonly listeners: (() => void)[] = [];
 
     constructor(private readonly onTarget: TargetChangeListener) {}
@@ -152,6 +157,9 @@
 
     private change({ key, value }: TopicChange<Target>): void {
         const target = this.known.get(key);
+        if (value !== undefined && this.isReplaced(value)) {
+            return;
+        }
         if (value !== undefined) {
             clearTimeout(this.removals.get(key));
             this.removals.delete(key);
@@ -173,7 +181,22 @@
     /** Forgets the lapsed host that had an address which now belongs to a registered target. */
     private forgetLapsedAt(address: string): void {
         [...this.known.values()].filter(target => !target.registered && target.address === address)
-            .forEach(target => this.drop(target, "forgotten"));
+            .forEach(target => this.dropReplaced(target, "forgotten"));
+    }
+
+    /**
+     * Returns whether an entry names a process that another one has replaced at its address. A write of the earlier
+     * process that was held up may arrive after the later one registered.
+     */
+    private isReplaced({ id, address, startedAt }: Target): boolean {
+        const before = this.replaced.get(id);
+        return before !== undefined && before.address === address && before.startedAt === startedAt;
+    }
+
+    private dropReplaced(target: Target, kind: TargetChangeKind): void {
+        this.drop(target, kind);
+        this.replaced.set(target.id, target);
+        setTimeout(() => this.replaced.delete(target.id), REPLACED_MEMORY_MILLISECONDS).unref();
     }
 
     private drop(target: Target, kind: TargetChangeKind): void {
@@ -203,7 +226,10 @@
             return;
         }
         const taken = [...this.known.values()].some(other => other.id !== id && other.address === target.address);
-        if (target.domain === undefined || taken) {
+        if (taken) {
+            this.dropReplaced(target, "removed");
+        }
+        else if (target.domain === undefined) {
             this.drop(target, "removed");
         }
         else {
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -94,6 +94,23 @@
         expect(state.targets().map(({ id }) => id)).to.deep.equal(["n"]);
     });
 
+    it("ignores a late entry of a process whose address another one has taken over", () => {
+        state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
+        clock.tick(1_000);
+        state.applyTargets([{ key: "n", value: { ...head, id: "n", membership: undefined } }]);
+        clock.tick(1_500);
+        state.applyTargets([{ key: "h", value: head }]);
+        expect([heads(), state.targets().map(({ id }) => id)]).to.deep.equal([[], ["n"]]);
+    });
+
+    it("takes a host back that starts again under its id at an address that another one had", () => {
+        state.applyTargets([{ key: "h", value: { ...head, startedAt: 1 } }, { key: "h" }]);
+        clock.tick(1_000);
+        state.applyTargets([{ key: "n", value: { ...head, id: "n" } }, { key: "n" }]);
+        state.applyTargets([{ key: "h", value: { ...head, startedAt: 2 } }]);
+        expect(state.targetById("h")?.startedAt).to.equal(2);
+    });
+
     it("lapses a host whose membership was told within the second after its removal", () => {
         state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
         state.applyMembership({ host: "h", membership: { group: "d~m~1.2", epoch: 2, rank: 0, state: "open" } });
