Suspect a head only as head of the group that stood still

Cause: a suspicion was kept by the id of the head for 6 s. A group is mostly formed again with the same head, so that the new group began under the suspicion of the last one, at every daemon and for every loss. Why it works: the suspicion names the group, here and in the message to other daemons, and ends as soon as the host is known to be in another one. While the group lasts it holds as before. Test: stallwatch.test.ts; without the comparison of groups its third case fails.

--- a/packages/core/src/placement/board.ts
+++ b/packages/core/src/placement/board.ts
@@ -12,6 +12,8 @@
     readonly progressAt: number;
     /** When the target last failed to make progress; absent after progress. */
     readonly suspectedAt?: number;
+    /** Group as whose head the target is suspected. */
+    readonly suspectedIn?: string;
     /** Whether the requests are streams, whose progress shows between their first and last byte. */
     readonly streams: boolean;
 }
@@ -27,8 +29,8 @@
     progressed(target: string, now: number): void;
     /** Notes that a request ended; `started` tells whether its first event had arrived. */
     ended(target: string, promptTokens: number, started: boolean): void;
-    /** Notes that a target made no progress for too long. */
-    suspect(target: string, now: number): void;
+    /** Notes that a target, as the head of a group, makes no progress or cannot be used. */
+    suspect(target: string, now: number, group?: string): void;
     /** Ends the suspicion of a target. */
     clear(target: string): void;
     /** Targets that have requests in progress or are suspected. */
@@ -41,6 +43,7 @@
     unreadTokens: number;
     progressAt: number;
     suspectedAt?: number;
+    suspectedIn?: string;
     streams: boolean;
 }
 
@@ -93,8 +96,10 @@
                 loads.delete(target);
             }
         },
-        suspect: (target, now) => {
-            loadOf(target, now).suspectedAt = now;
+        suspect: (target, now, group) => {
+            const load = loadOf(target, now);
+            load.suspectedAt = now;
+            load.suspectedIn = group;
         },
         clear: target => {
             const load = loads.get(target);
--- a/packages/core/src/placement/suspicions.ts
+++ b/packages/core/src/placement/suspicions.ts
@@ -1,9 +1,9 @@
-/** Suspicions of other daemons about heads. One daemon alone may be cut off itself, so that two must agree. */
+/** Suspicions of other daemons about groups. One daemon alone may be cut off itself, so that two must agree. */
 
 /** Collected suspicions. Times are monotonic milliseconds. */
 export interface Suspicions {
     /** Notes a suspicion; returns whether enough daemons agree. */
-    note(head: string, daemon: string, now: number): boolean;
+    note(group: string, daemon: string, now: number): boolean;
 }
 
 const AGREEING_DAEMONS = 2;
@@ -13,10 +13,10 @@
 export function createSuspicions(): Suspicions {
     const suspicions = new Map<string, Map<string, number>>();
     return {
-        note: (head, daemon, now) => {
-            const earlier = [...suspicions.get(head) ?? []].filter(([, at]) => now - at < SUSPICION_MILLISECONDS);
+        note: (group, daemon, now) => {
+            const earlier = [...suspicions.get(group) ?? []].filter(([, at]) => now - at < SUSPICION_MILLISECONDS);
             const daemons = new Map([...earlier, [daemon, now]]);
-            suspicions.set(head, daemons);
+            suspicions.set(group, daemons);
             return daemons.size >= AGREEING_DAEMONS;
         },
     };
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -24,7 +24,7 @@
     readonly board: LoadBoard;
     readonly peerLoads: PeerLoads;
     /** Another daemon suspects the head of a group. */
-    readonly onSuspicion: (head: string, daemon: string) => void;
+    readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
     /** Another daemon learned a membership from the engine itself. */
     readonly onMembership: (told: ToldMembership) => void;
     /** Version of the configuration in force here, 0 if none is. */
@@ -33,10 +33,16 @@
     readonly onNewerConfiguration: () => void;
 }
 
+/** Suspicion about the head of one group. It says nothing about other groups of the same host. */
+export interface HeadSuspicion {
+    readonly head: string;
+    readonly group: string;
+}
+
 /** A running exchange. */
 export interface LoadExchange {
     /** Tells all daemons at once that a head makes no progress. */
-    suspect(head: string): void;
+    suspect(suspicion: HeadSuspicion): void;
     /** Tells all daemons a membership that an engine reported. */
     tellMembership(told: ToldMembership): void;
     stop(): void;
@@ -46,7 +52,7 @@
     daemon: z.string(),
     configurationVersion: z.number(),
     loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
-    suspects: z.array(z.string()),
+    suspects: z.array(z.object({ head: z.string(), group: z.string() })),
     memberships: z.array(z.object({
         host: z.string(),
         startedAt: z.number().optional(),
@@ -115,7 +121,7 @@
         const { daemon, configurationVersion, loads, suspects, memberships } = parsed.data;
         const told = loads.map(([target, inProgress, unreadTokens]) => ({ target, inProgress, unreadTokens }));
         peerLoads.tell(daemon, told, clock.monotonic());
-        suspects.forEach(head => parts.onSuspicion(head, daemon));
+        suspects.forEach(suspicion => parts.onSuspicion(suspicion, daemon));
         memberships.forEach(parts.onMembership);
         if (configurationVersion > parts.configurationVersion()) {
             parts.onNewerConfiguration();
@@ -127,7 +133,7 @@
     socket.bind(parts.port, self.ip);
     const timer = setInterval(tell, TELL_INTERVAL_MILLISECONDS);
     return {
-        suspect: head => send(describe({ suspects: [head] }), daemons.others()),
+        suspect: suspicion => send(describe({ suspects: [suspicion] }), daemons.others()),
         tellMembership: told => send(describe({ memberships: [told] }), daemons.others()),
         stop: () => {
             clearInterval(timer);
--- a/packages/daemon/src/relay/stallwatch.ts
+++ b/packages/daemon/src/relay/stallwatch.ts
@@ -1,5 +1,5 @@
 /** Watches the heads that serve streams of this daemon and moves the streams away when a head stops. */
-import type { LoadBoard } from "@damaskvale/core";
+import type { LoadBoard, TargetLoad } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 
@@ -8,6 +8,8 @@
     readonly clock: Clock;
     readonly log: EventLog;
     readonly board: LoadBoard;
+    /** Group that a host is in now, as far as known. */
+    readonly groupOf: (host: string) => string | undefined;
     /** Moves the streams of a head to other groups. */
     readonly moveStreams: (head: string) => void;
     /** Tells others that a head stopped. */
@@ -28,7 +30,7 @@
     return () => clearInterval(timer);
 }
 
-function check({ clock, log, board, moveStreams, report }: StallWatchParts): void {
+function check({ clock, log, board, groupOf, moveStreams, report }: StallWatchParts): void {
     const now = clock.monotonic();
     board.targets().forEach(target => {
         const load = board.of(target);
@@ -36,14 +38,14 @@
             return;
         }
         if (load.suspectedAt !== undefined) {
-            if (now - load.suspectedAt > SUSPICION_MILLISECONDS) {
+            if (now - load.suspectedAt > SUSPICION_MILLISECONDS || isInOtherGroup(load, groupOf(target))) {
                 board.clear(target);
             }
             return;
         }
         const limit = load.unstarted < load.inProgress ? STALL_MILLISECONDS : FIRST_EVENT_STALL_MILLISECONDS;
         if (load.inProgress > 0 && now - load.progressAt > limit && load.streams) {
-            board.suspect(target, now);
+            board.suspect(target, now, groupOf(target));
             log.emit("targetStalled", {
                 target,
                 inProgress: load.inProgress,
@@ -54,3 +56,8 @@
         }
     });
 }
+
+/** Returns whether a suspected target is in another group than the one that gave rise to the suspicion. */
+function isInOtherGroup({ suspectedIn }: TargetLoad, group: string | undefined): boolean {
+    return group !== undefined && suspectedIn !== undefined && group !== suspectedIn;
+}
--- /dev/null
+++ b/packages/daemon/src/relay/tests/stallwatch.test.ts
@@ -0,0 +1,53 @@
+/** Heads without progress are suspected for as long as the group lasts in which they stopped. */
+import { createLoadBoard } from "@damaskvale/core";
+import { type Clock, install } from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { startStallWatch } from "../stallwatch.js";
+
+const work = { promptTokens: 100, stream: true };
+
+describe("stall watch", () => {
+    let clock: Clock;
+    let stop: () => void;
+    let group: string | undefined;
+    const board = createLoadBoard();
+    const moved: string[] = [];
+    beforeEach(() => {
+        clock = install();
+        group = "group-1";
+        moved.length = 0;
+        stop = startStallWatch({
+            clock: { monotonic: () => clock.now, wall: () => clock.now },
+            log: { emit: () => undefined },
+            board,
+            groupOf: () => group,
+            moveStreams: head => {
+                moved.push(head);
+                board.ended(head, work.promptTokens, false);
+            },
+            report: () => undefined,
+        });
+        board.sent("head", work, 0);
+        clock.tick(1_200);
+    });
+    afterEach(() => {
+        stop();
+        board.clear("head");
+        clock.uninstall();
+    });
+
+    it("suspects a head without progress and moves its streams", () => {
+        expect([moved, board.of("head")?.suspectedAt]).to.deep.equal([["head"], 1_100]);
+    });
+
+    it("keeps the suspicion while the group lasts", () => {
+        clock.tick(3_000);
+        expect(board.of("head")?.suspectedAt).to.equal(1_100);
+    });
+
+    it("does not keep a new group without requests because the last group of its head stood still", () => {
+        group = "group-2";
+        clock.tick(100);
+        expect(board.of("head")?.suspectedAt).to.equal(undefined);
+    });
+});
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -255,6 +255,7 @@
         extensionMilliseconds: settings.enginesRefuseOldTokens ? LEASE_EXTENSION_MILLISECONDS : 0,
     });
     const suspicions = createSuspicions();
+    const groupOf = (host: string): string | undefined => state.targetById(host)?.membership?.group;
     const self = { daemon: settings.daemon, ip: settings.ip, dataCentre: settings.dataCentre };
     const exchange = startLoadExchange({
         clock,
@@ -267,11 +268,14 @@
         onMembership: told => state.applyMembership(told),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         onNewerConfiguration: () => configuration.refresh(TOLD_CONFIGURATION_GRACE_MILLISECONDS),
-        onSuspicion: (head, daemon) => {
+        onSuspicion: ({ head, group }, daemon) => {
+            if (groupOf(head) !== group) {
+                return;
+            }
             planner.suspect(head);
-            const agreed = suspicions.note(head, daemon, clock.monotonic());
+            const agreed = suspicions.note(group, daemon, clock.monotonic());
             if (agreed && !madeProgress(board.of(head), clock.monotonic())) {
-                board.suspect(head, clock.monotonic());
+                board.suspect(head, clock.monotonic(), group);
             }
         },
     });
@@ -294,10 +298,14 @@
         clock,
         log,
         board,
+        groupOf,
         moveStreams: relay.moveStreams,
         report: head => {
             planner.suspect(head);
-            exchange.suspect(head);
+            const group = groupOf(head);
+            if (group !== undefined) {
+                exchange.suspect({ head, group });
+            }
         },
     });
     return { planner, lease };
