Give up a head at once that refuses connections or is not the one that was meant

Cause: the failure ended the attempt and changed nothing that the daemon believed of the head; only silence did. Why it works: both answers say for certain that the head as this daemon knows it takes no requests. It is suspected in its group like one that stands still, the owner examines the members, and the other daemons are told; two that agree suffice there. A full head (503) and a reset change nothing, as before. Event 327 says so once for each head and group. Ruled out as a measure: 503, which all engines answer with their own address as the one at fault, whether full or closed. Tests: four cases in streamrelay.test.ts, two of which failed before, and one in stallwatch.test.ts.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -102,6 +102,11 @@
         "The head of a group makes no progress; its streams are moved.",
         "Look for the member that was lost.",
     ),
+    headUnusable: define(
+        327,
+        "warn",
+        "The head of a group refuses connections or is not the one that was meant; it gets no requests.",
+    ),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -55,6 +55,8 @@
 export interface AnswerMeaning {
     /** Whether the target states that it has not run the request and never will. */
     readonly notRun: boolean;
+    /** Whether the target is not the one that was meant, or does not take requests for its group. */
+    readonly misdirected: boolean;
     /** Id of the request that is answered, if the target states it. */
     readonly requestId?: string;
     /** Headers that are passed on to the caller unchanged. */
--- a/packages/daemon/src/relay/context.ts
+++ b/packages/daemon/src/relay/context.ts
@@ -29,6 +29,8 @@
     readonly state: RelayState;
     readonly connections: TargetConnections;
     readonly board: LoadBoard;
+    /** Notes that a head cannot be used: nothing listens at its address, or what does is not the head. */
+    readonly headUnusable: (head: string) => void;
     readonly dataCentre: string;
     /** Load of a target from other daemons, as far as known. */
     readonly loadOfOthers: (target: string) => { readonly inProgress: number; readonly unreadTokens: number; };
--- a/packages/daemon/src/relay/stallwatch.ts
+++ b/packages/daemon/src/relay/stallwatch.ts
@@ -24,10 +24,29 @@
 /** After this time, a head that was suspected gets requests again. */
 const SUSPICION_MILLISECONDS = 6_000;
 
-/** Starts the watch; returns how to stop it. */
-export function startStallWatch(parts: StallWatchParts): () => void {
+/** A running watch. */
+export interface StallWatch {
+    /** Notes that a head cannot be used although it may have no requests in progress. */
+    headUnusable(head: string): void;
+    stop(): void;
+}
+
+/** Starts the watch. */
+export function startStallWatch(parts: StallWatchParts): StallWatch {
     const timer = setInterval(() => check(parts), CHECK_INTERVAL_MILLISECONDS);
-    return () => clearInterval(timer);
+    return {
+        headUnusable: head => noteUnusable(parts, head),
+        stop: () => clearInterval(timer),
+    };
+}
+
+function noteUnusable({ clock, log, board, groupOf, report }: StallWatchParts, head: string): void {
+    if (board.of(head)?.suspectedAt === undefined) {
+        const group = groupOf(head);
+        board.suspect(head, clock.monotonic(), group);
+        log.emit("headUnusable", { target: head, group });
+        report(head);
+    }
 }
 
 function check({ clock, log, board, groupOf, moveStreams, report }: StallWatchParts): void {
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -5,7 +5,7 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { noteDemand, placeStream, REFUSED_RETRY_MILLISECONDS, weighedGroups } from "./streamplacement.js";
-import type { TargetExchange } from "./targetconnections.js";
+import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
 /** A stream in progress, as the watch over stalled targets sees it. */
 export interface StreamRelay {
@@ -154,7 +154,7 @@
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
                 ended: () => this.receiveEnd(attempt),
-                failed: error => this.attemptFailed(attempt, error.message),
+                failed: error => this.receiveFailure(attempt, error),
             },
         );
     }
@@ -166,6 +166,9 @@
             this.abandon(attempt, "foreign-answer");
             return;
         }
+        if (meaning.misdirected) {
+            parts.headUnusable(attempt.head);
+        }
         if (meaning.notRun) {
             attempt.sent = false;
             this.abandon(attempt, `refused with ${head.status}`);
@@ -242,6 +245,13 @@
         this.finish("complete");
     }
 
+    private receiveFailure(attempt: Attempt, error: Error): void {
+        if (isRefusedConnection(error)) {
+            this.parts.headUnusable(attempt.head);
+        }
+        this.attemptFailed(attempt, error.message);
+    }
+
     private abandon(attempt: Attempt, reason: string): void {
         attempt.exchange?.cancel();
         this.attemptFailed(attempt, reason);
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -48,6 +48,11 @@
     renew(address: string): void;
 }
 
+/** Returns whether nothing listens at the address, as opposed to a connection that is slow or was cut. */
+export function isRefusedConnection(error: Error): boolean {
+    return "code" in error && error.code === "ECONNREFUSED";
+}
+
 /** Options of the connections. */
 export interface TargetConnectionOptions {
     /** Connections to one target at most. */
--- a/packages/daemon/src/relay/tests/scene.ts
+++ b/packages/daemon/src/relay/tests/scene.ts
@@ -40,6 +40,8 @@
 /** Everything that a test of the relay needs. */
 export interface Scene {
     readonly sends: FakeSend[];
+    /** Heads that the relay found unusable. */
+    readonly unusable: string[];
     readonly caller: FakeCaller;
     readonly parts: RelayParts;
     readonly context: RequestContext;
@@ -64,6 +66,7 @@
     ok: { status: 200, headers: { "request-id": "r1" }, delimited: true },
     foreign: { status: 200, headers: { "request-id": "r0" }, delimited: true },
     notRun: { status: 503, headers: { "request-id": "r1", "not-run": "1" }, delimited: true },
+    misdirected: { status: 421, headers: { "not-run": "1", "misdirected": "1" }, delimited: true },
     silent503: { status: 503, headers: { "request-id": "r1" }, delimited: true },
     error: { status: 500, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
 } as const satisfies Record<string, AnswerHead>;
@@ -88,6 +91,7 @@
     encodeForTarget: (...[, fields]) => Object.entries(fields).flatMap(([name, value]) => [name, String(value)]),
     decodeAnswer: ({ headers }) => ({
         notRun: headers["not-run"] !== undefined,
+        misdirected: headers["misdirected"] !== undefined,
         requestId: headers["request-id"] as string | undefined,
         forwarded: Object.entries(headers).flat() as string[],
     }),
@@ -123,12 +127,14 @@
         throw new Error(admitted);
     }
     const sends: FakeSend[] = [];
+    const unusable: string[] = [];
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.repeats ?? 5) / 10 });
     const { caller, response } = createCaller();
     return {
         sends,
+        unusable,
         caller,
         events,
         parts: {
@@ -151,6 +157,7 @@
                 renew: () => undefined,
             },
             board: createLoadBoard(),
+            headUnusable: head => void unusable.push(head),
             dataCentre: "x",
             loadOfOthers: () => ({ inProgress: 0, unreadTokens: 0 }),
             groupsLately: createRecentMaximum(10_000),
--- a/packages/daemon/src/relay/tests/stallwatch.test.ts
+++ b/packages/daemon/src/relay/tests/stallwatch.test.ts
@@ -2,21 +2,23 @@
 import { createLoadBoard } from "@damaskvale/core";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { startStallWatch } from "../stallwatch.js";
+import { type StallWatch, startStallWatch } from "../stallwatch.js";
 
 const work = { promptTokens: 100, stream: true };
 
 describe("stall watch", () => {
     let clock: Clock;
-    let stop: () => void;
+    let watch: StallWatch;
     let group: string | undefined;
     const board = createLoadBoard();
     const moved: string[] = [];
+    const reported: string[] = [];
     beforeEach(() => {
         clock = install();
         group = "group-1";
         moved.length = 0;
-        stop = startStallWatch({
+        reported.length = 0;
+        watch = startStallWatch({
             clock: { monotonic: () => clock.now, wall: () => clock.now },
             log: { emit: () => undefined },
             board,
@@ -25,13 +27,13 @@
                 moved.push(head);
                 board.ended(head, work.promptTokens, false);
             },
-            report: () => undefined,
+            report: head => void reported.push(head),
         });
         board.sent("head", work, 0);
         clock.tick(1_200);
     });
     afterEach(() => {
-        stop();
+        watch.stop();
         board.clear("head");
         clock.uninstall();
     });
@@ -45,6 +47,11 @@
         expect(board.of("head")?.suspectedAt).to.equal(1_100);
     });
 
+    it("suspects an unusable head at once and reports it once", () => {
+        ["other", "other"].forEach(watch.headUnusable);
+        expect([reported, board.of("other")?.suspectedAt]).to.deep.equal([["head", "other"], 1_200]);
+    });
+
     it("does not keep a new group without requests because the last group of its head stood still", () => {
         group = "group-2";
         clock.tick(100);
--- a/packages/daemon/src/relay/tests/streamrelay.test.ts
+++ b/packages/daemon/src/relay/tests/streamrelay.test.ts
@@ -17,6 +17,10 @@
     return { ...scene, relay, ends: () => ends };
 }
 
+function refusedConnection(): Error {
+    return Object.assign(new Error("connect ECONNREFUSED"), { code: "ECONNREFUSED" });
+}
+
 function begin(send: FakeSend | undefined, ...ids: number[]): FakeSend {
     if (send === undefined) {
         throw new Error("Nothing was sent.");
@@ -47,6 +51,21 @@
         expect(sends[1]?.address).to.not.equal(sends[0]?.address);
     });
 
+    const failures: readonly [string, boolean, (send: FakeSend | undefined) => void][] = [
+        ["answers that it is not the head", true, send => send?.receiver.head(heads.misdirected)],
+        ["refuses the connection", true, send => send?.receiver.failed(refusedConnection())],
+        ["is full", false, send => send?.receiver.head(heads.notRun)],
+        ["resets a connection", false, send => send?.receiver.failed(new Error("reset"))],
+    ];
+    failures.forEach(([name, unusable, fail]) =>
+        it(`${unusable ? "gives up" : "keeps"} a head that ${name}, for the requests that follow`, () => {
+            const scene = start();
+            fail(scene.sends[0]);
+            expect(scene.unusable).to.deep.equal(unusable ? ["a"] : []);
+            expect(scene.sends.length).to.equal(2);
+        })
+    );
+
     it("does not end a stream as whole that stopped inside an event", () => {
         const { sends, caller } = start({ maximumAttempts: 1 });
         const send = begin(sends[0], 1);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -31,7 +31,7 @@
 import { measureEvents, type Measurements } from "./measure.js";
 import { targetsPauseMilliseconds } from "./pace.js";
 import { createRelay, type Relay } from "./relay.js";
-import { startStallWatch } from "./stallwatch.js";
+import { type StallWatch, startStallWatch } from "./stallwatch.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { createTargetConnections } from "./targetconnections.js";
 
@@ -121,14 +121,14 @@
 export async function startPlatformDaemon(settings: RelaySettings, ports: PlatformPorts): Promise<void> {
     const { base, measurements } = createBase(settings, ports, () => relay.inProgress());
     const { log } = base;
-    const relay = wireRelay(base);
+    const relay = wireRelay(base, head => watch.headUnusable(head));
     const listening = startListeners({ ...settings, log, relay, state: base.state });
     if (settings.metricsListen !== undefined) {
         await measurements.serve(settings.metricsListen);
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     const configuration = followStore(base);
-    const { planner, lease } = wirePlanning(base, relay, configuration);
+    const { planner, lease, watch } = wirePlanning(base, relay, configuration);
     const listeners = await listening;
     process.once("SIGTERM", () => {
         planner.stop();
@@ -187,7 +187,7 @@
     };
 }
 
-function wireRelay(base: Base): Relay {
+function wireRelay(base: Base, headUnusable: (head: string) => void): Relay {
     const { settings, ports, clock, log, random, state, board, peerLoads, budgets, demandOf } = base;
     return createRelay({
         clock,
@@ -199,6 +199,7 @@
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
         }),
         board,
+        headUnusable,
         dataCentre: settings.dataCentre,
         loadOfOthers: target => peerLoads.of(target, clock.monotonic()),
         groupsLately: createRecentMaximum(GROUP_MEMORY_MILLISECONDS),
@@ -245,7 +246,7 @@
     base: Base,
     relay: Relay,
     configuration: TopicFollower,
-): { readonly planner: EnginePlanner; readonly lease: PartitionLease; } {
+): { readonly planner: EnginePlanner; readonly lease: PartitionLease; readonly watch: StallWatch; } {
     const { settings, ports, clock, log, random, state, board, peerLoads, budgets, daemons } = base;
     const lease = startPartitionLease({
         group: ports.partitions,
@@ -294,7 +295,7 @@
         },
     });
     startPresence({ topic: ports.presence(log), self, log, random, setPeers: daemons.replace });
-    startStallWatch({
+    const watch = startStallWatch({
         clock,
         log,
         board,
@@ -308,5 +309,5 @@
             }
         },
     });
-    return { planner, lease };
+    return { planner, lease, watch };
 }
