Weigh demand as shares, so that a model without a group is given one

Cause: the cost of a model without any group is its demand times 1000, that of a model with groups its demand squared over their number. The first was meant for shares below 1. Since demand is told in milliseconds of work, in the thousands, so that no group was cheaper than one, and the last large group that broke was never formed again. Why it works: only the ratio of the demands matters to the choice; shares give the constants the scale for which they hold. Test: a case of mix.test.ts with demand in milliseconds, which failed before (chose two small groups). Why tests missed it: all cases of the mix stated shares, and the change of the unit came in another module.

--- a/packages/core/src/engines/mix.ts
+++ b/packages/core/src/engines/mix.ts
@@ -4,7 +4,7 @@
 /** Groups of one model. */
 export interface ModelDemand {
     readonly profile: ModelProfile;
-    /** Work for this model relative to the others. */
+    /** Work for this model, in any unit that is the same for all models. */
     readonly demand: number;
     /** Groups that the model has elsewhere. */
     readonly groups: number;
@@ -26,7 +26,11 @@
  * of its groups; the choice minimises the sum of demand times load. A group whose members hold other weights must gain
  * more than one that can serve at once. Of equal choices, the one with fewer idle hosts.
  */
-export function chooseMix(demands: readonly ModelDemand[], free: FreeHosts): ReadonlyMap<string, number> {
+export function chooseMix(
+    absoluteDemands: readonly ModelDemand[],
+    free: FreeHosts,
+): ReadonlyMap<string, number> {
+    const demands = toShares(absoluteDemands);
     const best = combinations(demands, free.count)
         .filter(counts => loadsOf(demands, counts) <= free.loadsAllowed)
         .map(counts => ({
@@ -40,6 +44,12 @@
     return new Map(demands.map(({ profile }, index) => [profile.name, best.counts[index] ?? 0]));
 }
 
+/** Demands as shares of their sum, so that costs do not depend on the unit in which they are told. */
+function toShares(demands: readonly ModelDemand[]): ModelDemand[] {
+    const total = demands.reduce((sum, { demand }) => sum + demand, 0);
+    return demands.map(entry => ({ ...entry, demand: total > 0 ? entry.demand / total : 1 / demands.length }));
+}
+
 /** Cost of a group whose members drop the weights that they hold, as a share of the cost of all load. */
 const RELOAD_COST = 0.02;
 
--- a/packages/core/src/engines/tests/mix.test.ts
+++ b/packages/core/src/engines/tests/mix.test.ts
@@ -62,6 +62,13 @@
         empty: 0,
         mix: [0, 2],
     },
+    {
+        guards: "a model stays without a group when demand is told in milliseconds of work",
+        demand: demands(3_450, 3_230, [0, 5], [6, 0]),
+        hosts: 6,
+        empty: 0,
+        mix: [1, 0],
+    },
     { guards: "a model with little demand gets most groups", demand: demands(0.1, 0.9, [2, 1]), hosts: 6, mix: [0, 2] },
 ];
 
