Let the busiest model decide the mix of groups

Cause: the cost of a mix was the sum of demand squared over groups, which hardly tells 6 and 6 groups from 4 and 10. A domain of 11 hosts takes a large and a small group or three small ones; two domains of six chose the latter, so that the large model ran at 0.87 of its places and every loss of one of its groups overloaded it. Why it works: with the third power of the load, the model with the busiest groups outweighs what the other one gains. Test: a case of mix.test.ts, which failed before (chose 3 small groups).

--- a/packages/core/src/engines/mix.ts
+++ b/packages/core/src/engines/mix.ts
@@ -23,7 +23,7 @@
 
 /**
  * Chooses how many new groups to form of each model. The load of a group is the demand of its model over the number
- * of its groups; the choice minimises the sum of demand times load. A group whose members hold other weights must gain
+ * of its groups; the choice minimises the sum of demand times load to a power. A group whose members hold other weights must gain
  * more than one that can serve at once. Of equal choices, the one with fewer idle hosts.
  */
 export function chooseMix(
@@ -68,13 +68,15 @@
     return Math.ceil(reloading / smallest);
 }
 
+/** Power with which the load of a group counts, so that the model with the busiest groups decides. */
+const LOAD_POWER = 3;
 /** A model without any group must not be left so; a group that cannot be reached costs more than any load. */
 const NO_GROUP_COST = 1_000;
 
 function costOf(demands: readonly ModelDemand[], counts: readonly number[]): number {
     return demands.reduce((sum, { demand, groups }, index) => {
         const total = groups + (counts[index] ?? 0);
-        return sum + (total === 0 ? demand * NO_GROUP_COST : demand * demand / total);
+        return sum + (total === 0 ? demand * NO_GROUP_COST : demand * (demand / total) ** LOAD_POWER);
     }, 0);
 }
 
--- a/packages/core/src/engines/tests/mix.test.ts
+++ b/packages/core/src/engines/tests/mix.test.ts
@@ -69,6 +69,12 @@
         empty: 0,
         mix: [1, 0],
     },
+    {
+        guards: "the fleet starts with few groups of the large model, although the demand is the same",
+        demand: demands(0.112, 0.11, [4, 4]),
+        hosts: 11,
+        mix: [1, 1],
+    },
     { guards: "a model with little demand gets most groups", demand: demands(0.1, 0.9, [2, 1]), hosts: 6, mix: [0, 2] },
 ];
 
