Keep spares of the groups that serve, and have hosts load before their group is formed

Cause: the mix counted groups and not what keeps them. The only spare with the weights of a large group was taken for a small group that had to load for 12 s; the five hosts that a large group leaves were taken for small ones in the same way; and a group with one host without weights held all its members for 16 s, in which a host with the weights could have replaced it. Why it works: a group counts less where no free host could replace a lost member (by the losses and the load time that it has to bear), and half while its members load. A group that could serve at once is given up only for much more. After the first request, hosts without the weights load first (stage), and the group is formed when all hold them; until then the others stay free and keep their weights. A spare loads the weights of the model that needs a spare twice as much as its own. Loads of the start are quick; members load while they join, as before.

--- a/packages/core/src/engines/formations.ts
+++ b/packages/core/src/engines/formations.ts
@@ -1,7 +1,6 @@
 /** What a planner remembers of its own orders until the hosts show their effect: groups being formed, models staged. */
 import type { ModelProfile } from "../routes/types.js";
 import type { EngineGroup } from "./groups.js";
-import type { EngineOrder } from "./orders.js";
 import type { Target } from "./types.js";
 
 /** A group that is being formed. */
@@ -15,6 +14,8 @@
 
 interface Staging {
     readonly model: string;
+    /** Start of the host that was ordered to stage; another start has forgotten the order. */
+    readonly startedAt?: number;
     readonly until: number;
 }
 
@@ -34,16 +35,22 @@
         this.groups.set(group, formation);
     }
 
-    noteStaging(orders: readonly EngineOrder[], models: readonly ModelProfile[], now: number): void {
-        orders.filter(order => order.kind === "stage").forEach(order => {
-            const load = models.find(model => model.name === order.model)?.loadMilliseconds ?? 0;
-            this.staging.set(order.host, { model: order.model, until: now + LOAD_FACTOR * load });
-        });
+    noteStaging({ id, startedAt }: Target, { name, loadMilliseconds }: ModelProfile, now: number): void {
+        this.staging.set(id, { model: name, startedAt, until: now + LOAD_FACTOR * loadMilliseconds });
     }
 
-    /** Model that a host was ordered to stage, while that may still be in progress. */
-    stagingOf(host: string): string | undefined {
-        return this.staging.get(host)?.model;
+    /** Model that a host was ordered to stage and does not hold yet, while that may still be in progress. */
+    stagingOf({ id, startedAt, stagedModels }: Target): string | undefined {
+        const staging = this.staging.get(id);
+        const inProgress = staging !== undefined && staging.startedAt === startedAt
+            && !stagedModels.includes(staging.model);
+        return inProgress ? staging.model : undefined;
+    }
+
+    /** Models whose weights a host holds, or the one that it will hold in their place when its load ends. */
+    modelsOf(target: Target): readonly string[] {
+        const staging = this.stagingOf(target);
+        return staging === undefined ? target.stagedModels : [staging];
     }
 
     /** Notes the members of a group that are ready or serve. */
--- /dev/null
+++ b/packages/core/src/engines/forming.ts
@@ -0,0 +1,115 @@
+/** Forms groups of the free hosts of a domain: which groups, of which hosts, and which of these load weights first. */
+import type { ModelProfile } from "../routes/types.js";
+import type { Formations } from "./formations.js";
+import { groupName } from "./groups.js";
+import { chooseMix, type FreeHosts, type ModelDemand } from "./mix.js";
+import type { EngineOrder } from "./orders.js";
+import type { DomainPlanInput } from "./planinput.js";
+import type { Target } from "./types.js";
+
+/** Groups chosen for the free hosts of a domain, with what the choice was made from. */
+export interface GroupChoice {
+    readonly demands: readonly ModelDemand[];
+    readonly free: FreeHosts;
+    /** New groups by model. */
+    readonly mix: ReadonlyMap<string, number>;
+}
+
+/** What becomes of the free hosts. */
+export interface Forming {
+    readonly joins: readonly EngineOrder[];
+    /** Members of chosen groups that load the weights before the group is formed. */
+    readonly loading: readonly { readonly target: Target; readonly model: ModelProfile; }[];
+    /** Hosts that are in none of the chosen groups. */
+    readonly idle: readonly Target[];
+}
+
+/** Hosts whose entry lapsed are taken before hosts that must load the weights. */
+const UNREGISTERED_SCORE = 1.5;
+
+/** Chooses the groups to form of free hosts, of the models that need them most. */
+export function chooseGroups(
+    input: DomainPlanInput,
+    targets: readonly Target[],
+    groupsHere: ReadonlyMap<string, number>,
+    formations: Formations,
+): GroupChoice {
+    const demands = input.models.map(profile => ({
+        profile,
+        demand: input.demandByModel.get(profile.name) ?? profile.share / profile.size,
+        groups: input.groupsByModel.get(profile.name) ?? 0,
+        groupsHere: groupsHere.get(profile.name) ?? 0,
+        holders: targets.filter(target => formations.modelsOf(target).includes(profile.name)).length,
+    }));
+    const free = {
+        count: targets.length,
+        empty: targets.filter(target => formations.modelsOf(target).length === 0).length,
+        loadsAllowed: Math.max(0, input.loadsSoon),
+    };
+    return { demands, free, mix: chooseMix(demands, free) };
+}
+
+/**
+ * Gives the orders to form the chosen groups. A group whose members all hold the weights joins at once. While loads take
+ * long, the other members of a group load first: its hosts stay free for a better choice, and a host with the weights
+ * that comes in the meantime makes the group whole.
+ */
+export function formGroups(
+    input: DomainPlanInput,
+    mix: ReadonlyMap<string, number>,
+    free: readonly Target[],
+    formations: Formations,
+): Forming {
+    const wanted = [...input.models].sort((left, right) => right.size - left.size)
+        .flatMap(profile => Array.from({ length: mix.get(profile.name) ?? 0 }, () => profile));
+    return wanted.reduce<Forming>((forming, profile, index) => {
+        const members = headFirst(preferHolders(forming.idle, profile.name, formations), profile.size);
+        if (members.length < profile.size) {
+            return forming;
+        }
+        const idle = forming.idle.filter(target => !members.includes(target));
+        const cold = members.filter(member => !member.stagedModels.includes(profile.name));
+        if (cold.length > 0 && !(input.loadsAreQuick && cold.length <= input.loadsAllowed)) {
+            const loading = cold.map(target => ({ target, model: profile }));
+            return { ...forming, loading: [...forming.loading, ...loading], idle };
+        }
+        const joins = joinOrders(input, profile.name, members, input.nextEpoch + index, formations);
+        return { ...forming, joins: [...forming.joins, ...joins], idle };
+    }, { joins: [], loading: [], idle: free });
+}
+
+/** Orders to all members of a new group, which is noted as being formed. */
+export function joinOrders(
+    { domain, fencingToken, now }: DomainPlanInput,
+    model: string,
+    targets: readonly Target[],
+    epoch: number,
+    formations: Formations,
+): EngineOrder[] {
+    const group = groupName(domain, model, fencingToken, epoch);
+    const members = targets.map(target => target.id);
+    formations.note(group, { model, members, startedAt: now });
+    return members.map(host => ({ kind: "join", host, group, epoch, model, members }));
+}
+
+/** Takes so many hosts with a registered one first, as requests go to the head; none if no host is registered. */
+function headFirst(hosts: readonly Target[], size: number): Target[] {
+    const head = hosts.find(host => host.registered);
+    return head === undefined ? [] : [head, ...hosts.filter(host => host !== head)].slice(0, size);
+}
+
+/** Sorts hosts: those whose last group ran the model, those that hold its weights, load them, hold none, hold others. */
+function preferHolders(hosts: readonly Target[], model: string, formations: Formations): Target[] {
+    const score = (target: Target): number => {
+        if (target.stagedModels.includes(model)) {
+            const warm = formations.lastModelOf(target) === model;
+            return warm ? 0 : target.busy ? 2 : 1;
+        }
+        if (formations.stagingOf(target) === model) {
+            return 3;
+        }
+        return formations.modelsOf(target).length === 0 ? 4 : 5;
+    };
+    const rank = (target: Target): number => score(target) + (target.registered ? 0 : UNREGISTERED_SCORE);
+    return [...hosts].sort((left, right) => rank(left) - rank(right));
+}
--- a/packages/core/src/engines/planinput.ts
+++ b/packages/core/src/engines/planinput.ts
@@ -28,6 +28,10 @@
     readonly demandByModel: ReadonlyMap<string, number>;
     /** Loads from the weight store that may start now. */
     readonly loadsAllowed: number;
+    /** Loads that may start within some seconds. */
+    readonly loadsSoon: number;
+    /** Whether loads take so short that members of a new group load while they join. */
+    readonly loadsAreQuick: boolean;
     /** Token of the owner that plans. */
     readonly fencingToken: number;
     /** Lowest epoch that is above all epochs seen. */
--- a/packages/core/src/engines/tests/demand.test.ts
+++ b/packages/core/src/engines/tests/demand.test.ts
@@ -67,7 +67,13 @@
         );
         const demand = meter.of(models, 0);
         const mix = chooseMix(
-            models.map(profile => ({ profile, demand: demand.get(profile.name) ?? 0, groups: 6, holders: 0 })),
+            models.map(profile => ({
+                profile,
+                demand: demand.get(profile.name) ?? 0,
+                groups: 6,
+                groupsHere: 0,
+                holders: 0,
+            })),
             { count: 24, empty: 24, loadsAllowed: 24 },
         );
         expect([mix.get("large"), mix.get("small")]).to.deep.equal([0, 4]);
--- a/packages/core/src/engines/tests/mix.test.ts
+++ b/packages/core/src/engines/tests/mix.test.ts
@@ -8,17 +8,18 @@
     size,
     share: 0.5,
     pace: 1,
-    loadMilliseconds: 1,
-    warmMilliseconds: 1,
+    loadMilliseconds: 12_000,
+    warmMilliseconds: 1_000,
 });
 const demands = (
     large: number,
     small: number,
     groups: readonly [number, number] = [0, 0],
     holders: readonly [number, number] = [0, 0],
+    groupsHere: readonly [number, number] = [0, 0],
 ) => [
-    { profile: profile("large", 6), demand: large, groups: groups[0], holders: holders[0] },
-    { profile: profile("small", 3), demand: small, groups: groups[1], holders: holders[1] },
+    { profile: profile("large", 6), demand: large, groups: groups[0], groupsHere: groupsHere[0], holders: holders[0] },
+    { profile: profile("small", 3), demand: small, groups: groups[1], groupsHere: groupsHere[1], holders: holders[1] },
 ];
 
 interface Case {
@@ -75,6 +76,27 @@
         hosts: 11,
         mix: [1, 1],
     },
+    {
+        guards: "the only spare of a large group loads weights for one small group more",
+        demand: demands(0.5, 0.5, [6, 6], [1, 1], [1, 1]),
+        hosts: 3,
+        empty: 1,
+        mix: [0, 0],
+    },
+    {
+        guards: "spare hosts stay idle that are more than a domain needs",
+        demand: demands(0.5, 0.5, [6, 6], [1, 3], [1, 1]),
+        hosts: 4,
+        empty: 0,
+        mix: [0, 1],
+    },
+    {
+        guards: "six holders of the large model load another one while they could serve",
+        demand: demands(0.42, 0.58, [5, 3], [6, 3]),
+        hosts: 9,
+        empty: 0,
+        mix: [1, 1],
+    },
     { guards: "a model with little demand gets most groups", demand: demands(0.1, 0.9, [2, 1]), hosts: 6, mix: [0, 2] },
 ];
 
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -45,6 +45,8 @@
         groupsByModel: new Map(),
         demandByModel: new Map(),
         loadsAllowed: 100,
+        loadsSoon: 100,
+        loadsAreQuick: true,
         fencingToken: 4,
         nextEpoch: 10,
         now: START,
@@ -209,6 +211,33 @@
         orders: [],
         fields: { loadsAllowed: 0 },
     },
+    {
+        guards: "a spare of the large group that loads weights for a small group",
+        hosts: [...whole, host("e", { stagedModels: ["large"] }), host("f")],
+        orders: ["stage f large"],
+        fields: { loadsAreQuick: false, groupsByModel: new Map([["large", 4], ["small", 4]]) },
+    },
+    {
+        guards: "members of a broken group that load other weights while one host is missing",
+        hosts: [
+            ...["a", "b"].map(id => host(id, { stagedModels: ["large"] })),
+            host("e", { stagedModels: ["small"] }),
+        ],
+        orders: ["stage e large"],
+        fields: { loadsAreQuick: false, groupsByModel: new Map([["large", 4], ["small", 4]]) },
+    },
+    {
+        guards: "members that wait in a group for one that loads",
+        hosts: [...["a", "b"].map(id => host(id, { stagedModels: ["large"] })), host("c")],
+        orders: ["stage c large"],
+        fields: { loadsAreQuick: false, groupsByModel: new Map([["large", 4], ["small", 4]]) },
+    },
+    {
+        guards: "a spare that holds other weights than those of the group that needs it most",
+        hosts: [...whole, host("e", { stagedModels: ["small"] })],
+        orders: ["stage e large"],
+        fields: { loadsAreQuick: false, groupsByModel: new Map([["large", 4], ["small", 4]]) },
+    },
     {
         guards: "a group of staged hosts that waits for an allowance it does not need",
         hosts: ["a", "b", "c"].map(id => host(id, { stagedModels: ["large"] })),
@@ -242,6 +271,17 @@
         expect(ordersOf(planner, input(hosts, { now: START + 500 }))).to.deep.equal([]);
     });
 
+    it("forms a group as soon as the last member holds the weights", () => {
+        const planner = createDomainPlanner();
+        const fields = { loadsAreQuick: false, groupsByModel: new Map([["large", 4], ["small", 4]]) };
+        const holders = ["a", "b"].map(id => host(id, { stagedModels: ["large"] }));
+        ordersOf(planner, input([...holders, host("c")], fields));
+        expect(brief(ordersOf(planner, input([...holders, host("c")], { ...fields, now: START + 9_000 }))))
+            .to.deep.equal(["join a large"]);
+        const loaded = input([...holders, host("c", { stagedModels: ["large"] })], { ...fields, now: START + 16_000 });
+        expect(brief(ordersOf(planner, loaded))).to.deep.equal(["join a large", "join b large", "join c large"]);
+    });
+
     it("does not stage a host twice while its load shows no effect", () => {
         const planner = createDomainPlanner();
         ordersOf(planner, input([...whole, host("e")]));
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -2,6 +2,7 @@
 import {
     createDomainPlanner,
     type DemandMeter,
+    type DomainPlanInput,
     type DomainPlanner,
     type EngineHost,
     type EngineOrder,
@@ -46,6 +47,8 @@
 }
 
 const ROUND_INTERVAL_MILLISECONDS = 100;
+/** A group is chosen although some of its loads may start only within this time. */
+const LOAD_HORIZON_SECONDS = 10;
 /** Significant digits of a demand in the log. */
 const DEMAND_DIGITS = 3;
 /** Orders that end together are followed by one round. */
@@ -131,7 +134,7 @@
     }
 
     private planDomain(domain: string, service: Service, engine: EngineProfile, share: PartitionShare): void {
-        const { clock, state, partitionCount, trafficSeen, demandOf } = this.parts;
+        const { clock, state, partitionCount, demandOf } = this.parts;
         const now = clock.monotonic();
         const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
         targets.filter(target => this.records.needsReport(target, now)).forEach(target =>
@@ -149,7 +152,7 @@
             models: engine.models,
             groupsByModel: countGroups(state, service.name),
             demandByModel: demandOf(service.name).of(engine.models, now),
-            loadsAllowed: trafficSeen() ? this.loads.available(loadsPerSecond, now) : Number.POSITIVE_INFINITY,
+            ...this.allowedLoads(loadsPerSecond, now),
             fencingToken: share.fencingToken,
             nextEpoch: this.nextEpoch(share),
             now,
@@ -165,6 +168,22 @@
         });
     }
 
+    /** Loads before the first request are quick and not limited. */
+    private allowedLoads(
+        perSecond: number,
+        now: number,
+    ): Pick<DomainPlanInput, "loadsAllowed" | "loadsSoon" | "loadsAreQuick"> {
+        if (!this.parts.trafficSeen()) {
+            return {
+                loadsAllowed: Number.POSITIVE_INFINITY,
+                loadsSoon: Number.POSITIVE_INFINITY,
+                loadsAreQuick: true,
+            };
+        }
+        const loadsAllowed = this.loads.available(perSecond, now);
+        return { loadsAllowed, loadsSoon: loadsAllowed + perSecond * LOAD_HORIZON_SECONDS, loadsAreQuick: false };
+    }
+
     /** Logs a choice of groups if there were hosts to choose for and it is not the last one once more. */
     private logChoice(domain: string, choice: GroupChoice | undefined): void {
         if (choice === undefined || choice.free.count === 0) {
