Count groups in full while loads are quick

Cause: the value of a group whose members load was halved before the first request, too, when loads take a tenth of the time. Test: the case of the start in mix.test.ts states that loads are quick, and the shares of the models as they are configured.

--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -45,6 +45,7 @@
         count: targets.length,
         empty: targets.filter(target => formations.modelsOf(target).length === 0).length,
         loadsAllowed: Math.max(0, input.loadsSoon),
+        loadsAreQuick: input.loadsAreQuick,
     };
     return { demands, free, mix: chooseMix(demands, free) };
 }
--- a/packages/core/src/engines/mix.ts
+++ b/packages/core/src/engines/mix.ts
@@ -21,6 +21,8 @@
     readonly empty: number;
     /** Loads from the weight store that may start soon. */
     readonly loadsAllowed: number;
+    /** Whether loads take so short that a group is worth as much with them as without. */
+    readonly loadsAreQuick: boolean;
 }
 
 /** Power with which the load of a group counts, so that the model with the busiest groups decides. */
@@ -78,14 +80,19 @@
             return sum + entry.demand * NO_GROUP_COST;
         }
         const spared = spares.others > 0 || (spares.holders[index] ?? 0) > 0;
-        return sum + entry.demand * (entry.demand / effectiveGroups(entry, added, spared)) ** LOAD_POWER;
+        return sum + entry.demand * (entry.demand / effectiveGroups(entry, added, spared, free)) ** LOAD_POWER;
     }, 0);
     return load * (1 + givenUp * GIVEN_UP_GROUP_COST);
 }
 
 /** Groups that a model has on average while hosts are lost, if so many are added. */
-function effectiveGroups(entry: ModelDemand, added: number, spared: boolean): number {
-    const cold = Math.min(added, Math.ceil(missingHolders(entry, added) / entry.profile.size));
+function effectiveGroups(
+    entry: ModelDemand,
+    added: number,
+    spared: boolean,
+    { loadsAreQuick }: FreeHosts,
+): number {
+    const cold = loadsAreQuick ? 0 : Math.min(added, Math.ceil(missingHolders(entry, added) / entry.profile.size));
     const missing = spared ? 0 : missingGroups(entry.profile, entry.groupsHere + added);
     // A member that is lost is replaced from the group that serves last.
     const valueOfMissing = cold > 0 ? COLD_GROUP_VALUE : 1;
--- a/packages/core/src/engines/tests/demand.test.ts
+++ b/packages/core/src/engines/tests/demand.test.ts
@@ -74,7 +74,7 @@
                 groupsHere: 0,
                 holders: 0,
             })),
-            { count: 24, empty: 24, loadsAllowed: 24 },
+            { count: 24, empty: 24, loadsAllowed: 24, loadsAreQuick: false },
         );
         expect([mix.get("large"), mix.get("small")]).to.deep.equal([0, 4]);
     });
--- a/packages/core/src/engines/tests/mix.test.ts
+++ b/packages/core/src/engines/tests/mix.test.ts
@@ -28,6 +28,7 @@
     readonly hosts: number;
     readonly empty?: number;
     readonly loads?: number;
+    readonly loadsAreQuick?: boolean;
     readonly mix: readonly [number, number];
 }
 
@@ -72,8 +73,9 @@
     },
     {
         guards: "the fleet starts with few groups of the large model, although the demand is the same",
-        demand: demands(0.112, 0.11, [4, 4]),
+        demand: demands(0.1117, 0.11, [4, 4]),
         hosts: 11,
+        loadsAreQuick: true,
         mix: [1, 1],
     },
     {
@@ -101,9 +103,9 @@
 ];
 
 describe("chooseMix", () => {
-    cases.forEach(({ guards, demand, hosts, empty = hosts, loads = hosts, mix }) => {
+    cases.forEach(({ guards, demand, hosts, empty = hosts, loads = hosts, loadsAreQuick = false, mix }) => {
         it(`guards against: ${guards}`, () => {
-            const chosen = chooseMix(demand, { count: hosts, empty, loadsAllowed: loads });
+            const chosen = chooseMix(demand, { count: hosts, empty, loadsAllowed: loads, loadsAreQuick });
             expect([chosen.get("large"), chosen.get("small")]).to.deep.equal(mix);
         });
     });
