Ask members again that did not join, and ignore late entries of hosts that were forgotten

While a group is being formed, a member that is known to be in no group is now asked again with the same name, epoch and list, which the engine takes once. 2. An entry that returns is ignored if its id was dropped in any way and a registered target of a known service has its address; before, only if that target had taken it over from the entry. Tests: planner.test.ts 'asks a member again', state.test.ts two cases; the first of state and that of the planner failed before.

--- a/packages/core/src/engines/formations.ts
+++ b/packages/core/src/engines/formations.ts
@@ -92,6 +92,11 @@
         return now < due && !formation.members.some(lost);
     }
 
+    /** Formation of a group that this planner ordered and still remembers. */
+    of(group: string): Formation | undefined {
+        return this.groups.get(group);
+    }
+
     /** Hosts that were asked to join a group and may not report it yet, leaving out groups that were given up. */
     expectedMembers(abandoned: ReadonlySet<string>, now: number): Set<string> {
         return new Set(
--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -2,6 +2,7 @@
 import type { ModelProfile } from "../routes/types.js";
 import type { Formations } from "./formations.js";
 import { groupName } from "./groups.js";
+import type { JudgedGroup } from "./judge.js";
 import { chooseMix, type FreeHosts, type ModelDemand } from "./mix.js";
 import type { EngineOrder } from "./orders.js";
 import type { DomainPlanInput } from "./planinput.js";
@@ -93,6 +94,26 @@
     return members.map(host => ({ kind: "join", host, group, epoch, model, members }));
 }
 
+/** Orders to members that are known not to have joined a group that is being formed; an order may be refused or lost. */
+export function repeatJoins(
+    groups: readonly JudgedGroup[],
+    usable: readonly Target[],
+    formations: Formations,
+): EngineOrder[] {
+    const free = new Set(usable.filter(target => target.membership === undefined).map(target => target.id));
+    return groups.filter(({ forming }) => forming).flatMap(({ group }) => {
+        const formation = formations.of(group.name);
+        return formation === undefined ? [] : formation.members.filter(host => free.has(host)).map(host => ({
+            kind: "join" as const,
+            host,
+            group: group.name,
+            epoch: group.epoch,
+            model: formation.model,
+            members: formation.members,
+        }));
+    });
+}
+
 /** Takes so many hosts with a registered one first, as requests go to the head; none if no host is registered. */
 function headFirst(hosts: readonly Target[], size: number): Target[] {
     const head = hosts.find(host => host.registered);
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -3,7 +3,7 @@
  * and which models idle hosts stage ahead. Pure apart from its own record of groups that are being formed.
  */
 import { Formations } from "./formations.js";
-import { chooseGroups, formGroups, type Forming, type GroupChoice, joinOrders } from "./forming.js";
+import { chooseGroups, formGroups, type Forming, type GroupChoice, joinOrders, repeatJoins } from "./forming.js";
 import { groupsOf } from "./groups.js";
 import { freeHosts, type JudgedGroup, judgeGroup, ordersForGroup } from "./judge.js";
 import type { EngineOrder } from "./orders.js";
@@ -35,9 +35,13 @@
             const groups = groupsOf(input.hosts.map(host => host.target), input.models)
                 .map(group => judgeGroup(group, input, formations));
             groups.forEach(({ group }) => formations.noteReady(group));
-            const changes = groups.flatMap(ordersForGroup);
+            const usableTargets = input.hosts.filter(isUsable).map(host => host.target);
+            const changes = [
+                ...groups.flatMap(ordersForGroup),
+                ...repeatJoins(groups, usableTargets, formations),
+            ];
             const { orders, choice } = useFreeHosts(input, groups, changes, formations);
-            const usable = new Set(input.hosts.filter(isUsable).map(host => host.target.id));
+            const usable = new Set(usableTargets.map(target => target.id));
             return { orders: [...changes, ...orders].filter(order => usable.has(order.host)), choice };
         },
     };
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -282,6 +282,18 @@
         expect(brief(ordersOf(planner, loaded))).to.deep.equal(["join a large", "join b large", "join c large"]);
     });
 
+    it("asks a member again whose join was refused, before the group is given up", () => {
+        const planner = createDomainPlanner();
+        const hosts = ["a", "b", "c"].map(id => host(id, { stagedModels: ["large"] }));
+        ordersOf(planner, input(hosts));
+        const joining = (id: string, rank: number): EngineHost => host(id, member(rank, "joining", "d~large~4.10"));
+        const [, , last = host("c")] = hosts;
+        const waiting = input([joining("a", 0), joining("b", 1), { ...last, awaiting: true }], { now: START + 100 });
+        expect(brief(ordersOf(planner, waiting))).to.deep.equal([]);
+        const [order] = ordersOf(planner, input([joining("a", 0), joining("b", 1), last], { now: START + 500 }));
+        expect(order).to.deep.include({ kind: "join", host: "c", group: "d~large~4.10", members: ["a", "b", "c"] });
+    });
+
     it("does not stage a host twice while its load shows no effect", () => {
         const planner = createDomainPlanner();
         ordersOf(planner, input([...whole, host("e")]));
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -62,7 +62,7 @@
 const LAPSED_MILLISECONDS = 30_000;
 
 /** A write that was held up by a partition may arrive this long after its process was replaced. */
-const REPLACED_MEMORY_MILLISECONDS = 60_000;
+const DEPARTED_MEMORY_MILLISECONDS = 60_000;
 
 /** Makes an empty state. */
 export function createRelayState(onTarget: TargetChangeListener = () => undefined): RelayState {
@@ -76,8 +76,8 @@
     private targetsByService = new Map<string, Target[]>();
     /** Steps that follow the removal of an entry, by target. */
     private readonly removals = new Map<string, NodeJS.Timeout>();
-    /** Targets whose address another one took over, by id, as they were. */
-    private readonly replaced = new Map<string, Target>();
+    /** Targets that were dropped lately, by id, as they were. */
+    private readonly departed = new Map<string, Target>();
     private readonly listeners: (() => void)[] = [];
 
     constructor(private readonly onTarget: TargetChangeListener) {}
@@ -181,7 +181,7 @@
     /** Forgets the lapsed host that had an address which now belongs to a registered target. */
     private forgetLapsedAt(address: string): void {
         [...this.known.values()].filter(target => !target.registered && target.address === address)
-            .forEach(target => this.dropReplaced(target, "forgotten"));
+            .forEach(target => this.drop(target, "forgotten"));
     }
 
     /**
@@ -189,18 +189,21 @@
      * process that was held up may arrive after the later one registered.
      */
     private isReplaced({ id, address, startedAt }: Target): boolean {
-        const before = this.replaced.get(id);
-        return before !== undefined && before.address === address && before.startedAt === startedAt;
+        const before = this.departed.get(id);
+        return before !== undefined && before.address === address && before.startedAt === startedAt
+            && [...this.known.values()].some(other => other.id !== id && this.holds(other, address));
     }
 
-    private dropReplaced(target: Target, kind: TargetChangeKind): void {
-        this.drop(target, kind);
-        this.replaced.set(target.id, target);
-        setTimeout(() => this.replaced.delete(target.id), REPLACED_MEMORY_MILLISECONDS).unref();
+    /** Returns whether a target has an address. An entry of an unknown service may be anybody's and proves nothing. */
+    private holds(target: Target, address: string): boolean {
+        return target.registered && target.address === address
+            && this.current?.serviceOf(target.service) !== undefined;
     }
 
     private drop(target: Target, kind: TargetChangeKind): void {
         this.known.delete(target.id);
+        this.departed.set(target.id, target);
+        setTimeout(() => this.departed.delete(target.id), DEPARTED_MEMORY_MILLISECONDS).unref();
         this.onTarget(kind, target);
     }
 
@@ -226,10 +229,7 @@
             return;
         }
         const taken = [...this.known.values()].some(other => other.id !== id && other.address === target.address);
-        if (taken) {
-            this.dropReplaced(target, "removed");
-        }
-        else if (target.domain === undefined) {
+        if (target.domain === undefined || taken) {
             this.drop(target, "removed");
         }
         else {
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -103,6 +103,24 @@
         expect([heads(), state.targets().map(({ id }) => id)]).to.deep.equal([[], ["n"]]);
     });
 
+    it("ignores a late entry of a host that was forgotten before another one registered at its address", () => {
+        state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
+        clock.tick(1_000);
+        state.forget("h");
+        state.applyTargets([{ key: "n", value: { ...head, id: "n", membership: undefined } }]);
+        state.applyTargets([{ key: "h", value: head }]);
+        expect(state.targets().map(({ id }) => id)).to.deep.equal(["n"]);
+    });
+
+    it("takes a host back whose address only an entry of an unknown service names", () => {
+        state.applyTargets([{ key: "h", value: head }, { key: "h" }]);
+        clock.tick(1_000);
+        state.forget("h");
+        state.applyTargets([{ key: "x", value: { ...head, id: "x", service: "elsewhere" } }]);
+        state.applyTargets([{ key: "h", value: head }]);
+        expect(heads()).to.deep.equal(["h"]);
+    });
+
     it("takes a host back that starts again under its id at an address that another one had", () => {
         state.applyTargets([{ key: "h", value: { ...head, startedAt: 1 } }, { key: "h" }]);
         clock.tick(1_000);
