Count the holders of weights as they are: warmed spares, dropped weights, refused loads

Why it works: spares are all hosts that are in no group but one that warms them up; a host holds what it loads; a refused or unanswered order to load is forgotten and given again.

--- a/packages/core/src/engines/formations.ts
+++ b/packages/core/src/engines/formations.ts
@@ -53,6 +53,16 @@
         return staging === undefined ? target.stagedModels : [staging];
     }
 
+    /** Returns whether a host holds the weights of a model and is not about to drop them. */
+    holds(target: Target, model: string): boolean {
+        return target.stagedModels.includes(model) && this.stagingOf(target) === undefined;
+    }
+
+    /** Forgets an order to load that the host refused. */
+    forgetStaging(host: string): void {
+        this.staging.delete(host);
+    }
+
     /** Notes the members of a group that are ready or serve. */
     noteReady({ model, members }: EngineGroup): void {
         if (model !== undefined) {
--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -70,7 +70,7 @@
             return forming;
         }
         const idle = forming.idle.filter(target => !members.includes(target));
-        const cold = members.filter(member => !member.stagedModels.includes(profile.name));
+        const cold = members.filter(member => !formations.holds(member, profile.name));
         if (cold.length > 0 && !(input.loadsAreQuick && cold.length <= input.loadsAllowed)) {
             const loading = cold.map(target => ({ target, model: profile }));
             return { ...forming, loading: [...forming.loading, ...loading], idle };
@@ -123,14 +123,15 @@
 /** Sorts hosts: those whose last group ran the model, those that hold its weights, load them, hold none, hold others. */
 function preferHolders(hosts: readonly Target[], model: string, formations: Formations): Target[] {
     const score = (target: Target): number => {
-        if (target.stagedModels.includes(model)) {
-            const warm = formations.lastModelOf(target) === model;
-            return warm ? 0 : target.busy ? 2 : 1;
+        const models = formations.modelsOf(target);
+        if (!models.includes(model)) {
+            return models.length === 0 ? 4 : 5;
         }
-        if (formations.stagingOf(target) === model) {
+        if (formations.stagingOf(target) !== undefined) {
             return 3;
         }
-        return formations.modelsOf(target).length === 0 ? 4 : 5;
+        const warm = formations.lastModelOf(target) === model;
+        return warm ? 0 : target.busy ? 2 : 1;
     };
     const rank = (target: Target): number => score(target) + (target.registered ? 0 : UNREGISTERED_SCORE);
     return [...hosts].sort((left, right) => rank(left) - rank(right));
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -21,6 +21,8 @@
 /** Planner of one domain. */
 export interface DomainPlanner {
     plan(input: DomainPlanInput): DomainPlan;
+    /** Notes that a host refused an order to load weights, or did not answer it. */
+    noteLoadRefused(host: string): void;
 }
 
 /** Hosts that come together are registered one by one; without this wait the first few would form a small group. */
@@ -44,6 +46,7 @@
             const usable = new Set(usableTargets.map(target => target.id));
             return { orders: [...changes, ...orders].filter(order => usable.has(order.host)), choice };
         },
+        noteLoadRefused: host => formations.forgetStaging(host),
     };
 }
 
@@ -66,7 +69,13 @@
     if (forming.joins.length > 0) {
         return { orders: forming.joins, choice };
     }
-    const staged = stageHosts({ input, forming, groupsHere, mayReload: choice !== undefined }, formations);
+    const staged = stageHosts({
+        input,
+        forming,
+        otherSpares: otherSparesOf(input, groups, free),
+        groupsHere,
+        mayReload: choice !== undefined,
+    }, formations);
     if (staged.length > 0 || choice === undefined) {
         return { orders: staged, choice };
     }
@@ -80,6 +89,17 @@
     return freeHosts(input.hosts.filter(isUsable)).filter(target => !expected.has(target.id));
 }
 
+/** Spares that wait for the effect of an order or are being warmed up. */
+function otherSparesOf(input: DomainPlanInput, groups: readonly JudgedGroup[], free: readonly Target[]): Target[] {
+    const warming = groups.filter(isWarming).flatMap(({ group }) => group.members);
+    return [...freeHosts(input.hosts).filter(target => !free.includes(target)), ...warming];
+}
+
+/** Returns whether a group only warms up one spare. */
+function isWarming({ group, forming }: JudgedGroup): boolean {
+    return forming && group.members.length === 1;
+}
+
 function isUsable(host: EngineHost): boolean {
     return !host.awaiting && !host.unreachable && !host.lost;
 }
@@ -120,7 +140,7 @@
     idle: readonly Target[],
     formations: Formations,
 ): EngineOrder[] {
-    const warming = groups.some(({ group, forming }) => forming && group.members.length === 1);
+    const warming = groups.some(isWarming);
     const spare = idle.find(target =>
         target.registered && !target.busy && target.stagedModels[0] !== undefined
         && formations.stagingOf(target) === undefined
--- a/packages/core/src/engines/staging.ts
+++ b/packages/core/src/engines/staging.ts
@@ -18,6 +18,8 @@
 export interface StagingInput {
     readonly input: DomainPlanInput;
     readonly forming: Pick<Forming, "loading" | "idle">;
+    /** Spares that cannot be given an order now, for example because they are warmed up. */
+    readonly otherSpares: readonly Target[];
     /** Groups of the domain by model. */
     readonly groupsHere: ReadonlyMap<string, number>;
     /** Whether hosts may drop weights, which holds only if it is known that no group needs them. */
@@ -38,9 +40,12 @@
     return loads.map(({ target, model }) => ({ kind: "stage", host: target.id, model: model.name }));
 }
 
-function loadsOfSpares({ input, forming, groupsHere, mayReload }: StagingInput, formations: Formations): Load[] {
+function loadsOfSpares(
+    { input, forming, otherSpares, groupsHere, mayReload }: StagingInput,
+    formations: Formations,
+): Load[] {
     const { models } = input;
-    const spares = createSpareCount(models, forming.idle, groupsHere, formations);
+    const spares = createSpareCount(models, [...forming.idle, ...otherSpares], groupsHere, formations);
     const canLoad = forming.idle.filter(target => !target.busy && formations.stagingOf(target) === undefined);
     const forEmpty = canLoad.filter(target => target.stagedModels.length === 0)
         .flatMap(target => spares.change(target, [], spares.neediest()));
@@ -65,12 +70,12 @@
 
 function createSpareCount(
     models: readonly ModelProfile[],
-    idle: readonly Target[],
+    all: readonly Target[],
     groupsHere: ReadonlyMap<string, number>,
     formations: Formations,
 ): SpareCount {
     const held = new Map(
-        models.map(({ name }) => [name, idle.filter(target => formations.modelsOf(target).includes(name)).length]),
+        models.map(({ name }) => [name, all.filter(target => formations.modelsOf(target).includes(name)).length]),
     );
     const heldOf = ({ name }: ModelProfile): number => held.get(name) ?? 0;
     const need = ({ name, size }: ModelProfile, spares: number): number =>
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -229,6 +229,9 @@
         this.records.noteOrderResult(target, order.kind, result, clock.monotonic());
         const { startedAt, registered } = target;
         log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, startedAt, registered, result });
+        if (order.kind === "stage" && result !== "accepted" && result !== "already-holds") {
+            this.plannerOf(domain).noteLoadRefused(target.id);
+        }
         if (order.kind === "leave" && (result === "accepted" || result === "already-holds")) {
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt });
         }
