Do not let a report that is older than the registry's entry undo it

Cause: a report is up to 350 ms old when it arrives. One that said 'joining' replaced an entry that said 'ready', in the planner's records and, told to all daemons, in the request path; the entry does not change any more, so that nothing corrected it. In the same way 'ready' replaced 'open' 350 to 500 ms after the order to open, which was then given twice. Why it works: within a group and epoch, joining precedes all other states, and epochs do not fall, so that such a report or told membership is known to be older. While the effect of an order is awaited, a report without it says nothing. Tests: two in hostrecords.test.ts, one in state.test.ts, all failed before.

--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -1,6 +1,6 @@
 /** Groups of hosts, derived from what the hosts say of themselves. */
 import type { ModelProfile } from "../routes/types.js";
-import type { Target } from "./types.js";
+import type { GroupMembership, Target } from "./types.js";
 
 /** A group as its members describe it. */
 export interface EngineGroup {
@@ -90,6 +90,16 @@
     return head !== undefined && head.membership?.state === "open" && head.registered && !head.draining;
 }
 
+/**
+ * Returns whether a membership is one that the same start of a host had before another one. Epochs do not fall, and who
+ * has joined a group does not join it again.
+ */
+export function precedes(membership: GroupMembership, other: GroupMembership): boolean {
+    const sameGroup = membership.group === other.group && membership.epoch === other.epoch;
+    return membership.epoch < other.epoch
+        || (sameGroup && membership.state === "joining" && other.state !== "joining");
+}
+
 /** Returns whether all members have joined and the head waits for the order to open. */
 export function isReadyToOpen(group: EngineGroup): boolean {
     return group.whole && group.members.every(member => member.membership?.state === "ready" && !member.draining);
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -246,8 +246,8 @@
         this.records.noteReportAsked(target, clock.monotonic());
         const report = await engines.report(target);
         const answer = reportOfTarget(target, report);
-        this.records.noteReport(target, answer, clock.monotonic());
-        if (answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
+        const isNewer = this.records.noteReport(target, answer, clock.monotonic());
+        if (isNewer && answer !== undefined && differs(state.targetById(target.id)?.membership, answer.membership)) {
             const { model, membership } = answer;
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt, model, membership });
         }
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -1,5 +1,5 @@
 /** What the planner keeps of each host beyond its registry entry: orders on their way, reports and reachability. */
-import type { EngineHost, EngineOrderKind, Target } from "@damaskvale/core";
+import { type EngineHost, type EngineOrderKind, precedes, type Target } from "@damaskvale/core";
 import type { EngineReport, OrderResult } from "../ports/enginecontrol.js";
 
 /** Records of the hosts of the domains for which this daemon plans. Times are monotonic milliseconds. */
@@ -13,7 +13,8 @@
     noteOrderSent(target: Target, now: number): void;
     noteOrderResult(target: Target, kind: EngineOrderKind, result: OrderResult, now: number): void;
     noteReportAsked(target: Target, now: number): void;
-    noteReport(target: Target, report: EngineReport | undefined, now: number): void;
+    /** Notes a report or its absence; returns whether the report is taken as newer than what was known. */
+    noteReport(target: Target, report: EngineReport | undefined, now: number): boolean;
     /** Notes that the group of the host stands still, so that silence means that the host is lost. */
     noteSuspicion(target: Target, now: number): void;
     /** Drops the records of hosts that are not in the set. */
@@ -137,22 +138,28 @@
         this.recordOf(target, now).askedAt = now;
     }
 
-    noteReport(target: Target, report: EngineReport | undefined, now: number): void {
+    noteReport(target: Target, report: EngineReport | undefined, now: number): boolean {
         const record = this.recordOf(target, now);
         if (record.orderInFlight || now - record.orderedAt < REPORT_AGE_MILLISECONDS) {
-            return;
+            return false;
         }
         if (report === undefined || report.orderSequence < record.acceptedOrders) {
             record.silences += 1;
             record.unregisteredSince = undefined;
-            return;
+            return false;
         }
         record.unregisteredSince = target.registered ? undefined : record.unregisteredSince ?? now;
         record.silences = 0;
         record.sequence = report.orderSequence;
         record.acceptedOrders = report.orderSequence;
+        if (now < record.awaitingUntil && sameMembership(record, report)) {
+            return false;
+        }
         record.awaitingUntil = 0;
-        record.report = report;
+        const known = (record.report ?? record.entry).membership;
+        const isOlder = known !== undefined && report.membership !== undefined && precedes(report.membership, known);
+        record.report = isOlder ? { ...report, membership: known } : report;
+        return !isOlder;
     }
 
     noteSuspicion(target: Target, now: number): void {
@@ -198,9 +205,8 @@
     return begun[result] ?? 0;
 }
 
-function sameMembership({ entry, report }: HostRecord, target: Target): boolean {
+function sameMembership({ entry, report }: HostRecord, { membership }: Pick<Target, "membership">): boolean {
     const known = (report ?? entry).membership;
-    const { membership } = target;
     return known?.group === membership?.group && known?.state === membership?.state;
 }
 
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -132,6 +132,26 @@
         expect(records.describe({ ...target, registered: false }, 900).lost).to.equal(true);
     });
 
+    it("do not take a member back to joining by a report that is older than its entry", () => {
+        const records = createHostRecords();
+        const joining = { group: "g", epoch: 1, rank: 0, state: "joining" } as const;
+        expect(records.noteReport(target, { ...report, membership: joining }, 400)).to.equal(false);
+        expect(records.describe(target, 500).target.membership?.state).to.equal("ready");
+        expect(records.sequenceOf(target, 500)).to.equal(3);
+    });
+
+    it("go on waiting for the effect of an order when a report does not show it yet", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "open", "accepted", 12);
+        expect(records.noteReport(target, { ...report, orderSequence: 4 }, 400)).to.equal(false);
+        expect(records.describe(target, 500).awaiting).to.equal(true);
+        const open = { group: "g", epoch: 1, rank: 0, state: "open" } as const;
+        expect(records.noteReport(target, { ...report, orderSequence: 4, membership: open }, 600)).to.equal(true);
+        expect(records.describe(target, 601).awaiting).to.equal(false);
+    });
+
     it("take a silent host as lost only if its group stands still or its entry is gone", () => {
         const records = createHostRecords();
         [0, 400].forEach(now => records.noteReport(target, undefined, now));
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -5,6 +5,7 @@
     type GroupMembership,
     groupsOf,
     isServing,
+    precedes,
     type RelayConfiguration,
     type RouteLookup,
     type Target,
@@ -136,7 +137,8 @@
         if (target?.startedAt !== startedAt) {
             return;
         }
-        const isOlder = membership !== undefined && membership.epoch < (target?.membership?.epoch ?? 0);
+        const known = target?.membership;
+        const isOlder = membership !== undefined && known !== undefined && precedes(membership, known);
         if (target !== undefined && !isOlder) {
             this.known.set(host, { ...target, membership, model: model ?? target.model });
             this.derive();
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -150,6 +150,12 @@
         expect(heads()).to.deep.equal(["h"]);
     });
 
+    it("ignores a told membership that has not joined yet when the registry shows that it has", () => {
+        state.applyTargets([{ key: "h", value: head }]);
+        state.applyMembership({ host: "h", membership: { group: "d~m~1.1", epoch: 1, rank: 0, state: "joining" } });
+        expect(heads()).to.deep.equal(["h"]);
+    });
+
     it("ignores a membership that was told of an earlier start of the host", () => {
         state.applyTargets([{ key: "h", value: { ...head, startedAt: 2, membership: undefined } }]);
         state.applyMembership({ host: "h", startedAt: 1, model: "m", membership: head.membership });
