Await the effect of an order until it is told, not for a fixed time

Callers saw: nothing; each group of the grown deployments was ordered to open twice (event 421, already-holds 1.1 s later). Cause: the wait for an effect ended after 0.6 or 1 s, whether it had been told or not. With 63 and 76 daemons the registry is read every 1.0 and 1.2 s, so that the planner gave the order again at the moment at which it asked for a report. Why it works: after that time the engine is asked, and its report, or a changed entry, ends the wait. An engine that answers no report counts as silent and gets no orders anyway. Test: hostrecords.test.ts, failed before.

--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -31,6 +31,7 @@
     /** Whether another process answered at the address of this one, which is therefore gone. */
     replaced: boolean;
     orderInFlight: boolean;
+    /** When the engine is asked for the effect of an order that has not shown; 0 if none is awaited. */
     awaitingUntil: number;
     orderedAt: number;
     report?: EngineReport;
@@ -82,7 +83,7 @@
         return {
             target: record.report === undefined ? target : { ...target, ...engineFieldsOf(record.report) },
             knownSince: record.knownSince,
-            awaiting: record.orderInFlight || now < record.awaitingUntil || record.sequence === undefined,
+            awaiting: record.orderInFlight || record.awaitingUntil > 0 || record.sequence === undefined,
             unreachable,
             lapsed: record.unregisteredSince !== undefined && now - record.unregisteredSince > LAPSE_MILLISECONDS,
             lost: record.replaced || (unreachable && (now < record.suspectedUntil || !target.registered)),
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -76,6 +76,16 @@
         expect(records.describe(open, 120).awaiting).to.equal(false);
     });
 
+    it("do not end the wait for an order before the registry or the engine has told of its effect", () => {
+        const records = createHostRecords();
+        records.noteReport(target, report, 0);
+        records.noteOrderSent(target, 10);
+        records.noteOrderResult(target, "open", "accepted", 12);
+        expect(records.describe(target, 1_100).awaiting).to.equal(true);
+        records.noteReport(target, { ...report, orderSequence: 4 }, 1_150);
+        expect(records.describe(target, 1_160).awaiting).to.equal(false);
+    });
+
     it("drop a report that is older than the last order", () => {
         const records = createHostRecords();
         records.noteReport(target, report, 0);
