Let a domain settle for as long as the registry is read at, before its first groups

Why it works: the wait is longer by the time between two reads, which the daemon derives from the number of daemons. Test: planner.test.ts, failed before.

--- a/packages/core/src/engines/planinput.ts
+++ b/packages/core/src/engines/planinput.ts
@@ -32,6 +32,8 @@
     readonly loadsSoon: number;
     /** Whether loads take so short that members of a new group load while they join. */
     readonly loadsAreQuick: boolean;
+    /** How much later than another one a host may be seen that was registered at the same time. */
+    readonly registryDelayMilliseconds: number;
     /** Token of the owner that plans. */
     readonly fencingToken: number;
     /** Lowest epoch that is above all epochs seen. */
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -127,7 +127,7 @@
 /** Returns whether groups may be formed: hosts are still being registered in a domain that has no group yet. */
 function isSettled(input: DomainPlanInput, groups: readonly JudgedGroup[]): boolean {
     const newest = Math.max(0, ...input.hosts.map(host => host.knownSince));
-    return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS;
+    return groups.length > 0 || input.now - newest >= SETTLE_MILLISECONDS + input.registryDelayMilliseconds;
 }
 
 /**
--- a/packages/core/src/engines/tests/domain.ts
+++ b/packages/core/src/engines/tests/domain.ts
@@ -52,6 +52,7 @@
         loadsAllowed: 100,
         loadsSoon: 100,
         loadsAreQuick: true,
+        registryDelayMilliseconds: 0,
         fencingToken: 4,
         nextEpoch: 10,
         now: START,
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -41,6 +41,12 @@
         hosts: [host("a"), host("b"), host("c", {}, { knownSince: START - 100 })],
         orders: [],
     },
+    {
+        guards: "small groups of the hosts that the first of two reads of a slow registry tells",
+        hosts: ["a", "b"].map(id => host(id, {}, { knownSince: START - 700 })),
+        orders: [],
+        fields: { registryDelayMilliseconds: 1_000 },
+    },
     { guards: "orders for a group that serves", hosts: whole, orders: [] },
     {
         guards: "a whole group that stays shut",
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -35,6 +35,8 @@
     readonly trafficSeen: () => boolean;
     /** Meter of the work that callers ask of a service. */
     readonly demandOf: (service: string) => DemandMeter;
+    /** Time between two reads of the registry. */
+    readonly registryDelayMilliseconds: () => number;
     /** Receives memberships that an engine reported and that the registry does not show yet. */
     readonly onMembership: (told: ToldMembership) => void;
 }
@@ -153,6 +155,7 @@
             groupsByModel: countGroups(state, service.name),
             demandByModel: demandOf(service.name).of(engine.models, now),
             ...this.allowedLoads(loadsPerSecond, now),
+            registryDelayMilliseconds: this.parts.registryDelayMilliseconds(),
             fencingToken: share.fencingToken,
             nextEpoch: this.nextEpoch(share),
             now,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -209,8 +209,14 @@
     });
 }
 
+/** Wait between two reads of the registry, in milliseconds. */
+function registryPause({ daemons, settings }: Base): number {
+    return targetsPauseMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
+}
+
 /** Follows the configuration and the targets; returns the follower of the configuration. */
-function followStore({ settings, ports, clock, log, random, state, peerLoads, daemons }: Base): TopicFollower {
+function followStore(base: Base): TopicFollower {
+    const { settings, ports, clock, log, random, state, peerLoads } = base;
     const shortWait = Math.max(0, settings.configurationMilliseconds - CONFIGURATION_RESERVE_MILLISECONDS);
     const hearsOthers = (): boolean => peerLoads.peers(clock.monotonic()).length > 0;
     const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
@@ -233,7 +239,7 @@
         log,
         random,
         waitMilliseconds: () => TARGETS_WAIT_MILLISECONDS,
-        pauseMilliseconds: () => targetsPauseMilliseconds(daemons.count(), settings.drainNoticeMilliseconds),
+        pauseMilliseconds: () => registryPause(base),
         // A waiting read of the configuration on the same network is then probably silent, too.
         onLost: () => configuration.refresh(0),
         replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
@@ -289,6 +295,7 @@
         engines: ports.engines(log),
         trafficSeen: budgets.used,
         demandOf: base.demandOf,
+        registryDelayMilliseconds: () => registryPause(base),
         onMembership: told => {
             state.applyMembership(told);
             exchange.tellMembership(told);
