--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -25,8 +25,10 @@
     readonly idle: readonly Target[];
 }
 
+/** Order in which hosts are taken for a group, by what they hold. Lower ones first. */
+const HOLDER_RANKS = { warm: 0, holding: 1, busy: 2, loading: 3, empty: 4, otherWeights: 5 } as const;
 /** Hosts whose entry lapsed are taken before hosts that must load the weights. */
-const UNREGISTERED_SCORE = 1.5;
+const UNREGISTERED_RANK = 1.5;
 
 /** Chooses the groups to form of free hosts, of the models that need them most. */
 export function chooseGroups(
@@ -120,19 +122,23 @@
     return head === undefined ? [] : [head, ...hosts.filter(host => host !== head)].slice(0, size);
 }
 
-/** Sorts hosts: those whose last group ran the model, those that hold its weights, load them, hold none, hold others. */
+/** Sorts hosts so that those come first whose group would serve soonest. */
 function preferHolders(hosts: readonly Target[], model: string, formations: Formations): Target[] {
-    const score = (target: Target): number => {
-        const models = formations.modelsOf(target);
-        if (!models.includes(model)) {
-            return models.length === 0 ? 4 : 5;
-        }
-        if (formations.stagingOf(target) !== undefined) {
-            return 3;
-        }
-        const warm = formations.lastModelOf(target) === model;
-        return warm ? 0 : target.busy ? 2 : 1;
-    };
-    const rank = (target: Target): number => score(target) + (target.registered ? 0 : UNREGISTERED_SCORE);
+    const rank = (target: Target): number =>
+        HOLDER_RANKS[holderKind(target, model, formations)] + (target.registered ? 0 : UNREGISTERED_RANK);
     return [...hosts].sort((left, right) => rank(left) - rank(right));
 }
+
+function holderKind(target: Target, model: string, formations: Formations): keyof typeof HOLDER_RANKS {
+    const models = formations.modelsOf(target);
+    if (!models.includes(model)) {
+        return models.length === 0 ? "empty" : "otherWeights";
+    }
+    if (formations.stagingOf(target) !== undefined) {
+        return "loading";
+    }
+    if (formations.lastModelOf(target) === model) {
+        return "warm";
+    }
+    return target.busy ? "busy" : "holding";
+}
