Count whole groups in one function, and name the load of weights onto a host

Found in the last read of the diff: whole groups were counted by model in the planner of a domain and in its daemon, and the type of a load stood twice.

--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -16,11 +16,17 @@
     readonly mix: ReadonlyMap<string, number>;
 }
 
+/** Load of the weights of a model onto a host. */
+export interface WeightLoad {
+    readonly target: Target;
+    readonly model: ModelProfile;
+}
+
 /** What becomes of the free hosts. */
 export interface Forming {
     readonly joins: readonly EngineOrder[];
     /** Members of chosen groups that load the weights before the group is formed. */
-    readonly loading: readonly { readonly target: Target; readonly model: ModelProfile; }[];
+    readonly loading: readonly WeightLoad[];
     /** Hosts that are in none of the chosen groups. */
     readonly idle: readonly Target[];
 }
--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -90,6 +90,14 @@
     return head !== undefined && head.membership?.state === "open" && head.registered && !head.draining;
 }
 
+/** Whole groups by model. */
+export function countWhole(groups: readonly EngineGroup[]): Map<string, number> {
+    return groups.filter(group => group.whole).reduce(
+        (counts, { model }) => model === undefined ? counts : counts.set(model, (counts.get(model) ?? 0) + 1),
+        new Map<string, number>(),
+    );
+}
+
 /**
  * Returns whether a membership is one that the same start of a host had before another one. Epochs do not fall, and who
  * has joined a group does not join it again.
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -4,7 +4,7 @@
  */
 import { Formations } from "./formations.js";
 import { chooseGroups, formGroups, type Forming, type GroupChoice, joinOrders, repeatJoins } from "./forming.js";
-import { groupsOf } from "./groups.js";
+import { countWhole, groupsOf } from "./groups.js";
 import { freeHosts, type JudgedGroup, judgeGroup, ordersForGroup } from "./judge.js";
 import type { EngineOrder } from "./orders.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
@@ -61,7 +61,7 @@
         return { orders: [] };
     }
     const free = freeHostsOf(input, groups, formations);
-    const groupsHere = countGroups(groups);
+    const groupsHere = countWhole(groups.map(({ group }) => group));
     const choice = canForm(input, changes) ? chooseGroups(input, free, groupsHere, formations) : undefined;
     const forming: Forming = choice === undefined
         ? { joins: [], loading: [], idle: free }
@@ -104,14 +104,6 @@
     return !host.awaiting && !host.unreachable && !host.lost;
 }
 
-/** Whole groups of the domain by model. */
-function countGroups(groups: readonly JudgedGroup[]): Map<string, number> {
-    return groups.filter(({ group }) => group.whole).reduce(
-        (counts, { group: { model = "" } }) => counts.set(model, (counts.get(model) ?? 0) + 1),
-        new Map<string, number>(),
-    );
-}
-
 /**
  * Returns whether groups may be formed now. Hosts whose last order has not shown its effect, and members that leave a
  * group, are free a moment later and then allow another mix.
--- a/packages/core/src/engines/staging.ts
+++ b/packages/core/src/engines/staging.ts
@@ -1,7 +1,7 @@
 /** Which weights the free hosts of a domain load ahead, so that a lost member is replaced by a host that holds them. */
 import type { ModelProfile } from "../routes/types.js";
 import type { Formations } from "./formations.js";
-import type { Forming } from "./forming.js";
+import type { Forming, WeightLoad } from "./forming.js";
 import type { EngineOrder } from "./orders.js";
 import type { DomainPlanInput } from "./planinput.js";
 import type { Target } from "./types.js";
@@ -9,11 +9,6 @@
 /** A spare drops its weights only for a model that needs it so many times more. */
 const RELOAD_NEED_RATIO = 2;
 
-interface Load {
-    readonly target: Target;
-    readonly model: ModelProfile;
-}
-
 /** What is loaded for. */
 export interface StagingInput {
     readonly input: DomainPlanInput;
@@ -43,7 +38,7 @@
 function loadsOfSpares(
     { input, forming, otherSpares, groupsHere, mayReload }: StagingInput,
     formations: Formations,
-): Load[] {
+): WeightLoad[] {
     const { models } = input;
     const spares = createSpareCount(models, [...forming.idle, ...otherSpares], groupsHere, formations);
     const canLoad = forming.idle.filter(target => !target.busy && formations.stagingOf(target) === undefined);
@@ -65,7 +60,7 @@
     /** Whether a spare is worth clearly more with one model than with those that it holds. */
     isBetter(model: ModelProfile, dropped: readonly ModelProfile[]): boolean;
     /** Notes a load that takes the place of other weights, and returns it. */
-    change(target: Target, dropped: readonly ModelProfile[], model: ModelProfile | undefined): Load[];
+    change(target: Target, dropped: readonly ModelProfile[], model: ModelProfile | undefined): WeightLoad[];
 }
 
 function createSpareCount(
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -1,5 +1,6 @@
 /** Plans the groups of the domains that this daemon owns, gives the orders and reads back their effect. */
 import {
+    countWhole,
     createDomainPlanner,
     type DemandMeter,
     type DomainPlanInput,
@@ -321,9 +322,5 @@
 function countGroups(state: RelayState, service: string): Map<string, number> {
     const engine = state.lookup()?.serviceOf(service)?.engine;
     const targets = state.targets().filter(target => target.service === service);
-    const groups = groupsOf(targets, engine?.models ?? []).filter(group => group.whole);
-    return groups.reduce(
-        (counts, { model }) => model === undefined ? counts : counts.set(model, (counts.get(model) ?? 0) + 1),
-        new Map<string, number>(),
-    );
+    return countWhole(groupsOf(targets, engine?.models ?? []));
 }
