Build orders to join a group in one place

Found in the last read of the diff: the orders of a new group and those that are repeated to members that did not join were written out twice. One function makes them now.

--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -31,6 +31,8 @@
     readonly idle: readonly Target[];
 }
 
+type JoinOrder = Extract<EngineOrder, { kind: "join"; }>;
+
 /** Order in which hosts are taken for a group, by what they hold. Lower ones first. */
 const HOLDER_RANKS = { warm: 0, holding: 1, busy: 2, loading: 3, empty: 4, otherWeights: 5 } as const;
 /** Hosts whose entry lapsed are taken before hosts that must load the weights. */
@@ -99,7 +101,11 @@
     const group = groupName(domain, model, fencingToken, epoch);
     const members = targets.map(target => target.id);
     formations.note(group, { model, members, startedAt: now });
-    return members.map(host => ({ kind: "join", host, group, epoch, model, members }));
+    return members.map(host => joinOrder(host, { group, epoch, model, members }));
+}
+
+function joinOrder(host: string, fields: Pick<JoinOrder, "group" | "epoch" | "model" | "members">): JoinOrder {
+    return { kind: "join", host, ...fields };
 }
 
 /** Orders to members that are known not to have joined a group that is being formed; an order may be refused or lost. */
@@ -111,14 +117,12 @@
     const free = new Set(usable.filter(target => target.membership === undefined).map(target => target.id));
     return groups.filter(({ forming }) => forming).flatMap(({ group }) => {
         const formation = formations.of(group.name);
-        return formation === undefined ? [] : formation.members.filter(host => free.has(host)).map(host => ({
-            kind: "join" as const,
-            host,
-            group: group.name,
-            epoch: group.epoch,
-            model: formation.model,
-            members: formation.members,
-        }));
+        if (formation === undefined) {
+            return [];
+        }
+        const { model, members } = formation;
+        return members.filter(host => free.has(host))
+            .map(host => joinOrder(host, { group: group.name, epoch: group.epoch, model, members }));
     });
 }
 
