Log and count the limits on the request rate that targets state

Change: the adapter decodes it into a typed statement (limited, unlimited, unreadable). The daemon keeps the newest statement of each process of a target and logs each change (event 328), unreadable ones once (329); the gauge damaskvale_limited_targets counts targets that limit their rate. Nothing that is sent changes yet.

A limit ends by a successful response without one whose request was sent after the last statement: responses can overtake each other, and errors may lack it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./placement/place.js";
 export * from "./placement/slidingmaximum.js";
 export * from "./placement/suspicions.js";
+export * from "./placement/targetlimits.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
 export * from "./routes/lookup.js";
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -107,6 +107,17 @@
         "warn",
         "The head of a group refuses connections or is not the expected instance; it gets no requests.",
     ),
+    targetLimitChanged: define(
+        328,
+        "info",
+        "A target stated a limit on its request rate, stated another one, or stated none any more.",
+    ),
+    targetLimitUnreadable: define(
+        329,
+        "warn",
+        "A target stated a limit on its request rate that cannot be read; the known limit stays in force.",
+        "Find out which software the target runs.",
+    ),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -51,6 +51,12 @@
     readonly delimited: boolean;
 }
 
+/** What a response says about the request rate that its target accepts from all daemons together. */
+export type RateStatement =
+    | { readonly kind: "limited"; readonly requestsPerSecond: number; }
+    | { readonly kind: "unlimited"; }
+    | { readonly kind: "unreadable"; readonly text: string; };
+
 /** Meaning of the head of a response. */
 export interface DecodedResponse {
     /** Whether the target states that it has not run the request and never will. */
@@ -59,6 +65,7 @@
     readonly misdirected: boolean;
     /** Id of the request that the response belongs to, if the target states it. */
     readonly requestId?: string;
+    readonly rate: RateStatement;
     /** Headers that are forwarded to the caller unchanged. */
     readonly forwarded: HeaderList;
 }
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -15,6 +15,8 @@
     readonly configurationVersion: () => number;
     /** Groups that may get requests. */
     readonly servingGroups: () => number;
+    /** Targets that limit their request rate. */
+    readonly limitedTargets: () => number;
 }
 
 /** Metrics of one daemon. */
@@ -100,6 +102,7 @@
         ["damaskvale_log_lines_dropped", "Log lines dropped for a slow reader.", values.linesDropped],
         ["damaskvale_configuration_version", "Configuration in force.", values.configurationVersion],
         ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
+        ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
     ];
     gauges.forEach(([name, help, read]) =>
         new Gauge({
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -17,6 +17,7 @@
 
 interface Attempt {
     readonly target: Target;
+    readonly sentAt: number;
     exchange?: TargetExchange;
     /** Whether bytes of the request were written to the target. */
     sent: boolean;
@@ -70,8 +71,8 @@
 
     private send(target: Target): void {
         const { context, parts } = this;
-        const attempt: Attempt = { target, sent: false, chunks: [] };
         const now = parts.clock.monotonic();
+        const attempt: Attempt = { target, sentAt: now, sent: false, chunks: [] };
         this.attempt = attempt;
         this.tried.push(target.id);
         this.sends += 1;
@@ -105,6 +106,10 @@
         if (requestId !== undefined && requestId !== this.context.request.id) {
             attempt.exchange?.cancel();
             this.attemptFailed(attempt, "foreign-answer");
+            return;
+        }
+        if (!attempt.decoded.misdirected) {
+            this.parts.targetRates.recordResponse(attempt, { status: head.status, rate: attempt.decoded.rate });
         }
     }
 
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -13,6 +13,7 @@
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
 import type { RelayState } from "./state.js";
 import type { TargetConnections } from "./targetconnections.js";
+import type { TargetRates } from "./targetrates.js";
 
 /** An admitted request. Times are monotonic milliseconds. */
 export interface RequestContext {
@@ -36,6 +37,7 @@
     readonly state: RelayState;
     readonly connections: TargetConnections;
     readonly loadTracker: LoadTracker;
+    readonly targetRates: TargetRates;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
     readonly dataCentre: string;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,4 +1,5 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
+import type { Target } from "@damaskvale/core";
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
@@ -20,7 +21,8 @@
 
 interface Attempt {
     readonly head: string;
-    readonly address: string;
+    readonly target: Target;
+    readonly sentAt: number;
     readonly splitter: EventSplitter;
     exchange?: TargetExchange;
     /** Whether the target may have run the request; reset if the target states that it has not. */
@@ -76,7 +78,7 @@
             this.mayHaveRun ||= stalled.sent;
             this.release(stalled);
             stalled.exchange?.cancel();
-            this.parts.connections.renew(stalled.address);
+            this.parts.connections.renew(stalled.target.address);
             this.parts.log.emit("streamMoved", {
                 ...requestLogFields(this.context),
                 from: stalled.head,
@@ -113,9 +115,11 @@
             this.giveUp("no-group", REFUSED_RETRY_AFTER_MILLISECONDS);
             return;
         }
+        const now = parts.clock.monotonic();
         const attempt: Attempt = {
             head: headId,
-            address: target.address,
+            target,
+            sentAt: now,
             splitter: createEventSplitter(),
             sent: false,
             written: false,
@@ -127,7 +131,6 @@
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
-        const now = parts.clock.monotonic();
         parts.loadTracker.sent(headId, { promptTokens: context.request.promptTokens, stream: true }, now);
         parts.log.emit("streamSent", {
             ...requestLogFields(context),
@@ -169,6 +172,9 @@
         if (decoded.misdirected) {
             parts.headUnusable(attempt.head);
         }
+        else {
+            parts.targetRates.recordResponse(attempt, { status: head.status, rate: decoded.rate });
+        }
         if (decoded.notRun) {
             attempt.sent = false;
             this.abandon(attempt, `refused with ${head.status}`);
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -13,10 +13,12 @@
 } from "@damaskvale/core";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead } from "../../ports/relayprotocol.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRelayState } from "../state.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
+import { createTargetRates } from "../targetrates.js";
 
 /** One request that the relay sent, and the receiver through which the test responds to it. */
 export interface FakeSend {
@@ -93,6 +95,9 @@
         notRun: headers["not-run"] !== undefined,
         misdirected: headers["misdirected"] !== undefined,
         requestId: headers["request-id"] as string | undefined,
+        rate: headers["rate"] === undefined
+            ? { kind: "unlimited" }
+            : { kind: "limited", requestsPerSecond: Number(headers["rate"]) },
         forwarded: Object.entries(headers).flat() as string[],
     }),
 };
@@ -129,6 +134,9 @@
     const sends: FakeSend[] = [];
     const unusableHeads: string[] = [];
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
+    const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
+    const log: EventLog = { emit: (name, fields = {}) => void events.push({ name, fields }) };
+    const targetRates = createTargetRates({ clock, log, isKnown: id => state.targetById(id) !== undefined });
     const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.retries ?? 5) / 10 });
     const { caller, response } = createCaller();
@@ -138,8 +146,8 @@
         caller,
         events,
         parts: {
-            clock: { monotonic: () => performance.now(), wall: () => Date.now() },
-            log: { emit: (name, fields = {}) => void events.push({ name, fields }) },
+            clock,
+            log,
             protocol,
             state,
             connections: {
@@ -157,6 +165,7 @@
                 renew: () => undefined,
             },
             loadTracker: createLoadTracker(),
+            targetRates,
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
             peerLoadOf: () => ({ inProgress: 0, pendingPromptTokens: 0 }),
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -11,6 +11,7 @@
             linesDropped: () => 7,
             configurationVersion: () => 12,
             servingGroups: () => 5,
+            limitedTargets: () => 2,
         });
         log.emit("requestEnded", {
             requestId: "r1",
@@ -29,6 +30,7 @@
             "damaskvale_requests_in_progress 3",
             "damaskvale_log_lines_dropped 7",
             "damaskvale_serving_groups 5",
+            "damaskvale_limited_targets 2",
         ]);
         expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
         expect(passed).to.deep.equal(["requestEnded", "engineOrdered"]);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -34,6 +34,7 @@
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { createTargetConnections } from "./targetconnections.js";
+import { createTargetRates, type TargetRates } from "./targetrates.js";
 
 /** Settings of the daemon on a platform. */
 export interface RelaySettings {
@@ -116,6 +117,7 @@
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
+    readonly targetRates: TargetRates;
 }
 
 /** Starts the daemon and resolves once it listens. On SIGTERM it drains and exits the process. */
@@ -161,6 +163,12 @@
         linesDropped: output.dropped,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
+        limitedTargets: () => targetRates.limits().length,
+    });
+    const targetRates = createTargetRates({
+        clock: systemClock,
+        log: metrics.log,
+        isKnown: target => state.targetById(target) !== undefined,
     });
     const daemons = createDaemonList(settings.daemon);
     const shared: SharedParts = {
@@ -175,6 +183,7 @@
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
         daemons,
+        targetRates,
     };
     return { shared, metrics };
 }
@@ -200,6 +209,7 @@
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
         }),
         loadTracker,
+        targetRates: shared.targetRates,
         headUnusable,
         dataCentre: settings.dataCentre,
         peerLoadOf: target => peerLoads.totalOf(target, clock.monotonic()),
