Keep all daemons together within the request rate that a target states

What callers saw: nothing yet; the target saw three times the requests that it had asked for, and would have turned them away or slowed down next.

Cause: no daemon knew of the limit. A target's statement about itself had no reader, and placement knew slots only.

Change: each daemon keeps the newest statement of each process of a target, passes changes on to the other daemons at once and the rest with its loads, and sends within its own share of the rate. All ways to a target pass through it: placement, retries, resumed and moved streams, plain targets. What no target takes is refused at once (code 'limited') with the time of the next turn, up to twice that so that callers don't return together.

--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -12,6 +12,8 @@
     readonly pendingPromptTokens: number;
     /** Whether the group is suspected of making no progress. */
     readonly suspected: boolean;
+    /** Time until the rate that the head states allows this daemon a request, in milliseconds. */
+    readonly rateWaitMilliseconds: number;
 }
 
 /** Input of the placement of one request. */
@@ -35,7 +37,7 @@
     | { readonly kind: "placed"; readonly head: string; readonly firstEventMilliseconds: number; }
     | {
         readonly kind: "refused";
-        readonly reason: "no-group" | "full" | "too-late";
+        readonly reason: "no-group" | "full" | "limited" | "too-late";
         readonly retryAfterMilliseconds: number;
     };
 
@@ -46,6 +48,7 @@
 /** Time to retry while lost groups are formed again, and the jitter added to it. */
 const RECOVERY_RETRY_MILLISECONDS = 1_500;
 const RECOVERY_RETRY_JITTER_MILLISECONDS = 1_000;
+
 /**
  * Places a request at a group that can start it before the deadline. Groups are chosen at random in proportion to their
  * free slots: reports of other daemons' requests lag, and if all daemons chose the group that looks least loaded, they
@@ -57,10 +60,14 @@
     if (healthy.length === 0) {
         return { kind: "refused", reason: "no-group", retryAfterMilliseconds: recoveryRetryMilliseconds(input) };
     }
-    const available = healthy.filter(candidate => candidate.inProgress < engine.slots);
-    if (available.length === 0) {
+    const withFreeSlots = healthy.filter(candidate => candidate.inProgress < engine.slots);
+    if (withFreeSlots.length === 0) {
         return { kind: "refused", reason: "full", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) };
     }
+    const available = withFreeSlots.filter(({ rateWaitMilliseconds }) => rateWaitMilliseconds === 0);
+    if (available.length === 0) {
+        return { kind: "refused", reason: "limited", retryAfterMilliseconds: limitRetryMilliseconds(input, healthy) };
+    }
     const chosen = drawByWeight(
         available.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
         input.random,
@@ -117,6 +124,22 @@
     return input.recovering ? recoveryRetryMilliseconds(input) : slotWaitMilliseconds(input, candidates);
 }
 
+/** Returns the time until the first limited group allows a request, or a full one has a free slot. */
+function limitRetryMilliseconds(input: PlacementInput, candidates: readonly PlacementCandidate[]): number {
+    const limited = candidates.filter(({ inProgress }) => inProgress < input.engine.slots);
+    const full = candidates.filter(({ inProgress }) => inProgress >= input.engine.slots);
+    const turn = limitedRetryMilliseconds(limited.map(candidate => candidate.rateWaitMilliseconds), input.random);
+    return full.length === 0 ? turn : Math.min(turn, retryDelayMilliseconds(input, full));
+}
+
+/**
+ * Returns the time after which a caller should retry that was refused because all targets limit their rate. It is up to
+ * twice the shortest wait, so that callers refused together do not return together.
+ */
+export function limitedRetryMilliseconds(waits: readonly number[], random: () => number): number {
+    return Math.ceil(Math.min(...waits) * (1 + random()));
+}
+
 function recoveryRetryMilliseconds({ random }: PlacementInput): number {
     return Math.round(RECOVERY_RETRY_MILLISECONDS + random() * RECOVERY_RETRY_JITTER_MILLISECONDS);
 }
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -27,6 +27,7 @@
     inProgress: 0,
     pendingPromptTokens: 0,
     suspected: false,
+    rateWaitMilliseconds: 0,
     ...fields,
 });
 const input = (candidates: readonly PlacementCandidate[], fields: Partial<PlacementInput> = {}): PlacementInput => ({
@@ -69,6 +70,21 @@
     },
     { guards: "waiting while no group serves", input: input([]), expected: "no-group" },
     { guards: "queueing at full groups", input: input([candidate("x", { inProgress: 18 })]), expected: "full" },
+    {
+        guards: "choosing an idle head beyond the rate that it states",
+        input: input([candidate("x", { rateWaitMilliseconds: 1 }), candidate("y", { inProgress: 17 })]),
+        expected: "y",
+    },
+    {
+        guards: "sending more than the rate of the only group",
+        input: input([candidate("x", { rateWaitMilliseconds: 1 })]),
+        expected: "limited",
+    },
+    {
+        guards: "queueing at full groups because a limited one is idle",
+        input: input([candidate("x", { rateWaitMilliseconds: 1 }), candidate("y", { inProgress: 18 })]),
+        expected: "limited",
+    },
     {
         guards: "placing a request that cannot start before its deadline",
         input: input([candidate("x", { pendingPromptTokens: 200_000 })], { remainingMilliseconds: 1_000 }),
@@ -89,6 +105,15 @@
         expect(placement.kind === "refused" && placement.retryAfterMilliseconds).to.be.within(100, 3_000);
     });
 
+    it("tells a caller refused for a limit to return when the first target takes a request, or within twice that time", () => {
+        const limited = [800, 500].map((wait, index) => candidate(`${index}`, { rateWaitMilliseconds: wait }));
+        const waits = [0, 0.999].map(random => {
+            const placement = placeRequest(input(limited, { random: () => random }));
+            return placement.kind === "refused" ? placement.retryAfterMilliseconds : 0;
+        });
+        expect(waits).to.deep.equal([500, 1_000]);
+    });
+
     it("tells a refused caller to retry when lost groups have been formed again", () => {
         const full = [candidate("x", { inProgress: 18 })];
         const waits = [true, false].map(recovering => {
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -118,6 +118,11 @@
         "A target stated a limit on its request rate that cannot be read; the known limit stays in force.",
         "Find out which software the target runs.",
     ),
+    targetShareChanged: define(
+        330,
+        "info",
+        "The share of this daemon in the request rate of a limited target changed; 0 if other daemons use the target.",
+    ),
     storeLost: define(
         220,
         "warn",
--- /dev/null
+++ b/packages/daemon/src/peers/loadmessage.ts
@@ -0,0 +1,76 @@
+/** Message that daemons send each other as a datagram. */
+import type { LoadTracker } from "@damaskvale/core";
+import { pack, unpack } from "msgpackr";
+import { z } from "zod";
+
+/** Suspicion that the head of one group has failed. It does not apply to other groups of the same host. */
+export interface HeadSuspicion {
+    readonly head: string;
+    readonly group: string;
+}
+
+const messageSchema = z.object({
+    daemon: z.string(),
+    configurationVersion: z.number(),
+    loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
+    suspects: z.array(z.object({ head: z.string(), group: z.string() })),
+    memberships: z.array(z.object({
+        host: z.string(),
+        startedAt: z.number().optional(),
+        model: z.string().optional(),
+        membership: z.object({
+            group: z.string(),
+            epoch: z.number(),
+            rank: z.number(),
+            state: z.enum(["joining", "ready", "open", "closing", "broken"]),
+        }).optional(),
+    })),
+    /** Absent in messages of daemons of earlier versions. */
+    limits: z.array(z.object({
+        target: z.string(),
+        startedAt: z.number().optional(),
+        requestsPerSecond: z.number().nonnegative().optional(),
+        ageMilliseconds: z.number().nonnegative(),
+    })).default([]),
+});
+
+/** Message of one daemon. It supersedes the previous one of the same daemon. */
+export type LoadMessage = z.infer<typeof messageSchema>;
+
+/** A decoded message, or why it cannot be decoded. */
+export type DecodedLoadMessage =
+    | { readonly kind: "message"; readonly message: LoadMessage; }
+    | { readonly kind: "malformed"; readonly reason: string; };
+
+/** Encodes a message. */
+export function encodeLoadMessage(message: LoadMessage): Buffer {
+    return pack(message);
+}
+
+/** Decodes a message. */
+export function decodeLoadMessage(bytes: Buffer): DecodedLoadMessage {
+    const parsed = messageSchema.safeParse(safeUnpack(bytes));
+    return parsed.success
+        ? { kind: "message", message: parsed.data }
+        : { kind: "malformed", reason: parsed.error.message };
+}
+
+/** Returns the requests in progress and the unread prompt tokens of each target that has any. */
+export function describeLoads(loadTracker: LoadTracker): LoadMessage["loads"] {
+    return loadTracker.targets().flatMap(target => {
+        const load = loadTracker.get(target);
+        return load === undefined || load.inProgress === 0
+            ? []
+            : [[target, load.inProgress, load.pendingPromptTokens] satisfies [string, number, number]];
+    });
+}
+
+function safeUnpack(bytes: Buffer): unknown {
+    try {
+        return unpack(bytes);
+    }
+    catch {
+        // The schema rejects the undefined value, so the failure is logged like that of any other invalid message.
+        return undefined;
+    }
+}
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,5 +1,5 @@
 /** Relays a request to a plain target and returns the complete response. */
-import type { Target } from "@damaskvale/core";
+import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import { type CancelReason, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
@@ -46,7 +46,13 @@
 
     private sendOrGiveUp(reason: RefusalReason, retryAfterMilliseconds: number): void {
         const { route } = this.context.admitted;
+        const untried = this.untriedTargets();
         const target = this.chooseTarget();
+        if (target === undefined && this.sends === 0 && untried.length > 0) {
+            const waits = untried.map(candidate => this.parts.targetRates.waitMilliseconds(candidate));
+            this.giveUp("limited", limitedRetryMilliseconds(waits, this.parts.random));
+            return;
+        }
         if (target === undefined || this.sends >= route.maximumAttempts || (this.mayHaveRun && !this.isRepeatable())) {
             this.giveUp(reason, retryAfterMilliseconds);
             return;
@@ -58,13 +64,18 @@
         this.send(target);
     }
 
+    private untriedTargets(): readonly Target[] {
+        return this.parts.state.servingTargets(this.context.service).filter(({ id }) => !this.tried.includes(id));
+    }
+
+    /** Returns the least loaded target that has not been tried and whose rate allows a request now. */
     private chooseTarget(): Target | undefined {
         const cost = (target: Target): number =>
             (this.parts.loadTracker.get(target.id)?.inProgress ?? 0)
             + (target.dataCentre === this.parts.dataCentre ? 0 : REMOTE_COST)
             + this.parts.random();
-        return this.parts.state.servingTargets(this.context.service)
-            .filter(target => !this.tried.includes(target.id))
+        return this.untriedTargets()
+            .filter(target => this.parts.targetRates.waitMilliseconds(target) === 0)
             .map(target => ({ target, cost: cost(target) }))
             .sort((left, right) => left.cost - right.cost)[0]?.target;
     }
@@ -76,6 +87,7 @@
         this.attempt = attempt;
         this.tried.push(target.id);
         this.sends += 1;
+        parts.targetRates.recordSent(target);
         parts.loadTracker.sent(target.id, { promptTokens: 0, stream: false }, now);
         parts.log.emit("requestSent", { ...requestLogFields(context), target: target.id, attempt: this.sends });
         const { method, path } = context.request;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -8,6 +8,7 @@
     | "no-group"
     | "no-target"
     | "full"
+    | "limited"
     | "too-late"
     | "not-run"
     | "budget";
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -44,10 +44,13 @@
     }
 }
 
-/** Describes the candidate groups for the log: head, requests in progress, and whether the head is suspected. */
+/** Describes the candidate groups for the log: head, requests in progress, and whether it is suspected or limited. */
 export function describeCandidates(context: RequestContext, parts: RelayParts): readonly string[] {
     return candidatesOf(context, parts)
-        .map(({ head, inProgress, suspected }) => `${head}:${inProgress}${suspected ? ":suspected" : ""}`);
+        .map(({ head, inProgress, suspected, rateWaitMilliseconds }) =>
+            [head, inProgress, ...(suspected ? ["suspected"] : []), ...(rateWaitMilliseconds > 0 ? ["limited"] : [])]
+                .join(":")
+        );
 }
 
 function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
@@ -56,7 +59,7 @@
 
 function toPlacementCandidate(
     group: EngineGroup,
-    { loadTracker, peerLoadOf: loadOfOthers }: RelayParts,
+    { loadTracker, peerLoadOf: loadOfOthers, targetRates }: RelayParts,
 ): PlacementCandidate {
     const head = group.head?.id ?? "";
     const load = loadTracker.get(head);
@@ -67,5 +70,6 @@
         inProgress: (load?.inProgress ?? 0) + peerLoad.inProgress,
         pendingPromptTokens: (load?.pendingPromptTokens ?? 0) + peerLoad.pendingPromptTokens,
         suspected: load?.suspectedAt !== undefined,
+        rateWaitMilliseconds: group.head === undefined ? 0 : targetRates.waitMilliseconds(group.head),
     };
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,7 +4,7 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
+import { type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
 import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
@@ -131,6 +131,7 @@
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
+        parts.targetRates.recordSent(target);
         parts.loadTracker.sent(headId, { promptTokens: context.request.promptTokens, stream: true }, now);
         parts.log.emit("streamSent", {
             ...requestLogFields(context),
@@ -296,7 +297,7 @@
     }
 
     private giveUp(
-        reason: "no-group" | "full" | "too-late" | "budget" | "not-run",
+        reason: RefusalReason,
         retryAfterMilliseconds: number,
     ): void {
         const { response } = this.context;
--- a/packages/daemon/src/relay/targetrates.ts
+++ b/packages/daemon/src/relay/targetrates.ts
@@ -1,5 +1,15 @@
-/** Keeps this daemon's requests to a target within the rate that the target states. */
-import { createTargetLimits, type StatedLimit, type Target } from "@damaskvale/core";
+/** Keeps this daemon's requests to each target within its share of the rate that the target states. */
+import {
+    computeLimitShare,
+    createRequestPacer,
+    createTargetLimits,
+    type DaemonLocation,
+    type LimitShare,
+    MINIMUM_REQUESTS_PER_SECOND,
+    type RequestPacer,
+    type StatedLimit,
+    type Target,
+} from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RateStatement } from "../ports/relayprotocol.js";
@@ -14,18 +24,45 @@
 export interface TargetRates {
     /** Records what a response says about the rate of its target. */
     recordResponse(request: SentRequest, response: { readonly status: number; readonly rate: RateStatement; }): void;
-    /** Returns the limits in force. */
-    limits(): readonly StatedLimit[];
+    /** Records what another daemon knows about a target. */
+    merge(limit: StatedLimit): void;
+    /** Returns the milliseconds until this daemon may send a request to the target; 0 if it may send one now. */
+    waitMilliseconds(target: Target): number;
+    /** Records that a request is sent to the target. */
+    recordSent(target: Target): void;
+    /** Returns what is known about the rates of targets, for other daemons. */
+    statements(): readonly StatedLimit[];
+    /** Number of targets that limit their rate. */
+    limitedTargets(): number;
+    /** Registers a listener for statements of targets that change a rate; those of other daemons are not announced. */
+    onChange(listener: (limit: StatedLimit) => void): void;
 }
 
 /** Collaborators of the rates. */
 export interface TargetRatesParts {
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly self: DaemonLocation;
+    /** Other daemons that were heard recently. */
+    readonly reachableDaemons: () => readonly DaemonLocation[];
+    /** Number of all daemons, including this one. */
+    readonly knownDaemons: () => number;
+    /** Returns whether a target is registered. */
     readonly isKnown: (target: string) => boolean;
 }
 
+/** Pacer of a limited target, and the statement and time for which its share was computed. */
+interface PacedTarget {
+    readonly startedAt?: number;
+    readonly statedRate: number;
+    readonly share: LimitShare;
+    readonly sharedAt: number;
+    readonly pacer: RequestPacer;
+}
+
 const PRUNE_INTERVAL_MILLISECONDS = 5_000;
+/** Shares follow the daemons that are heard, whose reports expire after seconds. */
+const SHARE_INTERVAL_MILLISECONDS = 400;
 
 /** Creates the rates. No target is limited at first. */
 export function createTargetRates(parts: TargetRatesParts): TargetRates {
@@ -33,9 +70,11 @@
 }
 
 class TargetRatesTask implements TargetRates {
-    private readonly statedLimits = createTargetLimits();
+    private readonly limits = createTargetLimits();
+    private readonly paced = new Map<string, PacedTarget>();
     /** Unreadable statements that were logged, by target. */
     private readonly unreadable = new Map<string, string>();
+    private readonly listeners: ((limit: StatedLimit) => void)[] = [];
 
     constructor(private readonly parts: TargetRatesParts) {
         setInterval(() => this.prune(), PRUNE_INTERVAL_MILLISECONDS).unref();
@@ -49,7 +88,7 @@
             this.logUnreadable(target.id, rate.text);
             return;
         }
-        const change = this.statedLimits.observe({
+        const change = this.limits.observe({
             target: target.id,
             startedAt: target.startedAt,
             sentAt,
@@ -57,12 +96,88 @@
             requestsPerSecond: rate.kind === "limited" ? rate.requestsPerSecond : undefined,
         }, this.parts.clock.monotonic());
         if (change !== undefined) {
-            this.parts.log.emit("targetLimitChanged", { ...change, status });
+            this.parts.log.emit("targetLimitChanged", { ...change, learnedFrom: "response", status });
+            this.listeners.forEach(listener => listener(change));
         }
     }
 
-    limits(): readonly StatedLimit[] {
-        return this.statedLimits.statements().filter(({ requestsPerSecond }) => requestsPerSecond !== undefined);
+    merge(limit: StatedLimit): void {
+        const change = this.limits.merge(limit);
+        if (change !== undefined) {
+            this.parts.log.emit("targetLimitChanged", { ...change, learnedFrom: "daemon" });
+        }
+    }
+
+    waitMilliseconds(target: Target): number {
+        const paced = this.pace(target);
+        if (paced === undefined) {
+            return 0;
+        }
+        // A caller's retry may reach a holder, where a request is due after this time on average.
+        const turnMilliseconds = 1_000 / Math.max(MINIMUM_REQUESTS_PER_SECOND, paced.statedRate);
+        const wait = paced.pacer.waitMilliseconds(this.parts.clock.monotonic());
+        return Number.isFinite(wait) ? wait : turnMilliseconds;
+    }
+
+    recordSent(target: Target): void {
+        this.pace(target)?.pacer.recordSent(this.parts.clock.monotonic());
+    }
+
+    statements(): readonly StatedLimit[] {
+        return this.limits.statements();
+    }
+
+    limitedTargets(): number {
+        return this.limits.statements().filter(({ requestsPerSecond }) => requestsPerSecond !== undefined).length;
+    }
+
+    onChange(listener: (limit: StatedLimit) => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Returns the pacer of a target with an up-to-date share, or `undefined` if the target is not limited. */
+    private pace(target: Target): PacedTarget | undefined {
+        const statedRate = this.limits.rateOf(target.id, target.startedAt);
+        if (statedRate === undefined) {
+            this.paced.delete(target.id);
+            return undefined;
+        }
+        const now = this.parts.clock.monotonic();
+        const known = this.paced.get(target.id);
+        const current = known?.startedAt === target.startedAt ? known : undefined;
+        if (current?.statedRate === statedRate && now - current.sharedAt < SHARE_INTERVAL_MILLISECONDS) {
+            return current;
+        }
+        const share = this.shareOf(target, statedRate);
+        const pacer = current?.pacer ?? createRequestPacer(share, now);
+        pacer.configure(share, now);
+        const paced: PacedTarget = { startedAt: target.startedAt, statedRate, share, sharedAt: now, pacer };
+        this.paced.set(target.id, paced);
+        if (share.requestsPerSecond !== current?.share.requestsPerSecond) {
+            this.logShare(target, statedRate, share);
+        }
+        return paced;
+    }
+
+    private shareOf(target: Target, requestsPerSecond: number): LimitShare {
+        const { self, reachableDaemons, knownDaemons } = this.parts;
+        return computeLimitShare({
+            target,
+            requestsPerSecond,
+            self,
+            reachable: reachableDaemons(),
+            knownDaemons: knownDaemons(),
+        });
+    }
+
+    private logShare(target: Target, statedRate: number, { requestsPerSecond }: LimitShare): void {
+        this.parts.log.emit("targetShareChanged", {
+            target: target.id,
+            statedRequestsPerSecond: statedRate,
+            requestsPerSecond,
+            reachableDaemons: this.parts.reachableDaemons().length + 1,
+            knownDaemons: this.parts.knownDaemons(),
+        });
     }
 
     private logUnreadable(target: string, text: string): void {
@@ -73,8 +188,10 @@
     }
 
     private prune(): void {
-        this.statedLimits.prune(this.parts.isKnown, this.parts.clock.monotonic());
-        [...this.unreadable.keys()].filter(target => !this.parts.isKnown(target))
-            .forEach(target => this.unreadable.delete(target));
+        const { isKnown, clock } = this.parts;
+        this.limits.prune(isKnown, clock.monotonic());
+        [this.unreadable, this.paced].forEach(entries =>
+            [...entries.keys()].filter(target => !isKnown(target)).forEach(target => entries.delete(target))
+        );
     }
 }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -58,6 +58,8 @@
     readonly timeoutMilliseconds?: number;
     readonly targets?: readonly string[];
     readonly lastEventId?: number;
+    /** Targets that have stated a limit and got the last request that it allows. */
+    readonly limitedTargets?: readonly string[];
     /** Retries that the budget allows. */
     readonly retries?: number;
 }
@@ -70,6 +72,7 @@
     notRun: { status: 503, headers: { "request-id": "r1", "not-run": "1" }, delimited: true },
     misdirected: { status: 421, headers: { "not-run": "1", "misdirected": "1" }, delimited: true },
     silent503: { status: 503, headers: { "request-id": "r1" }, delimited: true },
+    limited: { status: 200, headers: { "request-id": "r1", "rate": "0.1" }, delimited: true },
     error: { status: 500, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
 } as const satisfies Record<string, ResponseHead>;
 
@@ -136,7 +139,20 @@
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
     const log: EventLog = { emit: (name, fields = {}) => void events.push({ name, fields }) };
-    const targetRates = createTargetRates({ clock, log, isKnown: id => state.targetById(id) !== undefined });
+    const targetRates = createTargetRates({
+        clock,
+        log,
+        self: { daemon: "daemon-0", dataCentre: "x" },
+        reachableDaemons: () => [],
+        knownDaemons: () => 1,
+        isKnown: id => state.targetById(id) !== undefined,
+    });
+    options.limitedTargets?.forEach(id =>
+        targetRates.recordResponse({ target: { id }, sentAt: 0 }, {
+            status: 200,
+            rate: { kind: "limited", requestsPerSecond: 0.1 },
+        })
+    );
     const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.retries ?? 5) / 10 });
     const { caller, response } = createCaller();
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -5,6 +5,7 @@
     createPeerLoads,
     createSlidingMaximum,
     createSuspicions,
+    type DaemonLocation,
     type DemandMeter,
     type LoadTracker,
     type PeerLoads,
@@ -16,12 +17,12 @@
 import { systemClock } from "../adapters/clock.js";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
-import { startLoadExchange } from "../peers/loadexchange.js";
+import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
 import type { Clock } from "../ports/clock.js";
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
-import type { PresenceTopic } from "../ports/presence.js";
+import type { DaemonPresence, PresenceTopic } from "../ports/presence.js";
 import type { ConfigurationTopic, PartitionGroup, TargetTopic, TopicChange } from "../ports/registry.js";
 import type { RelayProtocol } from "../ports/relayprotocol.js";
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
@@ -163,14 +164,18 @@
         linesDropped: output.dropped,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
-        limitedTargets: () => targetRates.limits().length,
+        limitedTargets: () => targetRates.limitedTargets(),
     });
+    const daemons = createDaemonList(settings.daemon);
+    const peerLoads = createPeerLoads();
     const targetRates = createTargetRates({
         clock: systemClock,
         log: metrics.log,
+        self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
+        reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
+        knownDaemons: daemons.count,
         isKnown: target => state.targetById(target) !== undefined,
     });
-    const daemons = createDaemonList(settings.daemon);
     const shared: SharedParts = {
         settings,
         ports,
@@ -179,7 +184,7 @@
         random: Math.random,
         state,
         loadTracker: createLoadTracker(),
-        peerLoads: createPeerLoads(),
+        peerLoads,
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
         daemons,
@@ -188,6 +193,12 @@
     return { shared, metrics };
 }
 
+/** Adds the data centres of daemons, as far as they are known. */
+function locate(names: readonly string[], daemons: DaemonList): DaemonLocation[] {
+    const dataCentres = new Map(daemons.others().map(({ daemon, dataCentre }) => [daemon, dataCentre]));
+    return names.map(daemon => ({ daemon, dataCentre: dataCentres.get(daemon) }));
+}
+
 function createDemandMeters(): (service: string) => DemandMeter {
     const meters = new Map<string, DemandMeter>();
     return service => {
@@ -267,7 +278,7 @@
     relay: Relay,
     configuration: TopicFollower,
 ): { readonly planner: EnginePlanner; readonly lease: PartitionLease; readonly stallDetector: StallDetector; } {
-    const { settings, ports, clock, log, random, state, loadTracker, peerLoads, budgets, daemons } = shared;
+    const { settings, ports, clock, log, random, state, loadTracker, budgets, daemons } = shared;
     const lease = startPartitionLease({
         group: ports.partitions,
         clock,
@@ -275,31 +286,7 @@
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
     });
-    const suspicions = createSuspicions();
-    const groupOf = (host: string): string | undefined => state.targetById(host)?.membership?.group;
-    const self = { daemon: settings.daemon, ip: settings.ip, dataCentre: settings.dataCentre };
-    const exchange = startLoadExchange({
-        clock,
-        log,
-        self,
-        daemons,
-        port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
-        loadTracker,
-        peerLoads,
-        onMembership: reported => state.applyMembership(reported),
-        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
-        onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
-        onSuspicion: ({ head, group }, daemon) => {
-            if (groupOf(head) !== group) {
-                return;
-            }
-            planner.suspect(head);
-            const isConfirmed = suspicions.record(group, daemon, clock.monotonic());
-            if (isConfirmed && !madeProgress(loadTracker.get(head), clock.monotonic())) {
-                loadTracker.suspect(head, clock.monotonic(), group);
-            }
-        },
-    });
+    const exchange = wireExchange(shared, configuration, head => planner.suspect(head));
     const planner = startEnginePlanner({
         clock,
         log,
@@ -315,16 +302,16 @@
             exchange.broadcastMembership(reported);
         },
     });
-    startPresence({ topic: ports.presence(log), self, log, random, setPeers: daemons.replace });
+    startPresence({ topic: ports.presence(log), self: selfOf(settings), log, random, setPeers: daemons.replace });
     const stallDetector = startStallDetector({
         clock,
         log,
         loadTracker,
-        groupOf,
+        groupOf: host => groupOf(state, host),
         moveStreams: relay.moveStreams,
         report: head => {
             planner.suspect(head);
-            const group = groupOf(head);
+            const group = groupOf(state, head);
             if (group !== undefined) {
                 exchange.suspect({ head, group });
             }
@@ -332,3 +319,48 @@
     });
     return { planner, lease, stallDetector };
 }
+
+/** Starts the exchange with the other daemons; `suspect` is called for each head that another daemon suspects. */
+function wireExchange(
+    shared: SharedParts,
+    configuration: TopicFollower,
+    suspect: (head: string) => void,
+): LoadExchange {
+    const { settings, clock, log, state, loadTracker, peerLoads, daemons, targetRates } = shared;
+    const suspicions = createSuspicions();
+    const exchange = startLoadExchange({
+        clock,
+        log,
+        self: selfOf(settings),
+        daemons,
+        port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
+        loadTracker,
+        peerLoads,
+        onMembership: reported => state.applyMembership(reported),
+        limits: () => targetRates.statements(),
+        onLimit: limit => targetRates.merge(limit),
+        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
+        onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
+        onSuspicion: ({ head, group }, daemon) => {
+            if (groupOf(state, head) !== group) {
+                return;
+            }
+            suspect(head);
+            const isConfirmed = suspicions.record(group, daemon, clock.monotonic());
+            if (isConfirmed && !madeProgress(loadTracker.get(head), clock.monotonic())) {
+                loadTracker.suspect(head, clock.monotonic(), group);
+            }
+        },
+    });
+    targetRates.onChange(() => exchange.broadcastLimits());
+    return exchange;
+}
+
+function selfOf({ daemon, ip, dataCentre }: RelaySettings): DaemonPresence {
+    return { daemon, ip, dataCentre };
+}
+
+/** Returns the current group of a host, if it is known. */
+function groupOf(state: RelayState, host: string): string | undefined {
+    return state.targetById(host)?.membership?.group;
+}
