--- a/packages/daemon/src/relay/targetrates.ts
+++ b/packages/daemon/src/relay/targetrates.ts
@@ -75,10 +75,9 @@
     /** Unreadable statements that were logged, by target. */
     private readonly unreadable = new Map<string, string>();
     private readonly listeners: ((limit: StatedLimit) => void)[] = [];
+    private prunedAt = Number.NEGATIVE_INFINITY;
 
-    constructor(private readonly parts: TargetRatesParts) {
-        setInterval(() => this.prune(), PRUNE_INTERVAL_MILLISECONDS).unref();
-    }
+    constructor(private readonly parts: TargetRatesParts) {}
 
     recordResponse(
         { target, sentAt }: SentRequest,
@@ -124,6 +123,7 @@
     }
 
     statements(): readonly StatedLimit[] {
+        this.prune(this.parts.clock.monotonic());
         return this.limits.statements();
     }
 
@@ -187,9 +187,13 @@
         }
     }
 
-    private prune(): void {
-        const { isKnown, clock } = this.parts;
-        this.limits.prune(isKnown, clock.monotonic());
+    private prune(now: number): void {
+        if (now - this.prunedAt < PRUNE_INTERVAL_MILLISECONDS) {
+            return;
+        }
+        this.prunedAt = now;
+        const { isKnown } = this.parts;
+        this.limits.prune(isKnown, now);
         [this.unreadable, this.paced].forEach(entries =>
             [...entries.keys()].filter(target => !isKnown(target)).forEach(target => entries.delete(target))
         );
--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -4,6 +4,7 @@
 import { groupsBench } from "./groups/bench.js";
 import { limitsBench } from "./limits/limits.js";
 import { retriesBench } from "./limits/retries.js";
+import { targetLimitsBench } from "./limits/targetlimits.js";
 import { pathBench } from "./path/bench.js";
 import { routingBench } from "./routing/bench.js";
 import type { Bench } from "./types.js";
@@ -13,6 +14,7 @@
     routingBench,
     limitsBench,
     retriesBench,
+    targetLimitsBench,
     groupsBench,
     foldBench,
     pathBench,
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -7,6 +7,7 @@
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
+import { targetLimitsFuzz } from "./targetlimits.js";
 import type { FuzzModule } from "./types.js";
 
 /** All fuzz modules, in execution order. */
@@ -16,6 +17,7 @@
     admissionFuzz,
     fairnessFuzz,
     sharesFuzz,
+    targetLimitsFuzz,
     routingFuzz,
     retryFuzz,
     requestsFuzz,
