Close kept connections that become idle while the daemon shuts down

What callers saw: a stream that was accepted 5 s after SIGTERM was broken off 2.7 s later, when the process ended.

Cause: a response that had begun before the signal doesn't tell its caller to close the connection. Idle connections were closed once, 2.6 s after the signal, so that a connection whose response ended later took requests until the exit.

Change: from 2.6 s on, connections are closed as soon as they are idle. A request that crosses the close wasn't read.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -81,9 +81,14 @@
             log.emit("daemonDraining", { inProgress: relay.inProgress() });
             await waitUntil(() => performance.now() - startedAt > LEAVE_ROTATION_MILLISECONDS);
             callerServer.close();
-            callerServer.closeIdleConnections();
             const exitDeadlineMilliseconds = parts.shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS;
-            await waitUntil(() => relay.inProgress() === 0 || performance.now() - startedAt > exitDeadlineMilliseconds);
+            await waitUntil(() => {
+                // The response of a connection that has just become idle may have begun before the shutdown, without
+                // telling the caller to close it.
+                callerServer.closeIdleConnections();
+                const isDone = relay.inProgress() === 0;
+                return isDone || performance.now() - startedAt > exitDeadlineMilliseconds;
+            });
             await closeAfterFlush(callerServer);
             log.emit("daemonStopped", { cutOff: relay.inProgress() });
         },
--- /dev/null
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -0,0 +1,74 @@
+/** A shutdown answers each request that the daemon has begun to read, and reads none once it has left the rotation. */
+import { expect } from "chai";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { type Listeners, startListeners } from "../lifecycle.js";
+import type { Relay } from "../relay.js";
+import { createRelayState } from "../state.js";
+
+const LEFT_ROTATION_MILLISECONDS = 3_000;
+const SHUTDOWN_MILLISECONDS = 8_000;
+
+interface Fixture {
+    readonly listeners: Listeners;
+    readonly socket: Socket;
+    /** What the caller received. */
+    readonly received: () => string;
+    readonly closed: Promise<void>;
+}
+
+async function freePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+/** Starts listeners whose relay answers as the test tells it, and connects a caller. */
+async function start(handle: Relay["handle"]): Promise<Fixture> {
+    const callerPort = await freePort();
+    const readinessPort = await freePort();
+    const relay: Relay = { handle, inProgress: () => 0, moveStreams: () => undefined };
+    const listeners = await startListeners({
+        log: { emit: () => undefined },
+        relay,
+        state: createRelayState(),
+        callerListen: `127.0.0.1:${callerPort}`,
+        readinessListen: `127.0.0.1:${readinessPort}`,
+        shutdownMilliseconds: SHUTDOWN_MILLISECONDS,
+    });
+    const socket = connect(callerPort, "127.0.0.1");
+    let received = "";
+    socket.on("data", (chunk: Buffer) => {
+        received += chunk.toString();
+    });
+    socket.on("error", () => undefined);
+    const closed = new Promise<void>(resolve => socket.once("close", () => resolve()));
+    await new Promise<void>(resolve => socket.once("connect", () => resolve()));
+    return { listeners, socket, received: () => received, closed };
+}
+
+const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
+const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
+
+describe("shutdown of the listeners", function() {
+    this.timeout(20_000);
+
+    it("reads no request on a kept connection after the daemon has left the rotation", async () => {
+        const handled: number[] = [];
+        const { listeners, socket, closed } = await start(async (...[, response]) => {
+            handled.push(handled.length);
+            response.writeHead(200, { "Content-Length": "4" });
+            response.write("ab");
+            setTimeout(() => response.end("cd"), LEFT_ROTATION_MILLISECONDS);
+        });
+        socket.write(`${request}ab`);
+        await wait(100);
+        const stopped = listeners.shutDown();
+        await wait(LEFT_ROTATION_MILLISECONDS + 200);
+        socket.write(`${request}ab`);
+        await closed;
+        await stopped;
+        expect(handled).to.deep.equal([0]);
+    });
+});
