Wait for requests that are still being read before the daemon exits

Cause: the shutdown waited for admitted requests only.

Evidence: lifecycle.test.ts failed before: the shutdown ended without an answer to a request whose head had been read.

Change: requests count from the moment their head is read until their response has ended.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -40,8 +40,14 @@
 export async function startListeners(parts: ListenerParts): Promise<Listeners> {
     const { log, relay, state } = parts;
     let draining = false;
+    /** Requests whose head was read and whose response has not ended, also before the relay admits them. */
+    let unanswered = 0;
 
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
+        unanswered += 1;
+        response.once("close", () => {
+            unanswered -= 1;
+        });
         if (draining) {
             response.setHeader("Connection", "close");
         }
@@ -86,7 +92,7 @@
                 // The response of a connection that has just become idle may have begun before the shutdown, without
                 // telling the caller to close it.
                 callerServer.closeIdleConnections();
-                const isDone = relay.inProgress() === 0;
+                const isDone = unanswered === 0 && relay.inProgress() === 0;
                 return isDone || performance.now() - startedAt > exitDeadlineMilliseconds;
             });
             await closeAfterFlush(callerServer);
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -71,4 +71,18 @@
         await stopped;
         expect(handled).to.deep.equal([0]);
     });
+
+    it("answers a request whose body is still on its way when all others have ended", async () => {
+        const { listeners, socket, received } = await start(async (message, response) => {
+            message.resume();
+            await new Promise(resolve => message.once("end", resolve));
+            response.end("done");
+        });
+        const answeredBeforeExit = listeners.shutDown().then(received);
+        await wait(LEFT_ROTATION_MILLISECONDS - 500);
+        socket.write(`${request}a`);
+        await wait(1_000);
+        socket.write("b");
+        expect(await answeredBeforeExit).to.match(/^HTTP\/1\.1 200 OK[^]*done/);
+    });
 });
