Keep the connection of a caller that is refused at once

What callers saw: the connection behind each refusal at once ('no-group', 'full', 'limited') was closed, and the log held event 305, 'Cannot access stream before initialization'.

Cause: the callback of a stream relay used the relay, and the maker called it before it returned when the request was refused at once.

Change: a stream relay is made first and started afterwards. Other makers that take a callback were read: plain relays use no result of their maker in it, connections call back from the event loop only, and the wiring starts no traffic before its parts are set.

--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -6,7 +6,7 @@
 import { relayPlain } from "./plainrelay.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 import { type DenialReason, writeDenial, writeRefusal } from "./responses.js";
-import { relayStream, type StreamRelay } from "./streamrelay.js";
+import { createStreamRelay, type StreamRelay } from "./streamrelay.js";
 
 /** The request path of the daemon. */
 export interface Relay {
@@ -33,11 +33,12 @@
     const startRelay = (context: RequestContext): void => {
         const engine = context.lookup.findService(context.service)?.engine;
         if (engine !== undefined && context.request.model !== undefined) {
-            const stream = relayStream(context, parts, () => {
+            const stream = createStreamRelay(context, parts, () => {
                 inProgress -= 1;
                 streams.delete(stream);
             });
             streams.add(stream);
+            stream.start();
             return;
         }
         relayPlain(context, parts, () => {
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -10,6 +10,8 @@
 
 /** A stream in progress, as the stall detector sees it. */
 export interface StreamRelay {
+    /** Sends the request, or refuses it before this returns. */
+    start(): void;
     /** Head that currently serves the stream. */
     head(): string | undefined;
     /** Moves the stream to another group if one can take it. */
@@ -37,11 +39,9 @@
     delimited: boolean;
 }
 
-/** Starts to relay a stream; `onEnded` is called exactly once, when the request has ended. */
-export function relayStream(context: RequestContext, parts: RelayParts, onEnded: () => void): StreamRelay {
-    const relay = new StreamRelayTask(context, parts, onEnded);
-    relay.start();
-    return relay;
+/** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
+export function createStreamRelay(context: RequestContext, parts: RelayParts, onEnded: () => void): StreamRelay {
+    return new StreamRelayTask(context, parts, onEnded);
 }
 
 class StreamRelayTask extends RelayTask implements StreamRelay {
