Use no offset, lease or token of an earlier era of the store

Cause: offsets were kept without the era in which they are valid; a target that the copy lacks was dropped after 1 s; tokens were bare generations, which the copy gives out again; a daemon announced itself once.

The faults share one commit because the era runs through the same calls.

Events 226 to 228.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from "./routing/options.js";
 export * from "./routing/router.js";
 export * from "./routing/types.js";
+export * from "./store/era.js";
 export * from "./stream/canonical.js";
 export * from "./stream/chunk.js";
 export * from "./stream/fold.js";
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -139,6 +139,23 @@
     ),
     partitionsChanged: define(224, "info", "The partitions for which this daemon plans changed."),
     partitionsLapsed: define(225, "warn", "The lease on the partitions of this daemon lapsed; it gives no orders."),
+    storeEraRose: define(
+        226,
+        "warn",
+        "The platform's store came back from an older copy; offsets and leases of its earlier era are dropped.",
+        "Check which writes of the last seconds before are missing.",
+    ),
+    storeEraIgnored: define(
+        227,
+        "warn",
+        "An answer of the platform's store states no era, a lower one or an unreadable one; the known era stays.",
+        "Find out which store answered.",
+    ),
+    topicRestored: define(
+        228,
+        "info",
+        "A topic is read anew because the platform's store came back from an older copy.",
+    ),
     targetsChanged: define(420, "info", "A target was registered, started again, drains, lapsed or was removed."),
     engineOrdered: define(421, "info", "An order was given to an engine."),
     engineReported: define(422, "info", "The state of an engine was read from the engine itself."),
--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -1,8 +1,9 @@
 /** Announces this daemon to the others and follows their announcements. */
+import type { StoreEra } from "@damaskvale/core";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence, PresenceTopic } from "../ports/presence.js";
 import { StoreError, type TopicChange } from "../ports/registry.js";
-import { followTopic } from "../tasks/followtopic.js";
+import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { jitteredDelay, sleep } from "../tasks/sleep.js";
 
 /** Collaborators of the presence task. */
@@ -12,18 +13,22 @@
     readonly log: EventLog;
     /** Returns a random number in [0, 1), for the jitter of retries. */
     readonly random: () => number;
+    /** Era of the store; this daemon announces itself again when it rises. */
+    readonly storeEra: StoreEra;
     /** Called with all announced daemons after each change. */
     readonly setPeers: (peers: readonly DaemonPresence[]) => void;
 }
 
 const RETRY_MILLISECONDS = 250;
 const MAXIMUM_RETRY_MILLISECONDS = 3_000;
+/** Time over which the daemons spread their announcements after the store came back from an older copy. */
+const ANNOUNCE_SPREAD_MILLISECONDS = 500;
 const FOLLOW_PAUSE_MILLISECONDS = 100;
 /** Daemons rarely start or stop, and learning of it late does no harm. */
 const FOLLOW_WAIT_MILLISECONDS = 15_000;
 
 /** Announces this daemon, with retries, and starts to follow the presence topic. */
-export function startPresence({ topic, self, log, random, setPeers }: PresenceParts): void {
+export function startPresence({ topic, self, log, random, storeEra, setPeers }: PresenceParts): TopicFollower {
     const peers = new Map<string, DaemonPresence>();
     const apply = (changes: readonly TopicChange<DaemonPresence>[]): void => {
         changes.forEach(({ key, value }) => {
@@ -49,15 +54,22 @@
             await announce(failures + 1);
         }
     };
-    announce(0).catch((error: unknown) => log.emit("taskFailed", { task: "presence", error }));
-    followTopic({
+    const announceOnce = (): void => {
+        announce(0).catch((error: unknown) => log.emit("taskFailed", { task: "presence", error }));
+    };
+    announceOnce();
+    storeEra.onRisen(() => setTimeout(announceOnce, random() * ANNOUNCE_SPREAD_MILLISECONDS).unref());
+    return followTopic({
         topic,
         log,
         random,
         waitMilliseconds: () => FOLLOW_WAIT_MILLISECONDS,
         pauseMilliseconds: () => FOLLOW_PAUSE_MILLISECONDS,
-        replace: changes => {
-            peers.clear();
+        replace: (changes, isRestored) => {
+            // Daemons that an older copy of the store lacks announce themselves again.
+            if (!isRestored) {
+                peers.clear();
+            }
             apply(changes);
         },
         apply,
--- a/packages/daemon/src/ports/registry.ts
+++ b/packages/daemon/src/ports/registry.ts
@@ -22,6 +22,8 @@
 export interface TopicPage<Value> {
     readonly changes: readonly TopicChange<Value>[];
     readonly nextOffset: number;
+    /** Era of the store in which the offset is valid. */
+    readonly era: number;
 }
 
 /** A compacted topic, which retains the latest value of each key. All calls reject with a `StoreError`. */
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -48,8 +48,11 @@
     applyMembership(reported: ReportedMembership): void;
     /** Drops a host whose entry lapsed; does nothing while the host is registered. */
     forget(id: string): void;
-    /** Replaces all targets. */
-    replaceTargets(targets: readonly Target[]): void;
+    /**
+     * Replaces all targets. With `isRestored`, the entries come from an older copy of the store: what is known of a process
+     * is kept where its entry is older, and a missing entry counts as removed only if it is not written again in time.
+     */
+    replaceTargets(targets: readonly Target[], isRestored?: boolean): void;
     /** Registers a listener that is called after each change. */
     onChange(listener: () => void): void;
 }
@@ -59,6 +62,8 @@
  * during a store outage return within about two seconds.
  */
 const REGISTRATION_GRACE_MILLISECONDS = 1_000;
+/** The same after the store came back from an older copy: entries are written again within about two seconds. */
+const RESTORED_GRACE_MILLISECONDS = 2_200;
 /** How long a host whose entry lapsed is kept while it still responds. */
 const LAPSED_RETENTION_MILLISECONDS = 30_000;
 
@@ -70,6 +75,26 @@
     return new RelayStateTask(onTargetChange);
 }
 
+/** A process that has announced its end never takes requests again, whatever an older entry says. */
+function keepDraining(entry: Target, known: Target | undefined): Target {
+    const isSameProcess = entry.startedAt !== undefined && entry.startedAt === known?.startedAt;
+    return isSameProcess && known.draining ? { ...entry, draining: true } : entry;
+}
+
+/** Returns an entry of an older copy of the store with what is known to be newer. */
+function keepNewerFields(entry: Target, known: Target | undefined): Target {
+    if (known === undefined || !known.registered) {
+        return entry;
+    }
+    if (known.startedAt !== entry.startedAt) {
+        return (known.startedAt ?? 0) > (entry.startedAt ?? 0) ? known : entry;
+    }
+    const { membership } = known;
+    const isOlder = membership !== undefined
+        && (entry.membership === undefined || isEarlierMembership(entry.membership, membership));
+    return isOlder ? { ...entry, membership, model: known.model } : entry;
+}
+
 class RelayStateTask implements RelayState {
     private routeLookup: RouteLookup | undefined;
     private readonly targetsById = new Map<string, Target>();
@@ -125,10 +150,18 @@
         this.updateIndexes();
     }
 
-    replaceTargets(latest: readonly Target[]): void {
+    replaceTargets(latest: readonly Target[], isRestored = false): void {
         const ids = new Set(latest.map(target => target.id));
-        [...this.targetsById.keys()].filter(id => !ids.has(id)).forEach(key => this.change({ key }));
-        latest.forEach(target => this.change({ key: target.id, value: target }));
+        const missing = [...this.targetsById.keys()].filter(id => !ids.has(id));
+        if (isRestored) {
+            missing.filter(id => !this.removalTimers.has(id))
+                .forEach(id => this.schedule(id, RESTORED_GRACE_MILLISECONDS, () => this.markLapsed(id)));
+        }
+        else {
+            missing.forEach(key => this.change({ key }));
+        }
+        latest.map(target => isRestored ? keepNewerFields(target, this.targetsById.get(target.id)) : target)
+            .forEach(target => this.change({ key: target.id, value: target }));
         this.updateIndexes();
     }
 
@@ -165,8 +198,9 @@
         if (value !== undefined) {
             clearTimeout(this.removalTimers.get(key));
             this.removalTimers.delete(key);
-            this.targetsById.set(key, value);
-            this.notifyChange(target, value);
+            const entry = keepDraining(value, target ?? this.droppedTargets.get(key));
+            this.targetsById.set(key, entry);
+            this.notifyChange(target, entry);
             this.forgetLapsedAt(value.address);
         }
         else if (target === undefined) {
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -170,4 +170,69 @@
         clock.tick(1_000);
         expect(serving()).to.deep.equal(["q"]);
     });
+
+    const restores: readonly {
+        readonly guards: string;
+        readonly known: Target;
+        readonly copy: readonly Target[];
+        readonly serving: boolean;
+        readonly after?: number;
+    }[] = [
+        {
+            guards: "dropping a sound target whose entry the copy lacks",
+            known: target("p", { startedAt: 1 }),
+            copy: [],
+            serving: true,
+            after: 2_100,
+        },
+        {
+            guards: "keeping a target whose entry is not written again",
+            known: target("p", { startedAt: 1 }),
+            copy: [],
+            serving: false,
+            after: 2_300,
+        },
+        {
+            guards: "serving from a draining target that the copy shows as ready",
+            known: target("p", { startedAt: 1, draining: true }),
+            copy: [target("p", { startedAt: 1 })],
+            serving: false,
+        },
+        {
+            guards: "serving from a target whose drained process the copy lacks at first",
+            known: target("p", { startedAt: 1, draining: true }),
+            copy: [],
+            serving: false,
+        },
+        {
+            guards: "refusing a process that started again",
+            known: target("p", { startedAt: 1, draining: true }),
+            copy: [target("p", { startedAt: 2 })],
+            serving: true,
+        },
+        {
+            guards: "going back to an earlier process of a target",
+            known: target("p", { startedAt: 2 }),
+            copy: [target("p", { startedAt: 1, draining: true })],
+            serving: true,
+        },
+    ];
+    restores.forEach(({ guards, known, copy, serving: expected, after = 0 }) => {
+        it(`prevents ${guards} after the store came back from an older copy`, () => {
+            state.applyTargets([{ key: known.id, value: known }]);
+            state.replaceTargets(copy, true);
+            clock.tick(after);
+            expect(serving()).to.deep.equal(expected ? ["p"] : []);
+        });
+    });
+
+    it("keeps a group that the older copy does not know or knows in an earlier state", () => {
+        const started = { ...head, startedAt: 1 };
+        const earlier = { ...started, membership: { group: "d~m~0.0", epoch: 0, rank: 0, state: "open" } as const };
+        [earlier, { ...started, membership: undefined }].forEach(entry => {
+            state.applyTargets([{ key: "h", value: started }]);
+            state.replaceTargets([entry], true);
+            expect(heads()).to.deep.equal(["h"]);
+        });
+    });
 });
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -10,6 +10,7 @@
     type LoadTracker,
     type PeerLoads,
     type RelayConfiguration,
+    type StoreEra,
     type TargetLoad,
 } from "@damaskvale/core";
 import { createBoundedOutput } from "../adapters/boundedoutput.js";
@@ -61,6 +62,7 @@
 /** Adapters that a platform provides. */
 export interface PlatformPorts {
     readonly protocol: RelayProtocol;
+    readonly storeEra: StoreEra;
     readonly configuration: (log: EventLog) => ConfigurationTopic;
     readonly targets: (log: EventLog) => TargetTopic;
     readonly partitions: PartitionGroup;
@@ -131,6 +133,8 @@
         await metrics.serve(settings.metricsListen);
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
+    ports.storeEra.onRisen((era, previous) => log.emit("storeEraRose", { era, previous }));
+    ports.storeEra.onIgnored(text => log.emit("storeEraIgnored", { text, era: ports.storeEra.current() }));
     const configuration = followStore(shared);
     const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration);
     const listeners = await listening;
@@ -259,7 +263,7 @@
         replace: applyConfigurations,
         apply: applyConfigurations,
     });
-    followTopic({
+    const targets = followTopic({
         topic: ports.targets(log),
         log,
         random,
@@ -267,12 +271,18 @@
         pauseMilliseconds: () => registryReadDelay(shared),
         // The long poll for the configuration uses the same network, so its connection is probably dead as well.
         onLost: () => configuration.refresh(0),
-        replace: changes => state.replaceTargets(changes.flatMap(({ value }) => value ?? [])),
+        replace: (changes, isRestored) => state.replaceTargets(changes.flatMap(({ value }) => value ?? []), isRestored),
         apply: changes => state.applyTargets(changes),
     });
+    refreshAfterRestore(ports.storeEra, [configuration, targets]);
     return configuration;
 }
 
+/** Makes followers notice at once that the store came back from an older copy, although their reads may be waiting. */
+function refreshAfterRestore(storeEra: StoreEra, followers: readonly TopicFollower[]): void {
+    storeEra.onRisen(() => followers.forEach(follower => follower.refresh(0)));
+}
+
 function wirePlanning(
     shared: SharedParts,
     relay: Relay,
@@ -302,7 +312,16 @@
             exchange.broadcastMembership(reported);
         },
     });
-    startPresence({ topic: ports.presence(log), self: selfOf(settings), log, random, setPeers: daemons.replace });
+    const presence = startPresence({
+        topic: ports.presence(log),
+        self: selfOf(settings),
+        log,
+        random,
+        storeEra: ports.storeEra,
+        setPeers: daemons.replace,
+    });
+    refreshAfterRestore(ports.storeEra, [presence]);
+    ports.storeEra.onRisen(() => lease.invalidate("The platform's store came back from an older copy."));
     const stallDetector = startStallDetector({
         clock,
         log,
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -1,6 +1,6 @@
 /** Follows a topic of the store: reads the newest value of each key once, then every change. */
 import type { EventLog } from "../ports/eventlog.js";
-import { type KeyedTopic, StoreError, type TopicChange } from "../ports/registry.js";
+import { type KeyedTopic, StoreError, type TopicChange, type TopicPage } from "../ports/registry.js";
 import { sleep } from "./sleep.js";
 
 /** Options of a topic follower. */
@@ -9,8 +9,11 @@
     readonly log: EventLog;
     /** Returns a random number from 0 to below 1, to spread retries. */
     readonly random: () => number;
-    /** Called with all keys that have values, at the start and after a gap. */
-    readonly replace: (changes: readonly TopicChange<Value>[]) => void;
+    /**
+     * Called with all keys that have values, at the start and after a gap. `isRestored` is set after the store came back
+     * from an older copy; values that were written since may then be missing or older until they are written again.
+     */
+    readonly replace: (changes: readonly TopicChange<Value>[], isRestored: boolean) => void;
     readonly apply: (changes: readonly TopicChange<Value>[]) => void;
     /** How long a read waits for a change. A longer wait delays the detection of a silent connection. */
     readonly waitMilliseconds: () => number;
@@ -31,75 +34,123 @@
 }
 
 const RETRY_MILLISECONDS = 200;
+/** Time over which the daemons spread their reads of all values after the store came back from an older copy. */
+const RESTORE_SPREAD_MILLISECONDS = 300;
 
 /** Starts to follow a topic. */
 export function followTopic<Value>(options: FollowOptions<Value>): TopicFollower {
-    const { topic, log } = options;
-    let isStopped = false;
-    let isLost = false;
-    let offset: number | undefined;
+    const follower = new TopicFollowerTask(options);
+    follower.start();
+    return follower;
+}
+
+class TopicFollowerTask<Value> implements TopicFollower {
+    private isStopped = false;
+    private isLost = false;
+    private position: { readonly offset: number; readonly era: number; } | undefined;
+    private lastEra: number | undefined;
     /** Controller of the waiting read, if there is one. */
-    let waitingRead: AbortController | undefined;
-    let isRefreshing = false;
+    private waitingRead: AbortController | undefined;
+    private isRefreshing = false;
 
-    const readOnce = async (): Promise<void> => {
-        if (offset === undefined) {
-            const page = await topic.readLatest();
-            options.replace(page.changes);
-            offset = page.nextOffset;
-            return;
-        }
-        const wait = isLost || isRefreshing ? 0 : options.waitMilliseconds();
-        waitingRead = wait > 0 ? new AbortController() : undefined;
-        const page = await topic.readFrom(offset, wait, waitingRead?.signal);
-        isRefreshing = false;
-        offset = page?.nextOffset;
-        if (page !== undefined && page.changes.length > 0) {
-            options.apply(page.changes);
-        }
-    };
-    const run = async (): Promise<void> => {
-        while (!isStopped) {
+    constructor(private readonly options: FollowOptions<Value>) {}
+
+    start(): void {
+        const { topic, log } = this.options;
+        this.run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
+    }
+
+    refresh(graceMilliseconds: number): void {
+        const read = this.waitingRead;
+        setTimeout(() => {
+            if (read !== undefined && this.waitingRead === read && !read.signal.aborted) {
+                this.isRefreshing = true;
+                read.abort();
+            }
+        }, graceMilliseconds).unref();
+    }
+
+    stop(): void {
+        this.isStopped = true;
+    }
+
+    private async run(): Promise<void> {
+        while (!this.isStopped) {
             try {
-                await readOnce();
-                waitingRead = undefined;
-                if (isLost) {
-                    isLost = false;
-                    log.emit("storeRegained", { topic: topic.name, offset });
-                }
-                await sleep(options.pauseMilliseconds());
+                await this.readOnce();
+                this.waitingRead = undefined;
+                this.markRegained();
+                await sleep(this.options.pauseMilliseconds());
             }
             catch (error) {
-                if (!(error instanceof StoreError)) {
-                    throw error;
-                }
-                const wasAborted = waitingRead?.signal.aborted === true;
-                waitingRead = undefined;
-                if (wasAborted) {
-                    continue;
-                }
-                if (!isLost) {
-                    isLost = true;
-                    options.onLost?.();
-                    log.emit("storeLost", { topic: topic.name, offset, kind: error.kind, reason: error.message });
-                }
-                await sleep(RETRY_MILLISECONDS * (0.5 + options.random()));
+                await this.recover(error);
             }
         }
-    };
-    run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
-    return {
-        refresh: graceMilliseconds => {
-            const read = waitingRead;
-            setTimeout(() => {
-                if (read !== undefined && waitingRead === read && !read.signal.aborted) {
-                    isRefreshing = true;
-                    read.abort();
-                }
-            }, graceMilliseconds).unref();
-        },
-        stop: () => {
-            isStopped = true;
-        },
-    };
+    }
+
+    private async readOnce(): Promise<void> {
+        if (this.position === undefined) {
+            const page = await this.options.topic.readLatest();
+            this.options.replace(page.changes, this.lastEra !== undefined && page.era !== this.lastEra);
+            this.moveTo(page);
+            return;
+        }
+        await this.readChanges(this.position);
+    }
+
+    private async readChanges(position: { readonly offset: number; readonly era: number; }): Promise<void> {
+        const { topic, log, random, apply } = this.options;
+        const wait = this.isLost || this.isRefreshing ? 0 : this.options.waitMilliseconds();
+        this.waitingRead = wait > 0 ? new AbortController() : undefined;
+        const page = await topic.readFrom(position.offset, wait, this.waitingRead?.signal);
+        this.isRefreshing = false;
+        if (page === undefined) {
+            this.position = undefined;
+            return;
+        }
+        if (page.era !== position.era) {
+            // The offset may have been given out again, so records may stand before it that were never read.
+            log.emit("topicRestored", { topic: topic.name, ...position, newEra: page.era });
+            this.position = undefined;
+            await sleep(random() * RESTORE_SPREAD_MILLISECONDS);
+            return;
+        }
+        this.moveTo(page);
+        if (page.changes.length > 0) {
+            apply(page.changes);
+        }
+    }
+
+    private moveTo({ nextOffset, era }: TopicPage<Value>): void {
+        this.position = { offset: nextOffset, era };
+        this.lastEra = era;
+    }
+
+    private markRegained(): void {
+        if (this.isLost) {
+            this.isLost = false;
+            const { topic, log } = this.options;
+            log.emit("storeRegained", { topic: topic.name, offset: this.position?.offset });
+        }
+    }
+
+    /** Waits after a failed read; rethrows errors that do not come from the store. */
+    private async recover(error: unknown): Promise<void> {
+        if (!(error instanceof StoreError)) {
+            throw error;
+        }
+        const wasAborted = this.waitingRead?.signal.aborted === true;
+        this.waitingRead = undefined;
+        if (wasAborted) {
+            return;
+        }
+        const { topic, log, onLost, random } = this.options;
+        if (!this.isLost) {
+            this.isLost = true;
+            onLost?.();
+            const offset = this.position?.offset;
+            log.emit("storeLost", { topic: topic.name, offset, kind: error.kind, reason: error.message });
+        }
+        await sleep(RETRY_MILLISECONDS * (0.5 + random()));
+    }
 }
--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -8,6 +8,8 @@
 export interface PartitionLease {
     /** Returns the share that is valid now, or `undefined` if the lease has expired or was never granted. */
     current(): PartitionAssignment | undefined;
+    /** Ends the lease at once, because the store no longer knows it. The next renewal acquires another one. */
+    invalidate(reason: string): void;
     /** Leaves the group, so that its partitions are reassigned at once. */
     stop(): Promise<void>;
 }
@@ -71,6 +73,13 @@
     };
     run().catch((error: unknown) => log.emit("taskFailed", { task: "partition lease", error }));
     return {
+        invalidate: reason => {
+            if (share !== undefined) {
+                share = undefined;
+                validUntil = 0;
+                log.emit("partitionsLapsed", { reason });
+            }
+        },
         current: () => clock.monotonic() < validUntil + options.extensionMilliseconds ? share : undefined,
         stop: async () => {
             stopped = true;
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -32,7 +32,7 @@
                 name: "topic",
                 readLatest: async () => {
                     calls.push("newest");
-                    return await next() ?? { changes: [], nextOffset: 0 };
+                    return await next() ?? { changes: [], nextOffset: 0, era: 1 };
                 },
                 readFrom: (offset, wait, signal) => {
                     calls.push(`after ${offset} wait ${wait}`);
@@ -46,7 +46,10 @@
             random: () => 0,
             waitMilliseconds: () => 2_500,
             pauseMilliseconds: () => 10,
-            replace: changes => void seen.push(`all ${changes.map(({ key, value }) => `${key}=${value}`).join()}`),
+            replace: (changes, isRestored) =>
+                void seen.push(
+                    `${isRestored ? "restored" : "all"} ${changes.map(({ key, value }) => `${key}=${value}`).join()}`,
+                ),
             apply: changes => void seen.push(changes.map(({ key, value }) => `${key}=${value}`).join()),
         });
     };
@@ -57,8 +60,8 @@
 
     it("reads all newest values and then each change", async () => {
         start([
-            { changes: [{ key: "a", value: "1" }], nextOffset: 5 },
-            { changes: [{ key: "a", value: "2" }, { key: "b" }], nextOffset: 7 },
+            { changes: [{ key: "a", value: "1" }], nextOffset: 5, era: 1 },
+            { changes: [{ key: "a", value: "2" }, { key: "b" }], nextOffset: 7, era: 1 },
         ]);
         await clock.tickAsync(100);
         expect(seen).to.deep.equal(["all a=1", "a=2,b=undefined"]);
@@ -66,14 +69,18 @@
     });
 
     it("reads all newest values again when changes were removed before it read them", async () => {
-        start([{ changes: [], nextOffset: 5 }, "removed", { changes: [{ key: "c", value: "3" }], nextOffset: 90 }]);
+        start([{ changes: [], nextOffset: 5, era: 1 }, "removed", {
+            changes: [{ key: "c", value: "3" }],
+            nextOffset: 90,
+            era: 1,
+        }]);
         await clock.tickAsync(100);
         expect(calls.slice(0, 4)).to.deep.equal(["newest", "after 5 wait 2500", "newest", "after 90 wait 2500"]);
         expect(seen.at(-1)).to.equal("all c=3");
     });
 
     it("reads without waiting while the store is lost, so that it detects the recovery at once", async () => {
-        start([{ changes: [], nextOffset: 5 }, "lost", "lost", { changes: [], nextOffset: 6 }]);
+        start([{ changes: [], nextOffset: 5, era: 1 }, "lost", "lost", { changes: [], nextOffset: 6, era: 1 }]);
         await clock.tickAsync(1_000);
         expect(calls).to.deep.equal([
             "newest",
@@ -85,7 +92,7 @@
     });
 
     it("replaces a read that waits on a silent connection when it is refreshed", async () => {
-        start([{ changes: [], nextOffset: 5 }]);
+        start([{ changes: [], nextOffset: 5, era: 1 }]);
         await clock.tickAsync(100);
         follower.refresh(0);
         follower.refresh(0);
@@ -95,14 +102,14 @@
 
     // Over a slow link, a large configuration can take longer to arrive than the notification of its change.
     it("does not abort a read that answers within the grace period of a refresh", async () => {
-        start([{ changes: [], nextOffset: 5 }, { changes: [{ key: "a", value: "1" }], nextOffset: 6 }]);
+        start([{ changes: [], nextOffset: 5, era: 1 }, { changes: [{ key: "a", value: "1" }], nextOffset: 6, era: 1 }]);
         follower.refresh(400);
         await clock.tickAsync(1_000);
         expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "after 6 wait 2500"]);
     });
 
     it("does not abort the read that a refresh started, however often it is refreshed", async () => {
-        start([{ changes: [], nextOffset: 5 }]);
+        start([{ changes: [], nextOffset: 5, era: 1 }]);
         await clock.tickAsync(100);
         for (let told = 0; told < 20; told += 1) {
             follower.refresh(0);
@@ -113,7 +120,7 @@
 
     it("waits between two failed reads of all values even when it is refreshed", async () => {
         start([
-            { changes: [], nextOffset: 5 },
+            { changes: [], nextOffset: 5, era: 1 },
             "silent",
             "removed",
             ...Array.from({ length: 50 }, () => "lost" as const),
@@ -123,4 +130,18 @@
         await clock.tickAsync(1_000);
         expect(calls.length).to.be.below(15);
     });
+
+    const restored = { changes: [{ key: "a", value: "1" }], nextOffset: 4, era: 2 };
+    const restores: readonly { readonly name: string; readonly answer: Answer; }[] = [
+        { name: "gave the offset out again", answer: { changes: [{ key: "b", value: "9" }], nextOffset: 6, era: 2 } },
+        { name: "has not reached the offset", answer: "removed" },
+    ];
+    restores.forEach(({ name, answer }) => {
+        it(`reads all values again when the store came back from an older copy and ${name}`, async () => {
+            start([{ changes: [{ key: "a", value: "2" }], nextOffset: 5, era: 1 }, answer, restored]);
+            await clock.tickAsync(1_000);
+            expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "newest", "after 4 wait 2500"]);
+            expect(seen).to.deep.equal(["all a=2", "restored a=1"]);
+        });
+    });
 });
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -71,4 +71,15 @@
         await clock.tickAsync(300);
         expect(tokens).to.deep.equal([0, 4, 5]);
     });
+
+    it("is not used after the store came back from an older copy, until it is acquired again", async () => {
+        answers = [share, { fencingToken: 20_000_004, partitions: [2] }];
+        start(20_000);
+        await clock.tickAsync(10);
+        lease.invalidate("restored");
+        const before = lease.current();
+        await clock.tickAsync(200);
+        expect([before, lease.current()?.partitions]).to.deep.equal([undefined, [2]]);
+        expect(tokens.slice(0, 2)).to.deep.equal([0, 0]);
+    });
 });
