--- a/packages/daemon/src/relay/tests/streamrelay.test.ts
+++ b/packages/daemon/src/relay/tests/streamrelay.test.ts
@@ -47,6 +47,16 @@
         expect([caller.ended, ends()]).to.deep.equal([true, 1]);
     });
 
+    it("takes a byte now and then that completes no event for no progress, so that a stalled head is found", async () => {
+        const { sends, parts } = start();
+        const send = begin(sends[0], 1);
+        const progressAt = parts.loadTracker.get("a")?.lastProgressAt ?? parts.loadTracker.get("b")?.lastProgressAt;
+        await new Promise(resolve => setTimeout(resolve, 5));
+        [..."id: 2"].forEach(byte => send.receiver.data(Buffer.from(byte)));
+        const later = parts.loadTracker.get("a")?.lastProgressAt ?? parts.loadTracker.get("b")?.lastProgressAt;
+        expect([later !== undefined, later]).to.deep.equal([true, progressAt]);
+    });
+
     it("resumes at another target after the last delivered event without duplicates", () => {
         const { sends, caller } = start();
         const first = begin(sends[0], 1, 2);
