Begin a stream's response with its first event, so that a request that fails before it is answered

Cause: the relay wrote the head of the response when the target's head arrived. Node sends it with the first body byte only, but counts it as sent, so that every later failure (crash, deadline, no other group, no budget) was taken for one in the middle of the answer, and the connection was destroyed. No configuration change is needed for it; one that takes away the other attempts makes it more likely.

Change: the head waits for the first event; until then the request is refused or failed with a status. A response whose first target sent a head and no event gets the head and signature of the target whose events it holds.

Evidence: streamrelay.test.ts failed before in each new case: status 200 and a destroyed connection in place of 502 and 504.

--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,6 +1,6 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
 import type { Target } from "@damaskvale/core";
-import type { ResponseHead } from "../ports/relayprotocol.js";
+import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
@@ -22,7 +22,7 @@
 const PAUSE_THRESHOLD_BYTES = 65_536;
 
 interface Attempt {
-    readonly head: string;
+    readonly headId: string;
     readonly target: Target;
     readonly sentAt: number;
     readonly splitter: EventSplitter;
@@ -35,8 +35,14 @@
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
     isReleased: boolean;
-    /** Whether the target marks the end of its response. */
-    delimited: boolean;
+    /** Head of the response, which the caller receives with the first event. */
+    head?: ReceivedHead;
+}
+
+/** Head of a target's response, and its headers for the caller. */
+interface ReceivedHead {
+    readonly head: ResponseHead;
+    readonly forwarded: HeaderList;
 }
 
 /** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
@@ -65,7 +71,7 @@
     }
 
     head(): string | undefined {
-        return this.attempt?.head;
+        return this.attempt?.headId;
     }
 
     moveToAnotherGroup(): void {
@@ -81,7 +87,7 @@
             this.parts.connections.renew(stalled.target.address);
             this.parts.log.emit("streamMoved", {
                 ...requestLogFields(this.context),
-                from: stalled.head,
+                from: stalled.headId,
                 to: placement.head,
                 lastEventId: this.lastEventId,
             });
@@ -117,7 +123,7 @@
         }
         const now = parts.clock.monotonic();
         const attempt: Attempt = {
-            head: headId,
+            headId,
             target,
             sentAt: now,
             splitter: createEventSplitter(),
@@ -126,7 +132,6 @@
             started: false,
             isPassthrough: false,
             isReleased: false,
-            delimited: true,
         };
         this.attempt = attempt;
         this.tried.push(headId);
@@ -171,7 +176,7 @@
             return;
         }
         if (decoded.misdirected) {
-            parts.headUnusable(attempt.head);
+            parts.headUnusable(attempt.headId);
         }
         else {
             parts.targetRates.recordResponse(attempt, { status: head.status, rate: decoded.rate });
@@ -187,10 +192,15 @@
             return;
         }
         attempt.isPassthrough = !success;
-        attempt.delimited = head.delimited;
-        if (!context.response.headersSent) {
-            this.isResponseDelimited = head.delimited;
-            writeResponseHead(context.response, head, decoded.forwarded);
+        attempt.head = { head, forwarded: decoded.forwarded };
+    }
+
+    /** Begins the response with the head of this attempt, unless it has begun. Until then, the request can be refused. */
+    private beginResponse({ head: received }: Attempt): void {
+        const { response } = this.context;
+        if (received !== undefined && !response.headersSent) {
+            this.isResponseDelimited = received.head.delimited;
+            writeResponseHead(response, received.head, received.forwarded);
         }
     }
 
@@ -198,6 +208,7 @@
         const { context, parts } = this;
         const now = parts.clock.monotonic();
         if (attempt.isPassthrough) {
+            this.beginResponse(attempt);
             context.response.write(chunk);
             return;
         }
@@ -208,9 +219,10 @@
         if (!attempt.started) {
             attempt.started = true;
             this.firstEventAt ??= now;
-            parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
+            parts.loadTracker.started(attempt.headId, context.request.promptTokens, now);
         }
-        parts.loadTracker.progressed(attempt.head, now);
+        parts.loadTracker.progressed(attempt.headId, now);
+        this.beginResponse(attempt);
         const inOrder = events.every(event => this.deliver(event));
         if (!inOrder) {
             this.abandon(attempt, "event-missing");
@@ -242,7 +254,8 @@
             return;
         }
         this.release(attempt);
-        if (this.isResponseDelimited && !attempt.delimited) {
+        this.beginResponse(attempt);
+        if (this.isResponseDelimited && attempt.head?.head.delimited === false) {
             // A marked end would tell the caller that the stream is complete, which is unknown here.
             this.context.response.destroy();
             this.finish("end-unknown");
@@ -254,7 +267,7 @@
 
     private receiveFailure(attempt: Attempt, error: Error): void {
         if (isRefusedConnection(error)) {
-            this.parts.headUnusable(attempt.head);
+            this.parts.headUnusable(attempt.headId);
         }
         this.attemptFailed(attempt, error.message);
     }
@@ -274,7 +287,7 @@
         this.release(attempt);
         this.parts.log.emit("attemptFailed", {
             ...requestLogFields(this.context),
-            target: attempt.head,
+            target: attempt.headId,
             reason,
             sent: attempt.sent,
             lastEventId: this.lastEventId,
@@ -289,7 +302,7 @@
     private release(attempt: Attempt): void {
         if (!attempt.isReleased) {
             attempt.isReleased = true;
-            this.parts.loadTracker.ended(attempt.head, this.context.request.promptTokens, attempt.started);
+            this.parts.loadTracker.ended(attempt.headId, this.context.request.promptTokens, attempt.started);
         }
         if (this.attempt === attempt) {
             this.attempt = undefined;
--- a/packages/daemon/src/relay/tests/streamrelay.test.ts
+++ b/packages/daemon/src/relay/tests/streamrelay.test.ts
@@ -57,6 +57,39 @@
         expect([later !== undefined, later]).to.deep.equal([true, progressAt]);
     });
 
+    const endsBeforeTheFirstEvent: readonly {
+        readonly name: string;
+        readonly options: Partial<RelayFixtureOptions>;
+        readonly fail: (send: FakeSend) => void;
+        readonly status: number;
+    }[] = [
+        {
+            name: "the target crashes",
+            options: {},
+            fail: send => send.receiver.failed(new Error("reset")),
+            status: 502,
+        },
+        { name: "the deadline passes", options: { timeoutMilliseconds: 150 }, fail: () => undefined, status: 504 },
+    ];
+    endsBeforeTheFirstEvent.forEach(({ name, options, fail, status }) =>
+        it(`answers instead of closing the connection without a status when ${name} before the first event`, async () => {
+            const { sends, caller } = start({ resumable: false, ...options });
+            fail(begin(sends[0]));
+            await new Promise(resolve => setTimeout(resolve, 200));
+            expect([caller.status, caller.ended, caller.destroyed]).to.deep.equal([status, true, false]);
+        })
+    );
+
+    it("takes the head of the response from the target whose events the caller receives", () => {
+        const { sends, caller } = start();
+        begin(sends[0]).receiver.failed(new Error("reset"));
+        sends[1]?.receiver.sent();
+        sends[1]?.receiver.head({ ...responseHeads.stream, headers: { "request-id": "r1", "stamp": "s2" } });
+        sends[1]?.receiver.data(event(1));
+        expect([caller.status, caller.headers.includes("s2"), caller.headers.includes("s1")])
+            .to.deep.equal([200, true, false]);
+    });
+
     it("resumes at another target after the last delivered event without duplicates", () => {
         const { sends, caller } = start();
         const first = begin(sends[0], 1, 2);
