Complete a stream that was resumed at a target whose response ends with its connection

Cause: receiveEnd destroyed such a response as 'end-unknown', since a response that ends with its connection might be incomplete. The users have now said when it is whole: it may have neither a length nor chunks, and one that ends inside an event or is reset has been broken off.

Change: the end of any attempt that was closed after an event completes the response. Inside an event, before any event and after a reset nothing changes: resumed, or broken off.

`response.complete` alone would not do: it is true after a reset too (seen with Node 20.20.2).

--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -45,8 +45,8 @@
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     /**
-     * Whether the end of the body is marked. A body that ends with its connection may be incomplete. It is forwarded with
-     * the same framing, so that the daemon does not vouch for its completeness.
+     * Whether the end of the body is marked. A body without a marked end is complete if its connection was closed, not
+     * reset. It is forwarded with the same framing.
      */
     readonly delimited: boolean;
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -35,8 +35,6 @@
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
     isReleased: boolean;
-    /** Whether the target marks the end of its response. */
-    delimited: boolean;
 }
 
 /** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
@@ -48,8 +46,6 @@
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
     private lastEventId: number | undefined;
-    /** Whether the response to the caller marks its end. */
-    private isResponseDelimited = true;
     private firstEventAt: number | undefined;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
@@ -126,7 +122,6 @@
             started: false,
             isPassthrough: false,
             isReleased: false,
-            delimited: true,
         };
         this.attempt = attempt;
         this.tried.push(headId);
@@ -187,9 +182,7 @@
             return;
         }
         attempt.isPassthrough = !success;
-        attempt.delimited = head.delimited;
         if (!context.response.headersSent) {
-            this.isResponseDelimited = head.delimited;
             writeResponseHead(context.response, head, decoded.forwarded);
         }
     }
@@ -242,12 +235,6 @@
             return;
         }
         this.release(attempt);
-        if (this.isResponseDelimited && !attempt.delimited) {
-            // A marked end would tell the caller that the stream is complete, which is unknown here.
-            this.context.response.destroy();
-            this.finish("end-unknown");
-            return;
-        }
         this.context.response.end();
         this.finish("complete");
     }
--- /dev/null
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -0,0 +1,130 @@
+/** Relays one request between real sockets: a caller, the relay under test, and targets whose responses are scripted. */
+import {
+    type ClientRequest,
+    createServer,
+    type IncomingMessage,
+    request as startRequest,
+    type Server,
+} from "node:http";
+import {
+    type AddressInfo,
+    createServer as createSocketServer,
+    type Server as SocketServer,
+    type Socket,
+} from "node:net";
+import { relayPlain } from "../plainrelay.js";
+import type { RequestContext } from "../requestcontext.js";
+import { createStreamRelay } from "../streamrelay.js";
+import { createTargetConnections } from "../targetconnections.js";
+import { createRelayFixture, type RelayFixture, type RelayFixtureOptions } from "./fixture.js";
+
+/** Responds to a request on the socket of a target. */
+export type TargetScript = (socket: Socket) => void;
+
+/** How the response ended for the caller. */
+export type CallerOutcome = "complete" | "broken-off" | "no-answer";
+
+/** What the caller received. */
+export interface CallerResult {
+    readonly status?: number;
+    readonly body: string;
+    readonly outcome: CallerOutcome;
+    readonly milliseconds: number;
+    /** Number of targets that the request reached. */
+    readonly sends: number;
+    readonly fixture: RelayFixture;
+}
+
+/** Options of {@link relayThroughSockets}. */
+export interface SocketRelayOptions extends RelayFixtureOptions {
+    /** Observes the request of the caller, for example to pause its response. */
+    readonly onCaller?: (request: ClientRequest) => void;
+}
+
+const TARGET_IDS = ["a", "b", "c"];
+
+/** Relays one request to targets that answer by the scripts, in the order in which they are tried. */
+export async function relayThroughSockets(
+    options: SocketRelayOptions,
+    scripts: readonly TargetScript[],
+): Promise<CallerResult> {
+    let sends = 0;
+    const sockets = new Set<Socket>();
+    const targets = await Promise.all(scripts.map(script =>
+        listen(createSocketServer(socket => {
+            sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+                sends += 1;
+                script(socket);
+            });
+        }))
+    ));
+    const addresses = new Map(targets.map((target, index) => [`${TARGET_IDS[index]}:1`, addressOf(target)]));
+    const fixture = createRelayFixture({ targets: TARGET_IDS.slice(0, scripts.length), ...options });
+    const connections = createTargetConnections({ connectionsPerTarget: 4, connectTimeoutMilliseconds: 500 });
+    const parts = {
+        ...fixture.parts,
+        connections: {
+            send: (address, ...rest) => connections.send(addresses.get(address) ?? "", ...rest),
+            renew: address => connections.renew(addresses.get(address) ?? ""),
+        } satisfies RelayFixture["parts"]["connections"],
+    };
+    const server = createServer((...[, response]) => {
+        const context: RequestContext = {
+            ...fixture.context,
+            response,
+            receivedAt: performance.now(),
+            deadlineAt: performance.now() + (options.timeoutMilliseconds ?? 8_000),
+        };
+        if (options.kind === "stream") {
+            createStreamRelay(context, parts, () => undefined).start();
+        }
+        else {
+            relayPlain(context, parts, () => undefined);
+        }
+    });
+    await listen(server);
+    const startedAt = performance.now();
+    const received = await receive(addressOf(server), options.onCaller);
+    const milliseconds = Math.round(performance.now() - startedAt);
+    server.closeAllConnections();
+    server.close();
+    targets.forEach(target => target.close());
+    sockets.forEach(socket => socket.destroy());
+    return { ...received, milliseconds, sends, fixture };
+}
+
+function listen<Listener extends Server | SocketServer>(server: Listener): Promise<Listener> {
+    return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server)));
+}
+
+function addressOf(server: Server | SocketServer): string {
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function receive(
+    address: string,
+    onCaller: SocketRelayOptions["onCaller"],
+): Promise<Pick<CallerResult, "status" | "body" | "outcome">> {
+    return new Promise(resolve => {
+        const message = startRequest(`http://${address}/`, { agent: false });
+        message.on("error", () => resolve({ body: "", outcome: "no-answer" }));
+        message.on("response", (response: IncomingMessage) => {
+            let body = "";
+            const finish = (): void =>
+                resolve({
+                    status: response.statusCode,
+                    body,
+                    outcome: response.complete ? "complete" : "broken-off",
+                });
+            response.on("data", (chunk: Buffer) => {
+                body += chunk.toString("latin1");
+            });
+            response.on("error", finish);
+            response.on("close", finish);
+        });
+        onCaller?.(message);
+        message.end();
+    });
+}
