Reset the connection of a response without a marked end that is broken off

What callers saw: a stream without a marked end that was broken off looked complete.

Cause: giveUp and expire destroyed the response, which closes its connection as at the end of a whole response.

Change: breakOff in responses.ts resets the connection if the response has no marked end, and is used by both.

Evidence: four cases of endings.test.ts over real sockets saw 200 and 'complete' before, now 'broken-off': closed inside an event, reset after an event, resumed at a target that was cut off, and at the deadline. The caller of the fixture takes the error of its request for a reset, because Node's client sets `response.complete` after a reset too.

Conclusion: shown and mended in the relay. lifecycle.ts destroys a response after an error inside the relay and the process exits with responses open after its grace time; both still close such a connection without a reset.

--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,6 +1,6 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { writeFailure } from "./responses.js";
+import { breakOff, writeFailure } from "./responses.js";
 
 /** Additional fields of the `requestEnded` event. */
 export type EndDetails = Readonly<Record<string, unknown>>;
@@ -63,7 +63,7 @@
         }
         this.cancelAttempt("deadline");
         if (this.context.response.headersSent) {
-            this.context.response.destroy();
+            breakOff(this.context.response);
         }
         else {
             writeFailure(this.context.response, "deadline");
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -48,6 +48,17 @@
     response.writeHead(head.status, [...headers]);
 }
 
+/**
+ * Ends a response so that the caller sees that it is incomplete. A response that ends with its connection is complete if
+ * the connection is closed, so that its connection is reset.
+ */
+export function breakOff(response: ServerResponse): void {
+    if (response.headersSent && !response.chunkedEncoding) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 /** Refuses a request that no target has run or will run, with a `Retry-After` header. */
 export function writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMilliseconds: number): void {
     const seconds = (Math.max(0, retryAfterMilliseconds) / 1_000).toFixed(3);
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,7 +4,7 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
+import { breakOff, type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
 import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
@@ -289,7 +289,7 @@
     ): void {
         const { response } = this.context;
         if (response.headersSent) {
-            response.destroy();
+            breakOff(response);
             this.finish("broken-off");
             return;
         }
--- a/packages/daemon/src/relay/tests/endings.test.ts
+++ b/packages/daemon/src/relay/tests/endings.test.ts
@@ -10,7 +10,7 @@
 const RESET_DELAY_MILLISECONDS = 50;
 
 type Framing = "chunked" | "unmarked";
-type Ending = "closed" | "reset";
+type Ending = "closed" | "reset" | "open";
 
 const heads: Readonly<Record<Framing, string>> = {
     chunked: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -23,6 +23,7 @@
 const endings: Readonly<Record<Ending, (socket: Socket) => void>> = {
     closed: socket => socket.end(),
     reset: socket => void setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MILLISECONDS),
+    open: () => undefined,
 };
 
 const answer = (framing: Framing, body: string, ending: Ending): TargetScript => socket => {
@@ -52,6 +53,20 @@
         body: both,
         outcome: "complete",
     },
+    {
+        name: "breaks off an unmarked stream that was closed inside an event",
+        resumable: false,
+        targets: [answer("unmarked", partial, "closed")],
+        status: 200,
+        outcome: "broken-off",
+    },
+    {
+        name: "breaks off an unmarked stream that was reset after an event",
+        resumable: false,
+        targets: [answer("unmarked", both, "reset")],
+        status: 200,
+        outcome: "broken-off",
+    },
     {
         name: "breaks off a chunked stream that was closed without its marked end",
         resumable: false,
@@ -104,6 +119,13 @@
         body: both,
         outcome: "complete",
     },
+    {
+        name: "breaks off an unmarked stream that was resumed at a target that is cut off before its marked end",
+        resumable: true,
+        targets: [answer("unmarked", partial, "closed"), answer("chunked", event(2), "closed")],
+        status: 200,
+        outcome: "broken-off",
+    },
 ];
 
 const plainCases: readonly (Omit<Case, "resumable"> & { readonly kind: "repeatable" | "once"; })[] = [
@@ -143,6 +165,12 @@
         })
     );
 
+    it("breaks off an unmarked stream that reaches its deadline after an event", async () => {
+        const target = answer("unmarked", both, "open");
+        const result = await relayThroughSockets({ kind: "stream", timeoutMilliseconds: 200 }, [target]);
+        expect([result.status, result.outcome]).to.deep.equal([200, "broken-off"]);
+    });
+
     plainCases.forEach(({ name, kind, targets, status, body, outcome }) =>
         it(`${name} (plain, ${kind})`, async () => {
             const result = await relayThroughSockets({ kind }, targets);
--- a/packages/daemon/src/relay/tests/socketfixture.ts
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -109,14 +109,23 @@
 ): Promise<Pick<CallerResult, "status" | "body" | "outcome">> {
     return new Promise(resolve => {
         const message = startRequest(`http://${address}/`, { agent: false });
-        message.on("error", () => resolve({ body: "", outcome: "no-answer" }));
+        let hasHead = false;
+        // A reset of a response without a marked end shows only here: the response counts as complete afterwards.
+        let isReset = false;
+        message.on("error", () => {
+            isReset = true;
+            if (!hasHead) {
+                resolve({ body: "", outcome: "no-answer" });
+            }
+        });
         message.on("response", (response: IncomingMessage) => {
+            hasHead = true;
             let body = "";
             const finish = (): void =>
                 resolve({
                     status: response.statusCode,
                     body,
-                    outcome: response.complete ? "complete" : "broken-off",
+                    outcome: response.complete && !isReset ? "complete" : "broken-off",
                 });
             response.on("data", (chunk: Buffer) => {
                 body += chunk.toString("latin1");
