Answer a stream with a status if it fails before its first event

What callers saw: a connection that was closed without a byte, although the request had been read whole and passed on (LOST; "neither an answer nor a refusal"), whenever a target had sent the head of its response but no event: after a reset, a close or at the deadline.

Cause: receiveHead wrote the head of the response at once. Node keeps it back until the first bytes of the body, so that the caller had nothing, but `headersSent` was true and giveUp and expire could only close the connection.

Change: the head is written with the first event that is delivered, the first bytes of an error that is passed on, or the end. Until then a failure is answered: 502 after a reset or close, 504 at the deadline, and a resumed stream has the head of the target whose events it carries.

Evidence: three cases of endings.test.ts over real sockets ("answers 502 for an unmarked stream that was closed before any event", "... chunked stream that was reset before any event", "answers 504 for a stream that reaches its deadline before any event") saw 'no-answer' before and the status now.

Conclusion: this is one way to LOST that needs no change of the configuration, only targets that are slow or crash after their head. The callers get the head no later than before: it was never sent alone.

--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,6 +1,6 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
 import type { Target } from "@damaskvale/core";
-import type { ResponseHead } from "../ports/relayprotocol.js";
+import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
@@ -32,6 +32,8 @@
     /** Whether any bytes of the request were written to the target; never reset. */
     written: boolean;
     started: boolean;
+    /** Head of the response as it is passed on. */
+    opening?: { readonly head: ResponseHead; readonly headers: HeaderList; };
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
     isReleased: boolean;
@@ -182,8 +184,17 @@
             return;
         }
         attempt.isPassthrough = !success;
-        if (!context.response.headersSent) {
-            writeResponseHead(context.response, head, decoded.forwarded);
+        attempt.opening = { head, headers: decoded.forwarded };
+    }
+
+    /**
+     * Writes the head of a response unless the caller has one. It waits for the first bytes of the body, which would be
+     * sent together with it anyway, so that a failure before them can still be answered with a status.
+     */
+    private openResponse({ opening }: Attempt): void {
+        const { response } = this.context;
+        if (!response.headersSent && opening !== undefined) {
+            writeResponseHead(response, opening.head, opening.headers);
         }
     }
 
@@ -191,6 +202,7 @@
         const { context, parts } = this;
         const now = parts.clock.monotonic();
         if (attempt.isPassthrough) {
+            this.openResponse(attempt);
             context.response.write(chunk);
             return;
         }
@@ -204,7 +216,7 @@
             parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
         }
         parts.loadTracker.progressed(attempt.head, now);
-        const inOrder = events.every(event => this.deliver(event));
+        const inOrder = events.every(event => this.deliver(attempt, event));
         if (!inOrder) {
             this.abandon(attempt, "event-missing");
             return;
@@ -215,7 +227,7 @@
     }
 
     /** Sends an event to the caller unless it has it already. Returns false if an earlier event is missing. */
-    private deliver(event: StreamEvent): boolean {
+    private deliver(attempt: Attempt, event: StreamEvent): boolean {
         const { id } = event;
         const last = this.lastEventId ?? 0;
         if (id !== undefined && id <= last) {
@@ -225,6 +237,7 @@
             return false;
         }
         this.lastEventId = id ?? this.lastEventId;
+        this.openResponse(attempt);
         this.context.response.write(event.bytes);
         return true;
     }
@@ -235,6 +248,7 @@
             return;
         }
         this.release(attempt);
+        this.openResponse(attempt);
         this.context.response.end();
         this.finish("complete");
     }
--- a/packages/daemon/src/relay/tests/endings.test.ts
+++ b/packages/daemon/src/relay/tests/endings.test.ts
@@ -67,6 +67,20 @@
         status: 200,
         outcome: "broken-off",
     },
+    {
+        name: "answers 502 for an unmarked stream that was closed before any event",
+        resumable: false,
+        targets: [answer("unmarked", "", "closed")],
+        status: 502,
+        outcome: "complete",
+    },
+    {
+        name: "answers 502 for a chunked stream that was reset before any event",
+        resumable: false,
+        targets: [answer("chunked", "", "reset")],
+        status: 502,
+        outcome: "complete",
+    },
     {
         name: "breaks off a chunked stream that was closed without its marked end",
         resumable: false,
@@ -126,6 +140,14 @@
         status: 200,
         outcome: "broken-off",
     },
+    {
+        name: "passes on the response of the second target if the first one failed before any event",
+        resumable: true,
+        targets: [answer("chunked", "", "reset"), answer("unmarked", both, "closed")],
+        status: 200,
+        body: both,
+        outcome: "complete",
+    },
 ];
 
 const plainCases: readonly (Omit<Case, "resumable"> & { readonly kind: "repeatable" | "once"; })[] = [
@@ -171,6 +193,18 @@
         expect([result.status, result.outcome]).to.deep.equal([200, "broken-off"]);
     });
 
+    it("answers 504 for a stream that reaches its deadline before any event", async () => {
+        const target = answer("chunked", "", "open");
+        const result = await relayThroughSockets({ kind: "stream", timeoutMilliseconds: 200 }, [target]);
+        expect([result.status, result.outcome]).to.deep.equal([504, "complete"]);
+    });
+
+    it("passes on the response of the second target if the first one sends a missing event first", async () => {
+        const targets = [answer("chunked", event(2), "open"), answer("unmarked", both, "closed")];
+        const result = await relayThroughSockets({ kind: "stream", resumable: true }, targets);
+        expect([result.status, result.outcome, result.body]).to.deep.equal([200, "complete", both]);
+    });
+
     plainCases.forEach(({ name, kind, targets, status, body, outcome }) =>
         it(`${name} (plain, ${kind})`, async () => {
             const result = await relayThroughSockets({ kind }, targets);
