--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,7 +4,7 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
+import { breakOff, type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
 import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
@@ -22,7 +22,7 @@
 const PAUSE_THRESHOLD_BYTES = 65_536;
 
 interface Attempt {
-    readonly headId: string;
+    readonly head: string;
     readonly target: Target;
     readonly sentAt: number;
     readonly splitter: EventSplitter;
@@ -32,17 +32,11 @@
     /** Whether any bytes of the request were written to the target; never reset. */
     written: boolean;
     started: boolean;
+    /** Head of the response as it is passed on. */
+    opening?: { readonly head: ResponseHead; readonly headers: HeaderList; };
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
     isReleased: boolean;
-    /** Head of the response, which the caller receives with the first event. */
-    head?: ReceivedHead;
-}
-
-/** Head of a target's response, and its headers for the caller. */
-interface ReceivedHead {
-    readonly head: ResponseHead;
-    readonly forwarded: HeaderList;
 }
 
 /** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
@@ -54,8 +48,6 @@
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
     private lastEventId: number | undefined;
-    /** Whether the response to the caller marks its end. */
-    private isResponseDelimited = true;
     private firstEventAt: number | undefined;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
@@ -71,7 +63,7 @@
     }
 
     head(): string | undefined {
-        return this.attempt?.headId;
+        return this.attempt?.head;
     }
 
     moveToAnotherGroup(): void {
@@ -87,7 +79,7 @@
             this.parts.connections.renew(stalled.target.address);
             this.parts.log.emit("streamMoved", {
                 ...requestLogFields(this.context),
-                from: stalled.headId,
+                from: stalled.head,
                 to: placement.head,
                 lastEventId: this.lastEventId,
             });
@@ -123,7 +115,7 @@
         }
         const now = parts.clock.monotonic();
         const attempt: Attempt = {
-            headId,
+            head: headId,
             target,
             sentAt: now,
             splitter: createEventSplitter(),
@@ -176,7 +168,7 @@
             return;
         }
         if (decoded.misdirected) {
-            parts.headUnusable(attempt.headId);
+            parts.headUnusable(attempt.head);
         }
         else {
             parts.targetRates.recordResponse(attempt, { status: head.status, rate: decoded.rate });
@@ -192,15 +184,17 @@
             return;
         }
         attempt.isPassthrough = !success;
-        attempt.head = { head, forwarded: decoded.forwarded };
+        attempt.opening = { head, headers: decoded.forwarded };
     }
 
-    /** Begins the response with the head of this attempt, unless it has begun. Until then, the request can be refused. */
-    private beginResponse({ head: received }: Attempt): void {
+    /**
+     * Writes the head of a response unless the caller has one. It waits for the first bytes of the body, which would be
+     * sent together with it anyway, so that a failure before them can still be answered with a status.
+     */
+    private openResponse({ opening }: Attempt): void {
         const { response } = this.context;
-        if (received !== undefined && !response.headersSent) {
-            this.isResponseDelimited = received.head.delimited;
-            writeResponseHead(response, received.head, received.forwarded);
+        if (!response.headersSent && opening !== undefined) {
+            writeResponseHead(response, opening.head, opening.headers);
         }
     }
 
@@ -208,7 +202,7 @@
         const { context, parts } = this;
         const now = parts.clock.monotonic();
         if (attempt.isPassthrough) {
-            this.beginResponse(attempt);
+            this.openResponse(attempt);
             context.response.write(chunk);
             return;
         }
@@ -219,11 +213,10 @@
         if (!attempt.started) {
             attempt.started = true;
             this.firstEventAt ??= now;
-            parts.loadTracker.started(attempt.headId, context.request.promptTokens, now);
+            parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
         }
-        parts.loadTracker.progressed(attempt.headId, now);
-        this.beginResponse(attempt);
-        const inOrder = events.every(event => this.deliver(event));
+        parts.loadTracker.progressed(attempt.head, now);
+        const inOrder = events.every(event => this.deliver(attempt, event));
         if (!inOrder) {
             this.abandon(attempt, "event-missing");
             return;
@@ -234,7 +227,7 @@
     }
 
     /** Sends an event to the caller unless it has it already. Returns false if an earlier event is missing. */
-    private deliver(event: StreamEvent): boolean {
+    private deliver(attempt: Attempt, event: StreamEvent): boolean {
         const { id } = event;
         const last = this.lastEventId ?? 0;
         if (id !== undefined && id <= last) {
@@ -244,6 +237,7 @@
             return false;
         }
         this.lastEventId = id ?? this.lastEventId;
+        this.openResponse(attempt);
         this.context.response.write(event.bytes);
         return true;
     }
@@ -254,20 +248,14 @@
             return;
         }
         this.release(attempt);
-        this.beginResponse(attempt);
-        if (this.isResponseDelimited && attempt.head?.head.delimited === false) {
-            // A marked end would tell the caller that the stream is complete, which is unknown here.
-            this.context.response.destroy();
-            this.finish("end-unknown");
-            return;
-        }
+        this.openResponse(attempt);
         this.context.response.end();
         this.finish("complete");
     }
 
     private receiveFailure(attempt: Attempt, error: Error): void {
         if (isRefusedConnection(error)) {
-            this.parts.headUnusable(attempt.headId);
+            this.parts.headUnusable(attempt.head);
         }
         this.attemptFailed(attempt, error.message);
     }
@@ -287,7 +275,7 @@
         this.release(attempt);
         this.parts.log.emit("attemptFailed", {
             ...requestLogFields(this.context),
-            target: attempt.headId,
+            target: attempt.head,
             reason,
             sent: attempt.sent,
             lastEventId: this.lastEventId,
@@ -302,7 +290,7 @@
     private release(attempt: Attempt): void {
         if (!attempt.isReleased) {
             attempt.isReleased = true;
-            this.parts.loadTracker.ended(attempt.headId, this.context.request.promptTokens, attempt.started);
+            this.parts.loadTracker.ended(attempt.head, this.context.request.promptTokens, attempt.started);
         }
         if (this.attempt === attempt) {
             this.attempt = undefined;
@@ -315,7 +303,7 @@
     ): void {
         const { response } = this.context;
         if (response.headersSent) {
-            response.destroy();
+            breakOff(response);
             this.finish("broken-off");
             return;
         }
