End no request head for a pause of the process or for a lower limit

What callers saw: after a pause of the process or a held event loop, connections were reset although the rest of the request had arrived. A header limit that a configuration lowered closed connections whose head had begun under the old one.

Cause: Node's check of heads runs as a timer, before bytes that arrived meanwhile are read. It counts all time, and uses the limit that is in force when it runs.

Evidence: headerlimit.test.ts over real sockets. Before, five of its tests failed: three whose rest arrived while the event loop was held (a half head, a connection without bytes, a kept connection) saw a reset, `does not count the time in which the event loop was held` and `that is lowered does not fall on a head that has begun` saw a close without a response. The other six tests guard the limit itself and passed before: a head that stops, one that goes on byte by byte, a second head on a kept connection and a connection without bytes are ended.

Change: the daemon checks heads itself. A head has the higher of the limits at its begin and now, and time in which the process did not run does not count. What exceeds it is checked again once everything that waited was read.

Conclusion: only heads that really take too long are ended. Not covered: a next head whose first bytes are read together with the request before it counts from the bytes that follow. Without any, the idle limit ends it.

--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -1,93 +1,162 @@
-/** Closes connections of callers that stay idle for longer than their caller was told. */
+/** Closes connections of callers that stay idle for longer than their caller was told, or whose request head is slow. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /** Applies the limits of the configuration to the connections of a server. */
 export interface ConnectionLimits {
     setIdleTimeout(milliseconds: number): void;
+    /** Sets the time within which a head must arrive; 0 is no limit. */
+    setHeaderTimeout(milliseconds: number): void;
+}
+
+/** Head of a request that has not been read to its end. */
+interface PartialHead {
+    /** Running time at which the head began. */
+    readonly since: number;
+    /** Header timeout that was set at that time. */
+    readonly timeoutMilliseconds: number;
 }
 
 /** Connection of a caller. Times are monotonic milliseconds. */
 interface Connection {
+    readonly socket: Socket;
     openResponses: number;
     /** Number of requests whose body has not been read to its end; it may end after the response. */
     openBodies: number;
-    /** How long the connection is kept while it is idle; absent before the first request. */
-    idleMilliseconds?: number;
+    /** How long the connection is kept while it is idle. */
+    idleMilliseconds: number;
     idleSince: number;
     /** Bytes that belong to requests that have been read. */
     bytesRead: number;
+    /** The head that is on its way. On a new connection, the time counts from its start. */
+    head?: PartialHead;
 }
 
 const SWEEP_MILLISECONDS = 250;
+/** A longer time between two sweeps is a pause of the process, of which only this much counts. */
+const LONGEST_STEP_MILLISECONDS = 2 * SWEEP_MILLISECONDS;
 /** Callers reuse a connection for the whole time that they were told, and the last request takes time to arrive. */
 const IDLE_GRACE_MILLISECONDS = 1_000;
 /** Longest delay that Node's timers accept, less what Node adds to it. */
 const MAXIMUM_IDLE_MILLISECONDS = 2_147_483_647 - 1_000;
 
 /**
- * Watches the connections of a server that does not listen yet. Replaces Node's idle timer, which uses the timeout that
- * is set when a response ends, although the head of that response told the caller an earlier one.
+ * Watches the connections of a server that does not listen yet. Replaces two checks of Node. Its idle timer uses the
+ * timeout that is set when a response ends, although the head of that response told the caller an earlier one. Its check
+ * of heads counts time in which the process did not run, and applies a lower timeout to heads that have begun.
  */
 export function limitConnections(server: Server): ConnectionLimits {
-    const connections = new Map<Socket, Connection>();
-    server.on("connection", (socket: Socket) => {
-        connections.set(socket, { openResponses: 0, openBodies: 0, idleSince: performance.now(), bytesRead: 0 });
-        socket.once("close", () => connections.delete(socket));
-    });
-    server.on("request", (message: IncomingMessage, response: ServerResponse) => {
-        const connection = connections.get(message.socket);
-        if (connection !== undefined) {
-            connection.idleMilliseconds = server.keepAliveTimeout;
-            trackRequest(connection, message, response);
+    return new ConnectionLimitsTask(server);
+}
+
+class ConnectionLimitsTask implements ConnectionLimits {
+    private readonly connections = new Map<Socket, Connection>();
+    private headerMilliseconds = 0;
+    /** Time in which the process ran until the last sweep. */
+    private runningMilliseconds = 0;
+    private lastSweepAt = performance.now();
+
+    constructor(private readonly server: Server) {
+        server.headersTimeout = 0;
+        server.on("connection", (socket: Socket) => this.accept(socket));
+        server.on("request", (message: IncomingMessage, response: ServerResponse) => this.track(message, response));
+        // With a listener, Node does not destroy the connection itself when its idle timer ends.
+        server.on("timeout", () => undefined);
+        setInterval(() => this.sweep(), SWEEP_MILLISECONDS).unref();
+    }
+
+    setIdleTimeout(milliseconds: number): void {
+        this.server.keepAliveTimeout = Math.min(Math.max(0, milliseconds), MAXIMUM_IDLE_MILLISECONDS);
+    }
+
+    setHeaderTimeout(milliseconds: number): void {
+        this.connections.forEach(connection => this.observe(connection));
+        this.headerMilliseconds = milliseconds;
+    }
+
+    private accept(socket: Socket): void {
+        this.connections.set(socket, {
+            socket,
+            openResponses: 0,
+            openBodies: 0,
+            idleMilliseconds: 0,
+            idleSince: performance.now(),
+            bytesRead: 0,
+            head: this.beginHead(),
+        });
+        socket.once("close", () => this.connections.delete(socket));
+    }
+
+    private track(message: IncomingMessage, response: ServerResponse): void {
+        const { socket } = message;
+        const connection = this.connections.get(socket);
+        if (connection === undefined) {
+            return;
         }
-    });
-    // With a listener, Node does not destroy the connection itself when its idle timer ends.
-    server.on("timeout", () => undefined);
-    const closeExpired = (): void => {
-        const expired = [...connections].filter(isExpired);
+        const becomeIdle = (): void => {
+            connection.idleSince = performance.now();
+            connection.bytesRead = socket.bytesRead;
+        };
+        connection.head = undefined;
+        connection.idleMilliseconds = this.server.keepAliveTimeout;
+        connection.openResponses += 1;
+        connection.openBodies += 1;
+        response.once("close", () => {
+            connection.openResponses -= 1;
+            becomeIdle();
+        });
+        message.once("close", () => {
+            connection.openBodies -= 1;
+            becomeIdle();
+        });
+    }
+
+    private sweep(): void {
+        this.runningMilliseconds = this.runningTime();
+        this.lastSweepAt = performance.now();
+        const expired = [...this.connections.values()].filter(connection => this.isExpired(connection));
         if (expired.length > 0) {
             // After a pause of the process, timers run before bytes that arrived meanwhile are read. All of these are
             // read before an immediate runs.
-            setImmediate(() => expired.filter(isExpired).forEach(([socket]) => socket.destroy()));
+            setImmediate(() =>
+                expired.filter(connection => this.isExpired(connection)).forEach(({ socket }) => socket.destroy())
+            );
         }
-    };
-    setInterval(closeExpired, SWEEP_MILLISECONDS).unref();
-    return {
-        setIdleTimeout: milliseconds => {
-            server.keepAliveTimeout = Math.min(Math.max(0, milliseconds), MAXIMUM_IDLE_MILLISECONDS);
-        },
-    };
-}
+    }
 
-function trackRequest(connection: Connection, message: IncomingMessage, response: ServerResponse): void {
-    const { socket } = message;
-    const becomeIdle = (): void => {
-        connection.idleSince = performance.now();
+    private isExpired(connection: Connection): boolean {
+        if (connection.openResponses > 0) {
+            return false;
+        }
+        this.observe(connection);
+        const { head, idleSince, idleMilliseconds } = connection;
+        if (head === undefined) {
+            return performance.now() - idleSince > idleMilliseconds + IDLE_GRACE_MILLISECONDS;
+        }
+        const timeoutMilliseconds = Math.max(head.timeoutMilliseconds, this.headerMilliseconds);
+        return this.headerMilliseconds > 0 && this.runningTime() - head.since > timeoutMilliseconds;
+    }
+
+    /** Takes notice of bytes that arrived on a connection without a request in progress. */
+    private observe(connection: Connection): void {
+        const { socket } = connection;
+        if (connection.openResponses > 0 || socket.bytesRead === connection.bytesRead) {
+            return;
+        }
+        if (connection.openBodies === 0) {
+            connection.head ??= this.beginHead();
+            return;
+        }
         connection.bytesRead = socket.bytesRead;
-    };
-    connection.openResponses += 1;
-    connection.openBodies += 1;
-    response.once("close", () => {
-        connection.openResponses -= 1;
-        becomeIdle();
-    });
-    message.once("close", () => {
-        connection.openBodies -= 1;
-        becomeIdle();
-    });
-}
+        connection.idleSince = performance.now();
+    }
 
-function isExpired([socket, connection]: readonly [Socket, Connection]): boolean {
-    const { openResponses, openBodies, idleMilliseconds } = connection;
-    if (idleMilliseconds === undefined || openResponses > 0) {
-        return false;
+    private beginHead(): PartialHead {
+        return { since: this.runningTime(), timeoutMilliseconds: this.headerMilliseconds };
     }
-    const now = performance.now();
-    if (openBodies > 0 && socket.bytesRead > connection.bytesRead) {
-        connection.bytesRead = socket.bytesRead;
-        connection.idleSince = now;
+
+    /** Returns the time in which the process ran, without pauses. */
+    private runningTime(): number {
+        return this.runningMilliseconds + Math.min(performance.now() - this.lastSweepAt, LONGEST_STEP_MILLISECONDS);
     }
-    return socket.bytesRead === connection.bytesRead
-        && now - connection.idleSince > idleMilliseconds + IDLE_GRACE_MILLISECONDS;
 }
--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -28,7 +28,6 @@
 
 /** Limit of the HTTP parser; the configured limit is checked against the parsed headers. */
 const PARSER_HEADER_BYTES = 65_536;
-const CHECK_CONNECTIONS_MILLISECONDS = 500;
 /** The platform takes a daemon out of rotation after two failed readiness checks, one per second. */
 const LEAVE_ROTATION_MILLISECONDS = 2_600;
 /** The process exits this long before the platform would kill it. */
@@ -59,7 +58,6 @@
     };
     const callerServer = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
-        connectionsCheckingInterval: CHECK_CONNECTIONS_MILLISECONDS,
         requestTimeout: 0,
         noDelay: true,
     }, handle);
@@ -75,7 +73,7 @@
     const applyLimits = (): void => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
-            callerServer.headersTimeout = limits.headerTimeoutMilliseconds;
+            connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
             connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
         }
     };
