--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
+import { limitConnections } from "./connectionlimits.js";
 import type { Relay } from "./relay.js";
 import type { RelayState } from "./state.js";
 
@@ -27,7 +28,6 @@
 
 /** Limit of the HTTP parser; the configured limit is checked against the parsed headers. */
 const PARSER_HEADER_BYTES = 65_536;
-const CHECK_CONNECTIONS_MILLISECONDS = 500;
 /** The platform takes a daemon out of rotation after two failed readiness checks, one per second. */
 const LEAVE_ROTATION_MILLISECONDS = 2_600;
 /** The process exits this long before the platform would kill it. */
@@ -58,7 +58,6 @@
     };
     const callerServer = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
-        connectionsCheckingInterval: CHECK_CONNECTIONS_MILLISECONDS,
         requestTimeout: 0,
         noDelay: true,
     }, handle);
@@ -70,11 +69,12 @@
         const ready = !draining && state.lookup() !== undefined && state.targets().length > 0;
         response.writeHead(ready ? 200 : 503).end();
     });
+    const connectionLimits = limitConnections(callerServer);
     const applyLimits = (): void => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
-            callerServer.headersTimeout = limits.headerTimeoutMilliseconds;
-            callerServer.keepAliveTimeout = limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS;
+            connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+            connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
         }
     };
     state.onChange(applyLimits);
