Answer requests that an error inside the relay ends

What callers saw: when the relay or a decoder threw, a whole request got a closed connection, although nothing had run it. When a callback of a target connection, a timer or the move of a stream threw, the process ended, and with it all requests. Shown without a fault of our own code: the name of a team that a header cannot contain (a change of the configuration is enough: each request with its key was affected), and a target that answers with status 099, after which the process ended.

Cause: the last resort closed the response; calls from the event loop had none.

Change: each step of an admitted request runs in one guard of `RelayTask`: its start, its move, its timer, the close of its caller, and all calls of target connections. An error cancels the attempt, ends the request as `error`, and gives 503 with Retry-After if no target can have run it, otherwise 502; a response that has begun is broken off. Errors before the admission give 503. Headers of a target that were set already are removed, so that no failure bears its signature. The request path is a class now, and `body.ts` reads within the limits. plainrelay.ts: the start is guarded, and an error cancels an attempt that is not repeatable; streamrelay.ts: `guard` is part of the interface.

Conclusion: an error costs one request, which gets an answer and is found by its id.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../ports/eventlog.js";
 import { limitConnections } from "./connectionlimits.js";
 import type { Relay } from "./relay.js";
+import { writeInternalError } from "./responses.js";
 import type { RelayState } from "./state.js";
 
 /** Collaborators and addresses of the listeners. */
@@ -53,7 +54,7 @@
         }
         relay.handle(request, response).catch((error: unknown) => {
             log.emit("requestFailed", { error });
-            response.destroy();
+            writeInternalError(response, true);
         });
     };
     const callerServer = createServer({
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -28,7 +28,8 @@
 
 /** Starts to relay a request; `onEnded` is called exactly once, when the request has ended. */
 export function relayPlain(context: RequestContext, parts: RelayParts, onEnded: () => void): void {
-    new PlainRelayTask(context, parts, onEnded).start();
+    const task = new PlainRelayTask(context, parts, onEnded);
+    task.guard(() => task.start());
 }
 
 class PlainRelayTask extends RelayTask {
@@ -210,7 +211,7 @@
             return;
         }
         this.release(attempt);
-        if (reason === "deadline" || this.isRepeatable()) {
+        if (reason !== "caller-left" || this.isRepeatable()) {
             attempt.exchange?.cancel();
         }
     }
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -2,10 +2,10 @@
 import { admitRoute, type AdmittedRoute, pickService } from "@damaskvale/core";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "../ports/relayprotocol.js";
-import { readBody } from "./body.js";
+import { readWithinLimits } from "./body.js";
 import { relayPlain } from "./plainrelay.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
-import { type DenialReason, writeDenial, writeRefusal } from "./responses.js";
+import { type DenialReason, writeDenial, writeInternalError, writeRefusal } from "./responses.js";
 import { createStreamRelay, type StreamRelay } from "./streamrelay.js";
 
 /** The request path of the daemon. */
@@ -20,85 +20,96 @@
 
 /** `Retry-After` while this daemon has no configuration. */
 const NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 500;
-/** Colon and space after a name, or the end of a line after a value. */
-const HEADER_SEPARATOR_BYTES = 2;
 /** Timeout of a request if neither the caller nor the route sets one. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
 
 /** Creates the request path. */
 export function createRelay(parts: RelayParts): Relay {
-    const streams = new Set<StreamRelay>();
-    let inProgress = 0;
+    return new RequestPath(parts);
+}
 
-    const startRelay = (context: RequestContext): void => {
-        const engine = context.lookup.findService(context.service)?.engine;
-        if (engine !== undefined && context.request.model !== undefined) {
-            const stream = createStreamRelay(context, parts, () => {
-                inProgress -= 1;
-                streams.delete(stream);
-            });
-            streams.add(stream);
-            stream.start();
-            return;
-        }
-        relayPlain(context, parts, () => {
-            inProgress -= 1;
-        });
-    };
+class RequestPath implements Relay {
+    private readonly streams = new Set<StreamRelay>();
+    private requestsInProgress = 0;
 
-    const deny = (response: ServerResponse, reason: DenialReason, fields: Readonly<Record<string, unknown>>): void => {
-        parts.log.emit("requestDenied", { ...fields, reason });
-        writeDenial(response, reason);
-    };
+    constructor(private readonly parts: RelayParts) {}
 
-    const admit = (request: CallerRequest, body: Buffer, response: ServerResponse, receivedAt: number): void => {
-        const lookup = parts.state.lookup();
+    inProgress(): number {
+        return this.requestsInProgress;
+    }
+
+    moveStreams(head: string): void {
+        [...this.streams].filter(stream => stream.head() === head)
+            .forEach(stream => stream.guard(() => stream.moveToAnotherGroup()));
+    }
+
+    async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const receivedAt = this.parts.clock.monotonic();
+        const { method = "GET", url = "/", headers, rawHeaders } = message;
+        let request: CallerRequest | undefined;
+        try {
+            request = this.parts.protocol.decodeRequest(method, url, headers, rawHeaders);
+            const read = await readWithinLimits(message, this.parts.state.lookup()?.configuration.limits);
+            if (read.kind === "body-too-large") {
+                response.setHeader("Connection", "close");
+            }
+            if (read.kind === "body-too-large" || read.kind === "header-too-large") {
+                this.deny(response, read.kind, { requestId: request.id });
+            }
+            else if (read.kind === "whole" && !response.destroyed) {
+                this.admit(request, read.body, response, receivedAt);
+            }
+        }
+        catch (error) {
+            // An admitted request handles its own errors, so that no target has run this one.
+            this.parts.log.emit("requestFailed", { requestId: request?.id, error });
+            writeInternalError(response, false);
+        }
+    }
+
+    private admit(request: CallerRequest, body: Buffer, response: ServerResponse, receivedAt: number): void {
+        const lookup = this.parts.state.lookup();
         if (lookup === undefined) {
-            parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
+            this.parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
             writeRefusal(response, "no-configuration", NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS);
             return;
         }
         const admitted = admitRoute(lookup, request);
         if (typeof admitted === "string") {
             const configurationVersion = lookup.configuration.version;
-            deny(response, admitted, { requestId: request.id, configurationVersion });
+            this.deny(response, admitted, { requestId: request.id, configurationVersion });
             return;
         }
-        inProgress += 1;
-        const service = pickService(admitted.route, parts.random()) ?? "";
+        const service = pickService(admitted.route, this.parts.random()) ?? "";
         const deadlineAt = receivedAt + timeoutMillisecondsOf(request.deadlineMilliseconds, admitted);
-        startRelay({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
-    };
+        this.startRelay({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
+    }
 
-    return {
-        inProgress: () => inProgress,
-        moveStreams: head =>
-            [...streams].filter(stream => stream.head() === head).forEach(stream => stream.moveToAnotherGroup()),
-        handle: async (message, response) => {
-            const receivedAt = parts.clock.monotonic();
-            const { protocol, state } = parts;
-            const { method = "GET", url = "/", headers, rawHeaders } = message;
-            const request = protocol.decodeRequest(method, url, headers, rawHeaders);
-            const limits = state.lookup()?.configuration.limits;
-            if (limits !== undefined && headerBytesOf(rawHeaders) > limits.headerBytes) {
-                deny(response, "header-too-large", { requestId: request.id });
-                return;
-            }
-            const read = await readBody(message, limits?.bodyBytes ?? Number.POSITIVE_INFINITY);
-            if (read.kind === "too-large") {
-                response.setHeader("Connection", "close");
-                deny(response, "body-too-large", { requestId: request.id });
-                return;
-            }
-            if (read.kind === "whole" && !response.destroyed) {
-                admit(request, read.body, response, receivedAt);
-            }
-        },
-    };
-}
+    private startRelay(context: RequestContext): void {
+        const engine = context.lookup.findService(context.service)?.engine;
+        this.requestsInProgress += 1;
+        if (engine !== undefined && context.request.model !== undefined) {
+            const stream = createStreamRelay(context, this.parts, () => {
+                this.requestsInProgress -= 1;
+                this.streams.delete(stream);
+            });
+            this.streams.add(stream);
+            stream.guard(() => stream.start());
+            return;
+        }
+        relayPlain(context, this.parts, () => {
+            this.requestsInProgress -= 1;
+        });
+    }
 
-function headerBytesOf(rawHeaders: readonly string[]): number {
-    return rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, 0);
+    private deny(
+        response: ServerResponse,
+        reason: DenialReason,
+        fields: Readonly<Record<string, unknown>>,
+    ): void {
+        this.parts.log.emit("requestDenied", { ...fields, reason });
+        writeDenial(response, reason);
+    }
 }
 
 function timeoutMillisecondsOf(deadline: number | undefined, { route }: AdmittedRoute): number {
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,12 +1,13 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { writeFailure } from "./responses.js";
+import { writeFailure, writeInternalError } from "./responses.js";
+import type { TargetConnections } from "./targetconnections.js";
 
 /** Additional fields of the `requestEnded` event. */
 export type EndDetails = Readonly<Record<string, unknown>>;
 
 /** Why an attempt is cancelled. */
-export type CancelReason = "deadline" | "caller-left";
+export type CancelReason = "deadline" | "caller-left" | "error";
 
 /** Relay of one request. */
 export abstract class RelayTask {
@@ -16,16 +17,33 @@
     protected mayHaveRun = false;
     /** Whether the request has ended. */
     protected isFinished = false;
+    protected readonly parts: RelayParts;
+    /** Whether the request was written to the target of the latest attempt. */
+    private isLatestSent = false;
     private readonly deadline: NodeJS.Timeout;
 
     /** `onEnded` is called exactly once, when the request has ended. */
     constructor(
         protected readonly context: RequestContext,
-        protected readonly parts: RelayParts,
+        parts: RelayParts,
         private readonly onEnded: () => void,
     ) {
-        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
-        context.response.on("close", () => this.callerLeft());
+        this.parts = { ...parts, connections: this.guardConnections(parts.connections) };
+        this.deadline = setTimeout(
+            () => this.guard(() => this.expire()),
+            Math.max(0, context.deadlineAt - parts.clock.monotonic()),
+        );
+        context.response.on("close", () => this.guard(() => this.callerLeft()));
+    }
+
+    /** Runs a step of this request. An error that it throws ends the request, with a response that states the truth. */
+    guard(step: () => void): void {
+        try {
+            step();
+        }
+        catch (error) {
+            this.fail(error);
+        }
     }
 
     /** Cancels the attempt in progress, if there is one. */
@@ -57,6 +75,47 @@
         return Math.round(at - this.context.receivedAt);
     }
 
+    /** Guards the calls that arrive from the event loop, where an error would end the process. */
+    private guardConnections(connections: TargetConnections): TargetConnections {
+        return {
+            ...connections,
+            send: (address, request, receiver) => {
+                this.isLatestSent = false;
+                return connections.send(address, request, {
+                    sent: () => {
+                        this.isLatestSent = true;
+                        this.guard(() => receiver.sent());
+                    },
+                    head: head => this.guard(() => receiver.head(head)),
+                    data: chunk => this.guard(() => receiver.data(chunk)),
+                    ended: () => this.guard(() => receiver.ended()),
+                    failed: error => this.guard(() => receiver.failed(error)),
+                });
+            },
+        };
+    }
+
+    private fail(error: unknown): void {
+        this.parts.log.emit("requestFailed", { ...requestLogFields(this.context), error });
+        if (this.isFinished) {
+            return;
+        }
+        const isCancelled = this.tryToCancel();
+        this.finish("error");
+        writeInternalError(this.context.response, this.mayHaveRun || this.isLatestSent || !isCancelled);
+    }
+
+    /** Returns whether the attempt in progress, if there is one, can do nothing any more. */
+    private tryToCancel(): boolean {
+        try {
+            this.cancelAttempt("error");
+            return true;
+        }
+        catch {
+            return false;
+        }
+    }
+
     private expire(): void {
         if (this.isFinished) {
             return;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -11,10 +11,11 @@
     | "limited"
     | "too-late"
     | "not-run"
-    | "budget";
+    | "budget"
+    | "internal";
 
 /** Why a request fails although a target may have run it. */
-export type FailureReason = "target-failed" | "deadline" | "attempts-spent";
+export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "internal";
 
 /** Why a request is denied. */
 export type DenialReason = "unknown-route" | "unknown-key" | "body-too-large" | "header-too-large";
@@ -28,9 +29,12 @@
 const failureStatus: Readonly<Record<FailureReason, number>> = {
     "target-failed": 502,
     "attempts-spent": 502,
+    "internal": 502,
     "deadline": 504,
 };
 const NOT_RUN_STATUS = 503;
+/** `Retry-After` of a request that an error inside the daemon kept from being sent. */
+const INTERNAL_RETRY_AFTER_MILLISECONDS = 500;
 
 /**
  * Writes the head of a target's response. The body is framed as the target's is: with a marked end, or ended by closing
@@ -59,6 +63,28 @@
     writeErrorResponse(response, failureStatus[reason], reason, []);
 }
 
+/**
+ * Responds to a request that an error inside the daemon ended: refuses it if no target can have run it, fails it
+ * otherwise, and breaks off a response that has begun.
+ */
+export function writeInternalError(response: ServerResponse, mayHaveRun: boolean): void {
+    if (response.writableEnded) {
+        return;
+    }
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    // Headers of a target may be set already, among them the signature of a response that is not sent.
+    response.getHeaderNames().filter(name => name !== "connection").forEach(name => response.removeHeader(name));
+    if (mayHaveRun) {
+        writeFailure(response, "internal");
+    }
+    else {
+        writeRefusal(response, "internal", INTERNAL_RETRY_AFTER_MILLISECONDS);
+    }
+}
+
 /** Denies a request that the configuration does not allow. */
 export function writeDenial(response: ServerResponse, reason: DenialReason): void {
     writeErrorResponse(response, denialStatus[reason], reason, []);
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -14,6 +14,8 @@
     start(): void;
     /** Head that currently serves the stream. */
     head(): string | undefined;
+    /** Runs a step of the stream; an error that it throws ends the request. */
+    guard(step: () => void): void;
     /** Moves the stream to another group if one can take it. */
     moveToAnotherGroup(): void;
 }
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -327,7 +327,7 @@
         log,
         loadTracker,
         groupOf: host => groupOf(state, host),
-        moveStreams: relay.moveStreams,
+        moveStreams: head => relay.moveStreams(head),
         report: head => {
             planner.suspect(head);
             const group = groupOf(state, head);
