--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -9,6 +9,9 @@
 /** Why an attempt is cancelled. */
 export type CancelReason = "deadline" | "caller-left" | "error";
 
+/** Longest delay that Node's timers accept; they end at once after a longer one. */
+const MAXIMUM_TIMER_MILLISECONDS = 2_147_483_647;
+
 /** Relay of one request. */
 export abstract class RelayTask {
     /** Number of attempts that count towards the route's limit. */
@@ -29,9 +32,10 @@
         private readonly onEnded: () => void,
     ) {
         this.parts = { ...parts, connections: this.guardConnections(parts.connections) };
+        const remainingMilliseconds = Math.max(0, context.deadlineAt - parts.clock.monotonic());
         this.deadline = setTimeout(
             () => this.guard(() => this.expire()),
-            Math.max(0, context.deadlineAt - parts.clock.monotonic()),
+            Math.min(remainingMilliseconds, MAXIMUM_TIMER_MILLISECONDS),
         );
         context.response.on("close", () => this.guard(() => this.callerLeft()));
     }
