Deliver a response that has arrived before the deadline and is read after it

What callers saw: 504 (or a stream that was broken off) although the whole response lay in the daemon's socket at the deadline, if the event loop was held until after it: a pause of the process, a long task, a busy machine.

Cause: timers run before sockets are read. The deadline's timer cancelled the attempt and with it the unread response.

Change: the timer lets one pass over the sockets go first (setImmediate) and then expires the request, unless it has ended.

Evidence: deadline.test.ts over real sockets, the event loop held for 300 ms around a deadline of 150 ms.

Ruled out: "ends a request once, with no load left, if the target continues after the deadline" passed before and passes: no receiver is called after the cancel, the load returns to nothing, one requestEnded is logged, and `sends` does not change.

--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -24,7 +24,9 @@
         protected readonly parts: RelayParts,
         private readonly onEnded: () => void,
     ) {
-        this.deadline = setTimeout(() => this.expire(), Math.max(0, context.deadlineAt - parts.clock.monotonic()));
+        // Timers run before sockets are read: a response that has arrived meanwhile is read before the request expires.
+        const expire = (): void => void setImmediate(() => this.expire());
+        this.deadline = setTimeout(expire, Math.max(0, context.deadlineAt - parts.clock.monotonic()));
         context.response.on("close", () => this.callerLeft());
     }
 
--- a/packages/daemon/src/relay/tests/socketfixture.ts
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -12,6 +12,7 @@
     type Server as SocketServer,
     type Socket,
 } from "node:net";
+import type { RelayProtocol } from "../../ports/relayprotocol.js";
 import { relayPlain } from "../plainrelay.js";
 import type { RequestContext } from "../requestcontext.js";
 import { createStreamRelay } from "../streamrelay.js";
@@ -42,6 +43,7 @@
 }
 
 const TARGET_IDS = ["a", "b", "c"];
+const FRAMING_HEADERS = ["connection", "content-length", "transfer-encoding"];
 
 /** Relays one request to targets that answer by the scripts, in the order in which they are tried. */
 export async function relayThroughSockets(
@@ -65,6 +67,7 @@
     const connections = createTargetConnections({ connectionsPerTarget: 4, connectTimeoutMilliseconds: 500 });
     const parts = {
         ...fixture.parts,
+        protocol: withoutFraming(fixture.parts.protocol),
         connections: {
             send: (address, ...rest) => connections.send(addresses.get(address) ?? "", ...rest),
             renew: address => connections.renew(addresses.get(address) ?? ""),
@@ -95,6 +98,17 @@
     return { ...received, milliseconds, sends, fixture };
 }
 
+/** Forwards no headers that describe the framing of a response, as a platform's protocol does. */
+function withoutFraming(protocol: RelayProtocol): RelayProtocol {
+    return {
+        ...protocol,
+        decodeResponse: head => {
+            const headers = Object.entries(head.headers).filter(([name]) => !FRAMING_HEADERS.includes(name));
+            return protocol.decodeResponse({ ...head, headers: Object.fromEntries(headers) });
+        },
+    };
+}
+
 function listen<Listener extends Server | SocketServer>(server: Listener): Promise<Listener> {
     return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server)));
 }
@@ -112,6 +126,11 @@
         let hasHead = false;
         // A reset of a response without a marked end shows only here: the response counts as complete afterwards.
         let isReset = false;
+        message.on("socket", socket =>
+            socket.prependListener("end", () => {
+                // libuv reports a reset as an end if it arrives together with data, but the socket has no peer then.
+                isReset ||= socket.remoteAddress === undefined;
+            }));
         message.on("error", () => {
             isReset = true;
             if (!hasHead) {
