Tell a reset from a close when it arrives together with the last bytes of a response

What callers saw: half of a response as a whole one.

Cause: if data and a reset are there in one pass over the sockets, libuv reports the reset as an end of the stream, and Node's client as a complete response.

Change: when the connection ends, the exchange asks whether the socket still has a peer (remoteAddress). A response with a marked end doesn't depend on it.

Evidence: "refuses a response without a length whose connection is reset right after its bytes" of targetconnections.test.ts, with a new connection and with a kept one, saw 'ended' before and 'failed' now, in five of five runs. Two more cases guard the chunked response (failed) and the one with a length (complete), which passed before.

--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -107,6 +107,8 @@
 class Exchange implements TargetExchange {
     private answer: IncomingMessage | undefined;
     private done = false;
+    /** Whether the connection ended with a reset that was reported as an end. */
+    private wasReset = false;
 
     constructor(
         private readonly message: ClientRequest,
@@ -142,6 +144,7 @@
         if (this.done) {
             return;
         }
+        this.watchEnd(socket);
         if (!socket.connecting) {
             this.receiver.sent();
             return;
@@ -159,6 +162,18 @@
         socket.once("close", () => clearTimeout(timer));
     }
 
+    /**
+     * Tells a reset from a close. libuv reports a reset that arrives together with data as an end; the socket has no peer
+     * any more then. Its address must not be read earlier, because Node caches it.
+     */
+    private watchEnd(socket: Socket): void {
+        const noteEnd = (): void => {
+            this.wasReset = socket.remoteAddress === undefined;
+        };
+        socket.prependOnceListener("end", noteEnd);
+        this.message.once("close", () => socket.off("end", noteEnd));
+    }
+
     private receive(response: IncomingMessage): void {
         if (this.done) {
             response.destroy();
@@ -166,7 +181,8 @@
         }
         this.answer = response;
         const { statusCode: status = 0, headers } = response;
-        this.receiver.head({ status, headers, delimited: isDelimited(status, headers) });
+        const delimited = isDelimited(status, headers);
+        this.receiver.head({ status, headers, delimited });
         response.on("data", (chunk: Buffer) => {
             if (!this.done) {
                 this.receiver.data(chunk);
@@ -177,7 +193,7 @@
             "end",
             () =>
                 this.finish(() =>
-                    response.complete
+                    response.complete && (delimited || !this.wasReset)
                         ? this.receiver.ended()
                         : this.receiver.failed(new Error("The response of the target is incomplete."))
                 ),
--- a/packages/daemon/src/relay/tests/targetconnections.test.ts
+++ b/packages/daemon/src/relay/tests/targetconnections.test.ts
@@ -8,7 +8,7 @@
     readonly guards: string;
     readonly answer: string;
     /** What the target does with the connection after the response. */
-    readonly end: "close" | "reset" | "keep";
+    readonly end: "close" | "reset" | "reset-at-once" | "keep";
     readonly outcome: "ended" | "failed";
 }
 
@@ -32,6 +32,24 @@
         end: "reset",
         outcome: "failed",
     },
+    {
+        guards: "a response without a length whose connection is reset right after its bytes",
+        answer: `${head}Connection: close\r\n\r\no`,
+        end: "reset-at-once",
+        outcome: "failed",
+    },
+    {
+        guards: "a chunked response whose connection is reset right after its bytes",
+        answer: `${head}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`,
+        end: "reset-at-once",
+        outcome: "failed",
+    },
+    {
+        guards: "a complete response with a length whose connection is reset right after its bytes",
+        answer: `${head}Content-Length: 2\r\n\r\nok`,
+        end: "reset-at-once",
+        outcome: "ended",
+    },
     {
         guards: "a chunked response that ends with its connection",
         answer: `${head}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`,
@@ -50,6 +68,7 @@
 const endings: Readonly<Record<Case["end"], (socket: Socket) => void>> = {
     close: socket => socket.end(),
     reset: socket => void setTimeout(() => socket.resetAndDestroy(), 20),
+    "reset-at-once": socket => void socket.resetAndDestroy(),
     keep: () => undefined,
 };
 
