End a stream whose target sends bytes without the end of an event

What callers saw: nothing until the deadline (504), while the daemon kept all that the target sent and used a core for it: a partial event had no bound and was joined anew with each chunk, in quadratic time.

Change: a partial event is kept in a buffer that doubles (linear time) and may have MAXIMUM_EVENT_BYTES (256 KiB); beyond, the attempt fails as 'event-too-long', its connection is closed, and it counts as one that may have run: resumed elsewhere, or 502 or broken off. Bytes that begin neither as an event nor as a comment fail the attempt as 'not-an-event'. Only events with an id or data count as progress, so that a head that sends comments alone is found stalled.

--- a/packages/daemon/src/relay/eventsplitter.ts
+++ b/packages/daemon/src/relay/eventsplitter.ts
@@ -5,6 +5,10 @@
     readonly bytes: Buffer;
     /** Numeric event id, if there is one. */
     readonly id?: number;
+    /** Whether it has an id or data, as opposed to a comment or bytes that are no event. */
+    readonly hasContent: boolean;
+    /** Whether it begins as an event or a comment does. */
+    readonly isWellFormed: boolean;
 }
 
 /** Splitter of one stream. */
@@ -13,26 +17,88 @@
     push(chunk: Buffer): StreamEvent[];
     /** Whether an incomplete event is buffered. */
     hasPartialEvent(): boolean;
+    /** Whether the incomplete event is longer than any event may be. */
+    isOversized(): boolean;
 }
 
+/** Maximum size of an event; a target that sends more without the end of an event sends no events. */
+export const MAXIMUM_EVENT_BYTES = 262_144;
+
 const EVENT_END = Buffer.from("\n\n");
+const NEWLINE = 0x0a;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
+const CONTENT_LINE = /^(?:id|data):/m;
+/** Name of a field and a colon, the colon of a comment, or an empty line. */
+const FIRST_LINE = /^\s*(?:[a-z-]*:|$)/i;
 
 /** Creates a splitter. */
 export function createEventSplitter(): EventSplitter {
-    let buffered: Buffer = Buffer.alloc(0);
+    const partial = createGrowingBuffer();
+
+    /** Returns the length of the rest of the current event in `bytes`, or -1 if it is not complete. */
+    const lengthOfRest = (bytes: Buffer): number => {
+        if (partial.lastByte() === NEWLINE && bytes[0] === NEWLINE) {
+            return 1;
+        }
+        const end = bytes.indexOf(EVENT_END);
+        return end < 0 ? -1 : end + EVENT_END.length;
+    };
+
     return {
         push: chunk => {
-            buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
             const events: StreamEvent[] = [];
-            for (let end = buffered.indexOf(EVENT_END); end >= 0; end = buffered.indexOf(EVENT_END)) {
-                const bytes = buffered.subarray(0, end + EVENT_END.length);
-                buffered = buffered.subarray(end + EVENT_END.length);
-                const id = ID_LINE.exec(bytes.toString("latin1"))?.[1];
-                events.push({ bytes, id: id === undefined ? undefined : Number(id) });
+            let rest = chunk;
+            for (let length = lengthOfRest(rest); length >= 0; length = lengthOfRest(rest)) {
+                events.push(toEvent(partial.takeWith(rest.subarray(0, length))));
+                rest = rest.subarray(length);
             }
+            partial.append(rest);
             return events;
         },
-        hasPartialEvent: () => buffered.length > 0,
+        hasPartialEvent: () => partial.length() > 0,
+        isOversized: () => partial.length() > MAXIMUM_EVENT_BYTES,
+    };
+}
+
+function toEvent(bytes: Buffer): StreamEvent {
+    const text = bytes.toString("latin1");
+    const id = ID_LINE.exec(text)?.[1];
+    return {
+        bytes,
+        id: id === undefined ? undefined : Number(id),
+        hasContent: CONTENT_LINE.test(text),
+        isWellFormed: FIRST_LINE.test(text),
+    };
+}
+
+/** Buffer whose capacity doubles, so that appending many small chunks takes linear time and little memory. */
+interface GrowingBuffer {
+    length(): number;
+    lastByte(): number | undefined;
+    append(bytes: Buffer): void;
+    /** Empties the buffer and returns its bytes followed by `bytes`. */
+    takeWith(bytes: Buffer): Buffer;
+}
+
+function createGrowingBuffer(): GrowingBuffer {
+    let storage = Buffer.alloc(0);
+    let used = 0;
+    return {
+        length: () => used,
+        lastByte: () => used === 0 ? undefined : storage[used - 1],
+        append: bytes => {
+            if (used + bytes.length > storage.length) {
+                const larger = Buffer.allocUnsafe(Math.max(2 * storage.length, used + bytes.length));
+                storage.copy(larger, 0, 0, used);
+                storage = larger;
+            }
+            bytes.copy(storage, used);
+            used += bytes.length;
+        },
+        takeWith: bytes => {
+            const whole = used === 0 ? bytes : Buffer.concat([storage.subarray(0, used), bytes]);
+            used = 0;
+            return whole;
+        },
     };
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -207,25 +207,37 @@
             return;
         }
         const events = attempt.splitter.push(chunk);
-        if (events.length === 0) {
+        if (!events.every(({ isWellFormed }) => isWellFormed)) {
+            this.abandon(attempt, "not-an-event");
             return;
         }
-        if (!attempt.started) {
-            attempt.started = true;
-            this.firstEventAt ??= now;
-            parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
+        if (events.some(({ hasContent }) => hasContent)) {
+            this.recordProgress(attempt, now);
         }
-        parts.loadTracker.progressed(attempt.head, now);
         const inOrder = events.every(event => this.deliver(attempt, event));
         if (!inOrder) {
             this.abandon(attempt, "event-missing");
             return;
         }
+        if (attempt.splitter.isOversized()) {
+            this.abandon(attempt, "event-too-long");
+            return;
+        }
         if (context.response.writableLength > PAUSE_THRESHOLD_BYTES) {
             attempt.exchange?.pause();
         }
     }
 
+    private recordProgress(attempt: Attempt, now: number): void {
+        const { context, parts } = this;
+        if (!attempt.started) {
+            attempt.started = true;
+            this.firstEventAt ??= now;
+            parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
+        }
+        parts.loadTracker.progressed(attempt.head, now);
+    }
+
     /** Sends an event to the caller unless it has it already. Returns false if an earlier event is missing. */
     private deliver(attempt: Attempt, event: StreamEvent): boolean {
         const { id } = event;
--- a/packages/daemon/src/relay/tests/eventsplitter.test.ts
+++ b/packages/daemon/src/relay/tests/eventsplitter.test.ts
@@ -1,7 +1,7 @@
 /** The splitter returns only complete events, however their bytes are split. */
 import { expect } from "chai";
 import fc from "fast-check";
-import { createEventSplitter } from "../eventsplitter.js";
+import { createEventSplitter, MAXIMUM_EVENT_BYTES } from "../eventsplitter.js";
 
 const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
@@ -37,4 +37,39 @@
         const [first] = createEventSplitter().push(Buffer.from("weight-versions: 2\nid: 4\ndata: x\n\n"));
         expect(first?.id).to.equal(4);
     });
+
+    it("takes linear time for an event that arrives in many chunks", () => {
+        const millisecondsFor = (chunks: number): number => {
+            const splitter = createEventSplitter();
+            const startedAt = performance.now();
+            Array.from({ length: chunks }).forEach(() => splitter.push(Buffer.from("data: x\n")));
+            return performance.now() - startedAt;
+        };
+        millisecondsFor(1_000);
+        // Quadratic time would need 4 GB of copies here.
+        expect(millisecondsFor(32_000)).to.be.below(400);
+    });
+
+    it("reports an event that exceeds the maximum size, and not one of that size", () => {
+        const splitter = createEventSplitter();
+        splitter.push(Buffer.alloc(MAXIMUM_EVENT_BYTES, "x"));
+        expect(splitter.isOversized()).to.equal(false);
+        splitter.push(Buffer.from("x"));
+        expect(splitter.isOversized()).to.equal(true);
+    });
+
+    const blocks: readonly [string, string, boolean, boolean][] = [
+        ["an event with data only", "data: x\n\n", true, true],
+        ["an event with an id only", "id: 3\n\n", true, true],
+        ["an event that begins with another field", "weight-versions: 2\nid: 4\ndata: x\n\n", true, true],
+        ["a comment", ": keep-alive\n\n", false, true],
+        ["empty lines", "\n\n", false, true],
+        ["bytes that are no event", "\u0000\u0001xyz\n\n", false, false],
+    ];
+    blocks.forEach(([name, text, hasContent, isWellFormed]) =>
+        it(`finds ${hasContent ? "content" : "no content"} in ${name}`, () => {
+            const [event] = createEventSplitter().push(Buffer.from(text));
+            expect([event?.hasContent, event?.isWellFormed]).to.deep.equal([hasContent, isWellFormed]);
+        })
+    );
 });
