Limit the bytes that a target may send before its response

What callers saw: 504 at the deadline while the daemon spent a core on bytes that never became a response.

Cause: Node's client limits one head to 16 KiB, but counts each informational response (1xx) anew and leaves out empty lines before the status line. Both may come without end.

Change: the exchange counts all bytes before the response and closes the connection beyond 64 KiB with an error that says so. The attempt counts as one that may have run.

Evidence: "resumes a stream at another target after informational responses", "... after empty lines before the status line" and their counterparts that cannot be resumed (endless.test.ts) saw 504 after 3 s before; now the whole stream and 502, in time.

--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -63,6 +63,9 @@
 /** Idle connections are closed after this time unless the target sends another timeout. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 
+/** Maximum size of all that precedes the body of a response. */
+const MAXIMUM_HEAD_BYTES = 65_536;
+
 /** Creates the connections. */
 export function createTargetConnections(options: TargetConnectionOptions): TargetConnections {
     const keepAliveAgent = new Agent({
@@ -145,6 +148,7 @@
             return;
         }
         this.watchEnd(socket);
+        this.watchHead(socket);
         if (!socket.connecting) {
             this.receiver.sent();
             return;
@@ -174,6 +178,21 @@
         this.message.once("close", () => socket.off("end", noteEnd));
     }
 
+    /** Limits the bytes before a response; Node's own limit leaves out empty lines and counts each informational one anew. */
+    private watchHead(socket: Socket): void {
+        let bytes = 0;
+        const countBytes = (chunk: Buffer): void => {
+            bytes += chunk.length;
+            if (this.answer === undefined && bytes > MAXIMUM_HEAD_BYTES) {
+                this.message.destroy(new Error("The head of the response is too long."));
+            }
+        };
+        const stop = (): void => void socket.off("data", countBytes);
+        socket.on("data", countBytes);
+        this.message.once("response", stop);
+        this.message.once("close", stop);
+    }
+
     private receive(response: IncomingMessage): void {
         if (this.done) {
             response.destroy();
--- a/packages/daemon/src/relay/tests/endless.test.ts
+++ b/packages/daemon/src/relay/tests/endless.test.ts
@@ -32,6 +32,8 @@
 const scripts: Readonly<Record<string, TargetScript>> = {
     "a status line": endless("HTTP/1.1 200 ", letters),
     "header lines": endless(head, `A: ${"x".repeat(50)}\r\n`.repeat(100)),
+    "informational responses": endless("", "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(500)),
+    "empty lines before the status line": endless("", "\r\n".repeat(8_000)),
     "the beginning of an event": endless(`${head}Connection: close\r\n\r\n`, letters),
     "an event after a whole one": endless(`${head}Connection: close\r\n\r\n${event(1)}`, letters),
     "an event in chunks": endless(`${head}Transfer-Encoding: chunked\r\n\r\n`, `3e80\r\n${letters}\r\n`),
