--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -33,10 +33,9 @@
     ) {
         this.parts = { ...parts, connections: this.guardConnections(parts.connections) };
         const remainingMilliseconds = Math.max(0, context.deadlineAt - parts.clock.monotonic());
-        this.deadline = setTimeout(
-            () => this.guard(() => this.expire()),
-            Math.min(remainingMilliseconds, MAXIMUM_TIMER_MILLISECONDS),
-        );
+        // Timers run before sockets are read: a response that has arrived meanwhile is read before the request expires.
+        const expire = (): void => void setImmediate(() => this.guard(() => this.expire()));
+        this.deadline = setTimeout(expire, Math.min(remainingMilliseconds, MAXIMUM_TIMER_MILLISECONDS));
         context.response.on("close", () => this.guard(() => this.callerLeft()));
     }
 
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -63,6 +63,9 @@
 /** Idle connections are closed after this time unless the target sends another timeout. */
 const IDLE_TIMEOUT_MILLISECONDS = 4_000;
 
+/** Maximum size of all that precedes the body of a response. */
+const MAXIMUM_HEAD_BYTES = 65_536;
+
 /** Creates the connections. */
 export function createTargetConnections(options: TargetConnectionOptions): TargetConnections {
     const keepAliveAgent = new Agent({
@@ -107,6 +110,8 @@
 class Exchange implements TargetExchange {
     private answer: IncomingMessage | undefined;
     private done = false;
+    /** Whether the connection ended with a reset that was reported as an end. */
+    private wasReset = false;
 
     constructor(
         private readonly message: ClientRequest,
@@ -142,6 +147,8 @@
         if (this.done) {
             return;
         }
+        this.watchEnd(socket);
+        this.watchHead(socket);
         if (!socket.connecting) {
             this.receiver.sent();
             return;
@@ -159,6 +166,33 @@
         socket.once("close", () => clearTimeout(timer));
     }
 
+    /**
+     * Tells a reset from a close. libuv reports a reset that arrives together with data as an end; the socket has no peer
+     * any more then. Its address must not be read earlier, because Node caches it.
+     */
+    private watchEnd(socket: Socket): void {
+        const noteEnd = (): void => {
+            this.wasReset = socket.remoteAddress === undefined;
+        };
+        socket.prependOnceListener("end", noteEnd);
+        this.message.once("close", () => socket.off("end", noteEnd));
+    }
+
+    /** Limits the bytes before a response; Node's own limit leaves out empty lines and counts each informational one anew. */
+    private watchHead(socket: Socket): void {
+        let bytes = 0;
+        const countBytes = (chunk: Buffer): void => {
+            bytes += chunk.length;
+            if (this.answer === undefined && bytes > MAXIMUM_HEAD_BYTES) {
+                this.message.destroy(new Error("The head of the response is too long."));
+            }
+        };
+        const stop = (): void => void socket.off("data", countBytes);
+        socket.on("data", countBytes);
+        this.message.once("response", stop);
+        this.message.once("close", stop);
+    }
+
     private receive(response: IncomingMessage): void {
         if (this.done) {
             response.destroy();
@@ -166,7 +200,8 @@
         }
         this.answer = response;
         const { statusCode: status = 0, headers } = response;
-        this.receiver.head({ status, headers, delimited: isDelimited(status, headers) });
+        const delimited = isDelimited(status, headers);
+        this.receiver.head({ status, headers, delimited });
         response.on("data", (chunk: Buffer) => {
             if (!this.done) {
                 this.receiver.data(chunk);
@@ -177,7 +212,7 @@
             "end",
             () =>
                 this.finish(() =>
-                    response.complete
+                    response.complete && (delimited || !this.wasReset)
                         ? this.receiver.ended()
                         : this.receiver.failed(new Error("The response of the target is incomplete."))
                 ),
