Let a caller read the 413 while its body is on its way

What callers saw: a caller that sent a body over the limit, and read after it had sent all, got a broken connection (EPIPE or a reset) in place of the 413. It can't tell that from a lost request, and sends it again.

Cause: the response closed the connection at once, with unread bytes, which resets it.

Evidence: bodylimit.test.ts, `is answered to a caller that sends its whole body first` (12 MB): `write EPIPE` before, 413 now. The other four passed before and guard the rest: the 413 is written while the body is on its way, a lowered limit does not fall on a body that has begun (the limit is read once, with the head), and a caller that never stops sending, or sends a great many bytes, is ended.

Conclusion: a denial is readable, in bounded time and work.

--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -1,6 +1,7 @@
 /** Responses of the daemon itself: refusals guarantee that the request has not run; failures do not. */
 import type { ServerResponse } from "node:http";
 import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
+import { endAfterRequest } from "./lingering.js";
 
 /** Why a request is refused before any target could run it. */
 export type RefusalReason =
@@ -85,12 +86,18 @@
     }
 }
 
-/** Denies a request that the configuration does not allow. */
+/** Denies a request that the configuration does not allow; its body may not have been read. */
 export function writeDenial(response: ServerResponse, reason: DenialReason): void {
-    writeErrorResponse(response, denialStatus[reason], reason, []);
+    writeErrorResponse(response, denialStatus[reason], reason, [], text => endAfterRequest(response, text));
 }
 
-function writeErrorResponse(response: ServerResponse, status: number, code: string, headers: readonly string[]): void {
+function writeErrorResponse(
+    response: ServerResponse,
+    status: number,
+    code: string,
+    headers: readonly string[],
+    end = (text: string): void => void response.end(text),
+): void {
     if (response.headersSent || response.destroyed) {
         return;
     }
@@ -100,5 +107,5 @@
         ...["Content-Type", "application/json"],
         ...["Content-Length", String(Buffer.byteLength(body))],
     ]);
-    response.end(body);
+    end(body);
 }
