Handle pipelined requests one after the other

What callers saw: a second request that was sent before the first was answered was passed on to a target although the first response closed the connection, so that a request that had run got no response. When the caller left, the second request was not cancelled: its target went on working, and the request counted as in progress until its deadline.

Cause: Node reports all requests of a connection at once, sends their responses in order, and gives the close event of the connection to the first response only.

Evidence: pipelining.test.ts over real sockets. Before, `is not sent to a target if the response before it closes the connection` saw two sends, and `leaves nothing behind when its caller has left` saw one request in progress and an attempt that was not cancelled. The other five passed before and guard: the deadline of a pipelined request counts from its arrival, Expect: 100-continue with a length and with chunks, a chunked body that is cut off. `readBody` gives `cut` in these only when the connection is closed, so that the relay rightly writes nothing.

Change: a pipelined request waits until the response before it has ended, and is dropped if that closed the connection.

Conclusion: a request is passed on only if its response can be sent. A caller that sends a FIN after a whole request gets nothing, as before: a FIN cannot be told from the close of a caller that has left, for which work must stop. A test says so.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -1,10 +1,11 @@
 /** HTTP listeners of the daemon on a platform, its readiness check, and graceful shutdown. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
 import { limitConnections } from "./connectionlimits.js";
 import type { Relay } from "./relay.js";
+import { inOrder } from "./requestorder.js";
 import { writeInternalError } from "./responses.js";
 import type { RelayState } from "./state.js";
 
@@ -44,7 +45,7 @@
     /** Requests whose head was read and whose response has not ended, also before the relay admits them. */
     let unanswered = 0;
 
-    const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    const handle = inOrder((request, response, waitedMilliseconds) => {
         unanswered += 1;
         response.once("close", () => {
             unanswered -= 1;
@@ -52,11 +53,11 @@
         if (draining) {
             response.setHeader("Connection", "close");
         }
-        relay.handle(request, response).catch((error: unknown) => {
+        relay.handle(request, response, waitedMilliseconds).catch((error: unknown) => {
             log.emit("requestFailed", { error });
             writeInternalError(response, true);
         });
-    };
+    });
     const callerServer = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
         requestTimeout: 0,
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -10,8 +10,11 @@
 
 /** The request path of the daemon. */
 export interface Relay {
-    /** Handles one request; resolves once it is dispatched, not when its response ends. */
-    handle(request: IncomingMessage, response: ServerResponse): Promise<void>;
+    /**
+     * Handles one request; resolves once it is dispatched, not when its response ends. `waitedMilliseconds` is the time
+     * since it arrived.
+     */
+    handle(request: IncomingMessage, response: ServerResponse, waitedMilliseconds?: number): Promise<void>;
     /** Number of requests whose response has not ended. */
     inProgress(): number;
     /** Moves streams away from a head that makes no progress. */
@@ -43,8 +46,8 @@
             .forEach(stream => stream.guard(() => stream.moveToAnotherGroup()));
     }
 
-    async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const receivedAt = this.parts.clock.monotonic();
+    async handle(message: IncomingMessage, response: ServerResponse, waitedMilliseconds = 0): Promise<void> {
+        const receivedAt = this.parts.clock.monotonic() - waitedMilliseconds;
         const { method = "GET", url = "/", headers, rawHeaders } = message;
         let request: CallerRequest | undefined;
         try {
