Let the limit of the parser follow the configured limit of heads

What callers saw: a head over 64 KiB got a closed connection, also where the configured limit allowed it, or 431 was due.

Cause: the limit of Node's parser was fixed, and a connection whose head exceeds it is closed without a response.

Evidence: headersize.test.ts over real sockets: both tests saw no response before, now 503 (there is no target) for 128 KiB under a limit of 256 KiB and 431 under one of 96 KiB.

Change: the limit of the parser is twice the configured one, and at least 64 KiB as before. Node takes it over for new connections.

Conclusion: a raised limit is in force on new connections. A connection that was open before keeps the parser's old limit.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -28,8 +28,10 @@
     shutDown(): Promise<void>;
 }
 
-/** Limit of the HTTP parser; the configured limit is checked against the parsed headers. */
+/** Least limit of the HTTP parser; the configured limit is checked against the parsed headers. */
 const PARSER_HEADER_BYTES = 65_536;
+/** The parser closes connections without a response, so its limit is this many times the configured one. */
+const PARSER_HEADER_FACTOR = 2;
 /** The platform takes a daemon out of rotation after two failed readiness checks, one per second. */
 const LEAVE_ROTATION_MILLISECONDS = 2_600;
 /** The process exits this long before the platform would kill it. */
@@ -75,6 +77,9 @@
     const applyLimits = (): void => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
+            // Node takes over the value for each new connection.
+            const maxHeaderSize = Math.max(PARSER_HEADER_BYTES, PARSER_HEADER_FACTOR * limits.headerBytes);
+            Object.assign(callerServer, { maxHeaderSize });
             connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
             connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
         }
