--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -1,10 +1,11 @@
 /** HTTP listeners of the daemon on a platform, its readiness check, and graceful shutdown. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
 import { limitConnections } from "./connectionlimits.js";
 import type { Relay } from "./relay.js";
+import { inOrder } from "./requestorder.js";
 import { writeInternalError } from "./responses.js";
 import type { RelayState } from "./state.js";
 
@@ -27,8 +28,10 @@
     shutDown(): Promise<void>;
 }
 
-/** Limit of the HTTP parser; the configured limit is checked against the parsed headers. */
+/** Least limit of the HTTP parser; the configured limit is checked against the parsed headers. */
 const PARSER_HEADER_BYTES = 65_536;
+/** The parser closes connections without a response, so its limit is this many times the configured one. */
+const PARSER_HEADER_FACTOR = 2;
 /** The platform takes a daemon out of rotation after two failed readiness checks, one per second. */
 const LEAVE_ROTATION_MILLISECONDS = 2_600;
 /** The process exits this long before the platform would kill it. */
@@ -44,7 +47,7 @@
     /** Requests whose head was read and whose response has not ended, also before the relay admits them. */
     let unanswered = 0;
 
-    const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    const handle = inOrder((request, response, waitedMilliseconds) => {
         unanswered += 1;
         response.once("close", () => {
             unanswered -= 1;
@@ -52,11 +55,11 @@
         if (draining) {
             response.setHeader("Connection", "close");
         }
-        relay.handle(request, response).catch((error: unknown) => {
+        relay.handle(request, response, waitedMilliseconds).catch((error: unknown) => {
             log.emit("requestFailed", { error });
             writeInternalError(response, true);
         });
-    };
+    });
     const callerServer = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
         requestTimeout: 0,
@@ -74,6 +77,9 @@
     const applyLimits = (): void => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
+            // Node takes over the value for each new connection.
+            const maxHeaderSize = Math.max(PARSER_HEADER_BYTES, PARSER_HEADER_FACTOR * limits.headerBytes);
+            Object.assign(callerServer, { maxHeaderSize });
             connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
             connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
         }
