Send nothing for a caller that has left, and end its request at the deadline

What callers saw: nothing; targets did. A request that may run once goes on after its caller has left. If its target then refused it, the relay sent it to another target for a caller that was gone (GONE). If its target never answered, or never ended its answer, the connection stayed open for good.

Cause: receiveEnd did not check whether the request had ended, and the deadline's timer is cleared when it ends.

Change: a response that arrives after the end of its request is dropped, and the attempt is cancelled at the deadline.

Evidence: "sends a request that was refused by its target to no other one after the caller has disconnected" saw two sends, "cancels a request whose caller has disconnected at its deadline, so that an endless response ends" saw it go on; both pass.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -193,6 +193,9 @@
 
     private receiveEnd(attempt: Attempt): void {
         const { head, decoded } = attempt;
+        if (this.isFinished) {
+            return;
+        }
         if (head === undefined || decoded === undefined) {
             this.attemptFailed(attempt, "no answer");
             return;
@@ -290,7 +293,10 @@
         this.finish(`refused: ${reason}`, { retryAfterMilliseconds });
     }
 
-    /** When the caller disconnects, a request that is not repeatable continues, because it may be running. */
+    /**
+     * When the caller disconnects, a request that is not repeatable continues until its deadline, because it may be
+     * running.
+     */
     protected cancelAttempt(reason: CancelReason): void {
         const { attempt } = this;
         if (attempt === undefined) {
@@ -299,6 +305,10 @@
         this.release(attempt);
         if (reason === "deadline" || this.isRepeatable()) {
             attempt.exchange?.cancel();
+            return;
         }
+        attempt.exchange?.resume();
+        const remaining = Math.max(0, this.context.deadlineAt - this.parts.clock.monotonic());
+        setTimeout(() => attempt.exchange?.cancel(), remaining).unref();
     }
 }
--- a/packages/daemon/src/relay/tests/plainrelay.test.ts
+++ b/packages/daemon/src/relay/tests/plainrelay.test.ts
@@ -163,6 +163,23 @@
         });
     });
 
+    it("sends a request that was refused by its target to no other one after the caller has disconnected", () => {
+        const { sends, caller } = start({ kind: "once" });
+        sends[0]?.receiver.sent();
+        caller.leave();
+        sends[0]?.receiver.head(responseHeads.notRun);
+        sends[0]?.receiver.ended();
+        expect(sends.length).to.equal(1);
+    });
+
+    it("cancels a request whose caller has disconnected at its deadline, so that an endless response ends", async () => {
+        const { sends, caller } = start({ kind: "once", timeoutMilliseconds: 30 });
+        sends[0]?.receiver.sent();
+        caller.leave();
+        await new Promise(resolve => setTimeout(resolve, 60));
+        expect(sends[0]?.cancelled).to.equal(true);
+    });
+
     it("refuses at once with Retry-After while no target is registered", () => {
         const { caller } = start({ kind: "once", targets: [] });
         expect([caller.status, caller.headers[0]]).to.deep.equal([503, "Retry-After"]);
