Read an error body of a stream's target no faster than the caller does

What callers saw: nothing. An error that is passed on to a slow caller was written without a pause, so that the daemon kept whatever of it the caller had not read.

Cause: only events checked how much is buffered for the caller.

Change: all bytes of a target go through writePaced, which pauses the target above 64 KiB. Other writes: refusals and failures of the daemon itself are below 100 bytes, and a plain body that is kept is at most 1 MiB.

Evidence: "does not read the error of a stream's target ahead of a slow caller" (largebody.test.ts) saw 20,971,520 bytes read while the caller read nothing; now it stays below the stated 8 MiB, which include the buffers of the sockets.

--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,7 +4,14 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { breakOff, type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
+import {
+    breakOff,
+    type RefusalReason,
+    writeFailure,
+    writePaced,
+    writeRefusal,
+    writeResponseHead,
+} from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
 import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
@@ -18,9 +25,6 @@
     moveToAnotherGroup(): void;
 }
 
-/** Buffered bytes for a slow caller above which reading from the target pauses. */
-const PAUSE_THRESHOLD_BYTES = 65_536;
-
 interface Attempt {
     readonly head: string;
     readonly target: Target;
@@ -199,11 +203,10 @@
     }
 
     private receiveData(attempt: Attempt, chunk: Buffer): void {
-        const { context, parts } = this;
-        const now = parts.clock.monotonic();
+        const now = this.parts.clock.monotonic();
         if (attempt.isPassthrough) {
             this.openResponse(attempt);
-            context.response.write(chunk);
+            writePaced(this.context.response, chunk, attempt.exchange);
             return;
         }
         const events = attempt.splitter.push(chunk);
@@ -223,9 +226,6 @@
             this.abandon(attempt, "event-too-long");
             return;
         }
-        if (context.response.writableLength > PAUSE_THRESHOLD_BYTES) {
-            attempt.exchange?.pause();
-        }
     }
 
     private recordProgress(attempt: Attempt, now: number): void {
@@ -250,7 +250,7 @@
         }
         this.lastEventId = id ?? this.lastEventId;
         this.openResponse(attempt);
-        this.context.response.write(event.bytes);
+        writePaced(this.context.response, event.bytes, attempt.exchange);
         return true;
     }
 
--- a/packages/daemon/src/relay/tests/largebody.test.ts
+++ b/packages/daemon/src/relay/tests/largebody.test.ts
@@ -104,6 +104,7 @@
 
     const slowCallers = [
         { name: "large body of a plain target", kind: "once", status: "200 OK" },
+        { name: "error of a stream's target", kind: "stream", status: "500 Internal Server Error" },
     ] as const;
     slowCallers.forEach(({ name, kind, status }) =>
         it(`does not read the ${name} ahead of a slow caller`, async () => {
