End an error body of a stream's target that has no end

What callers saw: an error body that went on until the deadline, at the full speed of the caller.

Cause: bytes of an error that is passed on were not counted.

Change: the bound of plain bodies without a stated length (64 MiB) holds for them; beyond, the response is broken off.

Evidence: "breaks off an error of a stream's target that does not end" (largebody.test.ts): before, its caller read more than fits into a string (RangeError, 512 MB); now 500 and 'broken-off' within 5 s.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -5,6 +5,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
+    MAXIMUM_UNSTATED_BODY_BYTES,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -21,8 +22,6 @@
 const NO_TARGET_RETRY_AFTER_MILLISECONDS = 1_000;
 /** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
 const KEPT_BODY_BYTES = 1_048_576;
-/** Maximum size of a body whose target states no length. */
-const MAXIMUM_UNSTATED_BODY_BYTES = 67_108_864;
 /** Additional cost of a target in another data centre, in requests in progress. */
 const REMOTE_COST = 1.5;
 
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -6,6 +6,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
+    MAXIMUM_UNSTATED_BODY_BYTES,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -40,6 +41,8 @@
     opening?: { readonly head: ResponseHead; readonly headers: HeaderList; };
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
+    /** Number of bytes of such an error that have arrived. */
+    passedThroughBytes: number;
     isReleased: boolean;
 }
 
@@ -127,6 +130,7 @@
             written: false,
             started: false,
             isPassthrough: false,
+            passedThroughBytes: 0,
             isReleased: false,
         };
         this.attempt = attempt;
@@ -205,8 +209,7 @@
     private receiveData(attempt: Attempt, chunk: Buffer): void {
         const now = this.parts.clock.monotonic();
         if (attempt.isPassthrough) {
-            this.openResponse(attempt);
-            writePaced(this.context.response, chunk, attempt.exchange);
+            this.passThrough(attempt, chunk);
             return;
         }
         const events = attempt.splitter.push(chunk);
@@ -228,6 +231,16 @@
         }
     }
 
+    private passThrough(attempt: Attempt, chunk: Buffer): void {
+        attempt.passedThroughBytes += chunk.length;
+        if (attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
+            this.abandon(attempt, "body-too-long");
+            return;
+        }
+        this.openResponse(attempt);
+        writePaced(this.context.response, chunk, attempt.exchange);
+    }
+
     private recordProgress(attempt: Attempt, now: number): void {
         const { context, parts } = this;
         if (!attempt.started) {
--- a/packages/daemon/src/relay/tests/largebody.test.ts
+++ b/packages/daemon/src/relay/tests/largebody.test.ts
@@ -94,6 +94,16 @@
         expect(result.milliseconds).to.be.below(5_000);
     });
 
+    it("breaks off an error of a stream's target that does not end", async () => {
+        const error: TargetScript = socket => {
+            socket.write("HTTP/1.1 500 Internal Server Error\r\nRequest-Id: r1\r\n\r\n");
+            body("unmarked", Number.POSITIVE_INFINITY)(socket);
+        };
+        const result = await relayThroughSockets({ kind: "stream", timeoutMilliseconds: 8_000 }, [error]);
+        expect([result.status, result.outcome]).to.deep.equal([500, "broken-off"]);
+        expect(result.milliseconds).to.be.below(5_000);
+    });
+
     it("breaks off a large body that is cut off", async () => {
         const target: TargetScript = socket => {
             body("stated", LARGE_BODY_CHUNKS / 2)(socket);
