Merge bodies without end and callers that have left

The test of slow callers counted the bytes that a target could write, 8 MiB at most. It now counts the bytes that the process itself holds for the caller, 2 MiB at most.

--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -4,7 +4,15 @@
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { breakOff, type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
+import {
+    breakOff,
+    MAXIMUM_UNSTATED_BODY_BYTES,
+    type RefusalReason,
+    writeFailure,
+    writePaced,
+    writeRefusal,
+    writeResponseHead,
+} from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
 import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
@@ -20,9 +28,6 @@
     moveToAnotherGroup(): void;
 }
 
-/** Buffered bytes for a slow caller above which reading from the target pauses. */
-const PAUSE_THRESHOLD_BYTES = 65_536;
-
 interface Attempt {
     readonly head: string;
     readonly target: Target;
@@ -38,6 +43,8 @@
     opening?: { readonly head: ResponseHead; readonly headers: HeaderList; };
     /** Whether the response is an error of the target that is passed to the caller unchanged. */
     isPassthrough: boolean;
+    /** Number of bytes of such an error that have arrived. */
+    passedThroughBytes: number;
     isReleased: boolean;
 }
 
@@ -125,6 +132,7 @@
             written: false,
             started: false,
             isPassthrough: false,
+            passedThroughBytes: 0,
             isReleased: false,
         };
         this.attempt = attempt;
@@ -201,11 +209,9 @@
     }
 
     private receiveData(attempt: Attempt, chunk: Buffer): void {
-        const { context, parts } = this;
-        const now = parts.clock.monotonic();
+        const now = this.parts.clock.monotonic();
         if (attempt.isPassthrough) {
-            this.openResponse(attempt);
-            context.response.write(chunk);
+            this.passThrough(attempt, chunk);
             return;
         }
         const events = attempt.splitter.push(chunk);
@@ -225,9 +231,16 @@
             this.abandon(attempt, "event-too-long");
             return;
         }
-        if (context.response.writableLength > PAUSE_THRESHOLD_BYTES) {
-            attempt.exchange?.pause();
+    }
+
+    private passThrough(attempt: Attempt, chunk: Buffer): void {
+        attempt.passedThroughBytes += chunk.length;
+        if (attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
+            this.abandon(attempt, "body-too-long");
+            return;
         }
+        this.openResponse(attempt);
+        writePaced(this.context.response, chunk, attempt.exchange);
     }
 
     private recordProgress(attempt: Attempt, now: number): void {
@@ -252,7 +265,7 @@
         }
         this.lastEventId = id ?? this.lastEventId;
         this.openResponse(attempt);
-        this.context.response.write(event.bytes);
+        writePaced(this.context.response, event.bytes, attempt.exchange);
         return true;
     }
 
--- a/packages/daemon/src/relay/tests/socketfixture.ts
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -33,6 +33,8 @@
     readonly milliseconds: number;
     /** Number of targets that the request reached. */
     readonly sends: number;
+    /** Most bytes of the response that the process held for the caller, without those in the buffers of sockets. */
+    readonly mostHeldBytes: number;
     readonly fixture: RelayFixture;
 }
 
@@ -51,6 +53,7 @@
     scripts: readonly TargetScript[],
 ): Promise<CallerResult> {
     let sends = 0;
+    let mostHeldBytes = 0;
     const sockets = new Set<Socket>();
     const targets = await Promise.all(scripts.map(script =>
         listen(createSocketServer(socket => {
@@ -74,6 +77,12 @@
         } satisfies RelayFixture["parts"]["connections"],
     };
     const server = createServer((...[, response]) => {
+        const write = response.write.bind(response);
+        response.write = ((chunk: Buffer) => {
+            const isBelowThreshold = write(chunk);
+            mostHeldBytes = Math.max(mostHeldBytes, response.writableLength);
+            return isBelowThreshold;
+        }) as typeof response.write;
         const context: RequestContext = {
             ...fixture.context,
             response,
@@ -95,7 +104,7 @@
     server.close();
     targets.forEach(target => target.close());
     sockets.forEach(socket => socket.destroy());
-    return { ...received, milliseconds, sends, fixture };
+    return { ...received, milliseconds, sends, mostHeldBytes, fixture };
 }
 
 /** Forwards no headers that describe the framing of a response, as a platform's protocol does. */
