--- /dev/null
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -0,0 +1,38 @@
+/** HTTP server for callers. Its limits follow the configuration. */
+import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
+import { limitConnections } from "./connectionlimits.js";
+import { inOrder, type RequestHandler } from "./requestorder.js";
+import type { RelayState } from "./state.js";
+
+/** Least limit of the HTTP parser; the configured limit is checked against the parsed headers. */
+const PARSER_HEADER_BYTES = 65_536;
+/** The parser closes connections without a response, so its limit is this many times the configured one. */
+const PARSER_HEADER_FACTOR = 2;
+/** Callers reuse idle connections until shortly before the idle timeout, so the server keeps them open longer. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
+
+/** Creates the server, which does not listen yet. */
+export function createCallerServer(state: RelayState, handle: RequestHandler): Server {
+    const server = createServer({
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        requestTimeout: 0,
+        noDelay: true,
+    }, inOrder(handle));
+    server.on("clientError", (...[, socket]: [Error, Socket]) => {
+        // No request was parsed, so the caller must not receive a response that it could match to one.
+        socket.destroy();
+    });
+    const connectionLimits = limitConnections(server);
+    state.onChange(() => {
+        const limits = state.lookup()?.configuration.limits;
+        if (limits !== undefined) {
+            // Node takes over the value for each new connection.
+            const maxHeaderSize = Math.max(PARSER_HEADER_BYTES, PARSER_HEADER_FACTOR * limits.headerBytes);
+            Object.assign(server, { maxHeaderSize });
+            connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+            connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
+        }
+    });
+    return server;
+}
