Handle errors that the response to a caller reports

What callers would see: a write after the end of a response is reported by an error event, which ends the process if nothing listens, and with it all requests.

Cause: the guard of a request covers what throws, and not what Node reports later.

Evidence: lastresort.test.ts, `because it writes after the end of its response does not end the process`: an uncaught ERR_STREAM_WRITE_AFTER_END before, one line in the log now. With Node's client no target was found that causes it, since no data follows the end of an exchange; this is a precaution.

Change: the error event of a response ends its request as other errors do.

Conclusion: an error of one response costs one request at most.

--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -38,6 +38,7 @@
             Math.min(remainingMilliseconds, MAXIMUM_TIMER_MILLISECONDS),
         );
         context.response.on("close", () => this.guard(() => this.callerLeft()));
+        context.response.on("error", error => this.fail(error));
     }
 
     /** Runs a step of this request. An error that it throws ends the request, with a response that states the truth. */
--- a/packages/daemon/src/relay/tests/lastresort.test.ts
+++ b/packages/daemon/src/relay/tests/lastresort.test.ts
@@ -168,6 +168,20 @@
         });
     });
 
+    it("because it writes after the end of its response does not end the process", async () => {
+        const result = await run({ kind: "stream" }, () => ({}));
+        const [send] = result.fixture.sends;
+        send?.receiver.sent();
+        send?.receiver.head(responseHeads.stream);
+        send?.receiver.data(Buffer.from("id: 1\ndata: x\n\n"));
+        send?.receiver.ended();
+        send?.receiver.data(Buffer.from("id: 2\ndata: x\n\n"));
+        await wait(50);
+        expect(result.caller.received()).to.match(/200 OK[^]*id: 1[^]*\r\n0\r\n\r\n$/);
+        expect(result.events("requestFailed")[0]).to.include({ requestId: "r1", route: "route" });
+        expectNothingLeft(result);
+    });
+
     it("at its deadline gets a response and does not end the process", async () => {
         const result = await run({ kind: "repeatable", timeoutMilliseconds: 100 }, ({ parts }) => ({
             connections: {
