Keep a daemon below 128 MB under ten targets that send bytes without end

Change: KEPT_BODY_BYTES is 256 KiB, MAXIMUM_UNSTATED_BODY_BYTES 16 MiB; neither limits a body with a stated length, also of an error that a stream's target answers.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -21,7 +21,7 @@
 /** `Retry-After` while no target of the service is registered. */
 const NO_TARGET_RETRY_AFTER_MILLISECONDS = 1_000;
 /** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
-const KEPT_BODY_BYTES = 1_048_576;
+const KEPT_BODY_BYTES = 262_144;
 /** Additional cost of a target in another data centre, in requests in progress. */
 const REMOTE_COST = 1.5;
 
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -7,7 +7,7 @@
 const PAUSE_THRESHOLD_BYTES = 65_536;
 
 /** Maximum size of a body whose target states no length and that is not a stream. */
-export const MAXIMUM_UNSTATED_BODY_BYTES = 67_108_864;
+export const MAXIMUM_UNSTATED_BODY_BYTES = 16_777_216;
 
 /** Why a request is refused before any target could run it. */
 export type RefusalReason =
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -233,7 +233,8 @@
 
     private passThrough(attempt: Attempt, chunk: Buffer): void {
         attempt.passedThroughBytes += chunk.length;
-        if (attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
+        const isLengthStated = attempt.opening?.head.headers["content-length"] !== undefined;
+        if (!isLengthStated && attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
             this.abandon(attempt, "body-too-long");
             return;
         }
