--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,4 +1,5 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
+import { configurationBench } from "./configuration.js";
 import { controlBench } from "./control/bench.js";
 import { foldBench } from "./fold.js";
 import { groupsBench } from "./groups/bench.js";
@@ -17,6 +18,7 @@
     targetLimitsBench,
     groupsBench,
     foldBench,
+    configurationBench,
     pathBench,
     controlBench,
 ];
