Go on with the shutdown when the platform sends SIGTERM again

What callers saw: requests in progress were cut off without an answer when a second SIGTERM came within the grace time.

Cause: the handler was registered for one signal, so that the second one had Node's default effect and ended the process.

Evidence: delivery.test.ts, 'is answered although the daemon gets SIGTERM a second time within the grace time': 200 and a cut answer before, whole now. It also failed before.

--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -144,6 +144,8 @@
             .catch((error: unknown) => log.emit("taskFailed", { task: "shutdown", error }))
             .finally(() => process.exit(0));
     });
+    // The first signal has begun the shutdown. Without a listener, a second one would end the process at once.
+    process.on("SIGTERM", () => undefined);
     process.on("SIGHUP", () => log.emit("settingsUnchanged"));
 }
 
