Decide which prompt parts crash targets: first version

This adds the decision code, to be wired into the daemon.

Crashes are merged by process and proofs by time; a part is quarantined after two crashes since its last proof, more while crashes have other causes.

--- /dev/null
+++ b/packages/core/src/quarantine/blame.ts
@@ -0,0 +1,42 @@
+/** Tests that decide, from the crashes of a part, whether the part is the cause. */
+import { CRASH_SPACING_MILLISECONDS, GRACE_MILLISECONDS } from "./constants.js";
+
+/** What is known about a part. */
+export interface PartEvidence {
+    /** Times of the crashes since the part was last proven in which it was a candidate, oldest first. */
+    readonly crashTimes: readonly number[];
+    /** Number of recent crashes in which it was no candidate. */
+    readonly otherCrashes: number;
+    /** Whether the part was proven some time before these crashes. */
+    readonly wasProven: boolean;
+    /** Whether another part was a candidate in the same crashes, so that either can be the cause. */
+    readonly isAmbiguous: boolean;
+    readonly now: number;
+}
+
+/** Returns the time from which the part is to be blamed, or infinity if the evidence doesn't suffice. */
+export type BlameTest = (evidence: PartEvidence) => number;
+
+/** Greatest numbers of other crashes at which 2, 3 and 4 crashes suffice. */
+const OTHER_CRASHES_BY_NEED = [1, 4, 10];
+const LEAST_CRASHES = 2;
+
+/** Counts crashes since the last proof. More are needed the more crashes have other causes. */
+export const countCrashes: BlameTest = ({ crashTimes, otherCrashes, wasProven, isAmbiguous }) => {
+    const needed = LEAST_CRASHES
+        + OTHER_CRASHES_BY_NEED.filter(most => otherCrashes > most).length
+        + (isAmbiguous ? 1 : 0);
+    if (countSpaced(crashTimes) < needed) {
+        return Number.POSITIVE_INFINITY;
+    }
+    return wasProven ? (crashTimes[0] ?? 0) + GRACE_MILLISECONDS : Number.NEGATIVE_INFINITY;
+};
+
+/** Counts crashes, those that are close to the last counted one not. */
+export function countSpaced(times: readonly number[]): number {
+    return times.reduce<{ readonly count: number; readonly last: number; }>(
+        (counted, at) =>
+            at - counted.last < CRASH_SPACING_MILLISECONDS ? counted : { count: counted.count + 1, last: at },
+        { count: 0, last: Number.NEGATIVE_INFINITY },
+    ).count;
+}
--- /dev/null
+++ b/packages/core/src/quarantine/constants.ts
@@ -0,0 +1,57 @@
+/** Bounds and times of the quarantine. The choice and its figures are in docs/decisions/quarantine.md. */
+
+/** Crashes that are remembered; the oldest is dropped, which can only delay blame. */
+export const MAXIMUM_CRASHES = 256;
+/** Parts that are remembered of one crash. Those that occur in another crash come first. */
+export const MAXIMUM_PARTS_OF_CRASH = 96;
+/** Parts whose last proof is remembered; the least recently used is dropped and then counts as never proven. */
+export const MAXIMUM_PROVEN_PARTS = 8_192;
+/** Decisions that are remembered. Released parts are dropped first, then the oldest, whose parts are served again. */
+export const MAXIMUM_STATEMENTS = 256;
+
+/** Crashes, parts of crashes, proofs and decisions in one report. What is older is told in turn. */
+export const MAXIMUM_REPORTED_CRASHES = 32;
+export const MAXIMUM_REPORTED_PARTS = 512;
+export const MAXIMUM_REPORTED_PROOFS = 128;
+export const MAXIMUM_REPORTED_STATEMENTS = 32;
+/** Facts younger than this are in each report, as far as the bounds allow. */
+export const NEWS_MILLISECONDS = 3_000;
+/** Older facts in each report, one after another. */
+export const OLD_FACTS_IN_REPORT = 8;
+
+/** A crash counts this long. Harmful requests may come some minutes apart. */
+export const CRASH_RETENTION_MILLISECONDS = 1_800_000;
+/** A quarantined part for which no request came this long is forgotten. */
+export const STATEMENT_RETENTION_MILLISECONDS = 7_200_000;
+/** Crashes of a target whose start is not known everywhere are one crash if they are this close. */
+export const SAME_CRASH_MILLISECONDS = 2_000;
+
+/** Time from the first event of a stream until it counts as proven. */
+export const PROOF_MILLISECONDS = 500;
+/** A first event clears crashes that are this much older, because ages that were told lack the time of the message. */
+export const PROOF_MARGIN_MILLISECONDS = 250;
+/** A part with a proof not older than this was sound before, so that others that use it are likely to prove it again. */
+export const PROOF_RETENTION_MILLISECONDS = 600_000;
+/** A part that was sound before is blamed no sooner than this after its first crash, so that proofs can arrive. */
+export const GRACE_MILLISECONDS = 1_500;
+/** Crashes closer than this count as one, because many targets can end at once by a cause of their own. */
+export const CRASH_SPACING_MILLISECONDS = 100;
+/** Crashes without the part that raise the number of crashes needed. */
+export const OTHER_CRASHES_MILLISECONDS = 30_000;
+
+/** Pause until the first trial of a part that was sound before, and of one that never was. */
+export const SOUND_TRIAL_PAUSE_MILLISECONDS = 2_500;
+export const TRIAL_PAUSE_MILLISECONDS = 30_000;
+/** Factor of the pause for each further crash. */
+export const TRIAL_PAUSE_GROWTH = 4;
+/** No trial at this number of crashes, so that no trial causes the fifth. */
+export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
+/** A part that was sound before and met more crashes at once gets this many trials that may come to nothing. */
+export const MAXIMUM_LATE_TRIALS = 2;
+/** A trial without a result is repeated after this time. */
+export const TRIAL_RESULT_MILLISECONDS = 10_000;
+/** Time that callers are told when no automatic trial is left. */
+export const NO_TRIAL_RETRY_MILLISECONDS = 300_000;
+/** Least time that callers are told, and what is added so that they don't return together. */
+export const MINIMUM_RETRY_MILLISECONDS = 1_000;
+export const RETRY_SPREAD = 0.5;
