--- a/packages/core/src/quarantine/blame.ts
+++ b/packages/core/src/quarantine/blame.ts
@@ -19,7 +19,8 @@
 
 /** Greatest numbers of other crashes at which 2, 3 and 4 crashes suffice. */
 const OTHER_CRASHES_BY_NEED = [1, 4, 10];
-const LEAST_CRASHES = 2;
+/** Fewest crashes for which a part is blamed. */
+export const LEAST_CRASHES = 2;
 
 /** Counts crashes since the last proof. More are needed the more crashes have other causes. */
 export const countCrashes: BlameTest = ({ crashTimes, otherCrashes, wasProven, isAmbiguous }) => {
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -55,3 +55,5 @@
 /** Least time that callers are told, and what is added so that they don't return together. */
 export const MINIMUM_RETRY_MILLISECONDS = 1_000;
 export const RETRY_SPREAD = 0.5;
+/** An operator's release outweighs this many automatic decisions that other daemons made without knowing of it. */
+export const OPERATOR_REVISIONS = 1_000;
--- a/packages/core/src/quarantine/crashes.ts
+++ b/packages/core/src/quarantine/crashes.ts
@@ -19,134 +19,138 @@
 }
 
 /** Bounded collection of crashes. */
-export interface Crashes {
+export class Crashes {
+    private readonly crashes = new Map<string, KnownCrash>();
+    /** Keys of the crashes of each part. */
+    private readonly byPart = new Map<string, Set<string>>();
+    /** Results that hold until a crash is added or removed. */
+    private readonly countedByPart = new Map<string, readonly KnownCrash[]>();
+    private counted: readonly KnownCrash[] | undefined;
+
     /** Adds what is told of a crash; returns the crash if that is news. */
-    add(crash: ReportedCrash, now: number): KnownCrash | undefined;
+    add(told: ReportedCrash, now: number): KnownCrash | undefined {
+        const { target, startedAt, at } = told;
+        if (now - at > CRASH_RETENTION_MILLISECONDS) {
+            return undefined;
+        }
+        const key = this.keyOf(told);
+        const before = this.crashes.get(key);
+        const withdrawn = told.withdrawn === true || before?.withdrawn === true;
+        const parts = withdrawn ? new Set<string>() : this.limitParts(new Set([...before?.parts ?? [], ...told.parts]));
+        const isNews = before === undefined || before.withdrawn !== withdrawn
+            || before.at - at > SAME_CRASH_MILLISECONDS || [...parts].some(part => !before.parts.has(part));
+        if (!isNews && at >= before.at) {
+            return undefined;
+        }
+        this.remove(key);
+        const crash: KnownCrash = {
+            target,
+            startedAt,
+            at: Math.min(at, before?.at ?? at),
+            parts,
+            withdrawn,
+            changedAt: isNews ? now : before.changedAt,
+        };
+        this.crashes.set(key, crash);
+        parts.forEach(part => this.byPart.set(part, (this.byPart.get(part) ?? new Set()).add(key)));
+        this.limitCrashes();
+        return isNews ? crash : undefined;
+    }
+
     /** Returns the crashes with this part, oldest first. */
-    withPart(part: string): readonly KnownCrash[];
+    withPart(part: string): readonly KnownCrash[] {
+        const keys = this.byPart.get(part);
+        if (keys === undefined) {
+            return [];
+        }
+        const cached = this.countedByPart.get(part);
+        const found = cached ?? this.sort([...keys].flatMap(key => this.crashes.get(key) ?? []));
+        this.countedByPart.set(part, found);
+        return found;
+    }
+
     /** Returns all crashes that count, oldest first. */
-    all(): readonly KnownCrash[];
-    /** Returns all crashes, also those withdrawn, oldest first. */
-    known(): readonly KnownCrash[];
+    all(): readonly KnownCrash[] {
+        this.counted ??= this.sort([...this.crashes.values()]);
+        return this.counted;
+    }
+
+    /** Returns all crashes, also those withdrawn. */
+    known(): readonly KnownCrash[] {
+        return [...this.crashes.values()];
+    }
+
     /** Returns all parts that occur in a crash. */
-    parts(): readonly string[];
-    hasPart(part: string): boolean;
-    prune(now: number): void;
-}
+    parts(): readonly string[] {
+        return [...this.byPart.keys()];
+    }
 
-/** Creates an empty collection. */
-export function createCrashes(): Crashes {
-    const crashes = new Map<string, KnownCrash>();
-    /** Keys of the crashes of each part. */
-    const byPart = new Map<string, Set<string>>();
-    /** Results that hold until a crash is added or removed. */
-    const countedByPart = new Map<string, readonly KnownCrash[]>();
-    let sorted: readonly KnownCrash[] | undefined;
-    let counted: readonly KnownCrash[] | undefined;
-
-    const invalidate = (): void => {
-        sorted = undefined;
-        counted = undefined;
-        countedByPart.clear();
-    };
-    const known = (): readonly KnownCrash[] => {
-        sorted ??= [...crashes.values()].sort((left, right) => left.at - right.at);
-        return sorted;
-    };
-    const remove = (key: string): void => {
-        crashes.get(key)?.parts.forEach(part => {
-            const keys = byPart.get(part);
-            keys?.delete(key);
-            if (keys?.size === 0) {
-                byPart.delete(part);
-            }
-        });
-        crashes.delete(key);
-        invalidate();
-    };
-    const limitParts = (parts: ReadonlySet<string>): Set<string> => {
+    find(target: string, startedAt: number | undefined): KnownCrash | undefined {
+        return this.all().findLast(crash => crash.target === target && crash.startedAt === startedAt);
+    }
+
+    prune(now: number): void {
+        [...this.crashes]
+            .filter(([, { at }]) => now - at > CRASH_RETENTION_MILLISECONDS)
+            .forEach(([key]) => this.remove(key));
+    }
+
+    private sort(crashes: readonly KnownCrash[]): readonly KnownCrash[] {
+        return crashes.filter(crash => !crash.withdrawn && !this.isRepetition(crash))
+            .sort((left, right) => left.at - right.at);
+    }
+
+    /** A crash without a start is the same as one with a start that is close to it. */
+    private isRepetition({ target, startedAt, at }: KnownCrash): boolean {
+        return startedAt === undefined
+            && [...this.crashes.values()].some(other =>
+                other.target === target && other.startedAt !== undefined && isClose(other.at, at)
+            );
+    }
+
+    /** Without a start, crashes of a target that are close to each other are one. */
+    private keyOf({ target, startedAt, at }: ReportedCrash): string {
+        if (startedAt !== undefined) {
+            return `${startedAt} ${target}`;
+        }
+        const close = [...this.crashes].find(([, crash]) =>
+            crash.target === target && crash.startedAt === undefined && isClose(crash.at, at)
+        );
+        return close?.[0] ?? `? ${at} ${target}`;
+    }
+
+    /** Keeps the parts that occur in another crash, then others in an order that is the same for all daemons. */
+    private limitParts(parts: ReadonlySet<string>): ReadonlySet<string> {
         if (parts.size <= MAXIMUM_PARTS_OF_CRASH) {
-            return new Set(parts);
+            return parts;
         }
-        const isRepeated = (part: string): boolean => byPart.has(part);
-        const sortedParts = [...parts].sort();
-        const chosen = [...sortedParts.filter(isRepeated), ...sortedParts.filter(part => !isRepeated(part))];
+        const sorted = [...parts].sort();
+        const isRepeated = (part: string): boolean => this.byPart.has(part);
+        const chosen = [...sorted.filter(isRepeated), ...sorted.filter(part => !isRepeated(part))];
         return new Set(chosen.slice(0, MAXIMUM_PARTS_OF_CRASH));
-    };
-    const set = (key: string, crash: KnownCrash): void => {
-        remove(key);
-        crashes.set(key, crash);
-        crash.parts.forEach(part => byPart.set(part, (byPart.get(part) ?? new Set()).add(key)));
-        invalidate();
-    };
-    /** A crash without a start is the same as one with a start that is close to it. */
-    const isRepetition = (crash: KnownCrash): boolean =>
-        crash.startedAt === undefined
-        && [...crashes.values()].some(other =>
-            other.target === crash.target && other.startedAt !== undefined
-            && Math.abs(other.at - crash.at) <= SAME_CRASH_MILLISECONDS
-        );
-    const counts = (crash: KnownCrash): boolean => !crash.withdrawn && !isRepetition(crash);
+    }
 
-    return {
-        add: ({ target, startedAt, at, parts, withdrawn }, now) => {
-            if (now - at > CRASH_RETENTION_MILLISECONDS) {
-                return undefined;
-            }
-            const key = startedAt === undefined ? unknownStartKey(target, at, crashes) : `${startedAt} ${target}`;
-            const before = crashes.get(key);
-            const isWithdrawn = withdrawn === true || before?.withdrawn === true;
-            const merged = isWithdrawn ? new Set<string>() : new Set([...before?.parts ?? [], ...parts]);
-            const isNews = before === undefined || before.withdrawn !== isWithdrawn
-                || before.at - at > SAME_CRASH_MILLISECONDS || [...merged].some(part => !before.parts.has(part));
-            const next: KnownCrash = {
-                target,
-                startedAt,
-                at: Math.min(at, before?.at ?? at),
-                parts: limitParts(merged),
-                withdrawn: isWithdrawn,
-                changedAt: isNews ? now : before.changedAt,
-            };
-            if (!isNews && before.at === next.at) {
-                return undefined;
-            }
-            set(key, next);
-            if (crashes.size > MAXIMUM_CRASHES) {
-                const oldest = [...crashes].reduce((left, right) => right[1].at < left[1].at ? right : left);
-                remove(oldest[0]);
-            }
-            return isNews ? next : undefined;
-        },
-        withPart: part => {
-            const cached = countedByPart.get(part);
-            if (cached !== undefined) {
-                return cached;
+    private limitCrashes(): void {
+        if (this.crashes.size > MAXIMUM_CRASHES) {
+            const [key] = [...this.crashes].reduce((left, right) => right[1].at < left[1].at ? right : left);
+            this.remove(key);
+        }
+    }
+
+    private remove(key: string): void {
+        this.crashes.get(key)?.parts.forEach(part => {
+            const keys = this.byPart.get(part);
+            keys?.delete(key);
+            if (keys?.size === 0) {
+                this.byPart.delete(part);
             }
-            const found = [...byPart.get(part) ?? []]
-                .flatMap(key => crashes.get(key) ?? [])
-                .filter(counts)
-                .sort((left, right) => left.at - right.at);
-            countedByPart.set(part, found);
-            return found;
-        },
-        all: () => {
-            counted ??= known().filter(counts);
-            return counted;
-        },
-        known,
-        parts: () => [...byPart.keys()],
-        hasPart: part => byPart.has(part),
-        prune: now =>
-            [...crashes]
-                .filter(([, { at }]) => now - at > CRASH_RETENTION_MILLISECONDS)
-                .forEach(([key]) => remove(key)),
-    };
+        });
+        this.crashes.delete(key);
+        this.countedByPart.clear();
+        this.counted = undefined;
+    }
 }
 
-/** Without a start, crashes of a target that are close to each other are one. */
-function unknownStartKey(target: string, at: number, crashes: ReadonlyMap<string, KnownCrash>): string {
-    const close = [...crashes].find(([, crash]) =>
-        crash.target === target && crash.startedAt === undefined && Math.abs(crash.at - at) <= SAME_CRASH_MILLISECONDS
-    );
-    return close?.[0] ?? `? ${Math.round(at)} ${target}`;
+function isClose(left: number, right: number): boolean {
+    return Math.abs(left - right) <= SAME_CRASH_MILLISECONDS;
 }
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -4,339 +4,226 @@
  * Decisions follow from facts that all daemons merge: the union of the crashes and the newest proof of each part. The
  * order in which a daemon learns them doesn't matter. A part is never blamed for crashes before its last proof.
  */
-import { type BlameTest, countCrashes, countSpaced } from "./blame.js";
+import { type BlameTest, countCrashes, countSpaced, LEAST_CRASHES } from "./blame.js";
 import {
-    CRASH_RETENTION_MILLISECONDS,
-    MAXIMUM_STATEMENTS,
     MINIMUM_RETRY_MILLISECONDS,
     NO_TRIAL_RETRY_MILLISECONDS,
-    OTHER_CRASHES_MILLISECONDS,
     PROOF_MARGIN_MILLISECONDS,
     PROOF_MILLISECONDS,
-    PROOF_RETENTION_MILLISECONDS,
     RETRY_SPREAD,
     STATEMENT_RETENTION_MILLISECONDS,
 } from "./constants.js";
-import { createCrashes, type KnownCrash } from "./crashes.js";
-import { createProofs } from "./proofs.js";
-import { createReporter, type KnownStatement } from "./reports.js";
-import { mergeStatements, nextRevision, nextTrialAt } from "./statements.js";
-import type { PartQuarantine, PartStatement, PartVerdict, ReportedCrash } from "./types.js";
-
-/** Evidence against a part that is not quarantined. */
-interface Suspect {
-    readonly part: string;
-    readonly crashes: readonly KnownCrash[];
-    readonly wasProven: boolean;
-}
-
-const GOLDEN_RATIO_FRACTION = 0.618_033_988_75;
+import { Crashes, type KnownCrash } from "./crashes.js";
+import { Evidence } from "./evidence.js";
+import { Proofs } from "./proofs.js";
+import { Reporter } from "./reports.js";
+import { nextTrialAt, Statements } from "./statements.js";
+import type {
+    CrashObservation,
+    PartQuarantine,
+    PartStatement,
+    PartVerdict,
+    QuarantineReport,
+    ReportedCrash,
+} from "./types.js";
+
+type Changes = readonly PartStatement[];
+
+/** Successive multiples of it, modulo 1, are evenly spread. */
+const GOLDEN_RATIO = 0.618_033_988_75;
 
 /** Creates an empty quarantine. `test` decides when the evidence against a part suffices. */
 export function createPartQuarantine({ test = countCrashes }: { readonly test?: BlameTest; } = {}): PartQuarantine {
-    const crashes = createCrashes();
-    const proofs = createProofs();
-    const reporter = createReporter();
-    const statements = new Map<string, KnownStatement>();
-    /** Parts that are to be blamed at a time unless they are proven before. */
-    const waiting = new Map<string, number>();
-    let refusals = 0;
-
-    const find = (part: string): PartStatement | undefined => statements.get(part)?.statement;
-    const isQuarantined = (part: string): boolean => find(part)?.state === "quarantined";
+    return new Quarantine(test);
+}
 
-    const store = (statement: PartStatement, now: number): PartStatement => {
-        statements.set(statement.part, { statement, changedAt: now });
-        waiting.delete(statement.part);
-        if (statements.size > MAXIMUM_STATEMENTS) {
-            const rank = ({ statement: { state, statedAt } }: KnownStatement): number =>
-                statedAt + (state === "quarantined" ? STATEMENT_RETENTION_MILLISECONDS : 0);
-            const [dropped] = [...statements.values()].sort((left, right) => rank(left) - rank(right));
-            statements.delete(dropped?.statement.part ?? "");
+class Quarantine implements PartQuarantine {
+    private readonly crashes = new Crashes();
+    private readonly proofs = new Proofs();
+    private readonly statements = new Statements();
+    private readonly reporter = new Reporter();
+    private readonly evidence: Evidence;
+    /** Parts that are to be blamed at a time unless they are proven before. */
+    private readonly waiting = new Map<string, number>();
+    private refusals = 0;
+
+    constructor(test: BlameTest) {
+        this.evidence = new Evidence(this.crashes, this.proofs, this.statements, test);
+    }
+
+    recordProven(parts: readonly string[], now: number, firstEventAt = now - PROOF_MILLISECONDS): Changes {
+        const cleared = parts.filter(part => this.addProof(part, firstEventAt, "own"));
+        const released = parts.filter(part => this.statements.isQuarantined(part))
+            .flatMap(part => this.releaseIfProven(part, now));
+        return released.length + cleared.length === 0
+            ? []
+            : [...released, ...this.evaluate(this.neighbours([...cleared, ...released.map(({ part }) => part)]), now)];
+    }
+
+    recordCrash(crash: CrashObservation, now: number): Changes {
+        const concerned = this.addCrashes([{ ...crash, at: now }], now);
+        return [...concerned.flatMap(part => this.countFurther(part, now)), ...this.evaluate(concerned, now)];
+    }
+
+    withdrawCrash(target: string, startedAt: number | undefined, now: number): Changes {
+        const crash = this.crashes.find(target, startedAt);
+        return crash === undefined ? [] : this.withdraw(crash, now);
+    }
+
+    check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict {
+        this.advance(now);
+        const refused = parts
+            .flatMap(part => this.statements.isQuarantined(part) ? this.statements.find(part) ?? [] : [])
+            .map(statement => ({ statement, trialAt: nextTrialAt(statement) }));
+        const [first] = refused;
+        if (first === undefined) {
+            return { kind: "allowed" };
         }
-        return statement;
-    };
-
-    /** Returns the time up to which crashes say nothing about a part. */
-    const clearedAt = (part: string): number => {
-        const statement = find(part);
-        const releasedAt = statement?.state === "released" ? statement.statedAt : Number.NEGATIVE_INFINITY;
-        return Math.max(releasedAt, proofs.lastAt(part) - PROOF_MARGIN_MILLISECONDS);
-    };
-
-    /** Returns the crashes that count against a part if others have to answer for theirs. */
-    const countedCrashes = (part: string): readonly KnownCrash[] => {
-        const cleared = clearedAt(part);
-        return crashes.withPart(part).filter(({ at }) => at > cleared);
-    };
-
-    /** Whether a quarantined part other than `part` accounts for the crash. */
-    const isExplained = (crash: KnownCrash, part: string): boolean =>
-        [...statements.values()].some(({ statement: { part: other, state } }) =>
-            state === "quarantined" && other !== part && crash.parts.has(other) && crash.at > clearedAt(other)
-        );
-
-    const suspectOf = (part: string): Suspect => {
-        const counted = countedCrashes(part).filter(crash => !isExplained(crash, part));
-        const first = counted[0]?.at ?? 0;
-        return { part, crashes: counted, wasProven: first - proofs.lastAt(part) < PROOF_RETENTION_MILLISECONDS };
-    };
-
-    const countOthers = ({ part, crashes: own }: Suspect): number => {
-        const from = (own.at(-1)?.at ?? 0) - OTHER_CRASHES_MILLISECONDS;
-        return crashes.all()
-            .filter(crash => crash.at > from && !crash.parts.has(part) && !isExplained(crash, part))
-            .length;
-    };
-
-    /** Parts that were candidates in all crashes of the suspect. */
-    const rivalsOf = ({ part, crashes: [first, ...others] }: Suspect): readonly Suspect[] =>
-        [...first?.parts ?? []]
-            .filter(other => other !== part && others.every(crash => crash.parts.has(other)))
-            .map(suspectOf);
-
-    /** Returns when the suspect is to be blamed by what is known. */
-    const blameAt = (suspect: Suspect, now: number): number => {
-        const rivals = rivalsOf(suspect)
-            .filter(rival => rival.crashes.length >= suspect.crashes.length)
-            .filter(rival => suspect.wasProven || !rival.wasProven);
-        const isPreceded = rivals.some(rival =>
-            rival.wasProven !== suspect.wasProven || rival.crashes.length > suspect.crashes.length
-        );
-        return isPreceded ? Number.POSITIVE_INFINITY : test({
-            crashTimes: suspect.crashes.map(({ at }) => at),
-            otherCrashes: countOthers(suspect),
-            wasProven: suspect.wasProven,
-            isAmbiguous: rivals.length > 0,
-            now,
-        });
-    };
-
-    const blame = ({ part, crashes: counted, wasProven }: Suspect, now: number): PartStatement =>
-        store({
-            part,
-            revision: nextRevision(find(part), "crashes"),
-            state: "quarantined",
-            statedAt: now,
-            crashes: counted.length,
-            cause: "crashes",
-            trials: 0,
-            wasProven,
-        }, now);
-
-    /** Blames parts as far as the evidence suffices. A part that is blamed can account for the crashes of others. */
-    const evaluate = (parts: Iterable<string>, now: number): readonly PartStatement[] => {
+        const last = refused.reduce((left, right) => left.trialAt >= right.trialAt ? left : right, first);
+        const { part } = last.statement;
+        if (last.trialAt <= now && mayTry(part)) {
+            refused.forEach(({ statement }) =>
+                this.statements.state({ ...statement, trials: statement.trials + 1, trialAt: now }, now)
+            );
+            return { kind: "trial", part };
+        }
+        // A part that is asked for isn't forgotten.
+        refused.map(({ statement }) => statement)
+            .filter(({ statedAt }) => now - statedAt > STATEMENT_RETENTION_MILLISECONDS / 2)
+            .forEach(statement => this.statements.state(statement, now));
+        return { kind: "refused", part, retryAfterMilliseconds: this.retryAfter(last.trialAt - now) };
+    }
+
+    release(part: string, now: number): PartStatement | undefined {
+        const before = this.statements.find(part);
+        return before?.state === "quarantined" ? this.stateReleased(before, "operator", now) : undefined;
+    }
+
+    advance(now: number): Changes {
+        const due = this.waiting.size === 0
+            ? []
+            : [...this.waiting].filter(([, at]) => at <= now).map(([part]) => part);
+        return due.length === 0 ? [] : this.evaluate(due, now);
+    }
+
+    report(now: number): QuarantineReport {
+        this.crashes.prune(now);
+        this.statements.prune(now);
+        return this.reporter.report(this.crashes, this.proofs, this.statements, now);
+    }
+
+    merge({ crashes, proven, statements }: QuarantineReport, now: number): Changes {
+        const withdrawn = crashes.filter(crash => crash.withdrawn === true)
+            .flatMap(({ target, startedAt }) => this.crashes.find(target, startedAt) ?? [])
+            .flatMap(crash => this.withdraw(crash, now));
+        const concerned = this.addCrashes(crashes, now);
+        const cleared = proven.filter(({ part, at }) => this.addProof(part, at, "told")).map(({ part }) => part);
+        const adopted = statements.flatMap(statement => this.statements.adopt(statement, now) ?? []);
+        return [
+            ...withdrawn,
+            ...adopted,
+            ...adopted.flatMap(({ part }) => this.releaseIfProven(part, now)),
+            ...concerned.flatMap(part => this.countFurther(part, now)),
+            ...this.evaluate([...concerned, ...this.neighbours(cleared)], now),
+        ];
+    }
+
+    quarantined(): Changes {
+        return this.statements.quarantined();
+    }
+
+    /** Returns the parts that the crashes concern. Other suspects are weighed again at their next crash. */
+    private addCrashes(crashes: readonly ReportedCrash[], now: number): readonly string[] {
+        return [...new Set(crashes.flatMap(crash => [...this.crashes.add(crash, now)?.parts ?? []]))];
+    }
+
+    /** Returns whether the proof clears a crash of the part. */
+    private addProof(part: string, at: number, source: "own" | "told"): boolean {
+        const crashedAt = this.crashes.withPart(part).at(-1)?.at ?? Number.NEGATIVE_INFINITY;
+        const isCleared = crashedAt <= this.evidence.clearedAt(part);
+        return this.proofs.record(part, at, source) && !isCleared;
+    }
+
+    /** Returns the parts that were candidates in a crash together with one of these. */
+    private neighbours(parts: readonly string[]): readonly string[] {
+        return parts.flatMap(part => this.crashes.withPart(part)).flatMap(crash => [...crash.parts]);
+    }
+
+    /** Blames parts as far as the evidence suffices. */
+    private evaluate(parts: readonly string[], now: number): Changes {
         const suspects = [...new Set(parts)]
-            .filter(part => !isQuarantined(part))
-            .map(suspectOf)
-            .filter(({ crashes: counted }) => counted.length > 1)
-            .map(suspect => ({ suspect, at: blameAt(suspect, now) }));
-        suspects.forEach(({ suspect, at }) => {
+            .filter(part => !this.statements.isQuarantined(part))
+            .map(part => this.evidence.suspectOf(part))
+            .map(suspect => ({
+                suspect,
+                at: suspect.crashes.length > 0 ? this.evidence.blameAt(suspect, now) : Infinity,
+            }));
+        suspects.forEach(({ suspect: { part }, at }) => {
             if (Number.isFinite(at) && at > now) {
-                waiting.set(suspect.part, at);
+                this.waiting.set(part, at);
             }
             else {
-                waiting.delete(suspect.part);
+                this.waiting.delete(part);
             }
         });
-        return suspects.filter(({ at }) => at <= now).map(({ suspect }) => blame(suspect, now));
-    };
+        return suspects.filter(({ at }) => at <= now).map(({ suspect: { part, crashes, wasProven } }) =>
+            this.statements.state(
+                { part, state: "quarantined", crashes: crashes.length, cause: "crashes", trials: 0, wasProven },
+                now,
+            )
+        );
+    }
 
     /** States a quarantined part anew if it met further crashes. */
-    const countFurther = (part: string, now: number): readonly PartStatement[] => {
-        const before = find(part);
+    private countFurther(part: string, now: number): Changes {
+        const before = this.statements.find(part);
         if (before?.state !== "quarantined") {
             return [];
         }
-        const counted = countedCrashes(part);
-        const later = counted.filter(({ at }) => at > before.statedAt + PROOF_MARGIN_MILLISECONDS).length;
-        const count = Math.max(counted.length, before.crashes + later);
-        if (count <= before.crashes) {
-            return [];
-        }
-        const { trialAt } = before;
-        const hasFailed = trialAt !== undefined && counted.some(({ at }) => at > trialAt);
-        const cause = hasFailed || before.cause === "trial-failed" ? "trial-failed" : "crashes";
-        const revision = nextRevision(before, cause);
-        return [store({ ...before, revision, statedAt: now, crashes: count, cause, trialAt: undefined }, now)];
-    };
+        const counted = this.evidence.crashesOf(part);
+        const { trialAt = Number.POSITIVE_INFINITY, statedAt } = before;
+        const later = counted.filter(({ at }) => at > statedAt + PROOF_MARGIN_MILLISECONDS).length;
+        const crashes = Math.max(counted.length, before.crashes + later);
+        const hasFailed = before.cause === "trial-failed" || counted.some(({ at }) => at > trialAt);
+        return crashes <= before.crashes ? [] : [
+            this.statements.state(
+                { ...before, crashes, cause: hasFailed ? "trial-failed" : "crashes", trialAt: undefined },
+                now,
+            ),
+        ];
+    }
 
     /** Releases a quarantined part if a stream of this daemon began well after the last crash. */
-    const releaseProven = (part: string, now: number): readonly PartStatement[] => {
-        const before = find(part);
+    private releaseIfProven(part: string, now: number): Changes {
+        const before = this.statements.find(part);
         if (before?.state !== "quarantined") {
             return [];
         }
-        const known = crashes.withPart(part);
-        const last = known.length >= before.crashes ? known.at(-1)?.at ?? before.statedAt : before.statedAt;
-        return proofs.lastOwnAt(part) > last + PROOF_MARGIN_MILLISECONDS
-            ? [release(before, "trial-passed", now)]
+        const known = this.crashes.withPart(part);
+        const crashedAt = known.length < before.crashes ? before.statedAt : known.at(-1)?.at ?? before.statedAt;
+        return this.proofs.lastOwnAt(part) > crashedAt + PROOF_MARGIN_MILLISECONDS
+            ? [this.stateReleased(before, "trial-passed", now)]
             : [];
-    };
-
-    const release = (before: PartStatement, cause: PartStatement["cause"], now: number): PartStatement =>
-        store({
-            part: before.part,
-            revision: nextRevision(before, cause),
-            state: "released",
-            statedAt: now,
-            crashes: before.crashes,
-            cause,
-            trials: before.trials,
-            wasProven: before.wasProven,
-        }, now);
-
-    /** Adds crashes; returns the parts that they concern. */
-    const addCrashes = (added: readonly ReportedCrash[], now: number): ReadonlySet<string> =>
-        new Set(added.flatMap(crash => {
-            const news = crashes.add(crash, now);
-            // Other suspects may need more crashes or fewer now, which matters only from their next crash on.
-            return news === undefined ? [] : [...news.parts];
-        }));
-
-    const withdraw = (crash: KnownCrash, now: number): readonly PartStatement[] => {
-        const affected = [...crash.parts].filter(part => {
-            const before = find(part);
-            return before?.state === "quarantined" && before.cause === "crashes"
-                && countedCrashes(part).length >= before.crashes;
-        });
-        crashes.add({ ...crash, parts: [], withdrawn: true }, now);
-        return affected
-            .filter(part => countSpaced(countedCrashes(part).map(({ at }) => at)) < 2)
-            .flatMap(part => {
-                const before = find(part);
-                return before === undefined ? [] : [release(before, "crashes", now)];
-            });
-    };
-
-    const findCrash = (target: string, startedAt: number | undefined): KnownCrash | undefined =>
-        crashes.all().findLast(crash => crash.target === target && crash.startedAt === startedAt);
-
-    const advance = (now: number): readonly PartStatement[] => {
-        const due = [...waiting].filter(([, at]) => at <= now).map(([part]) => part);
-        return due.length === 0 ? [] : evaluate(due, now);
-    };
-
-    const adopt = (told: PartStatement, now: number): readonly PartStatement[] => {
-        const retention = told.state === "quarantined"
-            ? STATEMENT_RETENTION_MILLISECONDS
-            : CRASH_RETENTION_MILLISECONDS;
-        if (now - told.statedAt > retention) {
-            return [];
-        }
-        const before = find(told.part);
-        const merged = before === undefined ? told : mergeStatements(before, told);
-        if (before !== undefined && merged.revision === before.revision && merged.state === before.state) {
-            // The same decision: only its times are made exact.
-            const changedAt = statements.get(told.part)?.changedAt ?? now;
-            statements.set(told.part, { statement: merged, changedAt });
-            return [];
-        }
-        return merged === before ? [] : [store(merged, now)];
-    };
-
-    const prune = (now: number): void => {
-        crashes.prune(now);
-        [...statements.values()]
-            .filter(({ statement: { state, statedAt } }) =>
-                now - statedAt
-                    > (state === "quarantined" ? STATEMENT_RETENTION_MILLISECONDS : CRASH_RETENTION_MILLISECONDS)
-            )
-            .forEach(({ statement: { part } }) => statements.delete(part));
-    };
-
-    const startTrial = (before: PartStatement, now: number): void => {
-        const revision = nextRevision(before, before.cause);
-        store({ ...before, revision, trials: before.trials + 1, trialAt: now }, now);
-    };
+    }
 
-    const refuse = (part: string, trialAt: number, now: number): PartVerdict => {
-        refusals += 1;
-        const wait = Number.isFinite(trialAt) ? trialAt - now : NO_TRIAL_RETRY_MILLISECONDS;
-        const spread = 1 + RETRY_SPREAD * (refusals * GOLDEN_RATIO_FRACTION % 1);
-        return {
-            kind: "refused",
-            part,
-            retryAfterMilliseconds: Math.ceil(Math.max(wait, MINIMUM_RETRY_MILLISECONDS) * spread),
-        };
-    };
+    private stateReleased(before: PartStatement, cause: PartStatement["cause"], now: number): PartStatement {
+        return this.statements.state({ ...before, state: "released", cause, trialAt: undefined }, now);
+    }
 
-    return {
-        recordProven: (parts, now, firstEventAt = now - PROOF_MILLISECONDS) => {
-            const proven = parts.filter(part => {
-                const before = clearedAt(part);
-                const isNewest = proofs.record(part, firstEventAt, "own");
-                return isNewest && crashes.hasPart(part) && crashes.withPart(part).some(({ at }) => at > before)
-                    || isQuarantined(part);
-            });
-            const concerned = proven.flatMap(part => crashes.withPart(part).flatMap(crash => [...crash.parts]));
-            return proven.length === 0
-                ? []
-                : [...proven.flatMap(part => releaseProven(part, now)), ...evaluate(concerned, now)];
-        },
-        recordCrash: (crash, now) => {
-            const concerned = addCrashes([{ ...crash, at: now }], now);
-            return [...[...concerned].flatMap(part => countFurther(part, now)), ...evaluate(concerned, now)];
-        },
-        withdrawCrash: (target, startedAt, now) => {
-            const crash = findCrash(target, startedAt);
-            return crash === undefined ? [] : withdraw(crash, now);
-        },
-        check: (parts, mayTry, now) => {
-            if (waiting.size > 0) {
-                advance(now);
-            }
-            const refused = parts.flatMap(part => {
-                const statement = find(part);
-                return statement?.state === "quarantined" ? { statement, trialAt: nextTrialAt(statement) } : [];
-            });
-            const last = refused.reduce<typeof refused[number] | undefined>(
-                (left, right) => left !== undefined && left.trialAt >= right.trialAt ? left : right,
-                undefined,
-            );
-            if (last === undefined) {
-                return { kind: "allowed" };
-            }
-            const { statement: { part }, trialAt } = last;
-            if (trialAt <= now && mayTry(part)) {
-                refused.forEach(({ statement }) => startTrial(statement, now));
-                return { kind: "trial", part };
-            }
-            // Asked for: states the decision anew, so that no daemon forgets it.
-            refused.filter(({ statement: { statedAt } }) => now - statedAt > STATEMENT_RETENTION_MILLISECONDS / 2)
-                .forEach(({ statement }) =>
-                    store({ ...statement, revision: nextRevision(statement, statement.cause), statedAt: now }, now)
-                );
-            return refuse(part, trialAt, now);
-        },
-        release: (part, now) => {
-            const before = find(part);
-            return before?.state === "quarantined" ? release(before, "operator", now) : undefined;
-        },
-        advance,
-        report: now => {
-            prune(now);
-            return reporter.report(crashes, proofs, [...statements.values()], now);
-        },
-        merge: ({ crashes: told, proven, statements: stated }, now) => {
-            const withdrawn = told.filter(crash => crash.withdrawn === true)
-                .flatMap(({ target, startedAt }) => findCrash(target, startedAt) ?? [])
-                .flatMap(crash => withdraw(crash, now));
-            const concerned = addCrashes(told, now);
-            const cleared = proven.filter(({ part, at }) => {
-                const before = clearedAt(part);
-                return proofs.record(part, at, "told") && crashes.withPart(part).some(crash => crash.at > before);
-            }).flatMap(({ part }) => crashes.withPart(part).flatMap(crash => [...crash.parts]));
-            const adopted = stated.flatMap(statement => adopt(statement, now));
-            return [
-                ...withdrawn,
-                ...adopted,
-                ...adopted.flatMap(({ part }) => releaseProven(part, now)),
-                ...[...concerned].flatMap(part => countFurther(part, now)),
-                ...evaluate([...concerned, ...cleared], now),
-            ];
-        },
-        quarantined: () =>
-            [...statements.values()].map(({ statement }) => statement).filter(({ state }) => state === "quarantined"),
-    };
+    /** Drops a crash; releases the parts that were blamed for it and have too few others. */
+    private withdraw(crash: KnownCrash, now: number): Changes {
+        const blamed = this.statements.quarantined().filter(({ part, crashes, cause }) =>
+            cause === "crashes" && crash.parts.has(part) && this.evidence.crashesOf(part).length >= crashes
+        );
+        this.crashes.add({ ...crash, parts: [], withdrawn: true }, now);
+        return blamed
+            .filter(({ part }) => countSpaced(this.evidence.crashesOf(part).map(({ at }) => at)) < LEAST_CRASHES)
+            .map(statement => this.stateReleased(statement, "crashes", now));
+    }
+
+    private retryAfter(wait: number): number {
+        this.refusals += 1;
+        const least = Number.isFinite(wait) ? Math.max(wait, MINIMUM_RETRY_MILLISECONDS) : NO_TRIAL_RETRY_MILLISECONDS;
+        return Math.ceil(least * (1 + RETRY_SPREAD * (this.refusals * GOLDEN_RATIO % 1)));
+    }
 }
--- a/packages/core/src/quarantine/reports.ts
+++ b/packages/core/src/quarantine/reports.ts
@@ -9,66 +9,64 @@
 } from "./constants.js";
 import type { Crashes, KnownCrash } from "./crashes.js";
 import type { Proofs } from "./proofs.js";
+import type { Statements } from "./statements.js";
 import type { PartStatement, QuarantineReport, ReportedCrash } from "./types.js";
 
-/** Decision with the time at which this daemon learned of it. */
-export interface KnownStatement {
-    readonly statement: PartStatement;
+interface Fact<T> {
+    readonly value: T;
     readonly changedAt: number;
 }
 
+type ReportedProof = QuarantineReport["proven"][number];
+
 /** Writes reports. Each contains what is new, and some older facts in turn for daemons that missed them. */
-export interface Reporter {
-    report(crashes: Crashes, proofs: Proofs, statements: readonly KnownStatement[], now: number): QuarantineReport;
-}
+export class Reporter {
+    private readonly crashChooser = new Chooser<KnownCrash>(MAXIMUM_REPORTED_CRASHES);
+    private readonly proofChooser = new Chooser<ReportedProof>(MAXIMUM_REPORTED_PROOFS);
+    private readonly statementChooser = new Chooser<PartStatement>(MAXIMUM_REPORTED_STATEMENTS);
 
-interface Fact<T> {
-    readonly value: T;
-    readonly changedAt: number;
+    report(crashes: Crashes, proofs: Proofs, statements: Statements, now: number): QuarantineReport {
+        const facts = crashes.known().map(value => ({ value, changedAt: value.changedAt }));
+        const decisions = statements.all().map(({ statement, changedAt }) => ({ value: statement, changedAt }));
+        return {
+            crashes: limitParts(this.crashChooser.choose(facts, now)).map(toReported),
+            proven: this.proofChooser.choose(proofsOf(crashes, proofs), now),
+            statements: this.statementChooser.choose(decisions, now),
+        };
+    }
 }
 
-/** Creates a reporter. */
-export function createReporter(): Reporter {
-    const chooseCrashes = createChooser<KnownCrash>(MAXIMUM_REPORTED_CRASHES);
-    const chooseProofs = createChooser<{ readonly part: string; readonly at: number; }>(MAXIMUM_REPORTED_PROOFS);
-    const chooseStatements = createChooser<PartStatement>(MAXIMUM_REPORTED_STATEMENTS);
-    return {
-        report: (crashes, proofs, statements, now) => {
-            const knownCrashes = crashes.known().map(value => ({ value, changedAt: value.changedAt }));
-            const proven = crashes.parts()
-                .map(part => ({ part, at: proofs.lastOwnAt(part) }))
-                .filter(({ at }) => Number.isFinite(at))
-                .map(value => {
-                    const crashedAt = crashes.withPart(value.part).at(-1)?.changedAt ?? 0;
-                    return { value, changedAt: Math.max(value.at, crashedAt) };
-                });
-            const decisions = statements.map(({ statement, changedAt }) => ({ value: statement, changedAt }));
-            return {
-                crashes: limitParts(chooseCrashes(knownCrashes, now)).map(toReported),
-                proven: chooseProofs(proven, now),
-                statements: chooseStatements(decisions, now),
-            };
-        },
-    };
-}
+/** Chooses the newest facts and then others in turn. */
+class Chooser<T> {
+    private next = 0;
+
+    constructor(private readonly maximum: number) {}
 
-/** Creates a function that chooses the newest facts and then others in turn. */
-function createChooser<T>(maximum: number): (facts: readonly Fact<T>[], now: number) => readonly T[] {
-    let next = 0;
-    return (facts, now) => {
+    choose(facts: readonly Fact<T>[], now: number): readonly T[] {
         const isNew = ({ changedAt }: Fact<T>): boolean => now - changedAt < NEWS_MILLISECONDS;
         const newest = facts.filter(isNew)
             .sort((left, right) => right.changedAt - left.changedAt)
-            .slice(0, maximum);
+            .slice(0, this.maximum);
         const old = facts.filter(fact => !isNew(fact));
-        const count = Math.min(old.length, OLD_FACTS_IN_REPORT, maximum - newest.length);
-        const inTurn = [...Array(count).keys()].flatMap(index => old[(next + index) % old.length] ?? []);
-        next = old.length === 0 ? 0 : (next + count) % old.length;
+        const count = Math.min(old.length, OLD_FACTS_IN_REPORT, this.maximum - newest.length);
+        const inTurn = [...Array(count).keys()].flatMap(index => old[(this.next + index) % old.length] ?? []);
+        this.next = old.length === 0 ? 0 : (this.next + count) % old.length;
         return [...newest, ...inTurn].map(({ value }) => value);
-    };
+    }
+}
+
+/** Returns the proofs by this daemon of parts that occur in a crash. A new crash makes them news again. */
+function proofsOf(crashes: Crashes, proofs: Proofs): readonly Fact<ReportedProof>[] {
+    return crashes.parts()
+        .map(part => ({ part, at: proofs.lastOwnAt(part) }))
+        .filter(({ at }) => Number.isFinite(at))
+        .map(value => {
+            const crashedAt = crashes.withPart(value.part).at(-1)?.changedAt ?? Number.NEGATIVE_INFINITY;
+            return { value, changedAt: Math.max(value.at, crashedAt) };
+        });
 }
 
-/** Drops the crashes that follow when the parts become too many; they are told later. */
+/** Drops the crashes that follow when the parts become too many; they are told in turn. */
 function limitParts(crashes: readonly KnownCrash[]): readonly KnownCrash[] {
     let parts = 0;
     return crashes.filter(crash => {
--- a/packages/core/src/quarantine/statements.ts
+++ b/packages/core/src/quarantine/statements.ts
@@ -1,42 +1,96 @@
 /** Decisions about parts: which of two is the later one, and when a quarantined part may be tried again. */
 import {
+    CRASH_RETENTION_MILLISECONDS,
     MAXIMUM_CRASHES_FOR_TRIAL,
     MAXIMUM_LATE_TRIALS,
+    MAXIMUM_STATEMENTS,
+    OPERATOR_REVISIONS,
     SOUND_TRIAL_PAUSE_MILLISECONDS,
+    STATEMENT_RETENTION_MILLISECONDS,
     TRIAL_PAUSE_GROWTH,
     TRIAL_PAUSE_MILLISECONDS,
     TRIAL_RESULT_MILLISECONDS,
 } from "./constants.js";
 import type { PartStatement } from "./types.js";
 
-/** An operator's release outweighs this many automatic decisions that a part of the daemons made at the same time. */
-const OPERATOR_REVISIONS = 1_000;
-
-/** Returns the revision of a decision that follows `before`. */
-export function nextRevision(before: PartStatement | undefined, cause: PartStatement["cause"]): number {
-    return (before?.revision ?? 0) + (cause === "operator" ? OPERATOR_REVISIONS : 1);
+/** Decision with the time at which this daemon learned of it. */
+export interface KnownStatement {
+    readonly statement: PartStatement;
+    readonly changedAt: number;
 }
 
-/**
- * Merges two decisions about a part; the same for all daemons. Of two that were made without knowledge of each other,
- * a release wins, because a sound request or an operator stands behind it.
- */
-export function mergeStatements(left: PartStatement, right: PartStatement): PartStatement {
-    const order = left.revision - right.revision
-        || Number(left.state === "released") - Number(right.state === "released")
-        || left.crashes - right.crashes
-        || left.trials - right.trials
-        || Number(left.wasProven) - Number(right.wasProven)
-        || left.cause.localeCompare(right.cause);
-    if (order !== 0) {
-        return order > 0 ? left : right;
+/** Bounded collection of the newest decision about each part. */
+export class Statements {
+    private readonly known = new Map<string, KnownStatement>();
+    private readonly quarantinedParts = new Set<string>();
+
+    find(part: string): PartStatement | undefined {
+        return this.known.get(part)?.statement;
+    }
+
+    isQuarantined(part: string): boolean {
+        return this.quarantinedParts.has(part);
+    }
+
+    all(): readonly KnownStatement[] {
+        return [...this.known.values()];
+    }
+
+    quarantined(): readonly PartStatement[] {
+        return [...this.quarantinedParts].flatMap(part => this.find(part) ?? []);
+    }
+
+    /** Stores a decision made here. */
+    state(decision: Omit<PartStatement, "revision" | "statedAt">, now: number): PartStatement {
+        const before = this.find(decision.part)?.revision ?? 0;
+        const revision = before + (decision.cause === "operator" ? OPERATOR_REVISIONS : 1);
+        return this.store({ ...decision, revision, statedAt: now }, now);
+    }
+
+    /** Takes over a decision that another daemon told; returns it if it differs from the known one. */
+    adopt(told: PartStatement, now: number): PartStatement | undefined {
+        if (now - told.statedAt > retentionOf(told)) {
+            return undefined;
+        }
+        const before = this.known.get(told.part);
+        const merged = before === undefined ? told : mergeStatements(before.statement, told);
+        if (
+            before === undefined || merged.revision !== before.statement.revision
+            || merged.state !== before.statement.state
+        ) {
+            return this.store(merged, now);
+        }
+        this.known.set(told.part, { ...before, statement: merged });
+        return undefined;
+    }
+
+    prune(now: number): void {
+        this.all()
+            .filter(({ statement }) => now - statement.statedAt > retentionOf(statement))
+            .forEach(({ statement: { part } }) => this.remove(part));
+    }
+
+    private store(statement: PartStatement, now: number): PartStatement {
+        this.remove(statement.part);
+        this.known.set(statement.part, { statement, changedAt: now });
+        if (statement.state === "quarantined") {
+            this.quarantinedParts.add(statement.part);
+        }
+        if (this.known.size > MAXIMUM_STATEMENTS) {
+            this.remove(this.leastNeeded());
+        }
+        return statement;
+    }
+
+    private leastNeeded(): string {
+        const endOf = ({ statement }: KnownStatement): number => statement.statedAt + retentionOf(statement);
+        return this.all().reduce((left, right) => endOf(right) < endOf(left) ? right : left).statement.part;
+    }
+
+    private remove(part: string): void {
+        this.known.delete(part);
+        this.quarantinedParts.delete(part);
     }
-    // A message's time makes a statement look newer than it is.
-    const [older] = left.statedAt <= right.statedAt ? [left] : [right];
-    const trialAt = left.trialAt === undefined || right.trialAt === undefined
-        ? left.trialAt ?? right.trialAt
-        : Math.min(left.trialAt, right.trialAt);
-    return { ...older, trialAt };
 }
 
 /** Returns the time of the next automatic trial, or infinity if none is left. */
@@ -52,3 +106,27 @@
     const growth = isLate ? 0 : Math.max(0, crashes - 2);
     return statedAt + first * TRIAL_PAUSE_GROWTH ** growth;
 }
+
+function retentionOf({ state }: PartStatement): number {
+    return state === "quarantined" ? STATEMENT_RETENTION_MILLISECONDS : CRASH_RETENTION_MILLISECONDS;
+}
+
+/**
+ * Merges two decisions about a part; the same for all daemons. Of two that were made without knowledge of each other,
+ * a release wins, because a sound request or an operator stands behind it.
+ */
+function mergeStatements(left: PartStatement, right: PartStatement): PartStatement {
+    const order = left.revision - right.revision
+        || Number(left.state === "released") - Number(right.state === "released")
+        || left.crashes - right.crashes
+        || left.trials - right.trials
+        || Number(left.wasProven) - Number(right.wasProven)
+        || left.cause.localeCompare(right.cause);
+    if (order !== 0) {
+        return order > 0 ? left : right;
+    }
+    // The time of a message makes what it tells look newer than it is.
+    const older = left.statedAt <= right.statedAt ? left : right;
+    const trialAt = Math.min(left.trialAt ?? Number.POSITIVE_INFINITY, right.trialAt ?? Number.POSITIVE_INFINITY);
+    return { ...older, trialAt: Number.isFinite(trialAt) ? trialAt : undefined };
+}
