Quarantine: hold back blame of parts that were sound, release parts that another accounts for

Partial candidate lists of two daemons blamed a part that went with the harmful one; it is released when the whole lists are known. A part blamed beside others is tried again after 2.5 s. PartStatement has isAmbiguous.

--- a/packages/core/src/quarantine/blame.ts
+++ b/packages/core/src/quarantine/blame.ts
@@ -1,5 +1,5 @@
 /** Tests that decide, from the crashes of a part, whether the part is the cause. */
-import { CRASH_SPACING_MILLISECONDS, GRACE_MILLISECONDS } from "./constants.js";
+import { CRASH_SPACING_MILLISECONDS, SOUND_CRASH_SPAN_MILLISECONDS } from "./constants.js";
 
 /** What is known about a part. */
 export interface PartEvidence {
@@ -30,7 +30,8 @@
     if (countSpaced(crashTimes) < needed) {
         return Number.POSITIVE_INFINITY;
     }
-    return wasProven ? (crashTimes[0] ?? 0) + GRACE_MILLISECONDS : Number.NEGATIVE_INFINITY;
+    const span = (crashTimes.at(-1) ?? 0) - (crashTimes[0] ?? 0);
+    return !wasProven || span >= SOUND_CRASH_SPAN_MILLISECONDS ? Number.NEGATIVE_INFINITY : Number.POSITIVE_INFINITY;
 };
 
 /** Counts crashes, those that are close to the last counted one not. */
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -32,23 +32,24 @@
 export const PROOF_MARGIN_MILLISECONDS = 250;
 /** A part with a proof not older than this was sound before, so that others that use it are likely to prove it again. */
 export const PROOF_RETENTION_MILLISECONDS = 600_000;
-/** A part that was sound before is blamed no sooner than this after its first crash, so that proofs can arrive. */
-export const GRACE_MILLISECONDS = 1_500;
+/**
+ * A part that was sound before is blamed only if crashes go on this long without a proof. Proofs need that time to arrive,
+ * and when all targets of a route end at once, no proof can come but no further crash either.
+ */
+export const SOUND_CRASH_SPAN_MILLISECONDS = 2_000;
 /** Crashes closer than this count as one, because many targets can end at once by a cause of their own. */
 export const CRASH_SPACING_MILLISECONDS = 100;
 /** Crashes without the part that raise the number of crashes needed. */
 export const OTHER_CRASHES_MILLISECONDS = 30_000;
 
-/** Pause until the first trial of a part that was sound before, and of one that never was. */
-export const SOUND_TRIAL_PAUSE_MILLISECONDS = 2_500;
+/** Pause until the first trial of a part that may be blamed wrongly, and of others. */
+export const DOUBTFUL_TRIAL_PAUSE_MILLISECONDS = 2_500;
 export const TRIAL_PAUSE_MILLISECONDS = 30_000;
 /** Factor of the pause for each further crash. */
 export const TRIAL_PAUSE_GROWTH = 4;
 /** No trial at this number of crashes, so that no trial causes the fifth. */
 export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
-/** A part that was sound before and met more crashes at once gets this many trials that may come to nothing. */
-export const MAXIMUM_LATE_TRIALS = 2;
-/** A trial without a result is repeated after this time. */
+/** A trial without a result is repeated after this time, which grows too. */
 export const TRIAL_RESULT_MILLISECONDS = 10_000;
 /** Time that callers are told when no automatic trial is left. */
 export const NO_TRIAL_RETRY_MILLISECONDS = 300_000;
--- a/packages/core/src/quarantine/crashes.ts
+++ b/packages/core/src/quarantine/crashes.ts
@@ -35,13 +35,13 @@
         }
         const key = this.keyOf(told);
         const before = this.crashes.get(key);
+        if (before !== undefined && isKnown(told, before)) {
+            return undefined;
+        }
         const withdrawn = told.withdrawn === true || before?.withdrawn === true;
         const parts = withdrawn ? new Set<string>() : this.limitParts(new Set([...before?.parts ?? [], ...told.parts]));
         const isNews = before === undefined || before.withdrawn !== withdrawn
             || before.at - at > SAME_CRASH_MILLISECONDS || [...parts].some(part => !before.parts.has(part));
-        if (!isNews && at >= before.at) {
-            return undefined;
-        }
         this.remove(key);
         const crash: KnownCrash = {
             target,
@@ -151,6 +151,10 @@
     }
 }
 
+function isKnown({ at, parts, withdrawn }: ReportedCrash, known: KnownCrash): boolean {
+    return at >= known.at && (known.withdrawn || withdrawn !== true && parts.every(part => known.parts.has(part)));
+}
+
 function isClose(left: number, right: number): boolean {
     return Math.abs(left - right) <= SAME_CRASH_MILLISECONDS;
 }
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -4,6 +4,7 @@
 import type { Crashes, KnownCrash } from "./crashes.js";
 import type { Proofs } from "./proofs.js";
 import type { Statements } from "./statements.js";
+import type { PartStatement } from "./types.js";
 
 /** Part that is not quarantined, with the crashes for which nothing else accounts. */
 export interface Suspect {
@@ -12,6 +13,12 @@
     readonly wasProven: boolean;
 }
 
+/** When a suspect is to be blamed by what is known, or infinity. */
+export interface Verdict {
+    readonly blameAt: number;
+    readonly isAmbiguous: boolean;
+}
+
 /** Weighs the known facts; changes none. */
 export class Evidence {
     constructor(
@@ -35,28 +42,36 @@
     }
 
     suspectOf(part: string): Suspect {
-        const crashes = this.crashesOf(part).filter(crash => !this.isExplained(crash, part));
+        const crashes = this.crashesOf(part).filter(crash => !this.isCausedByOther(crash, part));
         const first = crashes[0]?.at ?? 0;
         return { part, crashes, wasProven: first - this.proofs.lastAt(part) < PROOF_RETENTION_MILLISECONDS };
     }
 
-    /** Returns when the suspect is to be blamed by what is known, or infinity. */
-    blameAt(suspect: Suspect, now: number): number {
+    /** Weighs the crashes of a suspect against those of other parts. */
+    weigh(suspect: Suspect, now: number): Verdict {
         const rivals = this.rivalsOf(suspect);
-        const isPreceded = rivals.some(({ wasProven, crashes }) =>
-            wasProven !== suspect.wasProven || crashes.length > suspect.crashes.length
-        );
-        return isPreceded ? Number.POSITIVE_INFINITY : this.test({
+        const isAmbiguous = rivals.some(rival => !isBlamedBefore(suspect, rival));
+        const blameAt = rivals.some(rival => isBlamedBefore(rival, suspect)) ? Number.POSITIVE_INFINITY : this.test({
             crashTimes: suspect.crashes.map(({ at }) => at),
             otherCrashes: this.countOthers(suspect),
             wasProven: suspect.wasProven,
-            isAmbiguous: rivals.length > 0,
+            isAmbiguous,
             now,
         });
+        return { blameAt, isAmbiguous };
+    }
+
+    /** Whether another quarantined part accounts for all crashes of a quarantined part and for more. */
+    isExplained({ part, crashes: count }: PartStatement): boolean {
+        const crashes = this.crashesOf(part);
+        return crashes.length >= count && this.statements.quarantined().some(({ part: other }) =>
+            other !== part && this.crashesOf(other).length > crashes.length
+            && crashes.every(crash => crash.parts.has(other))
+        );
     }
 
     /** Whether a quarantined part other than `part` accounts for the crash. */
-    private isExplained(crash: KnownCrash, part: string): boolean {
+    private isCausedByOther(crash: KnownCrash, part: string): boolean {
         return this.statements.quarantined().some(({ part: other }) =>
             other !== part && crash.parts.has(other) && crash.at > this.clearedAt(other)
         );
@@ -65,18 +80,21 @@
     private countOthers({ part, crashes }: Suspect): number {
         const from = (crashes.at(-1)?.at ?? 0) - OTHER_CRASHES_MILLISECONDS;
         return this.crashes.all()
-            .filter(crash => crash.at > from && !crash.parts.has(part) && !this.isExplained(crash, part))
+            .filter(crash => crash.at > from && !crash.parts.has(part) && !this.isCausedByOther(crash, part))
             .length;
     }
 
-    /**
-     * Returns the parts that can account for all crashes of the suspect. A part that was sound before is no rival of one
-     * that was not, because requests with both are more likely to crash by the other.
-     */
-    private rivalsOf({ part, crashes: [first, ...others], wasProven }: Suspect): readonly Suspect[] {
+    /** Returns the parts that can account for all crashes of the suspect, and perhaps for more. */
+    private rivalsOf({ part, crashes: [first, ...others] }: Suspect): readonly Suspect[] {
         return [...first?.parts ?? []]
             .filter(other => other !== part && others.every(crash => crash.parts.has(other)))
             .map(other => this.suspectOf(other))
-            .filter(rival => rival.crashes.length > others.length && (wasProven || !rival.wasProven));
+            .filter(rival => rival.crashes.length > others.length);
     }
 }
+
+/** Of parts with the same crashes, one that was never sound is the likelier cause. */
+function isBlamedBefore(left: Suspect, right: Suspect): boolean {
+    return left.crashes.length > right.crashes.length
+        || left.crashes.length === right.crashes.length && !left.wasProven && right.wasProven;
+}
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -62,7 +62,11 @@
 
     recordCrash(crash: CrashObservation, now: number): Changes {
         const concerned = this.addCrashes([{ ...crash, at: now }], now);
-        return [...concerned.flatMap(part => this.countFurther(part, now)), ...this.evaluate(concerned, now)];
+        return [
+            ...concerned.flatMap(part => this.countFurther(part, now)),
+            ...this.evaluate(concerned, now),
+            ...this.releaseExplained(concerned, now),
+        ];
     }
 
     withdrawCrash(target: string, startedAt: number | undefined, now: number): Changes {
@@ -125,6 +129,7 @@
             ...adopted.flatMap(({ part }) => this.releaseIfProven(part, now)),
             ...concerned.flatMap(part => this.countFurther(part, now)),
             ...this.evaluate([...concerned, ...this.neighbours(cleared)], now),
+            ...this.releaseExplained(concerned, now),
         ];
     }
 
@@ -154,23 +159,25 @@
         const suspects = [...new Set(parts)]
             .filter(part => !this.statements.isQuarantined(part))
             .map(part => this.evidence.suspectOf(part))
-            .map(suspect => ({
-                suspect,
-                at: suspect.crashes.length > 0 ? this.evidence.blameAt(suspect, now) : Infinity,
-            }));
-        suspects.forEach(({ suspect: { part }, at }) => {
-            if (Number.isFinite(at) && at > now) {
-                this.waiting.set(part, at);
+            .map(suspect => ({ ...suspect, ...this.evidence.weigh(suspect, now) }));
+        suspects.forEach(({ part, blameAt }) => {
+            if (Number.isFinite(blameAt) && blameAt > now) {
+                this.waiting.set(part, blameAt);
             }
             else {
                 this.waiting.delete(part);
             }
         });
-        return suspects.filter(({ at }) => at <= now).map(({ suspect: { part, crashes, wasProven } }) =>
-            this.statements.state(
-                { part, state: "quarantined", crashes: crashes.length, cause: "crashes", trials: 0, wasProven },
-                now,
-            )
+        return suspects.filter(({ blameAt }) => blameAt <= now).map(({ part, crashes, wasProven, isAmbiguous }) =>
+            this.statements.state({
+                part,
+                state: "quarantined",
+                crashes: crashes.length,
+                cause: "crashes",
+                trials: 0,
+                wasProven,
+                isAmbiguous,
+            }, now)
         );
     }
 
@@ -206,6 +213,20 @@
             : [];
     }
 
+    /**
+     * Releases parts that were blamed before it was known that another part accounts for all their crashes and for more.
+     * Daemons that see the same crash tell different candidates, which arrive one after another.
+     */
+    private releaseExplained(parts: readonly string[], now: number): Changes {
+        return parts.flatMap(part => {
+            const before = this.statements.find(part);
+            return before?.state === "quarantined" && before.cause === "crashes" && before.trials === 0
+                    && this.evidence.isExplained(before)
+                ? [this.stateReleased(before, "crashes", now)]
+                : [];
+        });
+    }
+
     private stateReleased(before: PartStatement, cause: PartStatement["cause"], now: number): PartStatement {
         return this.statements.state({ ...before, state: "released", cause, trialAt: undefined }, now);
     }
--- a/packages/core/src/quarantine/statements.ts
+++ b/packages/core/src/quarantine/statements.ts
@@ -1,11 +1,11 @@
 /** Decisions about parts: which of two is the later one, and when a quarantined part may be tried again. */
+import { LEAST_CRASHES } from "./blame.js";
 import {
     CRASH_RETENTION_MILLISECONDS,
+    DOUBTFUL_TRIAL_PAUSE_MILLISECONDS,
     MAXIMUM_CRASHES_FOR_TRIAL,
-    MAXIMUM_LATE_TRIALS,
     MAXIMUM_STATEMENTS,
     OPERATOR_REVISIONS,
-    SOUND_TRIAL_PAUSE_MILLISECONDS,
     STATEMENT_RETENTION_MILLISECONDS,
     TRIAL_PAUSE_GROWTH,
     TRIAL_PAUSE_MILLISECONDS,
@@ -93,18 +93,22 @@
     }
 }
 
-/** Returns the time of the next automatic trial, or infinity if none is left. */
-export function nextTrialAt({ crashes, cause, trials, trialAt, statedAt, wasProven }: PartStatement): number {
+/**
+ * Returns the time of the next automatic trial, or infinity if none is left. A part that was sound before can meet many
+ * crashes at once by another cause, and gets one trial then, too.
+ */
+export function nextTrialAt(statement: PartStatement): number {
+    const { crashes, cause, trials, trialAt, statedAt, wasProven, isAmbiguous } = statement;
     const isLate = crashes > MAXIMUM_CRASHES_FOR_TRIAL;
-    if (isLate && (!wasProven || cause === "trial-failed" || trials >= MAXIMUM_LATE_TRIALS)) {
+    if (isLate && (!wasProven || cause === "trial-failed")) {
         return Number.POSITIVE_INFINITY;
     }
     if (trialAt !== undefined) {
-        return trialAt + TRIAL_RESULT_MILLISECONDS;
+        return trialAt + TRIAL_RESULT_MILLISECONDS * TRIAL_PAUSE_GROWTH ** (trials - 1);
     }
-    const first = wasProven ? SOUND_TRIAL_PAUSE_MILLISECONDS : TRIAL_PAUSE_MILLISECONDS;
-    const growth = isLate ? 0 : Math.max(0, crashes - 2);
-    return statedAt + first * TRIAL_PAUSE_GROWTH ** growth;
+    const isDoubtful = wasProven || isAmbiguous;
+    const first = isDoubtful ? DOUBTFUL_TRIAL_PAUSE_MILLISECONDS : TRIAL_PAUSE_MILLISECONDS;
+    return statedAt + first * TRIAL_PAUSE_GROWTH ** (isLate || isAmbiguous ? 0 : crashes - LEAST_CRASHES);
 }
 
 function retentionOf({ state }: PartStatement): number {
@@ -121,6 +125,7 @@
         || left.crashes - right.crashes
         || left.trials - right.trials
         || Number(left.wasProven) - Number(right.wasProven)
+        || Number(left.isAmbiguous) - Number(right.isAmbiguous)
         || left.cause.localeCompare(right.cause);
     if (order !== 0) {
         return order > 0 ? left : right;
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -45,6 +45,8 @@
     readonly trialAt?: number;
     /** Whether the part was proven some time before it was blamed. */
     readonly wasProven: boolean;
+    /** Whether other parts were candidates in the same crashes. Such a part is tried again soon. */
+    readonly isAmbiguous: boolean;
 }
 
 /** What daemons tell each other; bounded. */
