--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from "./placement/targetlimits.js";
 export * from "./quarantine/blame.js";
 export * from "./quarantine/quarantine.js";
+export { nextTrialAt } from "./quarantine/statements.js";
 export * from "./quarantine/types.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
--- a/packages/core/src/quarantine/blame.ts
+++ b/packages/core/src/quarantine/blame.ts
@@ -11,11 +11,10 @@
     readonly wasProven: boolean;
     /** Whether another part was a candidate in the same crashes, so that either can be the cause. */
     readonly isAmbiguous: boolean;
-    readonly now: number;
 }
 
-/** Returns the time from which the part is to be blamed, or infinity if the evidence doesn't suffice. */
-export type BlameTest = (evidence: PartEvidence) => number;
+/** Returns whether the part is to be blamed. */
+export type BlameTest = (evidence: PartEvidence) => boolean;
 
 /** Greatest numbers of other crashes at which 2, 3 and 4 crashes suffice. */
 const OTHER_CRASHES_BY_NEED = [1, 4, 10];
@@ -27,11 +26,8 @@
     const needed = LEAST_CRASHES
         + OTHER_CRASHES_BY_NEED.filter(most => otherCrashes > most).length
         + (isAmbiguous ? 1 : 0);
-    if (countSpaced(crashTimes) < needed) {
-        return Number.POSITIVE_INFINITY;
-    }
     const span = (crashTimes.at(-1) ?? 0) - (crashTimes[0] ?? 0);
-    return !wasProven || span >= SOUND_CRASH_SPAN_MILLISECONDS ? Number.NEGATIVE_INFINITY : Number.POSITIVE_INFINITY;
+    return countSpaced(crashTimes) >= needed && (!wasProven || span >= SOUND_CRASH_SPAN_MILLISECONDS);
 };
 
 /** Counts crashes, those that are close to the last counted one not. */
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -17,7 +17,7 @@
 /** Facts younger than this are in each report, as far as the bounds allow. */
 export const NEWS_MILLISECONDS = 3_000;
 /** Older facts in each report, one after another. */
-export const OLD_FACTS_IN_REPORT = 8;
+export const OLD_FACTS_IN_REPORT = 2;
 
 /** A crash counts this long. Harmful requests may come some minutes apart. */
 export const CRASH_RETENTION_MILLISECONDS = 1_800_000;
@@ -42,6 +42,9 @@
 /** Crashes without the part that raise the number of crashes needed. */
 export const OTHER_CRASHES_MILLISECONDS = 30_000;
 
+/** Once crashes ended for this long, nobody is blamed for them because another part is proven. */
+export const SUSPICION_MILLISECONDS = 3_000;
+
 /** Pause until the first trial of a part that may be blamed wrongly, and of others. */
 export const DOUBTFUL_TRIAL_PAUSE_MILLISECONDS = 2_500;
 export const TRIAL_PAUSE_MILLISECONDS = 30_000;
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -13,9 +13,9 @@
     readonly wasProven: boolean;
 }
 
-/** When a suspect is to be blamed by what is known, or infinity. */
+/** Whether a suspect is to be blamed by what is known. */
 export interface Verdict {
-    readonly blameAt: number;
+    readonly isBlamed: boolean;
     readonly isAmbiguous: boolean;
 }
 
@@ -48,26 +48,26 @@
     }
 
     /** Weighs the crashes of a suspect against those of other parts. */
-    weigh(suspect: Suspect, now: number): Verdict {
+    weigh(suspect: Suspect): Verdict {
         const rivals = this.rivalsOf(suspect);
         const isAmbiguous = rivals.some(rival => !isBlamedBefore(suspect, rival));
-        const blameAt = rivals.some(rival => isBlamedBefore(rival, suspect)) ? Number.POSITIVE_INFINITY : this.test({
+        const isBlamed = !rivals.some(rival => isBlamedBefore(rival, suspect)) && this.test({
             crashTimes: suspect.crashes.map(({ at }) => at),
             otherCrashes: this.countOthers(suspect),
             wasProven: suspect.wasProven,
             isAmbiguous,
-            now,
         });
-        return { blameAt, isAmbiguous };
+        return { isBlamed, isAmbiguous };
     }
 
     /** Whether another quarantined part accounts for all crashes of a quarantined part and for more. */
     isExplained({ part, crashes: count }: PartStatement): boolean {
         const crashes = this.crashesOf(part);
-        return crashes.length >= count && this.statements.quarantined().some(({ part: other }) =>
-            other !== part && this.crashesOf(other).length > crashes.length
-            && crashes.every(crash => crash.parts.has(other))
-        );
+        return crashes.length >= count
+            && this.statements.quarantined().some(({ part: other }) =>
+                other !== part && this.crashesOf(other).length > crashes.length
+                && crashes.every(crash => crash.parts.has(other))
+            );
     }
 
     /** Whether a quarantined part other than `part` accounts for the crash. */
--- a/packages/core/src/quarantine/proofs.ts
+++ b/packages/core/src/quarantine/proofs.ts
@@ -5,9 +5,18 @@
 interface ProofTimes {
     readonly own: number;
     readonly told: number;
+    /** When a proof by this daemon first cleared a crash that counted until then. */
+    readonly clearedAt: number;
 }
 
-const NEVER: ProofTimes = { own: Number.NEGATIVE_INFINITY, told: Number.NEGATIVE_INFINITY };
+const NEVER: ProofTimes = {
+    own: Number.NEGATIVE_INFINITY,
+    told: Number.NEGATIVE_INFINITY,
+    clearedAt: Number.NEGATIVE_INFINITY,
+};
+
+/** A proof that is told again seems newer by the difference of two messages' times. */
+const TOLERANCE_MILLISECONDS = { own: 0, told: 100 };
 
 /** Bounded collection of proofs. */
 export class Proofs {
@@ -16,10 +25,23 @@
     /** Records a proof; returns whether it is the newest. */
     record(part: string, at: number, source: "own" | "told"): boolean {
         const before = this.times.get(part) ?? NEVER;
-        this.times.set(part, { ...before, [source]: Math.max(at, before[source]) });
+        if (at <= before[source] + TOLERANCE_MILLISECONDS[source]) {
+            return false;
+        }
+        this.times.set(part, { ...before, [source]: at });
         return at > Math.max(before.own, before.told);
     }
 
+    /** Notes that a proof by this daemon cleared a crash, which others should know soon. */
+    markCleared(part: string, now: number): void {
+        this.times.set(part, { ...this.times.peek(part) ?? NEVER, clearedAt: now });
+    }
+
+    /** Returns when a proof by this daemon last cleared a crash. */
+    clearedAt(part: string): number {
+        return (this.times.peek(part) ?? NEVER).clearedAt;
+    }
+
     /** Returns the time of the newest proof, or negative infinity. */
     lastAt(part: string): number {
         const { own, told } = this.times.peek(part) ?? NEVER;
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -12,6 +12,7 @@
     PROOF_MILLISECONDS,
     RETRY_SPREAD,
     STATEMENT_RETENTION_MILLISECONDS,
+    SUSPICION_MILLISECONDS,
 } from "./constants.js";
 import { Crashes, type KnownCrash } from "./crashes.js";
 import { Evidence } from "./evidence.js";
@@ -43,8 +44,8 @@
     private readonly statements = new Statements();
     private readonly reporter = new Reporter();
     private readonly evidence: Evidence;
-    /** Parts that are to be blamed at a time unless they are proven before. */
-    private readonly waiting = new Map<string, number>();
+    /** Parts that are not blamed although they met several crashes. */
+    private suspected: readonly string[] = [];
     private refusals = 0;
 
     constructor(test: BlameTest) {
@@ -53,11 +54,10 @@
 
     recordProven(parts: readonly string[], now: number, firstEventAt = now - PROOF_MILLISECONDS): Changes {
         const cleared = parts.filter(part => this.addProof(part, firstEventAt, "own"));
+        cleared.forEach(part => this.proofs.markCleared(part, now));
         const released = parts.filter(part => this.statements.isQuarantined(part))
             .flatMap(part => this.releaseIfProven(part, now));
-        return released.length + cleared.length === 0
-            ? []
-            : [...released, ...this.evaluate(this.neighbours([...cleared, ...released.map(({ part }) => part)]), now)];
+        return cleared.length > 0 || released.length > 0 ? [...released, ...this.evaluate([], now)] : released;
     }
 
     recordCrash(crash: CrashObservation, now: number): Changes {
@@ -75,7 +75,6 @@
     }
 
     check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict {
-        this.advance(now);
         const refused = parts
             .flatMap(part => this.statements.isQuarantined(part) ? this.statements.find(part) ?? [] : [])
             .map(statement => ({ statement, trialAt: nextTrialAt(statement) }));
@@ -103,13 +102,6 @@
         return before?.state === "quarantined" ? this.stateReleased(before, "operator", now) : undefined;
     }
 
-    advance(now: number): Changes {
-        const due = this.waiting.size === 0
-            ? []
-            : [...this.waiting].filter(([, at]) => at <= now).map(([part]) => part);
-        return due.length === 0 ? [] : this.evaluate(due, now);
-    }
-
     report(now: number): QuarantineReport {
         this.crashes.prune(now);
         this.statements.prune(now);
@@ -121,14 +113,14 @@
             .flatMap(({ target, startedAt }) => this.crashes.find(target, startedAt) ?? [])
             .flatMap(crash => this.withdraw(crash, now));
         const concerned = this.addCrashes(crashes, now);
-        const cleared = proven.filter(({ part, at }) => this.addProof(part, at, "told")).map(({ part }) => part);
+        const isCleared = proven.filter(({ part, at }) => this.addProof(part, at, "told")).length > 0;
         const adopted = statements.flatMap(statement => this.statements.adopt(statement, now) ?? []);
         return [
             ...withdrawn,
             ...adopted,
             ...adopted.flatMap(({ part }) => this.releaseIfProven(part, now)),
             ...concerned.flatMap(part => this.countFurther(part, now)),
-            ...this.evaluate([...concerned, ...this.neighbours(cleared)], now),
+            ...isCleared || adopted.length + concerned.length > 0 ? this.evaluate(concerned, now) : [],
             ...this.releaseExplained(concerned, now),
         ];
     }
@@ -149,26 +141,20 @@
         return this.proofs.record(part, at, source) && !isCleared;
     }
 
-    /** Returns the parts that were candidates in a crash together with one of these. */
-    private neighbours(parts: readonly string[]): readonly string[] {
-        return parts.flatMap(part => this.crashes.withPart(part)).flatMap(crash => [...crash.parts]);
-    }
-
-    /** Blames parts as far as the evidence suffices. */
+    /**
+     * Blames those of the parts, and of the recent suspects, for which the evidence suffices. A suspect can come to be
+     * blamed, or cease to be one, by what becomes known of another.
+     */
     private evaluate(parts: readonly string[], now: number): Changes {
-        const suspects = [...new Set(parts)]
-            .filter(part => !this.statements.isQuarantined(part))
+        const isRecent = (part: string): boolean =>
+            now - (this.crashes.withPart(part).at(-1)?.at ?? now) < SUSPICION_MILLISECONDS;
+        const suspects = [...new Set([...parts, ...this.suspected.filter(isRecent)])]
+            .filter(part => this.crashes.withPart(part).length >= LEAST_CRASHES && !this.statements.isQuarantined(part))
             .map(part => this.evidence.suspectOf(part))
-            .map(suspect => ({ ...suspect, ...this.evidence.weigh(suspect, now) }));
-        suspects.forEach(({ part, blameAt }) => {
-            if (Number.isFinite(blameAt) && blameAt > now) {
-                this.waiting.set(part, blameAt);
-            }
-            else {
-                this.waiting.delete(part);
-            }
-        });
-        return suspects.filter(({ blameAt }) => blameAt <= now).map(({ part, crashes, wasProven, isAmbiguous }) =>
+            .filter(({ crashes }) => crashes.length >= LEAST_CRASHES)
+            .map(suspect => ({ ...suspect, ...this.evidence.weigh(suspect) }));
+        this.suspected = suspects.filter(({ isBlamed }) => !isBlamed).map(({ part }) => part);
+        return suspects.filter(({ isBlamed }) => isBlamed).map(({ part, crashes, wasProven, isAmbiguous }) =>
             this.statements.state({
                 part,
                 state: "quarantined",
--- a/packages/core/src/quarantine/reports.ts
+++ b/packages/core/src/quarantine/reports.ts
@@ -62,7 +62,7 @@
         .filter(({ at }) => Number.isFinite(at))
         .map(value => {
             const crashedAt = crashes.withPart(value.part).at(-1)?.changedAt ?? Number.NEGATIVE_INFINITY;
-            return { value, changedAt: Math.max(value.at, crashedAt) };
+            return { value, changedAt: Math.max(proofs.clearedAt(value.part), crashedAt) };
         });
 }
 
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -72,8 +72,6 @@
     check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict;
     /** Releases a part for an operator; returns `undefined` if it is not quarantined. */
     release(part: string, now: number): PartStatement | undefined;
-    /** Makes the decisions that are due; returns those that changed. To be called some times a second. */
-    advance(now: number): readonly PartStatement[];
     report(now: number): QuarantineReport;
     /** Merges what another daemon knows; returns the decisions that changed here. */
     merge(report: QuarantineReport, now: number): readonly PartStatement[];
--- a/packages/proofs/src/bench/quarantine/partfleet.ts
+++ b/packages/proofs/src/bench/quarantine/partfleet.ts
@@ -2,72 +2,20 @@
  * Simulation of daemons whose callers send prompts with shared parts, some of which crash the process that answers. Time
  * is simulated; what a daemon blames and refuses is decided by a quarantine, so that ways to decide can be compared.
  */
-import { type PartQuarantine, type PartStatement, type QuarantineReport, rendezvous } from "@damaskvale/core";
+import { type PartStatement, rendezvous } from "@damaskvale/core";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
-
-/** Part that crashes targets for a time. Other requests can contain it too. */
-export interface HarmfulPart {
-    readonly part: string;
-    readonly from: number;
-    readonly until: number;
-    /** Requests per second that always contain it. */
-    readonly perSecond: number;
-}
-
-/** What happens to the fleet besides. Times are simulated milliseconds. */
-export type Disturbance =
-    /** Processes of targets end by another cause, within `spread`. */
-    | { readonly kind: "kill"; readonly at: number; readonly targets: readonly number[]; readonly spread: number; }
-    /** Connections of a daemon are reset although the process lives, which is found out a little later. */
-    | { readonly kind: "reset"; readonly at: number; readonly daemon: number; readonly targets: readonly number[]; }
-    | { readonly kind: "cut"; readonly from: number; readonly until: number; readonly daemons: readonly number[]; }
-    | { readonly kind: "pause"; readonly from: number; readonly until: number; readonly daemons: readonly number[]; }
-    | { readonly kind: "restart"; readonly at: number; readonly daemon: number; };
-
-/** Simulated fleet and its load. */
-export interface PartFleetOptions {
-    readonly daemons: number;
-    readonly targets: number;
-    readonly slots: number;
-    readonly milliseconds: number;
-    /** Requests per second of sound callers of the whole fleet. */
-    readonly soundPerSecond: number;
-    /** Number of first parts, which many requests share, and of other parts, which few share. */
-    readonly firstParts: number;
-    readonly otherParts: number;
-    readonly harmful: readonly HarmfulPart[];
-    readonly disturbances: readonly Disturbance[];
-    /** Share of datagrams that are lost. */
-    readonly loss: number;
-    readonly random: RandomGenerator;
-    readonly createQuarantine: () => PartQuarantine;
-    readonly trace?: (line: string) => void;
-}
-
-/** Attempt of a request with a harmful part that reached a target. */
-export interface HarmfulAttempt {
-    readonly part: string;
-    readonly at: number;
-    readonly isTrial: boolean;
-    /** Whether the daemon has been neither cut off nor paused nor started for 3 s. */
-    readonly inTouch: boolean;
-}
-
-/** Crash by a harmful part. */
-export interface HarmfulCrash {
-    readonly part: string;
-    readonly at: number;
-    readonly inTouch: boolean;
-}
-
-/** Time for which a daemon quarantined a part that crashes nothing. */
-export interface FalseBlame {
-    readonly part: string;
-    readonly daemon: number;
-    readonly from: number;
-    readonly milliseconds: number;
-}
+import {
+    type Daemon,
+    type Disturbance,
+    type FalseBlame,
+    type HarmfulAttempt,
+    type HarmfulCrash,
+    type PartFleetOptions,
+    type Request,
+    shiftReport,
+    type Stream,
+    type TargetProcess,
+} from "./partfleettypes.js";
 
 const TICK_MILLISECONDS = 10;
 const EXCHANGE_MILLISECONDS = 150;
@@ -86,37 +34,6 @@
 /** Share of refused callers who come back at the time that they are told. */
 const RETURNING_SHARE = 0.5;
 
-interface Request {
-    readonly parts: readonly string[];
-    readonly attempt: number;
-}
-
-interface Stream {
-    readonly request: Request;
-    readonly daemon: Daemon;
-    readonly target: TargetProcess;
-    firstEventAt?: number;
-    ended: boolean;
-}
-
-interface TargetProcess {
-    readonly name: string;
-    startedAt: number;
-    servesAt: number;
-    streams: Set<Stream>;
-}
-
-interface Daemon {
-    readonly index: number;
-    quarantine: PartQuarantine;
-    disturbedAt: number;
-    pausedUntil: number;
-    heardAt: Map<number, number>;
-    announced: boolean;
-    /** Beginning of each false quarantine. */
-    blames: Map<string, number>;
-}
-
 /** Simulated fleet. */
 export class PartFleet {
     now = 0;
@@ -124,9 +41,8 @@
     readonly crashes: HarmfulCrash[] = [];
     readonly falseBlames: FalseBlame[] = [];
     readonly statements: { readonly at: number; readonly daemon: number; readonly statement: PartStatement; }[] = [];
-    soundRequests = 0;
-    soundRefusals = 0;
-    /** Requests with a quarantined part that began after it was mended. */
+    /** First attempts of requests that crash nothing. */
+    readonly sound: { readonly first: string; readonly at: number; readonly isRefused: boolean; }[] = [];
     readonly daemons: Daemon[];
     private readonly targets: TargetProcess[];
     private readonly due = new Map<number, (() => void)[]>();
@@ -155,7 +71,7 @@
     /** Runs until `end`. */
     run(end = this.options.milliseconds): void {
         for (; this.now < end; this.now += TICK_MILLISECONDS) {
-            const tick = this.now / TICK_MILLISECONDS;
+            const tick = Math.round(this.now / TICK_MILLISECONDS);
             this.due.get(tick)?.forEach(run => run());
             this.due.delete(tick);
             this.arrive();
@@ -171,13 +87,8 @@
         this.daemons.forEach(daemon => [...daemon.blames.keys()].forEach(part => this.endBlame(daemon, part)));
     }
 
-    /** Lets a daemon decide about a request without sending it. */
-    wouldServe(daemon: Daemon, part: string): boolean {
-        return daemon.quarantine.check([part], () => false, this.now).kind === "allowed";
-    }
-
-    isHarmful(part: string, at = this.now): boolean {
-        return this.options.harmful.some(harm => harm.part === part && at >= harm.from && at < harm.until);
+    private isHarmful(part: string): boolean {
+        return this.options.harmful.some(harm => harm.part === part && this.now >= harm.from && this.now < harm.until);
     }
 
     private schedule(at: number, run: () => void): void {
@@ -256,7 +167,7 @@
             const parts = [`first${choose(firstParts)}`, ...others()];
             this.arriveAt({ parts: [...new Set(parts)], attempt: 1 });
         });
-        harmful.filter(({ from, until }) => this.now >= from && this.now < until).forEach(({ part, perSecond }) =>
+        harmful.filter(({ from }) => this.now >= from).forEach(({ part, perSecond }) =>
             this.repeat(perSecond, () => {
                 const [second = "", third = ""] = others();
                 const rest = this.random() < 0.5 ? [part, second, third] : [second, part, third];
@@ -277,16 +188,9 @@
         if (daemon === undefined) {
             return;
         }
-        if (!this.containsHarmful(request)) {
-            this.soundRequests += 1;
-        }
         this.send(daemon, request);
     }
 
-    private containsHarmful({ parts }: Request): boolean {
-        return parts.some(part => this.isHarmful(part));
-    }
-
     private send(daemon: Daemon, request: Request): void {
         const { parts, attempt } = request;
         const free = this.targets.filter(({ servesAt, streams }) =>
@@ -297,13 +201,18 @@
             return;
         }
         const verdict = daemon.quarantine.check(parts, part => this.mayTry(daemon, part), this.now);
+        if (attempt === 1 && !parts.some(part => this.options.harmful.some(harm => harm.part === part))) {
+            this.sound.push({ first: parts[0] ?? "", at: this.now, isRefused: verdict.kind === "refused" });
+        }
         if (verdict.kind === "refused") {
             this.refuse(request, verdict.retryAfterMilliseconds);
             return;
         }
         parts.filter(part => this.isHarmful(part)).forEach(part => {
             const isTrial = verdict.kind === "trial";
-            this.trace(`d${daemon.index} sends ${part} to ${target.name}${isTrial ? " as a trial" : ""}, try ${attempt}`);
+            this.trace(
+                `d${daemon.index} sends ${part} to ${target.name}${isTrial ? " as a trial" : ""}, try ${attempt}`,
+            );
             this.attempts.push({ part, at: this.now, isTrial, inTouch: this.isInTouch(daemon) && !this.isCut(daemon) });
         });
         const stream: Stream = { request, daemon, target, ended: false };
@@ -312,9 +221,6 @@
     }
 
     private refuse(request: Request, retryAfter: number): void {
-        if (!this.containsHarmful(request) && request.attempt === 1) {
-            this.soundRefusals += 1;
-        }
         if (this.random() < RETURNING_SHARE) {
             this.schedule(this.now + retryAfter, () => this.arriveAt({ ...request, attempt: 1 }));
         }
@@ -323,7 +229,7 @@
     private mayTry(daemon: Daemon, part: string): boolean {
         const heard = this.daemons.filter(other =>
             other === daemon || this.now - (daemon.heardAt.get(other.index) ?? Number.NEGATIVE_INFINITY)
-                    < HEARD_MILLISECONDS
+                < HEARD_MILLISECONDS
         );
         const names = heard.map(({ index }) => `d${index}`);
         return heard.length * 2 > this.daemons.length && rendezvous(part, names, 1)[0] === `d${daemon.index}`;
@@ -426,8 +332,10 @@
 
     private record(daemon: Daemon, changes: readonly PartStatement[]): void {
         changes.forEach(statement => {
-            this.trace(`d${daemon.index}: ${statement.part} is ${statement.state} by ${statement.cause}, `
-                + `${statement.crashes} crashes`);
+            this.trace(
+                `d${daemon.index}: ${statement.part} is ${statement.state} by ${statement.cause}, `
+                    + `${statement.crashes} crashes`,
+            );
             this.statements.push({ at: this.now, daemon: daemon.index, statement });
         });
         daemon.announced ||= changes.length > 0;
@@ -437,7 +345,6 @@
         if (this.isCut(daemon)) {
             daemon.disturbedAt = this.now;
         }
-        this.record(daemon, daemon.quarantine.advance(this.now));
         if (daemon.announced || (this.now + daemon.index * TICK_MILLISECONDS) % EXCHANGE_MILLISECONDS === 0) {
             daemon.announced = false;
             this.announce(daemon);
@@ -465,7 +372,9 @@
             const isSound = (part: string): boolean => !this.options.harmful.some(harm => harm.part === part);
             parts.filter(part => isSound(part) && !daemon.blames.has(part))
                 .forEach(part => daemon.blames.set(part, this.now));
-            [...daemon.blames.keys()].filter(part => !parts.includes(part)).forEach(part => this.endBlame(daemon, part));
+            [...daemon.blames.keys()].filter(part => !parts.includes(part)).forEach(part =>
+                this.endBlame(daemon, part)
+            );
         });
     }
 
@@ -479,16 +388,3 @@
         this.options.trace?.(`${this.now}: ${line}`);
     }
 }
-
-/** Replaces times by ages, and ages by times. */
-function shiftReport({ crashes, proven, statements }: QuarantineReport, by: number): QuarantineReport {
-    return {
-        crashes: crashes.map(crash => ({ ...crash, at: crash.at + by })),
-        proven: proven.map(proof => ({ ...proof, at: proof.at + by })),
-        statements: statements.map(statement => ({
-            ...statement,
-            statedAt: statement.statedAt + by,
-            trialAt: statement.trialAt === undefined ? undefined : statement.trialAt + by,
-        })),
-    };
-}
--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -4,6 +4,7 @@
 import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
 import { membershipFuzz } from "./membership.js";
+import { quarantineFuzz } from "./quarantine.js";
 import { requestsFuzz } from "./requests.js";
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
@@ -18,6 +19,7 @@
     fairnessFuzz,
     sharesFuzz,
     targetLimitsFuzz,
+    quarantineFuzz,
     routingFuzz,
     retryFuzz,
     requestsFuzz,
