--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -6,6 +6,7 @@
 import { retriesBench } from "./limits/retries.js";
 import { targetLimitsBench } from "./limits/targetlimits.js";
 import { pathBench } from "./path/bench.js";
+import { quarantineBench } from "./quarantine/bench.js";
 import { routingBench } from "./routing/bench.js";
 import type { Bench } from "./types.js";
 
@@ -15,6 +16,7 @@
     limitsBench,
     retriesBench,
     targetLimitsBench,
+    quarantineBench,
     groupsBench,
     foldBench,
     pathBench,
