--- a/packages/core/src/quarantine/blame.ts
+++ b/packages/core/src/quarantine/blame.ts
@@ -1,5 +1,10 @@
 /** Tests that decide, from the crashes of a part, whether the part is the cause. */
-import { CRASH_SPACING_MILLISECONDS, SOUND_CRASH_SPAN_MILLISECONDS } from "./constants.js";
+import {
+    CRASH_SPACING_MILLISECONDS,
+    CRASHES_FOR_TIMED_BLAME,
+    SOUND_CRASH_SPAN_MILLISECONDS,
+    TIMED_BLAME_MILLISECONDS,
+} from "./constants.js";
 
 /** What is known about a part. */
 export interface PartEvidence {
@@ -11,6 +16,7 @@
     readonly wasProven: boolean;
     /** Whether another part was a candidate in the same crashes, so that either can be the cause. */
     readonly isAmbiguous: boolean;
+    readonly now: number;
 }
 
 /** Returns whether the part is to be blamed. */
@@ -22,14 +28,22 @@
 export const LEAST_CRASHES = 2;
 
 /** Counts crashes since the last proof. More are needed the more crashes have other causes. */
-export const countCrashes: BlameTest = ({ crashTimes, otherCrashes, wasProven, isAmbiguous }) => {
+export const countCrashes: BlameTest = evidence => {
+    const { crashTimes, otherCrashes, wasProven, isAmbiguous } = evidence;
     const needed = LEAST_CRASHES
         + OTHER_CRASHES_BY_NEED.filter(most => otherCrashes > most).length
         + (isAmbiguous ? 1 : 0);
-    const span = (crashTimes.at(-1) ?? 0) - (crashTimes[0] ?? 0);
-    return countSpaced(crashTimes) >= needed && (!wasProven || span >= SOUND_CRASH_SPAN_MILLISECONDS);
+    return countSpaced(crashTimes) >= needed && (!wasProven || isProofMissed(evidence));
 };
 
+/** Whether a part that was sound would have been proven again if it were still. */
+export function isProofMissed({ crashTimes, now }: PartEvidence): boolean {
+    const first = crashTimes[0] ?? now;
+    const span = (crashTimes.at(-1) ?? first) - first;
+    return span >= SOUND_CRASH_SPAN_MILLISECONDS
+        || crashTimes.length >= CRASHES_FOR_TIMED_BLAME && now - first >= TIMED_BLAME_MILLISECONDS;
+}
+
 /** Counts crashes, those that are close to the last counted one not. */
 export function countSpaced(times: readonly number[]): number {
     return times.reduce<{ readonly count: number; readonly last: number; }>(
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -37,6 +37,14 @@
  * and when all targets of a route end at once, no proof can come but no further crash either.
  */
 export const SOUND_CRASH_SPAN_MILLISECONDS = 2_000;
+/**
+ * After this many crashes, it is blamed this long after the first one, crash or no crash. A part that has crashed all
+ * targets would otherwise reach several as they return.
+ */
+export const CRASHES_FOR_TIMED_BLAME = 5;
+export const TIMED_BLAME_MILLISECONDS = 2_500;
+/** Suspects are weighed again this often while nothing new is learned. */
+export const ADVANCE_MILLISECONDS = 100;
 /** Crashes closer than this count as one, because many targets can end at once by a cause of their own. */
 export const CRASH_SPACING_MILLISECONDS = 100;
 /** Crashes without the part that raise the number of crashes needed. */
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -21,6 +21,9 @@
 
 /** Weighs the known facts; changes none. */
 export class Evidence {
+    /** Suspects that were computed since the last change. */
+    private readonly suspects = new Map<string, Suspect>();
+
     constructor(
         private readonly crashes: Crashes,
         private readonly proofs: Proofs,
@@ -47,8 +50,13 @@
         return { part, crashes, wasProven: first - this.proofs.lastAt(part) < PROOF_RETENTION_MILLISECONDS };
     }
 
+    /** Forgets what was computed; to be called when facts or decisions have changed. */
+    refresh(): void {
+        this.suspects.clear();
+    }
+
     /** Weighs the crashes of a suspect against those of other parts. */
-    weigh(suspect: Suspect): Verdict {
+    weigh(suspect: Suspect, now: number): Verdict {
         const rivals = this.rivalsOf(suspect);
         const isAmbiguous = rivals.some(rival => !isBlamedBefore(suspect, rival));
         const isBlamed = !rivals.some(rival => isBlamedBefore(rival, suspect)) && this.test({
@@ -56,6 +64,7 @@
             otherCrashes: this.countOthers(suspect),
             wasProven: suspect.wasProven,
             isAmbiguous,
+            now,
         });
         return { isBlamed, isAmbiguous };
     }
@@ -70,11 +79,20 @@
             );
     }
 
-    /** Whether a quarantined part other than `part` accounts for the crash. */
+    /** Whether another quarantined part, with no fewer crashes than `part`, accounts for the crash. */
     private isCausedByOther(crash: KnownCrash, part: string): boolean {
-        return this.statements.quarantined().some(({ part: other }) =>
-            other !== part && crash.parts.has(other) && crash.at > this.clearedAt(other)
-        );
+        const others = this.statements.hasQuarantined()
+            ? [...crash.parts].filter(other => other !== part && this.statements.isQuarantined(other))
+                .filter(other => crash.at > this.clearedAt(other))
+            : [];
+        const isCandidate = crash.parts.has(part);
+        return others.some(other => !isCandidate || this.crashesOf(other).length >= this.crashesOf(part).length);
+    }
+
+    private suspectOnce(part: string): Suspect {
+        const suspect = this.suspects.get(part) ?? this.suspectOf(part);
+        this.suspects.set(part, suspect);
+        return suspect;
     }
 
     private countOthers({ part, crashes }: Suspect): number {
@@ -88,7 +106,8 @@
     private rivalsOf({ part, crashes: [first, ...others] }: Suspect): readonly Suspect[] {
         return [...first?.parts ?? []]
             .filter(other => other !== part && others.every(crash => crash.parts.has(other)))
-            .map(other => this.suspectOf(other))
+            .filter(other => this.crashes.withPart(other).length > others.length)
+            .map(other => this.suspectOnce(other))
             .filter(rival => rival.crashes.length > others.length);
     }
 }
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -6,6 +6,7 @@
  */
 import { type BlameTest, countCrashes, countSpaced, LEAST_CRASHES } from "./blame.js";
 import {
+    ADVANCE_MILLISECONDS,
     MINIMUM_RETRY_MILLISECONDS,
     NO_TRIAL_RETRY_MILLISECONDS,
     PROOF_MARGIN_MILLISECONDS,
@@ -46,6 +47,9 @@
     private readonly evidence: Evidence;
     /** Parts that are not blamed although they met several crashes. */
     private suspected: readonly string[] = [];
+    /** Decisions that came due while nothing was learned, to be returned with the next ones. */
+    private due: Changes = [];
+    private advancedAt = Number.NEGATIVE_INFINITY;
     private refusals = 0;
 
     constructor(test: BlameTest) {
@@ -57,16 +61,18 @@
         cleared.forEach(part => this.proofs.markCleared(part, now));
         const released = parts.filter(part => this.statements.isQuarantined(part))
             .flatMap(part => this.releaseIfProven(part, now));
-        return cleared.length > 0 || released.length > 0 ? [...released, ...this.evaluate([], now)] : released;
+        return cleared.length > 0 || released.length > 0
+            ? this.withDue([...released, ...this.evaluate([], now)])
+            : this.withDue(released);
     }
 
     recordCrash(crash: CrashObservation, now: number): Changes {
         const concerned = this.addCrashes([{ ...crash, at: now }], now);
-        return [
+        return this.withDue([
             ...concerned.flatMap(part => this.countFurther(part, now)),
             ...this.evaluate(concerned, now),
             ...this.releaseExplained(concerned, now),
-        ];
+        ]);
     }
 
     withdrawCrash(target: string, startedAt: number | undefined, now: number): Changes {
@@ -75,6 +81,7 @@
     }
 
     check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict {
+        this.advance(now);
         const refused = parts
             .flatMap(part => this.statements.isQuarantined(part) ? this.statements.find(part) ?? [] : [])
             .map(statement => ({ statement, trialAt: nextTrialAt(statement) }));
@@ -103,6 +110,7 @@
     }
 
     report(now: number): QuarantineReport {
+        this.advance(now);
         this.crashes.prune(now);
         this.statements.prune(now);
         return this.reporter.report(this.crashes, this.proofs, this.statements, now);
@@ -115,20 +123,34 @@
         const concerned = this.addCrashes(crashes, now);
         const isCleared = proven.filter(({ part, at }) => this.addProof(part, at, "told")).length > 0;
         const adopted = statements.flatMap(statement => this.statements.adopt(statement, now) ?? []);
-        return [
+        return this.withDue([
             ...withdrawn,
             ...adopted,
             ...adopted.flatMap(({ part }) => this.releaseIfProven(part, now)),
             ...concerned.flatMap(part => this.countFurther(part, now)),
             ...isCleared || adopted.length + concerned.length > 0 ? this.evaluate(concerned, now) : [],
             ...this.releaseExplained(concerned, now),
-        ];
+        ]);
     }
 
     quarantined(): Changes {
         return this.statements.quarantined();
     }
 
+    /** Makes the decisions that time alone makes due. */
+    private advance(now: number): void {
+        if (this.suspected.length > 0 && now - this.advancedAt >= ADVANCE_MILLISECONDS) {
+            this.advancedAt = now;
+            this.due = [...this.due, ...this.evaluate([], now)];
+        }
+    }
+
+    private withDue(changes: Changes): Changes {
+        const { due } = this;
+        this.due = [];
+        return due.length === 0 ? changes : [...due, ...changes];
+    }
+
     /** Returns the parts that the crashes concern. Other suspects are weighed again at their next crash. */
     private addCrashes(crashes: readonly ReportedCrash[], now: number): readonly string[] {
         return [...new Set(crashes.flatMap(crash => [...this.crashes.add(crash, now)?.parts ?? []]))];
@@ -146,13 +168,14 @@
      * blamed, or cease to be one, by what becomes known of another.
      */
     private evaluate(parts: readonly string[], now: number): Changes {
+        this.evidence.refresh();
         const isRecent = (part: string): boolean =>
             now - (this.crashes.withPart(part).at(-1)?.at ?? now) < SUSPICION_MILLISECONDS;
         const suspects = [...new Set([...parts, ...this.suspected.filter(isRecent)])]
             .filter(part => this.crashes.withPart(part).length >= LEAST_CRASHES && !this.statements.isQuarantined(part))
             .map(part => this.evidence.suspectOf(part))
             .filter(({ crashes }) => crashes.length >= LEAST_CRASHES)
-            .map(suspect => ({ ...suspect, ...this.evidence.weigh(suspect) }));
+            .map(suspect => ({ ...suspect, ...this.evidence.weigh(suspect, now) }));
         this.suspected = suspects.filter(({ isBlamed }) => !isBlamed).map(({ part }) => part);
         return suspects.filter(({ isBlamed }) => isBlamed).map(({ part, crashes, wasProven, isAmbiguous }) =>
             this.statements.state({
--- a/packages/core/src/quarantine/statements.ts
+++ b/packages/core/src/quarantine/statements.ts
@@ -32,6 +32,10 @@
         return this.quarantinedParts.has(part);
     }
 
+    hasQuarantined(): boolean {
+        return this.quarantinedParts.size > 0;
+    }
+
     all(): readonly KnownStatement[] {
         return [...this.known.values()];
     }
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -57,7 +57,7 @@
     readonly statements: readonly PartStatement[];
 }
 
-/** Decides which parts are refused. */
+/** Decides which parts are refused. A decision that time makes due is returned with the next ones. */
 export interface PartQuarantine {
     /**
      * Records that a stream with these shared parts went on well for half a second after its first event, or ended whole
