--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -123,6 +123,24 @@
         "info",
         "The share of this daemon in the request rate of a limited target changed; 0 if other daemons use the target.",
     ),
+    targetCrashed: define(
+        337,
+        "warn",
+        "A target lost its connections as a crashed process does; names the shared prompt parts that were in use there.",
+        "Compare the parts with 338; other causes of crashes are those of the target's host.",
+    ),
+    promptPartQuarantined: define(
+        338,
+        "warn",
+        "Requests with a part of a prompt are refused, because targets crash on it.",
+        "Have the part mended; lift the quarantine at a daemon's metrics address if the blame is wrong.",
+    ),
+    promptPartReleased: define(339, "info", "Requests with a part of a prompt are accepted again."),
+    targetCrashWithdrawn: define(
+        340,
+        "info",
+        "A target that seemed to have crashed has answered as the same process; its crash does not count.",
+    ),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -20,6 +20,8 @@
     readonly lastEventId?: number;
     readonly model?: string;
     readonly promptTokens: number;
+    /** Ids of the parts of the prompt that other requests share, without repetitions; never the request's own last part. */
+    readonly promptParts: readonly string[];
     /** Maximum number of tokens of the output. */
     readonly maximumOutputTokens: number;
     /** Number of output tokens that the caller expects, if stated. */
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -230,6 +230,7 @@
         lastEventId,
         model: stream ? "m" : undefined,
         promptTokens: 100,
+        promptParts: [],
         maximumOutputTokens: 100,
         forwarded: [],
     };
