Refuse requests with a prompt part on which targets crash

Cause: no daemon connected the crashes with the part that was in use at each of them, and retries carried it on.

Change: each daemon observes crashes and proofs, merges what the others tell, and asks the quarantine before it admits a request, before each retry and before each move of a stream. A refusal is a 503 with Retry-After, outcome 'refused: quarantined' with the part. Requests that wait for their first event when their part is quarantined are cancelled: 502 if they were written, 503 otherwise. Crashes, decisions and trials are told to the other daemons at once and with the loads; the field is absent in messages of earlier versions. One daemon, chosen by rendezvous hashing over those that are heard, tries a part again, and none while it hears half of the daemons or fewer. The metrics address lists the quarantine and lifts it (GET /quarantine, DELETE /quarantine/PART).

The relay fixture emits 'close' of a response after end() or destroy() has returned, as Node does; it hid the outcome of each request that the relay itself ended.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -2,7 +2,7 @@
  * Exchange of loads and suspicions between daemons over UDP. Each message supersedes the previous one, so messages need
  * neither retransmission nor ordering, and there is no connection that could go dead unnoticed.
  */
-import type { LoadTracker, PeerLoads, StatedLimit } from "@damaskvale/core";
+import type { LoadTracker, PeerLoads, QuarantineReport, StatedLimit } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -17,6 +17,7 @@
     type HeadSuspicion,
     type LoadMessage,
 } from "./loadmessage.js";
+import { decodeQuarantine, encodeQuarantine } from "./quarantinemessage.js";
 
 /** Collaborators of the exchange. */
 export interface LoadExchangeParts {
@@ -36,6 +37,10 @@
     readonly limits: () => readonly StatedLimit[];
     /** Called with each statement that another daemon knows; its time is of this daemon's monotonic clock. */
     readonly onLimit: (limit: StatedLimit) => void;
+    /** What this daemon knows about prompt parts on which targets crash. */
+    readonly quarantine: () => QuarantineReport;
+    /** Called with what another daemon knows; its times are of this daemon's monotonic clock. */
+    readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
     /** Called when another daemon has a newer configuration in force. */
@@ -48,8 +53,8 @@
     suspect(suspicion: HeadSuspicion): void;
     /** Immediately sends all daemons a membership that an engine reported. */
     broadcastMembership(reported: ReportedMembership): void;
-    /** Immediately sends all daemons what targets state about their request rate. */
-    broadcastLimits(): void;
+    /** Immediately sends all daemons what this one knows of limits and quarantined parts. */
+    broadcastKnowledge(): void;
     stop(): void;
 }
 
@@ -105,7 +110,7 @@
     return {
         suspect: suspicion => send(createMessage(parts, { suspects: [suspicion] }), daemons.others()),
         broadcastMembership: reported => send(createMessage(parts, { memberships: [reported] }), daemons.others()),
-        broadcastLimits: () => send(createMessage(parts, {}), daemons.others()),
+        broadcastKnowledge: () => send(createMessage(parts, {}), daemons.others()),
         stop: () => {
             clearInterval(timer);
             socket.close();
@@ -114,7 +119,7 @@
 }
 
 function createMessage(
-    { clock, self, loadTracker, configurationVersion, limits }: LoadExchangeParts,
+    { clock, self, loadTracker, configurationVersion, limits, quarantine }: LoadExchangeParts,
     updates: Partial<Pick<LoadMessage, "suspects" | "memberships">>,
 ): LoadMessage {
     const now = clock.monotonic();
@@ -125,6 +130,7 @@
         suspects: [],
         memberships: [],
         limits: limits().map(({ statedAt, ...limit }) => ({ ...limit, ageMilliseconds: Math.max(0, now - statedAt) })),
+        quarantine: encodeQuarantine(quarantine(), now),
         ...updates,
     };
 }
@@ -141,6 +147,9 @@
     message.limits.forEach(({ ageMilliseconds, ...limit }) =>
         parts.onLimit({ ...limit, statedAt: now - ageMilliseconds })
     );
+    if (message.quarantine !== undefined) {
+        parts.onQuarantine(decodeQuarantine(message.quarantine, now), daemon);
+    }
     suspects.forEach(suspicion => parts.onSuspicion(suspicion, daemon));
     memberships.forEach(parts.onMembership);
     if (configurationVersion > parts.configurationVersion()) {
--- a/packages/daemon/src/peers/loadmessage.ts
+++ b/packages/daemon/src/peers/loadmessage.ts
@@ -2,6 +2,7 @@
 import type { LoadTracker } from "@damaskvale/core";
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
+import { quarantineSchema } from "./quarantinemessage.js";
 
 /** Suspicion that the head of one group has failed. It does not apply to other groups of the same host. */
 export interface HeadSuspicion {
@@ -32,6 +33,8 @@
         requestsPerSecond: z.number().nonnegative().optional(),
         ageMilliseconds: z.number().nonnegative(),
     })).default([]),
+    /** Absent in messages of daemons of earlier versions, and if there is nothing to tell. */
+    quarantine: quarantineSchema.optional(),
 });
 
 /** Message of one daemon. It supersedes the previous one of the same daemon. */
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -1,5 +1,5 @@
 /** Prometheus metrics of the daemon on a platform, derived from its log events. */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { EventName } from "../events.js";
 import { listenOn } from "../front/server.js";
@@ -17,14 +17,19 @@
     readonly servingGroups: () => number;
     /** Targets that limit their request rate. */
     readonly limitedTargets: () => number;
+    /** Prompt parts whose requests are refused. */
+    readonly quarantinedParts: () => number;
 }
 
+/** Responds to a request of an operator; returns whether it did. */
+export type OperatorHandler = (request: IncomingMessage, response: ServerResponse) => boolean;
+
 /** Metrics of one daemon. */
 export interface DaemonMetrics {
     /** Event log that counts each event before it forwards it. */
     readonly log: EventLog;
-    /** Serves the metrics at `IP:PORT` under every path. */
-    serve(listen: string): Promise<Server>;
+    /** Serves the metrics at `IP:PORT` under every path that `handle` does not respond to. */
+    serve(listen: string, handle?: OperatorHandler): Promise<Server>;
     /** Returns the metrics in the Prometheus text format. */
     text(): Promise<string>;
 }
@@ -77,8 +82,11 @@
             },
         },
         text: () => registry.metrics(),
-        serve: async listen => {
-            const server = createServer((...[, response]) => {
+        serve: async (listen, handle) => {
+            const server = createServer((request, response) => {
+                if (handle?.(request, response) === true) {
+                    return;
+                }
                 registry.metrics()
                     .then(text => response.writeHead(200, { "Content-Type": registry.contentType }).end(text))
                     .catch((error: unknown) => {
@@ -103,6 +111,7 @@
         ["damaskvale_configuration_version", "Configuration in force.", values.configurationVersion],
         ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
         ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
+        ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
     ];
     gauges.forEach(([name, help, read]) =>
         new Gauge({
--- /dev/null
+++ b/packages/daemon/src/relay/promptquarantine.ts
@@ -0,0 +1,180 @@
+/** Refuses requests with prompt parts on which targets crash, as decided by all daemons together. */
+import {
+    createPartQuarantine,
+    type PartStatement,
+    type PartVerdict,
+    type QuarantineReport,
+    rendezvous,
+} from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import { createCrashObserver, type ObservedAttempt, type TargetProcess } from "./crashobserver.js";
+
+/** Quarantine of prompt parts, as the request path uses it. */
+export interface PromptQuarantine {
+    /** Decides about an attempt before it is sent. Only a first attempt may try a quarantined part again. */
+    check(promptParts: readonly string[], isFirstAttempt: boolean): PartVerdict;
+    /** Starts to observe an attempt that is sent to a target. */
+    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt;
+    /** Parts whose requests are refused. */
+    quarantined(): readonly PartStatement[];
+    /** Accepts a part again on behalf of an operator; returns whether it was quarantined. */
+    release(part: string): boolean;
+    /** Returns what is known, for other daemons. */
+    report(): QuarantineReport;
+    /** Merges what another daemon knows. */
+    merge(report: QuarantineReport, daemon: string): void;
+    /** Registers a listener for parts that become quarantined. */
+    onQuarantined(listener: (part: string) => void): void;
+    /** Registers a listener for changes that other daemons should learn of at once. */
+    onNews(listener: () => void): void;
+}
+
+/** Collaborators of the quarantine. */
+export interface PromptQuarantineParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    /** Name of this daemon. */
+    readonly self: string;
+    /** Other daemons that were heard recently. */
+    readonly reachableDaemons: () => readonly string[];
+    /** Number of all daemons, including this one. */
+    readonly knownDaemons: () => number;
+}
+
+/** The daemon that tries parts again follows the daemons that are heard, whose reports expire after seconds. */
+const CHOICE_MILLISECONDS = 400;
+/** What this daemon found out itself, as opposed to what another one told. */
+const LEARNED_HERE = "request";
+
+/** Creates the quarantine. No part is quarantined at first. */
+export function createPromptQuarantine(parts: PromptQuarantineParts): PromptQuarantine {
+    return new PromptQuarantineTask(parts);
+}
+
+class PromptQuarantineTask implements PromptQuarantine {
+    private readonly decisions = createPartQuarantine();
+    private readonly observer;
+    /** Parts whose quarantine was announced to the listeners. */
+    private readonly announced = new Set<string>();
+    private readonly quarantineListeners: ((part: string) => void)[] = [];
+    private readonly newsListeners: (() => void)[] = [];
+    /** Whether this daemon tries a part, and when that was computed. */
+    private choice: { readonly part: string; readonly at: number; readonly isSelf: boolean; } | undefined;
+
+    constructor(private readonly parts: PromptQuarantineParts) {
+        this.observer = createCrashObserver({
+            clock: parts.clock,
+            onProven: (proven, firstEventAt) =>
+                this.apply(this.decisions.recordProven(proven, this.now(), firstEventAt), LEARNED_HERE),
+            onCrash: crash => {
+                parts.log.emit("targetCrashed", { ...crash });
+                this.apply(this.decisions.recordCrash(crash, this.now()), LEARNED_HERE);
+                this.announceNews();
+            },
+            onAlive: ({ id, startedAt }) => {
+                parts.log.emit("targetCrashWithdrawn", { target: id, startedAt });
+                this.apply(this.decisions.withdrawCrash(id, startedAt, this.now()), LEARNED_HERE);
+                this.announceNews();
+            },
+        });
+    }
+
+    check(promptParts: readonly string[], isFirstAttempt: boolean): PartVerdict {
+        if (promptParts.length === 0) {
+            return { kind: "allowed" };
+        }
+        const mayTry = (part: string): boolean => isFirstAttempt && this.isChosen(part);
+        const verdict = this.decisions.check(promptParts, mayTry, this.now());
+        if (verdict.kind === "trial") {
+            this.announceNews();
+        }
+        return verdict;
+    }
+
+    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt {
+        return this.observer.observe(target, promptParts);
+    }
+
+    quarantined(): readonly PartStatement[] {
+        return this.decisions.quarantined();
+    }
+
+    release(part: string): boolean {
+        const statement = this.decisions.release(part, this.now());
+        if (statement === undefined) {
+            return false;
+        }
+        this.apply([statement], "operator");
+        return true;
+    }
+
+    report(): QuarantineReport {
+        return this.decisions.report(this.now());
+    }
+
+    merge(report: QuarantineReport, daemon: string): void {
+        this.applyLearned(this.decisions.merge(report, this.now()), daemon);
+    }
+
+    onQuarantined(listener: (part: string) => void): void {
+        this.quarantineListeners.push(listener);
+    }
+
+    onNews(listener: () => void): void {
+        this.newsListeners.push(listener);
+    }
+
+    private now(): number {
+        return this.parts.clock.monotonic();
+    }
+
+    /** Applies decisions of this daemon, and has the other daemons told at once. */
+    private apply(changes: readonly PartStatement[], learnedFrom: string): void {
+        if (changes.length > 0) {
+            this.applyLearned(changes, learnedFrom);
+            this.announceNews();
+        }
+    }
+
+    private applyLearned(changes: readonly PartStatement[], learnedFrom: string): void {
+        changes.forEach(change => this.applyChange(change, learnedFrom));
+    }
+
+    private applyChange(change: PartStatement, learnedFrom: string): void {
+        const { statedAt, trialAt, state, ...fields } = change;
+        const now = this.now();
+        this.parts.log.emit(state === "quarantined" ? "promptPartQuarantined" : "promptPartReleased", {
+            ...fields,
+            statedMillisecondsAgo: Math.round(now - statedAt),
+            ...(trialAt === undefined ? {} : { triedMillisecondsAgo: Math.round(now - trialAt) }),
+            learnedFrom,
+        });
+        if (state === "released") {
+            this.announced.delete(change.part);
+        }
+        else if (!this.announced.has(change.part)) {
+            this.announced.add(change.part);
+            this.quarantineListeners.forEach(listener => listener(change.part));
+        }
+    }
+
+    private announceNews(): void {
+        this.newsListeners.forEach(listener => listener());
+    }
+
+    /**
+     * Returns whether this daemon is the one that tries a part again. While it hears less than half of the daemons, it
+     * tries none, because another part of the fleet may choose a daemon too.
+     */
+    private isChosen(part: string): boolean {
+        const now = this.now();
+        if (this.choice?.part !== part || now - this.choice.at > CHOICE_MILLISECONDS) {
+            const { self, reachableDaemons, knownDaemons } = this.parts;
+            const daemons = [self, ...reachableDaemons()];
+            const isMajority = daemons.length * 2 > knownDaemons();
+            this.choice = { part, at: now, isSelf: isMajority && rendezvous(part, daemons, 1)[0] === self };
+        }
+        return this.choice.isSelf;
+    }
+}
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -16,6 +16,8 @@
     inProgress(): number;
     /** Moves streams away from a head that makes no progress. */
     moveStreams(head: string): void;
+    /** Cancels the streams that wait for their first event and have a quarantined part. */
+    cancelWaiting(part: string): void;
 }
 
 /** `Retry-After` while this daemon has no configuration. */
@@ -74,6 +76,7 @@
         inProgress: () => inProgress,
         moveStreams: head =>
             [...streams].filter(stream => stream.head() === head).forEach(stream => stream.moveToAnotherGroup()),
+        cancelWaiting: part => [...streams].forEach(stream => stream.cancelIfWaiting(part)),
         handle: async (message, response) => {
             const receivedAt = parts.clock.monotonic();
             const { protocol, state } = parts;
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
+import type { PromptQuarantine } from "./promptquarantine.js";
 import type { RelayState } from "./state.js";
 import type { TargetConnections } from "./targetconnections.js";
 import type { TargetRates } from "./targetrates.js";
@@ -38,6 +39,7 @@
     readonly connections: TargetConnections;
     readonly loadTracker: LoadTracker;
     readonly targetRates: TargetRates;
+    readonly promptQuarantine: PromptQuarantine;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
     readonly dataCentre: string;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -11,10 +11,11 @@
     | "limited"
     | "too-late"
     | "not-run"
-    | "budget";
+    | "budget"
+    | "quarantined";
 
 /** Why a request fails although a target may have run it. */
-export type FailureReason = "target-failed" | "deadline" | "attempts-spent";
+export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "quarantined";
 
 /** Why a request is denied. */
 export type DenialReason = "unknown-route" | "unknown-key" | "body-too-large" | "header-too-large";
@@ -28,6 +29,7 @@
 const failureStatus: Readonly<Record<FailureReason, number>> = {
     "target-failed": 502,
     "attempts-spent": 502,
+    "quarantined": 502,
     "deadline": 504,
 };
 const NOT_RUN_STATUS = 503;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,12 +1,13 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
 import type { Target } from "@damaskvale/core";
 import type { ResponseHead } from "../ports/relayprotocol.js";
+import type { ObservedAttempt } from "./crashobserver.js";
 import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import { type RefusalReason, writeFailure, writeRefusal, writeResponseHead } from "./responses.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
-import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
+import { isLostConnection, isRefusedConnection, type TargetExchange } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
 export interface StreamRelay {
@@ -16,6 +17,8 @@
     head(): string | undefined;
     /** Moves the stream to another group if one can take it. */
     moveToAnotherGroup(): void;
+    /** Cancels the attempt and gives up if the request has a part that is quarantined and waits for its first event. */
+    cancelIfWaiting(part: string): void;
 }
 
 /** Buffered bytes for a slow caller above which reading from the target pauses. */
@@ -26,6 +29,7 @@
     readonly target: Target;
     readonly sentAt: number;
     readonly splitter: EventSplitter;
+    readonly observed: ObservedAttempt;
     exchange?: TargetExchange;
     /** Whether the target may have run the request; reset if the target states that it has not. */
     sent: boolean;
@@ -51,6 +55,8 @@
     /** Whether the response to the caller marks its end. */
     private isResponseDelimited = true;
     private firstEventAt: number | undefined;
+    /** Quarantined part that this request tries again. */
+    private trialOf: string | undefined;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
@@ -60,8 +66,10 @@
 
     start(): void {
         this.parts.budgetOf(this.context.service).recordFirstAttempt(this.parts.clock.monotonic());
-        recordDemand(this.context, this.parts);
-        this.sendOrGiveUp();
+        if (!this.giveUpIfQuarantined()) {
+            recordDemand(this.context, this.parts);
+            this.sendOrGiveUp();
+        }
     }
 
     head(): string | undefined {
@@ -70,7 +78,7 @@
 
     moveToAnotherGroup(): void {
         const stalled = this.attempt;
-        if (stalled === undefined || stalled.isPassthrough || !this.mayRetry()) {
+        if (stalled === undefined || stalled.isPassthrough || !this.mayRetry() || this.isQuarantined()) {
             return;
         }
         const placement = placeStream(this.context, this.parts, this.tried);
@@ -89,6 +97,37 @@
         }
     }
 
+    cancelIfWaiting(part: string): void {
+        const { attempt } = this;
+        if (attempt === undefined || attempt.started || attempt.isPassthrough || this.trialOf === part) {
+            return;
+        }
+        const { promptParts } = this.context.request;
+        if (promptParts.includes(part) && this.isQuarantined()) {
+            this.mayHaveRun ||= attempt.sent;
+            this.sends -= attempt.written ? 0 : 1;
+            this.release(attempt);
+            attempt.exchange?.cancel();
+            this.giveUpIfQuarantined();
+        }
+    }
+
+    private isQuarantined(): boolean {
+        return this.parts.promptQuarantine.check(this.context.request.promptParts, false).kind === "refused";
+    }
+
+    /** Gives up if a part of the request is quarantined; returns whether it did. */
+    private giveUpIfQuarantined(): boolean {
+        const { promptParts } = this.context.request;
+        const verdict = this.parts.promptQuarantine.check(promptParts, this.tried.length === 0);
+        this.trialOf = verdict.kind === "trial" ? verdict.part : undefined;
+        if (verdict.kind !== "refused") {
+            return false;
+        }
+        this.giveUp("quarantined", verdict.retryAfterMilliseconds, { part: verdict.part });
+        return true;
+    }
+
     private mayRetry(): boolean {
         const { route } = this.context.admitted;
         const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
@@ -121,6 +160,7 @@
             target,
             sentAt: now,
             splitter: createEventSplitter(),
+            observed: parts.promptQuarantine.observe(target, context.request.promptParts),
             sent: false,
             written: false,
             started: false,
@@ -139,6 +179,7 @@
             attempt: this.sends,
             lastEventId: this.lastEventId,
             inProgressThere: parts.loadTracker.get(headId)?.inProgress,
+            trialOf: this.trialOf,
         });
         const headers = parts.protocol.encodeForTarget(context.request, {
             target: headId,
@@ -154,6 +195,7 @@
                 sent: () => {
                     attempt.sent = true;
                     attempt.written = true;
+                    attempt.observed.sent();
                 },
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
@@ -211,6 +253,7 @@
             parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
         }
         parts.loadTracker.progressed(attempt.head, now);
+        attempt.observed.progressed();
         const inOrder = events.every(event => this.deliver(event));
         if (!inOrder) {
             this.abandon(attempt, "event-missing");
@@ -238,9 +281,15 @@
 
     private receiveEnd(attempt: Attempt): void {
         if (!attempt.isPassthrough && (attempt.splitter.hasPartialEvent() || !attempt.started)) {
+            if (!attempt.delimited) {
+                attempt.observed.connectionLost();
+            }
             this.attemptFailed(attempt, "ended inside an event");
             return;
         }
+        if (!attempt.isPassthrough) {
+            attempt.observed.completed();
+        }
         this.release(attempt);
         if (this.isResponseDelimited && !attempt.delimited) {
             // A marked end would tell the caller that the stream is complete, which is unknown here.
@@ -256,6 +305,9 @@
         if (isRefusedConnection(error)) {
             this.parts.headUnusable(attempt.head);
         }
+        if (isLostConnection(error)) {
+            attempt.observed.connectionLost();
+        }
         this.attemptFailed(attempt, error.message);
     }
 
@@ -283,12 +335,15 @@
             this.giveUp("not-run", REFUSED_RETRY_AFTER_MILLISECONDS);
             return;
         }
-        this.sendOrGiveUp();
+        if (!this.giveUpIfQuarantined()) {
+            this.sendOrGiveUp();
+        }
     }
 
     private release(attempt: Attempt): void {
         if (!attempt.isReleased) {
             attempt.isReleased = true;
+            attempt.observed.dropped();
             this.parts.loadTracker.ended(attempt.head, this.context.request.promptTokens, attempt.started);
         }
         if (this.attempt === attempt) {
@@ -299,23 +354,22 @@
     private giveUp(
         reason: RefusalReason,
         retryAfterMilliseconds: number,
+        details: EndDetails = {},
     ): void {
         const { response } = this.context;
         if (response.headersSent) {
             response.destroy();
-            this.finish("broken-off");
+            this.finish("broken-off", details);
             return;
         }
         if (this.mayHaveRun) {
-            writeFailure(response, "target-failed");
-            this.finish("failed");
+            writeFailure(response, reason === "quarantined" ? reason : "target-failed");
+            this.finish("failed", details);
             return;
         }
         writeRefusal(response, reason, retryAfterMilliseconds);
-        this.finish(`refused: ${reason}`, {
-            retryAfterMilliseconds,
-            groups: describeCandidates(this.context, this.parts),
-        });
+        const groups = reason === "quarantined" ? undefined : describeCandidates(this.context, this.parts);
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, groups, ...details });
     }
 
     protected cancelAttempt(): void {
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -7,6 +7,7 @@
     createRouteLookup,
     createSlidingMaximum,
     type EngineProfile,
+    type PartStatement,
     type Route,
     type RouteKind,
     type Target,
@@ -15,6 +16,7 @@
 import type { ServerResponse } from "node:http";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead } from "../../ports/relayprotocol.js";
+import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRelayState } from "../state.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
@@ -58,6 +60,8 @@
     readonly timeoutMilliseconds?: number;
     readonly targets?: readonly string[];
     readonly lastEventId?: number;
+    /** Shared parts of the prompt. */
+    readonly promptParts?: readonly string[];
     /** Targets that have stated a limit and got the last request that it allows. */
     readonly limitedTargets?: readonly string[];
     /** Retries that the budget allows. */
@@ -105,6 +109,23 @@
     }),
 };
 
+/** Quarantines a part as if another daemon had told it. */
+export function quarantinePart(quarantine: Pick<PromptQuarantine, "merge">, fields: Partial<PartStatement> = {}): void {
+    const statement: PartStatement = {
+        part: "bad",
+        revision: 1,
+        state: "quarantined",
+        statedAt: performance.now(),
+        crashes: 3,
+        cause: "crashes",
+        trials: 0,
+        wasProven: false,
+        isAmbiguous: false,
+        ...fields,
+    };
+    quarantine.merge({ crashes: [], proven: [], statements: [statement] }, "daemon-1");
+}
+
 /** Creates a fixture with one request. */
 export function createRelayFixture(options: RelayFixtureOptions): RelayFixture {
     const stream = options.kind === "stream";
@@ -153,6 +174,13 @@
             rate: { kind: "limited", requestsPerSecond: 0.1 },
         })
     );
+    const promptQuarantine = createPromptQuarantine({
+        clock,
+        log,
+        self: "daemon-0",
+        reachableDaemons: () => [],
+        knownDaemons: () => 1,
+    });
     const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.retries ?? 5) / 10 });
     const { caller, response } = createCaller();
@@ -182,6 +210,7 @@
             },
             loadTracker: createLoadTracker(),
             targetRates,
+            promptQuarantine,
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
             peerLoadOf: () => ({ inProgress: 0, pendingPromptTokens: 0 }),
@@ -191,7 +220,7 @@
             random: () => 0,
         },
         context: {
-            request: requestOf(stream, options.lastEventId),
+            request: requestOf(stream, options),
             body: Buffer.from("body"),
             response,
             lookup,
@@ -221,7 +250,10 @@
     };
 }
 
-function requestOf(stream: boolean, lastEventId: number | undefined): CallerRequest {
+function requestOf(
+    stream: boolean,
+    { lastEventId, promptParts = [] }: Pick<RelayFixtureOptions, "lastEventId" | "promptParts">,
+): CallerRequest {
     return {
         method: "POST",
         path: "/",
@@ -230,7 +262,7 @@
         lastEventId,
         model: stream ? "m" : undefined,
         promptTokens: 100,
-        promptParts: [],
+        promptParts,
         maximumOutputTokens: 100,
         forwarded: [],
     };
@@ -262,13 +294,13 @@
         end: (chunk?: Buffer | string) => {
             caller.body += chunk?.toString() ?? "";
             caller.ended = true;
-            emitter.emit("close");
+            process.nextTick(() => emitter.emit("close"));
             return response;
         },
         destroy: () => {
             caller.destroyed = true;
             response.destroyed = true;
-            emitter.emit("close");
+            process.nextTick(() => emitter.emit("close"));
             return response;
         },
     });
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -12,6 +12,7 @@
             configurationVersion: () => 12,
             servingGroups: () => 5,
             limitedTargets: () => 2,
+            quarantinedParts: () => 4,
         });
         log.emit("requestEnded", {
             requestId: "r1",
@@ -31,6 +32,7 @@
             "damaskvale_log_lines_dropped 7",
             "damaskvale_serving_groups 5",
             "damaskvale_limited_targets 2",
+            "damaskvale_quarantined_parts 4",
         ]);
         expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
         expect(passed).to.deep.equal(["requestEnded", "engineOrdered"]);
--- a/packages/daemon/src/relay/tests/refusedconnection.test.ts
+++ b/packages/daemon/src/relay/tests/refusedconnection.test.ts
@@ -3,7 +3,7 @@
 import { Agent, createServer, request as startRequest, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createRelay } from "../relay.js";
-import { createRelayFixture, type RelayFixture, type RelayFixtureOptions } from "./fixture.js";
+import { createRelayFixture, quarantinePart, type RelayFixture, type RelayFixtureOptions } from "./fixture.js";
 
 interface Answer {
     readonly status: number;
@@ -11,9 +11,10 @@
     readonly port: number;
 }
 
-const cases: readonly { readonly name: string; readonly options: RelayFixtureOptions; }[] = [
+const cases: readonly { readonly name: string; readonly options: RelayFixtureOptions; readonly part?: string; }[] = [
     { name: "a stream without a group", options: { kind: "stream", targets: [] } },
     { name: "a stream beyond the rate of all heads", options: { kind: "stream", limitedTargets: ["a", "b"] } },
+    { name: "a stream with a quarantined part", options: { kind: "stream", promptParts: ["bad"] }, part: "bad" },
     { name: "a plain request without a target", options: { kind: "repeatable", targets: [] } },
 ];
 
@@ -48,10 +49,14 @@
             message.end("b");
         });
 
-    cases.forEach(({ name, options }) => {
+    cases.forEach(({ name, options, part }) => {
         it(`of ${name} leaves the connection of its caller open`, async () => {
             const errors: unknown[] = [];
-            await serve(createRelayFixture(options), errors);
+            const fixture = createRelayFixture(options);
+            if (part !== undefined) {
+                quarantinePart(fixture.parts.promptQuarantine, { part });
+            }
+            await serve(fixture, errors);
             const first = await call();
             await new Promise(resolve => setTimeout(resolve, 20));
             const second = await call();
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,6 +1,5 @@
 /** Composition root of the daemon on a platform: connects the relay, the topic followers and the engine planner. */
 import {
-    createDemandMeter,
     createLoadTracker,
     createPeerLoads,
     createSlidingMaximum,
@@ -29,9 +28,12 @@
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import { createServiceRetryBudgets, type RetryAllowance, type ServiceRetryBudgets } from "./budgets.js";
+import { createDemandMeters } from "./demandmeters.js";
 import { startListeners } from "./lifecycle.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
 import { registryReadDelayMilliseconds } from "./pace.js";
+import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
+import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createRelayState, type RelayState } from "./state.js";
@@ -121,6 +123,7 @@
     readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
     readonly targetRates: TargetRates;
+    readonly promptQuarantine: PromptQuarantine;
 }
 
 /** Starts the daemon and resolves once it listens. On SIGTERM it drains and exits the process. */
@@ -130,7 +133,7 @@
     const relay = wireRelay(shared, head => stallDetector.headUnusable(head));
     const listening = startListeners({ ...settings, log, relay, state: shared.state });
     if (settings.metricsListen !== undefined) {
-        await metrics.serve(settings.metricsListen);
+        await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.promptQuarantine));
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     ports.storeEra.onRisen((era, previous) => log.emit("storeEraRose", { era, previous }));
@@ -169,6 +172,7 @@
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
         limitedTargets: () => targetRates.limitedTargets(),
+        quarantinedParts: () => promptQuarantine.quarantined().length,
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
@@ -180,6 +184,13 @@
         knownDaemons: daemons.count,
         isKnown: target => state.targetById(target) !== undefined,
     });
+    const promptQuarantine = createPromptQuarantine({
+        clock: systemClock,
+        log: metrics.log,
+        self: settings.daemon,
+        reachableDaemons: () => peerLoads.peers(systemClock.monotonic()),
+        knownDaemons: daemons.count,
+    });
     const shared: SharedParts = {
         settings,
         ports,
@@ -193,6 +204,7 @@
         demandOf: createDemandMeters(),
         daemons,
         targetRates,
+        promptQuarantine,
     };
     return { shared, metrics };
 }
@@ -203,18 +215,9 @@
     return names.map(daemon => ({ daemon, dataCentre: dataCentres.get(daemon) }));
 }
 
-function createDemandMeters(): (service: string) => DemandMeter {
-    const meters = new Map<string, DemandMeter>();
-    return service => {
-        const meter = meters.get(service) ?? createDemandMeter();
-        meters.set(service, meter);
-        return meter;
-    };
-}
-
 function wireRelay(shared: SharedParts, headUnusable: (head: string) => void): Relay {
     const { settings, ports, clock, log, random, state, loadTracker, peerLoads, budgets, demandOf } = shared;
-    return createRelay({
+    const relay = createRelay({
         clock,
         log,
         protocol: ports.protocol,
@@ -225,6 +228,7 @@
         }),
         loadTracker,
         targetRates: shared.targetRates,
+        promptQuarantine: shared.promptQuarantine,
         headUnusable,
         dataCentre: settings.dataCentre,
         peerLoadOf: target => peerLoads.totalOf(target, clock.monotonic()),
@@ -233,6 +237,8 @@
         budgetOf: budgets.of,
         random,
     });
+    shared.promptQuarantine.onQuarantined(part => relay.cancelWaiting(part));
+    return relay;
 }
 
 /** Returns the delay between two registry reads in milliseconds. */
@@ -345,7 +351,7 @@
     configuration: TopicFollower,
     suspect: (head: string) => void,
 ): LoadExchange {
-    const { settings, clock, log, state, loadTracker, peerLoads, daemons, targetRates } = shared;
+    const { settings, clock, log, state, loadTracker, peerLoads, daemons, targetRates, promptQuarantine } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
@@ -358,6 +364,8 @@
         onMembership: reported => state.applyMembership(reported),
         limits: () => targetRates.statements(),
         onLimit: limit => targetRates.merge(limit),
+        quarantine: () => promptQuarantine.report(),
+        onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
         onSuspicion: ({ head, group }, daemon) => {
@@ -371,7 +379,8 @@
             }
         },
     });
-    targetRates.onChange(() => exchange.broadcastLimits());
+    targetRates.onChange(() => exchange.broadcastKnowledge());
+    promptQuarantine.onNews(() => exchange.broadcastKnowledge());
     return exchange;
 }
 
