Tell older facts about prompt parts once a second, and news with every message

Cause: each message to another daemon carried the facts about prompt parts, also long after a crash. They are often larger than the loads.

Change: facts go out at once on a change, with each message for 4 s after a crash or a decision, and otherwise every 0.9 s, which is how long a new daemon may wait for them.

Tests: an exchange over real datagrams tells a change at once, a daemon that missed it within a second, news often, and reads messages of earlier versions.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -39,6 +39,8 @@
     readonly onLimit: (limit: StatedLimit) => void;
     /** What this daemon knows about prompt parts on which targets crash. */
     readonly quarantine: () => QuarantineReport;
+    /** Whether crashes or decisions about parts are so new that every message should tell of them. */
+    readonly hasQuarantineNews: () => boolean;
     /** Called with what another daemon knows; its times are of this daemon's monotonic clock. */
     readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
@@ -61,6 +63,11 @@
 const BROADCAST_INTERVAL_MILLISECONDS = 150;
 /** Interval of messages without changes, which show the other daemons that this one is alive. */
 const IDLE_BROADCAST_INTERVAL_MILLISECONDS = 900;
+/**
+ * Interval at which older facts about prompt parts are told again, for daemons that missed them. They are often larger
+ * than the loads and rarely needed.
+ */
+const QUARANTINE_INTERVAL_MILLISECONDS = 900;
 
 /** Starts the exchange. */
 export function startLoadExchange(parts: LoadExchangeParts): LoadExchange {
@@ -69,6 +76,7 @@
     let round = 0;
     let lastSentLoads = "";
     let lastBroadcastAt = Number.NEGATIVE_INFINITY;
+    let quarantineToldAt = Number.NEGATIVE_INFINITY;
 
     const send = (message: LoadMessage, receivers: readonly DaemonPresence[]): void => {
         const bytes = encodeLoadMessage(message);
@@ -79,7 +87,8 @@
         const message = createMessage(parts, {});
         const text = JSON.stringify(message.loads);
         const now = clock.monotonic();
-        if (text === lastSentLoads && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS) {
+        const hasNews = parts.hasQuarantineNews();
+        if (!hasNews && text === lastSentLoads && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS) {
             return;
         }
         const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
@@ -91,7 +100,15 @@
             lastBroadcastAt = now;
         }
         if (includesRemote || round % localRounds === 0) {
-            send(message, includesRemote ? peers : peers.filter(isLocal));
+            const tellsQuarantine = hasNews
+                || includesRemote && now - quarantineToldAt >= QUARANTINE_INTERVAL_MILLISECONDS;
+            if (tellsQuarantine && includesRemote) {
+                quarantineToldAt = now;
+            }
+            send(
+                tellsQuarantine ? addQuarantine(parts, message) : message,
+                includesRemote ? peers : peers.filter(isLocal),
+            );
         }
     };
     const receive = (bytes: Buffer): void => {
@@ -110,7 +127,7 @@
     return {
         suspect: suspicion => send(createMessage(parts, { suspects: [suspicion] }), daemons.others()),
         broadcastMembership: reported => send(createMessage(parts, { memberships: [reported] }), daemons.others()),
-        broadcastKnowledge: () => send(createMessage(parts, {}), daemons.others()),
+        broadcastKnowledge: () => send(addQuarantine(parts, createMessage(parts, {})), daemons.others()),
         stop: () => {
             clearInterval(timer);
             socket.close();
@@ -119,7 +136,7 @@
 }
 
 function createMessage(
-    { clock, self, loadTracker, configurationVersion, limits, quarantine }: LoadExchangeParts,
+    { clock, self, loadTracker, configurationVersion, limits }: LoadExchangeParts,
     updates: Partial<Pick<LoadMessage, "suspects" | "memberships">>,
 ): LoadMessage {
     const now = clock.monotonic();
@@ -130,11 +147,14 @@
         suspects: [],
         memberships: [],
         limits: limits().map(({ statedAt, ...limit }) => ({ ...limit, ageMilliseconds: Math.max(0, now - statedAt) })),
-        quarantine: encodeQuarantine(quarantine(), now),
         ...updates,
     };
 }
 
+function addQuarantine({ clock, quarantine }: LoadExchangeParts, message: LoadMessage): LoadMessage {
+    return { ...message, quarantine: encodeQuarantine(quarantine(), clock.monotonic()) };
+}
+
 function applyMessage(parts: LoadExchangeParts, message: LoadMessage): void {
     const { daemon, configurationVersion, suspects, memberships } = message;
     const now = parts.clock.monotonic();
--- /dev/null
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -0,0 +1,100 @@
+/** What one daemon knows of quarantined parts reaches the others at once, and later also those that missed it. */
+import { createLoadTracker, createPeerLoads, type QuarantineReport } from "@damaskvale/core";
+import { expect } from "chai";
+import { createSocket, type Socket } from "node:dgram";
+import type { AddressInfo } from "node:net";
+import { createDaemonList } from "../daemonlist.js";
+import { type LoadExchange, startLoadExchange } from "../loadexchange.js";
+import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from "../loadmessage.js";
+import { encodeQuarantine } from "../quarantinemessage.js";
+
+const SELF = { daemon: "d0", ip: "127.0.0.71", dataCentre: "x" };
+const OTHER = { daemon: "d1", ip: "127.0.0.72", dataCentre: "x" };
+const report: QuarantineReport = {
+    crashes: [{ target: "t", startedAt: 1, parts: ["a"], at: 0 }],
+    proven: [],
+    statements: [],
+};
+
+describe("the exchange between daemons", () => {
+    let socket: Socket;
+    let exchange: LoadExchange;
+    let hasNews = false;
+    const received: LoadMessage[] = [];
+    const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
+    const malformed: unknown[] = [];
+
+    beforeEach(async () => {
+        received.length = 0;
+        hasNews = false;
+        socket = createSocket("udp4");
+        await new Promise<void>(resolve => socket.bind(0, OTHER.ip, resolve));
+        socket.on("message", bytes => {
+            const decoded = decodeLoadMessage(bytes);
+            if (decoded.kind === "message") {
+                received.push(decoded.message);
+            }
+        });
+        const daemons = createDaemonList(SELF.daemon);
+        daemons.replace([SELF, OTHER]);
+        exchange = startLoadExchange({
+            clock: { monotonic: () => performance.now(), wall: () => 0 },
+            log: { emit: (...[, fields]) => void malformed.push(fields) },
+            self: SELF,
+            daemons,
+            port: (socket.address() as AddressInfo).port,
+            loadTracker: createLoadTracker(),
+            peerLoads: createPeerLoads(),
+            onSuspicion: () => undefined,
+            onMembership: () => undefined,
+            limits: () => [],
+            onLimit: () => undefined,
+            quarantine: () => report,
+            hasQuarantineNews: () => hasNews,
+            onQuarantine: (told, daemon) => void merged.push({ report: told, daemon }),
+            configurationVersion: () => 0,
+            onNewerConfiguration: () => undefined,
+        });
+    });
+    afterEach(() => {
+        exchange.stop();
+        socket.close();
+    });
+
+    const receiveFor = async (milliseconds: number): Promise<number> => {
+        await new Promise(resolve => setTimeout(resolve, milliseconds));
+        return received.filter(({ quarantine }) => quarantine !== undefined).length;
+    };
+
+    it("tells a change at once", async () => {
+        exchange.broadcastKnowledge();
+        expect(await receiveFor(50)).to.equal(1);
+        expect(received[0]?.quarantine?.crashes[0]?.target).to.equal("t");
+    });
+
+    it("tells a daemon that missed it or is new within a second", async () => {
+        expect(await receiveFor(1_100)).to.be.within(1, 2);
+    });
+
+    it("tells news often", async () => {
+        hasNews = true;
+        expect(await receiveFor(1_100)).to.be.at.least(4);
+    });
+
+    it("merges what another daemon tells, and reads messages of earlier versions", async () => {
+        const { port } = socket.address() as AddressInfo;
+        const message: LoadMessage = {
+            daemon: OTHER.daemon,
+            configurationVersion: 0,
+            loads: [],
+            suspects: [],
+            memberships: [],
+            limits: [],
+        };
+        const quarantine = encodeQuarantine({ ...report, crashes: [], proven: [{ part: "a", at: 0 }] }, 100);
+        [message, { ...message, quarantine }].forEach(sent => socket.send(encodeLoadMessage(sent), port, SELF.ip));
+        await receiveFor(50);
+        expect(merged.map(({ daemon, report: { proven } }) => [daemon, proven[0]?.part])).to.deep.equal([["d1", "a"]]);
+        expect(malformed).to.deep.equal([]);
+    });
+});
--- a/packages/daemon/src/peers/tests/quarantinemessage.test.ts
+++ b/packages/daemon/src/peers/tests/quarantinemessage.test.ts
@@ -82,11 +82,13 @@
     it("fits into a datagram however many parts, crashes and decisions there are", () => {
         const quarantine = createPartQuarantine();
         const longId = (index: number): string => index.toString(16).padStart(32, "0");
-        const parts = Array.from({ length: 400 }, (...[, index]) => longId(index));
-        for (let crash = 0; crash < 300; crash += 1) {
-            quarantine.recordCrash({ target: `i-${longId(crash)}`, startedAt: crash, parts }, 1_000 + crash * 200);
+        const partsOf = (crash: number): string[] =>
+            Array.from({ length: 96 }, (...[, index]) => longId(crash * 96 + index));
+        for (let crash = 0; crash < 100; crash += 1) {
+            const parts = ["a", "b", ...partsOf(crash)];
+            quarantine.recordCrash({ target: `i-${longId(crash)}`, startedAt: crash, parts }, 68_000 + crash * 20);
+            quarantine.recordProven(partsOf(crash), 70_000);
         }
-        quarantine.recordProven(parts.slice(0, 200), 70_000);
         const loads = Array.from(
             { length: 200 },
             (...[, index]): [string, number, number] => [longId(index), 18, 90_000],
--- a/packages/daemon/src/relay/promptquarantine.ts
+++ b/packages/daemon/src/relay/promptquarantine.ts
@@ -22,6 +22,8 @@
     release(part: string): boolean;
     /** Returns what is known, for other daemons. */
     report(): QuarantineReport;
+    /** Whether a crash or a decision is so new that the other daemons should be told often of what is known. */
+    hasNews(): boolean;
     /** Merges what another daemon knows. */
     merge(report: QuarantineReport, daemon: string): void;
     /** Registers a listener for parts that become quarantined. */
@@ -44,6 +46,8 @@
 
 /** The daemon that tries parts again follows the daemons that are heard, whose reports expire after seconds. */
 const CHOICE_MILLISECONDS = 400;
+/** Daemons tell each other often of what proves parts sound this long after a crash or a decision. */
+const NEWS_MILLISECONDS = 4_000;
 /** What this daemon found out itself, as opposed to what another one told. */
 const LEARNED_HERE = "request";
 
@@ -59,6 +63,8 @@
     private readonly announced = new Set<string>();
     private readonly quarantineListeners: ((part: string) => void)[] = [];
     private readonly newsListeners: (() => void)[] = [];
+    /** Time of the newest crash or decision. */
+    private newsAt = Number.NEGATIVE_INFINITY;
     /** Whether this daemon tries a part, and when that was computed. */
     private choice: { readonly part: string; readonly at: number; readonly isSelf: boolean; } | undefined;
 
@@ -113,7 +119,12 @@
         return this.decisions.report(this.now());
     }
 
+    hasNews(): boolean {
+        return this.now() - this.newsAt < NEWS_MILLISECONDS;
+    }
+
     merge(report: QuarantineReport, daemon: string): void {
+        this.newsAt = Math.max(this.newsAt, ...report.crashes.map(({ at }) => at));
         this.applyLearned(this.decisions.merge(report, this.now()), daemon);
     }
 
@@ -160,6 +171,7 @@
     }
 
     private announceNews(): void {
+        this.newsAt = this.now();
         this.newsListeners.forEach(listener => listener());
     }
 
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -365,6 +365,7 @@
         limits: () => targetRates.statements(),
         onLimit: limit => targetRates.merge(limit),
         quarantine: () => promptQuarantine.report(),
+        hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
