--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -2,7 +2,7 @@
  * Exchange of loads and suspicions between daemons over UDP. Each message supersedes the previous one, so messages need
  * neither retransmission nor ordering, and there is no connection that could go dead unnoticed.
  */
-import type { LoadTracker, PeerLoads, StatedLimit } from "@damaskvale/core";
+import type { LoadTracker, PeerLoads, QuarantineReport, StatedLimit } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -17,6 +17,7 @@
     type HeadSuspicion,
     type LoadMessage,
 } from "./loadmessage.js";
+import { decodeQuarantine, encodeQuarantine } from "./quarantinemessage.js";
 
 /** Collaborators of the exchange. */
 export interface LoadExchangeParts {
@@ -36,6 +37,12 @@
     readonly limits: () => readonly StatedLimit[];
     /** Called with each statement that another daemon knows; its time is of this daemon's monotonic clock. */
     readonly onLimit: (limit: StatedLimit) => void;
+    /** What this daemon knows about prompt parts on which targets crash. */
+    readonly quarantine: () => QuarantineReport;
+    /** Whether crashes or decisions about parts are so new that every message should tell of them. */
+    readonly hasQuarantineNews: () => boolean;
+    /** Called with what another daemon knows; its times are of this daemon's monotonic clock. */
+    readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
     /** Called when another daemon has a newer configuration in force. */
@@ -48,14 +55,19 @@
     suspect(suspicion: HeadSuspicion): void;
     /** Immediately sends all daemons a membership that an engine reported. */
     broadcastMembership(reported: ReportedMembership): void;
-    /** Immediately sends all daemons what targets state about their request rate. */
-    broadcastLimits(): void;
+    /** Immediately sends all daemons what this one knows of limits and quarantined parts. */
+    broadcastKnowledge(): void;
     stop(): void;
 }
 
 const BROADCAST_INTERVAL_MILLISECONDS = 150;
 /** Interval of messages without changes, which show the other daemons that this one is alive. */
 const IDLE_BROADCAST_INTERVAL_MILLISECONDS = 900;
+/**
+ * Interval at which older facts about prompt parts are told again, for daemons that missed them. They are often larger
+ * than the loads and rarely needed.
+ */
+const QUARANTINE_INTERVAL_MILLISECONDS = 900;
 
 /** Starts the exchange. */
 export function startLoadExchange(parts: LoadExchangeParts): LoadExchange {
@@ -64,6 +76,7 @@
     let round = 0;
     let lastSentLoads = "";
     let lastBroadcastAt = Number.NEGATIVE_INFINITY;
+    let quarantineToldAt = Number.NEGATIVE_INFINITY;
 
     const send = (message: LoadMessage, receivers: readonly DaemonPresence[]): void => {
         const bytes = encodeLoadMessage(message);
@@ -74,7 +87,8 @@
         const message = createMessage(parts, {});
         const text = JSON.stringify(message.loads);
         const now = clock.monotonic();
-        if (text === lastSentLoads && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS) {
+        const hasNews = parts.hasQuarantineNews();
+        if (!hasNews && text === lastSentLoads && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS) {
             return;
         }
         const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
@@ -86,7 +100,15 @@
             lastBroadcastAt = now;
         }
         if (includesRemote || round % localRounds === 0) {
-            send(message, includesRemote ? peers : peers.filter(isLocal));
+            const tellsQuarantine = hasNews
+                || includesRemote && now - quarantineToldAt >= QUARANTINE_INTERVAL_MILLISECONDS;
+            if (tellsQuarantine && includesRemote) {
+                quarantineToldAt = now;
+            }
+            send(
+                tellsQuarantine ? addQuarantine(parts, message) : message,
+                includesRemote ? peers : peers.filter(isLocal),
+            );
         }
     };
     const receive = (bytes: Buffer): void => {
@@ -105,7 +127,7 @@
     return {
         suspect: suspicion => send(createMessage(parts, { suspects: [suspicion] }), daemons.others()),
         broadcastMembership: reported => send(createMessage(parts, { memberships: [reported] }), daemons.others()),
-        broadcastLimits: () => send(createMessage(parts, {}), daemons.others()),
+        broadcastKnowledge: () => send(addQuarantine(parts, createMessage(parts, {})), daemons.others()),
         stop: () => {
             clearInterval(timer);
             socket.close();
@@ -129,6 +151,10 @@
     };
 }
 
+function addQuarantine({ clock, quarantine }: LoadExchangeParts, message: LoadMessage): LoadMessage {
+    return { ...message, quarantine: encodeQuarantine(quarantine(), clock.monotonic()) };
+}
+
 function applyMessage(parts: LoadExchangeParts, message: LoadMessage): void {
     const { daemon, configurationVersion, suspects, memberships } = message;
     const now = parts.clock.monotonic();
@@ -141,6 +167,9 @@
     message.limits.forEach(({ ageMilliseconds, ...limit }) =>
         parts.onLimit({ ...limit, statedAt: now - ageMilliseconds })
     );
+    if (message.quarantine !== undefined) {
+        parts.onQuarantine(decodeQuarantine(message.quarantine, now), daemon);
+    }
     suspects.forEach(suspicion => parts.onSuspicion(suspicion, daemon));
     memberships.forEach(parts.onMembership);
     if (configurationVersion > parts.configurationVersion()) {
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -19,6 +19,8 @@
     inProgress(): number;
     /** Moves streams away from a head that makes no progress. */
     moveStreams(head: string): void;
+    /** Cancels the streams that wait for their first event and have a quarantined part. */
+    cancelWaiting(part: string): void;
 }
 
 /** `Retry-After` while this daemon has no configuration. */
@@ -88,6 +90,10 @@
         this.startRelay({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
     }
 
+    cancelWaiting(part: string): void {
+        [...this.streams].forEach(stream => stream.guard(() => stream.cancelIfWaiting(part)));
+    }
+
     private startRelay(context: RequestContext): void {
         const engine = context.lookup.findService(context.service)?.engine;
         this.requestsInProgress += 1;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -20,10 +20,11 @@
     | "too-late"
     | "not-run"
     | "budget"
+    | "quarantined"
     | "internal";
 
 /** Why a request fails although a target may have run it. */
-export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "internal";
+export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "quarantined" | "internal";
 
 /** Why a request is denied. */
 export type DenialReason = "unknown-route" | "unknown-key" | "body-too-large" | "header-too-large";
@@ -38,6 +39,7 @@
     "target-failed": 502,
     "attempts-spent": 502,
     "internal": 502,
+    "quarantined": 502,
     "deadline": 504,
 };
 const NOT_RUN_STATUS = 503;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,7 +1,6 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
-import type { Target } from "@damaskvale/core";
-import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
-import { createEventSplitter, type EventSplitter, type StreamEvent } from "./eventsplitter.js";
+import type { ResponseHead } from "../ports/relayprotocol.js";
+import type { StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
@@ -13,8 +12,9 @@
     writeRefusal,
     writeResponseHead,
 } from "./responses.js";
+import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
 import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
-import { isRefusedConnection, type TargetExchange } from "./targetconnections.js";
+import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
 export interface StreamRelay {
@@ -26,26 +26,8 @@
     guard(step: () => void): void;
     /** Moves the stream to another group if one can take it. */
     moveToAnotherGroup(): void;
-}
-
-interface Attempt {
-    readonly head: string;
-    readonly target: Target;
-    readonly sentAt: number;
-    readonly splitter: EventSplitter;
-    exchange?: TargetExchange;
-    /** Whether the target may have run the request; reset if the target states that it has not. */
-    sent: boolean;
-    /** Whether any bytes of the request were written to the target; never reset. */
-    written: boolean;
-    started: boolean;
-    /** Head of the response as it is passed on. */
-    opening?: { readonly head: ResponseHead; readonly headers: HeaderList; };
-    /** Whether the response is an error of the target that is passed to the caller unchanged. */
-    isPassthrough: boolean;
-    /** Number of bytes of such an error that have arrived. */
-    passedThroughBytes: number;
-    isReleased: boolean;
+    /** Cancels the attempt and gives up if the request has a part that is quarantined and waits for its first event. */
+    cancelIfWaiting(part: string): void;
 }
 
 /** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
@@ -55,9 +37,11 @@
 
 class StreamRelayTask extends RelayTask implements StreamRelay {
     private readonly tried: string[] = [];
-    private attempt: Attempt | undefined;
+    private attempt: StreamAttempt | undefined;
     private lastEventId: number | undefined;
     private firstEventAt: number | undefined;
+    /** Quarantined part that this request tries again. */
+    private trialOf: string | undefined;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
@@ -67,8 +51,10 @@
 
     start(): void {
         this.parts.budgetOf(this.context.service).recordFirstAttempt(this.parts.clock.monotonic());
-        recordDemand(this.context, this.parts);
-        this.sendOrGiveUp();
+        if (!this.giveUpIfQuarantined()) {
+            recordDemand(this.context, this.parts);
+            this.sendOrGiveUp();
+        }
     }
 
     head(): string | undefined {
@@ -77,7 +63,7 @@
 
     moveToAnotherGroup(): void {
         const stalled = this.attempt;
-        if (stalled === undefined || stalled.isPassthrough || !this.mayRetry()) {
+        if (stalled === undefined || stalled.isPassthrough || !this.mayRetry() || this.isQuarantined()) {
             return;
         }
         const placement = placeStream(this.context, this.parts, this.tried);
@@ -96,6 +82,37 @@
         }
     }
 
+    cancelIfWaiting(part: string): void {
+        const { attempt } = this;
+        if (attempt === undefined || attempt.started || attempt.isPassthrough || this.trialOf === part) {
+            return;
+        }
+        const { promptParts } = this.context.request;
+        if (promptParts.includes(part) && this.isQuarantined()) {
+            this.mayHaveRun ||= attempt.sent;
+            this.sends -= attempt.written ? 0 : 1;
+            this.release(attempt);
+            attempt.exchange?.cancel();
+            this.giveUpIfQuarantined();
+        }
+    }
+
+    private isQuarantined(): boolean {
+        return this.parts.promptQuarantine.check(this.context.request.promptParts, false).kind === "refused";
+    }
+
+    /** Gives up if a part of the request is quarantined; returns whether it did. */
+    private giveUpIfQuarantined(): boolean {
+        const { promptParts } = this.context.request;
+        const verdict = this.parts.promptQuarantine.check(promptParts, this.tried.length === 0);
+        this.trialOf = verdict.kind === "trial" ? verdict.part : undefined;
+        if (verdict.kind !== "refused") {
+            return false;
+        }
+        this.giveUp("quarantined", verdict.retryAfterMilliseconds, { part: verdict.part });
+        return true;
+    }
+
     private mayRetry(): boolean {
         const { route } = this.context.admitted;
         const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
@@ -123,18 +140,8 @@
             return;
         }
         const now = parts.clock.monotonic();
-        const attempt: Attempt = {
-            head: headId,
-            target,
-            sentAt: now,
-            splitter: createEventSplitter(),
-            sent: false,
-            written: false,
-            started: false,
-            isPassthrough: false,
-            passedThroughBytes: 0,
-            isReleased: false,
-        };
+        const observed = parts.promptQuarantine.observe(target, context.request.promptParts);
+        const attempt = createStreamAttempt(target, observed, now);
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
@@ -146,6 +153,7 @@
             attempt: this.sends,
             lastEventId: this.lastEventId,
             inProgressThere: parts.loadTracker.get(headId)?.inProgress,
+            trialOf: this.trialOf,
         });
         const headers = parts.protocol.encodeForTarget(context.request, {
             target: headId,
@@ -161,6 +169,7 @@
                 sent: () => {
                     attempt.sent = true;
                     attempt.written = true;
+                    attempt.observed.sent();
                 },
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
@@ -170,7 +179,7 @@
         );
     }
 
-    private receiveHead(attempt: Attempt, head: ResponseHead): void {
+    private receiveHead(attempt: StreamAttempt, head: ResponseHead): void {
         const { context, parts } = this;
         const decoded = parts.protocol.decodeResponse(head);
         if (decoded.requestId !== undefined && decoded.requestId !== context.request.id) {
@@ -201,14 +210,14 @@
      * Writes the head of a response unless the caller has one. It waits for the first bytes of the body, which would be
      * sent together with it anyway, so that a failure before them can still be answered with a status.
      */
-    private openResponse({ opening }: Attempt): void {
+    private openResponse({ opening }: StreamAttempt): void {
         const { response } = this.context;
         if (!response.headersSent && opening !== undefined) {
             writeResponseHead(response, opening.head, opening.headers);
         }
     }
 
-    private receiveData(attempt: Attempt, chunk: Buffer): void {
+    private receiveData(attempt: StreamAttempt, chunk: Buffer): void {
         const now = this.parts.clock.monotonic();
         if (attempt.isPassthrough) {
             this.passThrough(attempt, chunk);
@@ -233,7 +242,7 @@
         }
     }
 
-    private passThrough(attempt: Attempt, chunk: Buffer): void {
+    private passThrough(attempt: StreamAttempt, chunk: Buffer): void {
         attempt.passedThroughBytes += chunk.length;
         const isLengthStated = attempt.opening?.head.headers["content-length"] !== undefined;
         if (!isLengthStated && attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
@@ -244,7 +253,7 @@
         writePaced(this.context.response, chunk, attempt.exchange);
     }
 
-    private recordProgress(attempt: Attempt, now: number): void {
+    private recordProgress(attempt: StreamAttempt, now: number): void {
         const { context, parts } = this;
         if (!attempt.started) {
             attempt.started = true;
@@ -252,10 +261,11 @@
             parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
         }
         parts.loadTracker.progressed(attempt.head, now);
+        attempt.observed.progressed();
     }
 
     /** Sends an event to the caller unless it has it already. Returns false if an earlier event is missing. */
-    private deliver(attempt: Attempt, event: StreamEvent): boolean {
+    private deliver(attempt: StreamAttempt, event: StreamEvent): boolean {
         const { id } = event;
         const last = this.lastEventId ?? 0;
         if (id !== undefined && id <= last) {
@@ -270,30 +280,39 @@
         return true;
     }
 
-    private receiveEnd(attempt: Attempt): void {
+    private receiveEnd(attempt: StreamAttempt): void {
         if (!attempt.isPassthrough && (attempt.splitter.hasPartialEvent() || !attempt.started)) {
+            if (attempt.opening?.head.delimited === false) {
+                attempt.observed.connectionLost();
+            }
             this.attemptFailed(attempt, "ended inside an event");
             return;
         }
+        if (!attempt.isPassthrough) {
+            attempt.observed.completed();
+        }
         this.release(attempt);
         this.openResponse(attempt);
         this.context.response.end();
         this.finish("complete");
     }
 
-    private receiveFailure(attempt: Attempt, error: Error): void {
+    private receiveFailure(attempt: StreamAttempt, error: Error): void {
         if (isRefusedConnection(error)) {
             this.parts.headUnusable(attempt.head);
         }
+        if (isLostConnection(error)) {
+            attempt.observed.connectionLost();
+        }
         this.attemptFailed(attempt, error.message);
     }
 
-    private abandon(attempt: Attempt, reason: string): void {
+    private abandon(attempt: StreamAttempt, reason: string): void {
         attempt.exchange?.cancel();
         this.attemptFailed(attempt, reason);
     }
 
-    private attemptFailed(attempt: Attempt, reason: string): void {
+    private attemptFailed(attempt: StreamAttempt, reason: string): void {
         if (attempt.isReleased || this.isFinished) {
             return;
         }
@@ -312,12 +331,15 @@
             this.giveUp("not-run", REFUSED_RETRY_AFTER_MILLISECONDS);
             return;
         }
-        this.sendOrGiveUp();
+        if (!this.giveUpIfQuarantined()) {
+            this.sendOrGiveUp();
+        }
     }
 
-    private release(attempt: Attempt): void {
+    private release(attempt: StreamAttempt): void {
         if (!attempt.isReleased) {
             attempt.isReleased = true;
+            attempt.observed.dropped();
             this.parts.loadTracker.ended(attempt.head, this.context.request.promptTokens, attempt.started);
         }
         if (this.attempt === attempt) {
@@ -328,23 +350,22 @@
     private giveUp(
         reason: RefusalReason,
         retryAfterMilliseconds: number,
+        details: EndDetails = {},
     ): void {
         const { response } = this.context;
         if (response.headersSent) {
             breakOff(response);
-            this.finish("broken-off");
+            this.finish("broken-off", details);
             return;
         }
         if (this.mayHaveRun) {
-            writeFailure(response, "target-failed");
-            this.finish("failed");
+            writeFailure(response, reason === "quarantined" ? reason : "target-failed");
+            this.finish("failed", details);
             return;
         }
         writeRefusal(response, reason, retryAfterMilliseconds);
-        this.finish(`refused: ${reason}`, {
-            retryAfterMilliseconds,
-            groups: describeCandidates(this.context, this.parts),
-        });
+        const groups = reason === "quarantined" ? undefined : describeCandidates(this.context, this.parts);
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, groups, ...details });
     }
 
     protected cancelAttempt(): void {
