Close the callers of a test when it ends

The new tests over real sockets left requests in progress, whose deadlines fell into later tests; fake-timers warned of a native timer in one of them. No test failed. Each file now closes its callers after each test.

--- a/packages/daemon/src/relay/tests/bodylimit.test.ts
+++ b/packages/daemon/src/relay/tests/bodylimit.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { connect } from "node:net";
 import { createRelay } from "../relay.js";
-import { connectCaller, type ListenerFixture, startFixture, statusesOf, wait } from "./callerfixture.js";
+import { closeCallers, connectCaller, type ListenerFixture, startFixture, statusesOf, wait } from "./callerfixture.js";
 import { createRelayFixture } from "./fixture.js";
 
 const HEAD = "POST / HTTP/1.1\r\nHost: h\r\n";
@@ -35,6 +35,8 @@
 }
 
 describe("body limit", () => {
+    afterEach(closeCallers);
+
     it("is answered to a caller that sends its whole body first", async () => {
         const { port } = await start();
         const received = await sendThenRead(port, `${HEAD}Content-Length: ${BODY_BYTES}\r\n\r\n`, BODY_BYTES);
--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -1,7 +1,7 @@
 /** Listeners with a relay of the test, and callers that speak to them over real sockets. */
 import type { RelayConfiguration } from "@damaskvale/core";
 import { stat } from "node:fs";
-import { type AddressInfo, connect, createServer } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { Worker } from "node:worker_threads";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
@@ -87,9 +87,18 @@
     return { listeners, port, state, events, applyLimits };
 }
 
+const openSockets = new Set<Socket>();
+
+/** Closes the connections of all callers, so that no request outlives its test. */
+export function closeCallers(): void {
+    openSockets.forEach(socket => socket.destroy());
+    openSockets.clear();
+}
+
 /** Connects a caller. */
 export async function connectCaller(port: number): Promise<RawCaller> {
     const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    openSockets.add(socket);
     let received = "";
     let wasReset = false;
     socket.on("data", (chunk: Buffer) => {
--- a/packages/daemon/src/relay/tests/headerlimit.test.ts
+++ b/packages/daemon/src/relay/tests/headerlimit.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import type { ServerResponse } from "node:http";
 import {
+    closeCallers,
     connectCaller,
     connectIndependentCaller,
     holdEventLoop,
@@ -17,6 +18,8 @@
 const respond = async (...[, response]: [unknown, ServerResponse]): Promise<void> => void response.end("ok");
 
 describe("header limit", () => {
+    afterEach(closeCallers);
+
     [
         { name: "a half head", texts: [{ at: 0, text: HALF }, { at: 600, text: REST }] },
         { name: "a connection without bytes", texts: [{ at: 600, text: HALF + REST }] },
--- a/packages/daemon/src/relay/tests/headersize.test.ts
+++ b/packages/daemon/src/relay/tests/headersize.test.ts
@@ -1,7 +1,7 @@
 /** A head within the configured limit is read, and one beyond it is denied with 431, whatever the limit is. */
 import { expect } from "chai";
 import { createRelay } from "../relay.js";
-import { connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
+import { closeCallers, connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
 import { createRelayFixture } from "./fixture.js";
 
 const PARSER_DEFAULT_BYTES = 65_536;
@@ -23,6 +23,8 @@
 }
 
 describe("size of a head", () => {
+    afterEach(closeCallers);
+
     it("within a limit above the default of the parser is read", async () => {
         expect(await statusOf(2 * PARSER_DEFAULT_BYTES, 4 * PARSER_DEFAULT_BYTES)).to.deep.equal([503]);
     });
--- a/packages/daemon/src/relay/tests/idlelimit.test.ts
+++ b/packages/daemon/src/relay/tests/idlelimit.test.ts
@@ -1,6 +1,7 @@
 /** A caller may use its connection as long as the `Keep-Alive` header of the last response says. */
 import { expect } from "chai";
 import {
+    closeCallers,
     connectCaller,
     connectIndependentCaller,
     holdEventLoop,
@@ -48,6 +49,8 @@
 }
 
 describe("idle limit", () => {
+    afterEach(closeCallers);
+
     cases.forEach(({ name, during, idle }) => {
         it(`${name} does not shorten the time that the caller was told`, async () => {
             const fixture = await respondSlowly();
--- a/packages/daemon/src/relay/tests/lastresort.test.ts
+++ b/packages/daemon/src/relay/tests/lastresort.test.ts
@@ -6,6 +6,7 @@
 import type { RelayParts } from "../requestcontext.js";
 import { createTargetConnections } from "../targetconnections.js";
 import {
+    closeCallers,
     connectCaller,
     type ListenerFixture,
     type RawCaller,
@@ -67,6 +68,8 @@
 });
 
 describe("request whose relay throws", () => {
+    afterEach(closeCallers);
+
     const cases: readonly {
         readonly name: string;
         readonly kind: RelayFixtureOptions["kind"];
--- a/packages/daemon/src/relay/tests/pipelining.test.ts
+++ b/packages/daemon/src/relay/tests/pipelining.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import type { ResponseHead } from "../../ports/relayprotocol.js";
 import { createRelay, type Relay } from "../relay.js";
-import { connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
+import { closeCallers, connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
 import {
     createRelayFixture,
     type FakeSend,
@@ -33,6 +33,8 @@
 }
 
 describe("pipelined request", () => {
+    afterEach(closeCallers);
+
     it("is not sent to a target if the response before it closes the connection", async () => {
         const { sends, port } = await start("once");
         const caller = await connectCaller(port);
@@ -65,6 +67,8 @@
 });
 
 describe("request that is whole", () => {
+    afterEach(closeCallers);
+
     [
         { name: "a length", head: "Content-Length: 2\r\n\r\n", body: "ok" },
         { name: "chunks", head: "Transfer-Encoding: chunked\r\n\r\n", body: "2\r\nok\r\n0\r\n\r\n" },
--- a/packages/daemon/src/relay/tests/valuerange.test.ts
+++ b/packages/daemon/src/relay/tests/valuerange.test.ts
@@ -1,12 +1,14 @@
 /** A limit or timeout in the configuration that Node's timers do not accept neither fails requests nor ends the process. */
 import { expect } from "chai";
 import { createRelay } from "../relay.js";
-import { connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
+import { closeCallers, connectCaller, startFixture, statusesOf, wait } from "./callerfixture.js";
 import { createRelayFixture } from "./fixture.js";
 
 const REQUEST = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb";
 
 describe("value out of the range of timers", () => {
+    afterEach(closeCallers);
+
     it("as the timeout of a route does not end a request at once", async () => {
         const { parts, context, sends } = createRelayFixture({ kind: "once", timeoutMilliseconds: 2 ** 32 });
         const protocol = { ...parts.protocol, decodeRequest: () => context.request };
