Let a shutdown wait until slow callers have read their responses

What callers saw: a response cut after 3.9 of 8 MB, 2.6 s after SIGTERM; one without a length looked whole.

Cause: Node's closeIdleConnections counts a response as done when its last bytes are written, although they wait in the process.

Change: the connections that are closed are those whose responses have been sent and on which no bytes wait.

--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -24,6 +24,8 @@
         socket.destroy();
     });
     const connectionLimits = limitConnections(server);
+    // Node counts a response as sent when its last bytes are written, although they may wait for a slow caller.
+    server.closeIdleConnections = () => connectionLimits.closeIdle();
     state.onChange(() => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -7,6 +7,8 @@
     setIdleTimeout(milliseconds: number): void;
     /** Sets the time within which a head must arrive; 0 is no limit. */
     setHeaderTimeout(milliseconds: number): void;
+    /** Closes the connections whose responses have all been sent and on which no request is on its way. */
+    closeIdle(): void;
 }
 
 /** Head of a request that has not been read to its end. */
@@ -74,6 +76,11 @@
         this.headerMilliseconds = milliseconds;
     }
 
+    closeIdle(): void {
+        // Bytes that wait unread are read before an immediate runs.
+        setImmediate(() => [...this.connections.values()].filter(isIdle).forEach(({ socket }) => socket.destroy()));
+    }
+
     private accept(socket: Socket): void {
         this.connections.set(socket, {
             socket,
@@ -160,3 +167,7 @@
         return this.runningMilliseconds + Math.min(performance.now() - this.lastSweepAt, LONGEST_STEP_MILLISECONDS);
     }
 }
+
+function isIdle({ socket, openResponses, openBodies, bytesRead }: Connection): boolean {
+    return openResponses === 0 && openBodies === 0 && bytesRead > 0 && socket.bytesRead === bytesRead;
+}
