--- a/packages/daemon/src/relay/crashobserver.ts
+++ b/packages/daemon/src/relay/crashobserver.ts
@@ -16,6 +16,8 @@
     sent(): void;
     /** Records events of the stream. */
     progressed(): void;
+    /** Records that the stream is not read for a while, so that its next events may be old. */
+    paused(): void;
     /** Records that the stream ended whole. */
     completed(): void;
     /** Records that the target reset, closed or refused the connection. */
@@ -45,6 +47,7 @@
     readonly promptParts: readonly string[];
     readonly observedAt: number;
     isSent: boolean;
+    wasPaused: boolean;
     firstEventAt?: number;
 }
 
@@ -82,6 +85,7 @@
             promptParts,
             observedAt: this.parts.clock.monotonic(),
             isSent: false,
+            wasPaused: false,
         };
         const attempts = this.unproven.get(target.id) ?? new Set();
         this.unproven.set(target.id, attempts.add(attempt));
@@ -90,6 +94,9 @@
                 attempt.isSent = true;
             },
             progressed: () => this.progressed(target, attempt),
+            paused: () => {
+                attempt.wasPaused = true;
+            },
             completed: () => {
                 if (this.remove(target.id, attempt)) {
                     this.prove(attempt);
@@ -116,9 +123,14 @@
     }
 
     /** Returns whether events of an attempt show that the process that seemed to have crashed is alive. */
-    private isAlive({ id, startedAt }: TargetProcess, { observedAt }: TrackedAttempt, now: number): boolean {
+    private isAlive(
+        { id, startedAt }: TargetProcess,
+        { observedAt, wasPaused }: TrackedAttempt,
+        now: number,
+    ): boolean {
         const crash = this.crashes.get(id);
-        return crash !== undefined && crash.startedAt === startedAt && now - crash.at > LATE_EVENTS_MILLISECONDS
+        return crash !== undefined && !wasPaused && crash.startedAt === startedAt
+            && now - crash.at > LATE_EVENTS_MILLISECONDS
             && (startedAt !== undefined || observedAt < crash.at);
     }
 
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -46,7 +46,10 @@
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
         this.lastEventId = context.request.lastEventId;
-        context.response.on("drain", () => this.attempt?.exchange?.resume());
+        context.response.on("drain", () => {
+            this.attempt?.observed.paused();
+            this.attempt?.exchange?.resume();
+        });
     }
 
     start(): void {
