Deliver a body without a stated length when the budget allows no other attempt

Change: the retry is taken from the budget before the attempt is cancelled; without one the body is passed on.

Open: with two sound targets such a body is still fetched twice.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -49,6 +49,8 @@
 class PlainRelayTask extends RelayTask {
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
+    /** Whether the budget has given the next attempt already. */
+    private isRetryWithdrawn = false;
 
     start(): void {
         this.context.response.on("drain", () => this.attempt?.exchange?.resume());
@@ -73,7 +75,9 @@
             this.giveUp(reason, retryAfterMilliseconds);
             return;
         }
-        if (!this.withdrawRetry()) {
+        const mayRetry = this.isRetryWithdrawn || this.withdrawRetry();
+        this.isRetryWithdrawn = false;
+        if (!mayRetry) {
             this.giveUp("budget", REFUSED_RETRY_AFTER_MILLISECONDS);
             return;
         }
@@ -171,7 +175,8 @@
             return;
         }
         const length = head.headers["content-length"];
-        if (length === undefined && this.canRetry()) {
+        if (length === undefined && this.canRetry() && this.withdrawRetry()) {
+            this.isRetryWithdrawn = true;
             attempt.exchange?.cancel();
             this.attemptFailed(attempt, "body-too-long");
             return;
