Refuse a request whose time has passed before it can be sent

What callers saw: 504 for a pipelined request that was sent to a target in vain, with a deadline of 1 ms, after its time had passed.

Change: refused at once as too late; nothing has run. It was sent before.

--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -87,6 +87,11 @@
         }
         const service = pickService(admitted.route, this.parts.random()) ?? "";
         const deadlineAt = receivedAt + timeoutMillisecondsOf(request.deadlineMilliseconds, admitted);
+        if (deadlineAt <= this.parts.clock.monotonic()) {
+            this.parts.log.emit("requestDenied", { requestId: request.id, reason: "too-late" });
+            writeRefusal(response, "too-late", 0);
+            return;
+        }
         this.startRelay({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
     }
 
