--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -25,6 +25,8 @@
 
 /** `Retry-After` while this daemon has no configuration. */
 const NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 500;
+/** Targets are told the remaining time in whole milliseconds. */
+const LEAST_REMAINING_MILLISECONDS = 1;
 /** Timeout of a request if neither the caller nor the route sets one. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
 
@@ -87,7 +89,7 @@
         }
         const service = pickService(admitted.route, this.parts.random()) ?? "";
         const deadlineAt = receivedAt + timeoutMillisecondsOf(request.deadlineMilliseconds, admitted);
-        if (deadlineAt <= this.parts.clock.monotonic()) {
+        if (deadlineAt - this.parts.clock.monotonic() < LEAST_REMAINING_MILLISECONDS) {
             this.parts.log.emit("requestDenied", { requestId: request.id, reason: "too-late" });
             writeRefusal(response, "too-late", 0);
             return;
