Deliver a whole response whose connection closes while its caller is slow

What callers saw: a response that ends with its connection was broken off at the end, although the target had sent all of it, when the daemon had paused for a slow caller while the rest was in its buffers.

Cause: Node reports the close of the connection while the rest of a paused response is still to be read; the exchange took this for a response that was cut off.

Change: a close does not end a response that Node has parsed to its end; its 'end' event does, as soon as it is read on.

Evidence: the table of targetconnections.test.ts is played with a pause after the first bytes as well. On two of 36 cases failed (a complete response without a length, on new and kept connections); now 36 pass. Cut responses are still refused, paused or not.

--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -131,17 +131,7 @@
         message.on("socket", socket => this.watchConnect(socket));
         message.on("response", response => this.receive(response));
         message.on("error", error => this.finish(() => receiver.failed(error)));
-        message.on(
-            "close",
-            () =>
-                this.finish(() =>
-                    receiver.failed(
-                        new ClosedConnectionError(
-                            "The connection to the target closed before the response was complete.",
-                        ),
-                    )
-                ),
-        );
+        message.on("close", () => this.receiveClose());
     }
 
     cancel(): void {
@@ -207,6 +197,17 @@
         this.message.once("close", stop);
     }
 
+    /** The connection of a whole response may close while the rest of the response is still to be read after a pause. */
+    private receiveClose(): void {
+        if (this.answer?.complete === true) {
+            return;
+        }
+        const error = new ClosedConnectionError(
+            "The connection to the target closed before the response was complete.",
+        );
+        this.finish(() => this.receiver.failed(error));
+    }
+
     private receive(response: IncomingMessage): void {
         if (this.done) {
             response.destroy();
--- a/packages/daemon/src/relay/tests/targetconnections.test.ts
+++ b/packages/daemon/src/relay/tests/targetconnections.test.ts
@@ -83,32 +83,43 @@
     return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server)));
 }
 
+/** How the receiver reads a response: at once, or with a pause after the first bytes, as for a slow caller. */
+type Reading = "read at once" | "paused";
+
+const PAUSE_MILLISECONDS = 50;
+
+/** Reads a response; returns its outcome. */
+function read(address: string, onNewConnection: boolean, reading: Reading): Promise<Case["outcome"]> {
+    const connections = createTargetConnections({ connectionsPerTarget: 2, connectTimeoutMilliseconds: 500 });
+    return new Promise<Case["outcome"]>(resolve => {
+        const request = { method: "GET", path: "/", headers: ["Host", "test"], body: Buffer.alloc(0), onNewConnection };
+        const exchange = connections.send(address, request, {
+            sent: () => undefined,
+            head: () => undefined,
+            data: () => {
+                if (reading === "paused") {
+                    exchange.pause();
+                    setTimeout(() => exchange.resume(), PAUSE_MILLISECONDS);
+                }
+            },
+            ended: () => resolve("ended"),
+            failed: () => resolve("failed"),
+        });
+    }).finally(() => connections.renew(address));
+}
+
+const manners = [true, false].flatMap(onNewConnection =>
+    (["read at once", "paused"] as const).map(reading => ({ onNewConnection, reading }))
+);
+
 describe("target connections", () => {
-    [true, false].forEach(onNewConnection => {
+    manners.forEach(({ onNewConnection, reading }) => {
         cases.forEach(({ guards, answer, end, outcome }) => {
-            it(`${outcome === "ended" ? "accepts" : "refuses"} ${guards} (new connection: ${onNewConnection})`, async () => {
+            const title = `${outcome === "ended" ? "accepts" : "refuses"} ${guards}`;
+            it(`${title} (new connection: ${onNewConnection}, ${reading})`, async () => {
                 const server = await listen(answer, end);
                 const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-                const connections = createTargetConnections({
-                    connectionsPerTarget: 2,
-                    connectTimeoutMilliseconds: 500,
-                });
-                const seen = await new Promise<string>(resolve => {
-                    connections.send(address, {
-                        method: "GET",
-                        path: "/",
-                        headers: ["Host", "test"],
-                        body: Buffer.alloc(0),
-                        onNewConnection,
-                    }, {
-                        sent: () => undefined,
-                        head: () => undefined,
-                        data: () => undefined,
-                        ended: () => resolve("ended"),
-                        failed: () => resolve("failed"),
-                    });
-                });
-                connections.renew(address);
+                const seen = await read(address, onNewConnection, reading);
                 server.close();
                 expect(seen).to.equal(outcome);
             });
