Limit how fast long response bodies are read, all of a process together

Cause: each read takes a buffer of 64 KiB that V8 collects late, while marking runs beside the reads; the faster targets send, the more piles up meanwhile.

A pause for a slow caller stays in force.

--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -11,6 +11,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
+import { type BodyPace, createReadPace } from "./readpace.js";
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
@@ -84,6 +85,7 @@
         maxFreeSockets: options.connectionsPerTarget,
         timeout: IDLE_TIMEOUT_MILLISECONDS,
     });
+    const pace = createReadPace();
     return {
         send: (address, request, receiver) => {
             const [host = "", port = ""] = address.split(":");
@@ -95,7 +97,7 @@
                 headers: [...request.headers, ...contentLengthOf(request)],
                 agent: request.onNewConnection ? new Agent({ keepAlive: false }) : keepAliveAgent,
             });
-            const exchange = new Exchange(message, receiver, options.connectTimeoutMilliseconds);
+            const exchange = new Exchange(message, receiver, options.connectTimeoutMilliseconds, pace.start());
             message.end(request.body.length === 0 ? undefined : request.body);
             return exchange;
         },
@@ -122,11 +124,15 @@
     private done = false;
     /** Whether the connection ended with a reset that was reported as an end. */
     private wasReset = false;
+    private isPausedByReceiver = false;
+    /** Ends the pause that the pace of reads asks for. */
+    private paceTimer: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly message: ClientRequest,
         private readonly receiver: ResponseReceiver,
         private readonly connectTimeoutMilliseconds: number,
+        private readonly pace: BodyPace,
     ) {
         message.on("socket", socket => this.watchConnect(socket));
         message.on("response", response => this.receive(response));
@@ -136,15 +142,38 @@
 
     cancel(): void {
         this.done = true;
+        clearTimeout(this.paceTimer);
         this.message.destroy();
     }
 
     pause(): void {
+        this.isPausedByReceiver = true;
         this.answer?.pause();
     }
 
     resume(): void {
-        this.answer?.resume();
+        this.isPausedByReceiver = false;
+        this.resumeUnlessPaused();
+    }
+
+    private resumeUnlessPaused(): void {
+        if (!this.isPausedByReceiver && this.paceTimer === undefined) {
+            this.answer?.resume();
+        }
+    }
+
+    /** Pauses the response for as long as the pace of reads asks for. */
+    private keepPace(bytes: number): void {
+        const wait = this.pace.read(bytes, performance.now());
+        if (wait < 1 || this.done) {
+            return;
+        }
+        clearTimeout(this.paceTimer);
+        this.answer?.pause();
+        this.paceTimer = setTimeout(() => {
+            this.paceTimer = undefined;
+            this.resumeUnlessPaused();
+        }, wait);
     }
 
     private watchConnect(socket: Socket): void {
@@ -220,6 +249,7 @@
         response.on("data", (chunk: Buffer) => {
             if (!this.done) {
                 this.receiver.data(chunk);
+                this.keepPace(chunk.length);
             }
         });
         response.on("error", error => this.finish(() => this.receiver.failed(error)));
@@ -237,6 +267,7 @@
     private finish(notify: () => void): void {
         if (!this.done) {
             this.done = true;
+            clearTimeout(this.paceTimer);
             notify();
         }
     }
