Give requests without a status a truthful end when the grace time ends

At the end of the grace time of a shutdown the process exited, and the connections of all requests without a status were closed with no answer. A response that ends with its connection looked complete.

The relay now ends each admitted request: with 503 and Retry-After if no target can have run it, otherwise with 502, and it resets a response that has begun and has no marked end. Requests that are not admitted yet, for example because their body is on its way, get 503. A request that is pipelined behind one that is ended so gets nothing, since the answer before it says that the connection closes.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -1,10 +1,11 @@
 /** Starts the listeners of the daemon on a platform, and shuts them down. */
+import type { ServerResponse } from "node:http";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
 import { createCallerServer } from "./callerserver.js";
 import { createReadinessServer } from "./readiness.js";
 import type { Relay } from "./relay.js";
-import { writeInternalError } from "./responses.js";
+import { writeInternalError, writeShutdown } from "./responses.js";
 import { drain } from "./shutdown.js";
 import type { RelayState } from "./state.js";
 
@@ -31,14 +32,18 @@
 export async function startListeners(parts: ListenerParts): Promise<Listeners> {
     const { log, relay, state } = parts;
     let draining = false;
-    /** Requests whose head was read and whose response has not ended, also before the relay admits them. */
-    let unanswered = 0;
+    let stopped = false;
+    let cutOff = 0;
+    /** Responses to requests whose head was read, also before the relay admits them, until they end. */
+    const unanswered = new Set<ServerResponse>();
 
     const callerServer = createCallerServer(state, (request, response, waitedMilliseconds) => {
-        unanswered += 1;
-        response.once("close", () => {
-            unanswered -= 1;
-        });
+        unanswered.add(response);
+        response.once("close", () => unanswered.delete(response));
+        if (stopped) {
+            writeShutdown(response, false);
+            return;
+        }
         if (draining) {
             response.setHeader("Connection", "close");
         }
@@ -47,6 +52,14 @@
             writeInternalError(response, true);
         });
     });
+    const endAll = (): void => {
+        stopped = true;
+        cutOff = relay.inProgress();
+        relay.stop();
+        // The relay has not admitted the others, so that no target has run them.
+        [...unanswered].filter(({ headersSent }) => !headersSent)
+            .forEach(response => writeShutdown(response, false));
+    };
     const readinessServer = createReadinessServer(() =>
         !draining && state.lookup() !== undefined && state.targets().length > 0
     );
@@ -56,8 +69,9 @@
         shutDown: async () => {
             draining = true;
             log.emit("daemonDraining", { inProgress: relay.inProgress() });
-            await drain(callerServer, () => unanswered === 0 && relay.inProgress() === 0, parts.shutdownMilliseconds);
-            log.emit("daemonStopped", { cutOff: relay.inProgress() });
+            const isIdle = (): boolean => unanswered.size === 0 && relay.inProgress() === 0;
+            await drain(callerServer, { isIdle, endAll }, parts.shutdownMilliseconds);
+            log.emit("daemonStopped", { cutOff });
         },
     };
 }
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,7 +1,7 @@
 /** Relays a request to a plain target and returns the complete response. */
 import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
-import { type CancelReason, RelayTask } from "./relaytask.js";
+import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -40,13 +40,18 @@
     isPassedOn: boolean;
 }
 
-/** Starts to relay a request; `onEnded` is called exactly once, when the request has ended. */
-export function relayPlain(context: RequestContext, parts: RelayParts, onEnded: () => void): void {
-    const task = new PlainRelayTask(context, parts, onEnded);
-    task.guard(() => task.start());
+/** A request in progress. */
+export interface PlainRelay extends StoppableRelay {
+    /** Sends the request, or refuses it before this returns. */
+    start(): void;
 }
 
-class PlainRelayTask extends RelayTask {
+/** Creates the relay of a request; `onEnded` is called exactly once after its start, when the request has ended. */
+export function createPlainRelay(context: RequestContext, parts: RelayParts, onEnded: () => void): PlainRelay {
+    return new PlainRelayTask(context, parts, onEnded);
+}
+
+class PlainRelayTask extends RelayTask implements PlainRelay {
     private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
     /** Whether the budget has given the next attempt already. */
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -3,7 +3,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "../ports/relayprotocol.js";
 import { readWithinLimits } from "./body.js";
-import { relayPlain } from "./plainrelay.js";
+import { createPlainRelay } from "./plainrelay.js";
+import type { StoppableRelay } from "./relaytask.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 import { type DenialReason, writeDenial, writeInternalError, writeRefusal } from "./responses.js";
 import { createStreamRelay, type StreamRelay } from "./streamrelay.js";
@@ -21,6 +22,8 @@
     moveStreams(head: string): void;
     /** Cancels the streams that wait for their first event and have a quarantined part. */
     cancelWaiting(part: string): void;
+    /** Ends all requests in progress because the daemon stops. */
+    stop(): void;
 }
 
 /** `Retry-After` while this daemon has no configuration. */
@@ -37,12 +40,12 @@
 
 class RequestPath implements Relay {
     private readonly streams = new Set<StreamRelay>();
-    private requestsInProgress = 0;
+    private readonly requests = new Set<StoppableRelay>();
 
     constructor(private readonly parts: RelayParts) {}
 
     inProgress(): number {
-        return this.requestsInProgress;
+        return this.requests.size;
     }
 
     moveStreams(head: string): void {
@@ -63,7 +66,7 @@
             if (read.kind === "body-too-large" || read.kind === "header-too-large") {
                 this.deny(response, read.kind, { requestId: request.id });
             }
-            else if (read.kind === "whole" && !response.destroyed) {
+            else if (read.kind === "whole" && !response.destroyed && !response.headersSent) {
                 this.admit(request, read.body, response, receivedAt);
             }
         }
@@ -101,21 +104,25 @@
         [...this.streams].forEach(stream => stream.guard(() => stream.cancelIfWaiting(part)));
     }
 
+    stop(): void {
+        [...this.requests].forEach(request => request.guard(() => request.stop()));
+    }
+
     private startRelay(context: RequestContext): void {
         const engine = context.lookup.findService(context.service)?.engine;
-        this.requestsInProgress += 1;
         if (engine !== undefined && context.request.model !== undefined) {
             const stream = createStreamRelay(context, this.parts, () => {
-                this.requestsInProgress -= 1;
+                this.requests.delete(stream);
                 this.streams.delete(stream);
             });
+            this.requests.add(stream);
             this.streams.add(stream);
             stream.guard(() => stream.start());
             return;
         }
-        relayPlain(context, this.parts, () => {
-            this.requestsInProgress -= 1;
-        });
+        const plain = createPlainRelay(context, this.parts, () => this.requests.delete(plain));
+        this.requests.add(plain);
+        plain.guard(() => plain.start());
     }
 
     private deny(
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,19 +1,27 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { breakOff, writeFailure, writeInternalError } from "./responses.js";
+import { breakOff, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
 import type { TargetConnections } from "./targetconnections.js";
 
 /** Additional fields of the `requestEnded` event. */
 export type EndDetails = Readonly<Record<string, unknown>>;
 
 /** Why an attempt is cancelled. */
-export type CancelReason = "deadline" | "caller-left" | "error";
+export type CancelReason = "deadline" | "caller-left" | "error" | "shutdown";
+
+/** Relay that can be ended from outside. */
+export interface StoppableRelay {
+    /** Runs a step of the request; an error that it throws ends the request. */
+    guard(step: () => void): void;
+    /** Ends the request because the daemon stops, with a response that states the truth if none has begun. */
+    stop(): void;
+}
 
 /** Longest delay that Node's timers accept; they end at once after a longer one. */
 const MAXIMUM_TIMER_MILLISECONDS = 2_147_483_647;
 
 /** Relay of one request. */
-export abstract class RelayTask {
+export abstract class RelayTask implements StoppableRelay {
     /** Number of attempts that count towards the route's limit. */
     protected sends = 0;
     /** Whether a target of an earlier attempt may have run the request. */
@@ -50,6 +58,14 @@
         }
     }
 
+    stop(): void {
+        if (!this.isFinished) {
+            const isCancelled = this.tryToCancel("shutdown");
+            this.finish("shutdown");
+            writeShutdown(this.context.response, this.mayHaveRun || this.isLatestSent || !isCancelled);
+        }
+    }
+
     /** Cancels the attempt in progress, if there is one. */
     protected abstract cancelAttempt(reason: CancelReason): void;
 
@@ -104,15 +120,15 @@
         if (this.isFinished) {
             return;
         }
-        const isCancelled = this.tryToCancel();
+        const isCancelled = this.tryToCancel("error");
         this.finish("error");
         writeInternalError(this.context.response, this.mayHaveRun || this.isLatestSent || !isCancelled);
     }
 
     /** Returns whether the attempt in progress, if there is one, can do nothing any more. */
-    private tryToCancel(): boolean {
+    private tryToCancel(reason: CancelReason): boolean {
         try {
-            this.cancelAttempt("error");
+            this.cancelAttempt(reason);
             return true;
         }
         catch {
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -21,10 +21,11 @@
     | "not-run"
     | "budget"
     | "quarantined"
+    | "shutdown"
     | "internal";
 
 /** Why a request fails although a target may have run it. */
-export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "quarantined" | "internal";
+export type FailureReason = "target-failed" | "deadline" | "attempts-spent" | "quarantined" | "shutdown" | "internal";
 
 /** Why a request is denied. */
 export type DenialReason = "unknown-route" | "unknown-key" | "body-too-large" | "header-too-large";
@@ -40,11 +41,14 @@
     "attempts-spent": 502,
     "internal": 502,
     "quarantined": 502,
+    "shutdown": 502,
     "deadline": 504,
 };
 const NOT_RUN_STATUS = 503;
 /** `Retry-After` of a request that an error inside the daemon kept from being sent. */
 const INTERNAL_RETRY_AFTER_MILLISECONDS = 500;
+/** `Retry-After` of a request that a stopping daemon refuses; other daemons serve it at once. */
+const SHUTDOWN_RETRY_AFTER_MILLISECONDS = 0;
 
 /**
  * Writes the head of a target's response. The body is framed as the target's is: with a marked end, or ended by closing
@@ -83,8 +87,11 @@
 
 /** Refuses a request that no target has run or will run, with a `Retry-After` header. */
 export function writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMilliseconds: number): void {
-    const seconds = (Math.max(0, retryAfterMilliseconds) / 1_000).toFixed(3);
-    writeErrorResponse(response, NOT_RUN_STATUS, reason, ["Retry-After", seconds]);
+    writeErrorResponse(response, NOT_RUN_STATUS, reason, ["Retry-After", secondsOf(retryAfterMilliseconds)]);
+}
+
+function secondsOf(milliseconds: number): string {
+    return (Math.max(0, milliseconds) / 1_000).toFixed(3);
 }
 
 /** Fails a request that a target may have run. */
@@ -97,15 +104,9 @@
  * otherwise, and breaks off a response that has begun.
  */
 export function writeInternalError(response: ServerResponse, mayHaveRun: boolean): void {
-    if (response.writableEnded) {
-        return;
-    }
-    if (response.headersSent) {
-        breakOff(response);
+    if (breakOffIfBegun(response)) {
         return;
     }
-    // Headers of a target may be set already, among them the signature of a response that is not sent.
-    response.getHeaderNames().filter(name => name !== "connection").forEach(name => response.removeHeader(name));
     if (mayHaveRun) {
         writeFailure(response, "internal");
     }
@@ -114,6 +115,37 @@
     }
 }
 
+/**
+ * Does the same for a request that the end of the process cuts off, and tells its caller to close the connection. The
+ * body of a refused request may not have been read.
+ */
+export function writeShutdown(response: ServerResponse, mayHaveRun: boolean): void {
+    if (breakOffIfBegun(response)) {
+        return;
+    }
+    response.setHeader("Connection", "close");
+    if (mayHaveRun) {
+        writeFailure(response, "shutdown");
+        return;
+    }
+    const retryAfter = ["Retry-After", secondsOf(SHUTDOWN_RETRY_AFTER_MILLISECONDS)];
+    writeErrorResponse(response, NOT_RUN_STATUS, "shutdown", retryAfter, text => endAfterRequest(response, text));
+}
+
+/** Breaks off a response that has begun; returns whether nothing else can be written to it. */
+function breakOffIfBegun(response: ServerResponse): boolean {
+    if (response.writableEnded) {
+        return true;
+    }
+    if (response.headersSent) {
+        breakOff(response);
+        return true;
+    }
+    // Headers of a target may be set already, among them the signature of a response that is not sent.
+    response.getHeaderNames().filter(name => name !== "connection").forEach(name => response.removeHeader(name));
+    return false;
+}
+
 /** Denies a request that the configuration does not allow; its body may not have been read. */
 export function writeDenial(response: ServerResponse, reason: DenialReason): void {
     writeErrorResponse(response, denialStatus[reason], reason, [], text => endAfterRequest(response, text));
--- a/packages/daemon/src/relay/shutdown.ts
+++ b/packages/daemon/src/relay/shutdown.ts
@@ -6,6 +6,16 @@
 /** The process exits this long before the platform would kill it. */
 const EXIT_MARGIN_MILLISECONDS = 400;
 const IDLE_CHECK_MILLISECONDS = 50;
+/** Time for the responses that end requests early to be sent. */
+const FLUSH_MILLISECONDS = 150;
+
+/** Requests in progress of a server that is drained. */
+export interface DrainedRequests {
+    /** Whether there are none. */
+    readonly isIdle: () => boolean;
+    /** Ends those that are left at the end of the grace time. */
+    readonly endAll: () => void;
+}
 
 /**
  * Goes on listening until the daemon has left the rotation, and then waits for requests in progress. Resolves when the
@@ -13,7 +23,7 @@
  */
 export async function drain(
     server: Server,
-    isIdle: () => boolean,
+    { isIdle, endAll }: DrainedRequests,
     shutdownMilliseconds: number,
 ): Promise<void> {
     const startedAt = performance.now();
@@ -25,6 +35,11 @@
         server.closeIdleConnections();
         return isIdle() || performance.now() - startedAt > shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS;
     });
+    if (!isIdle()) {
+        endAll();
+        const flushedAt = performance.now() + FLUSH_MILLISECONDS;
+        await waitUntil(() => isIdle() || performance.now() > flushedAt);
+    }
     await closeAfterFlush(server);
 }
 
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,7 +1,7 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import type { StreamEvent } from "./eventsplitter.js";
-import { type EndDetails, RelayTask } from "./relaytask.js";
+import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -17,13 +17,11 @@
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
-export interface StreamRelay {
+export interface StreamRelay extends StoppableRelay {
     /** Sends the request, or refuses it before this returns. */
     start(): void;
     /** Head that currently serves the stream. */
     head(): string | undefined;
-    /** Runs a step of the stream; an error that it throws ends the request. */
-    guard(step: () => void): void;
     /** Moves the stream to another group if one can take it. */
     moveToAnotherGroup(): void;
     /** Cancels the attempt and gives up if the request has a part that is quarantined and waits for its first event. */
--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -56,9 +56,18 @@
 }
 
 /** Starts listeners; a function stands for a relay that has nothing else to do. */
-export async function startFixture(given: Relay | Relay["handle"]): Promise<ListenerFixture> {
+export async function startFixture(
+    given: Relay | Relay["handle"],
+    shutdownMilliseconds = 8_000,
+): Promise<ListenerFixture> {
     const relay = typeof given === "function"
-        ? { handle: given, inProgress: () => 0, moveStreams: () => undefined, cancelWaiting: () => undefined }
+        ? {
+            handle: given,
+            inProgress: () => 0,
+            moveStreams: () => undefined,
+            cancelWaiting: () => undefined,
+            stop: () => undefined,
+        }
         : given;
     const state = createRelayState();
     const port = await freePort();
@@ -69,7 +78,7 @@
         state,
         callerListen: `127.0.0.1:${port}`,
         readinessListen: `127.0.0.1:${await freePort()}`,
-        shutdownMilliseconds: 8_000,
+        shutdownMilliseconds,
     });
     let version = 0;
     let limits: Limits = {
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -28,7 +28,13 @@
 async function start(handle: Relay["handle"]): Promise<Fixture> {
     const callerPort = await freePort();
     const readinessPort = await freePort();
-    const relay: Relay = { handle, inProgress: () => 0, moveStreams: () => undefined, cancelWaiting: () => undefined };
+    const relay: Relay = {
+        handle,
+        inProgress: () => 0,
+        moveStreams: () => undefined,
+        cancelWaiting: () => undefined,
+        stop: () => undefined,
+    };
     const listeners = await startListeners({
         log: { emit: () => undefined },
         relay,
--- a/packages/daemon/src/relay/tests/plainrelay.test.ts
+++ b/packages/daemon/src/relay/tests/plainrelay.test.ts
@@ -1,7 +1,7 @@
 /** A request that is not repeatable runs at most once, and a refused request has not run. */
 import { expect } from "chai";
 import type { ResponseHead } from "../../ports/relayprotocol.js";
-import { relayPlain } from "../plainrelay.js";
+import { createPlainRelay } from "../plainrelay.js";
 import {
     createRelayFixture,
     type FakeSend,
@@ -12,7 +12,7 @@
 
 function start(options: RelayFixtureOptions): RelayFixture {
     const fixture = createRelayFixture(options);
-    relayPlain(fixture.context, fixture.parts, () => undefined);
+    createPlainRelay(fixture.context, fixture.parts, () => undefined).start();
     return fixture;
 }
 
--- a/packages/daemon/src/relay/tests/relayprocess.ts
+++ b/packages/daemon/src/relay/tests/relayprocess.ts
@@ -1,7 +1,7 @@
 /** Process that relays requests to targets whose ports are in the paths, and reports its memory and processor time. */
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { relayPlain } from "../plainrelay.js";
+import { createPlainRelay } from "../plainrelay.js";
 import { createStreamRelay } from "../streamrelay.js";
 import { createTargetConnections } from "../targetconnections.js";
 import { createRelayFixture } from "./fixture.js";
@@ -32,6 +32,6 @@
         createStreamRelay(context, parts, () => undefined).start();
         return;
     }
-    relayPlain(context, parts, () => undefined);
+    createPlainRelay(context, parts, () => undefined).start();
 });
 server.listen(0, "127.0.0.1", () => process.stdout.write(`${(server.address() as AddressInfo).port}\n`));
--- a/packages/daemon/src/relay/tests/socketfixture.ts
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -13,7 +13,7 @@
     type Socket,
 } from "node:net";
 import type { RelayProtocol } from "../../ports/relayprotocol.js";
-import { relayPlain } from "../plainrelay.js";
+import { createPlainRelay } from "../plainrelay.js";
 import type { RequestContext } from "../requestcontext.js";
 import { createStreamRelay } from "../streamrelay.js";
 import { createTargetConnections } from "../targetconnections.js";
@@ -93,7 +93,7 @@
             createStreamRelay(context, parts, () => undefined).start();
         }
         else {
-            relayPlain(context, parts, () => undefined);
+            createPlainRelay(context, parts, () => undefined).start();
         }
     });
     await listen(server);
--- a/packages/daemon/src/relay/tests/targetrates.test.ts
+++ b/packages/daemon/src/relay/tests/targetrates.test.ts
@@ -1,6 +1,6 @@
 /** Every way in which a request reaches a target keeps to the rate that the target states. */
 import { expect } from "chai";
-import { relayPlain } from "../plainrelay.js";
+import { createPlainRelay } from "../plainrelay.js";
 import { createStreamRelay } from "../streamrelay.js";
 import { createRelayFixture, type RelayFixture, type RelayFixtureOptions, responseHeads } from "./fixture.js";
 
@@ -8,7 +8,7 @@
 
 function startPlain(options: Partial<RelayFixtureOptions>): RelayFixture {
     const fixture = createRelayFixture({ kind: "repeatable", ...options });
-    relayPlain(fixture.context, fixture.parts, () => undefined);
+    createPlainRelay(fixture.context, fixture.parts, () => undefined).start();
     return fixture;
 }
 
--- a/packages/daemon/src/relay/tests/undelimited.test.ts
+++ b/packages/daemon/src/relay/tests/undelimited.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { createServer } from "node:http";
 import { type AddressInfo, connect } from "node:net";
-import { relayPlain } from "../plainrelay.js";
+import { createPlainRelay } from "../plainrelay.js";
 import { writeResponseHead } from "../responses.js";
 import { createStreamRelay } from "../streamrelay.js";
 import type { ResponseReceiver } from "../targetconnections.js";
@@ -46,7 +46,7 @@
 
     it("gets no Content-Length from the plain relay", () => {
         const { context, parts, sends, caller } = createRelayFixture({ kind: "once" });
-        relayPlain(context, parts, () => undefined);
+        createPlainRelay(context, parts, () => undefined).start();
         sends[0]?.receiver.sent();
         sends[0]?.receiver.head({ ...responseHeads.ok, delimited: false });
         sends[0]?.receiver.data(Buffer.from("cut"));
