Let a request go on without its caller when its route's timeout is out of the range of timers

With a route's timeout above 2,147,483,647 ms that timer ended after 1 ms, so that the request was cancelled at its target at once. The deadline itself was bounded already.

valuerange.test.ts: the new test failed before (cancelled, with the warning twice), passes without a warning.

--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -1,6 +1,7 @@
 /** Closes connections of callers that stay idle for longer than their caller was told, or whose request head is slow. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { MAXIMUM_TIMER_MILLISECONDS } from "./timers.js";
 
 /** Applies the limits of the configuration to the connections of a server. */
 export interface ConnectionLimits {
@@ -39,8 +40,8 @@
 const LONGEST_STEP_MILLISECONDS = 2 * SWEEP_MILLISECONDS;
 /** Callers reuse a connection for the whole time that they were told, and the last request takes time to arrive. */
 const IDLE_GRACE_MILLISECONDS = 1_000;
-/** Longest delay that Node's timers accept, less what Node adds to it. */
-const MAXIMUM_IDLE_MILLISECONDS = 2_147_483_647 - 1_000;
+/** Longest delay of a timer, less what Node adds to it. */
+const MAXIMUM_IDLE_MILLISECONDS = MAXIMUM_TIMER_MILLISECONDS - 1_000;
 
 /**
  * Watches the connections of a server that does not listen yet. Replaces two checks of Node. Its idle timer uses the
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -13,6 +13,7 @@
     writeResponseHead,
 } from "./responses.js";
 import type { TargetExchange } from "./targetconnections.js";
+import { startTimer } from "./timers.js";
 
 /** Statuses that imply that the request has not run. A target that sends one without stating this may have run it. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -318,7 +319,6 @@
             return;
         }
         attempt.exchange?.resume();
-        const remaining = Math.max(0, this.context.deadlineAt - this.parts.clock.monotonic());
-        setTimeout(() => attempt.exchange?.cancel(), remaining).unref();
+        startTimer(() => attempt.exchange?.cancel(), this.context.deadlineAt - this.parts.clock.monotonic()).unref();
     }
 }
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -2,6 +2,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import { breakOff, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
 import type { TargetConnections } from "./targetconnections.js";
+import { startTimer } from "./timers.js";
 
 /** Additional fields of the `requestEnded` event. */
 export type EndDetails = Readonly<Record<string, unknown>>;
@@ -17,9 +18,6 @@
     stop(): void;
 }
 
-/** Longest delay that Node's timers accept; they end at once after a longer one. */
-const MAXIMUM_TIMER_MILLISECONDS = 2_147_483_647;
-
 /** Relay of one request. */
 export abstract class RelayTask implements StoppableRelay {
     /** Number of attempts that count towards the route's limit. */
@@ -40,10 +38,9 @@
         private readonly onEnded: () => void,
     ) {
         this.parts = { ...parts, connections: this.guardConnections(parts.connections) };
-        const remainingMilliseconds = Math.max(0, context.deadlineAt - parts.clock.monotonic());
         // Timers run before sockets are read: a response that has arrived meanwhile is read before the request expires.
         const expire = (): void => void setImmediate(() => this.guard(() => this.expire()));
-        this.deadline = setTimeout(expire, Math.min(remainingMilliseconds, MAXIMUM_TIMER_MILLISECONDS));
+        this.deadline = startTimer(expire, context.deadlineAt - parts.clock.monotonic());
         context.response.on("close", () => this.guard(() => this.callerLeft()));
         context.response.on("error", error => this.fail(error));
     }
--- a/packages/daemon/src/relay/tests/valuerange.test.ts
+++ b/packages/daemon/src/relay/tests/valuerange.test.ts
@@ -19,6 +19,19 @@
         expect([sends.length, statusesOf(caller.received())]).to.deep.equal([1, []]);
     });
 
+    it("as the timeout of a route does not cancel a request that goes on without its caller", async () => {
+        const { parts, context, sends } = createRelayFixture({ kind: "once", timeoutMilliseconds: 2 ** 32 });
+        const protocol = { ...parts.protocol, decodeRequest: () => context.request };
+        const { port } = await startFixture(createRelay({ ...parts, protocol }));
+        const caller = await connectCaller(port);
+        caller.send(REQUEST);
+        await wait(50);
+        sends[0]?.receiver.sent();
+        caller.close();
+        await wait(100);
+        expect(sends.map(({ cancelled }) => cancelled)).to.deep.equal([false]);
+    });
+
     [-9_000, 2 ** 32].forEach(idleTimeoutMilliseconds => {
         it(`as the idle limit does not end the process (${idleTimeoutMilliseconds})`, async () => {
             const { port, applyLimits } = await startFixture(async (...[, response]) => void response.end("ok"));
