Use a stalled head again as soon as it goes on

A head that fell silent for half a second lost its streams to other groups and got no request for 6 s, although it went on after a second: the moved streams' connections were closed, so that nothing could show it. Callers were refused with no-group or full meanwhile.

The connections of moved streams to the stalled head now stay open until it sends an event on one of them, the request ends (also because its caller leaves), or 6 s have passed. An event ends the suspicion (334 headRecovered) and closes them. Comments do not count: a head can send them although its group stands still. Requests that were never written to the head are cancelled as before.

Other daemons that suspect the head because two told them so still wait for 6 s.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -123,6 +123,11 @@
         "info",
         "The share of this daemon in the request rate of a limited target changed; 0 if other daemons use the target.",
     ),
+    headRecovered: define(
+        334,
+        "info",
+        "The head of a group that made no progress sends events again; it gets requests again.",
+    ),
     targetCrashed: define(
         337,
         "warn",
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -12,6 +12,7 @@
 import type { EventLog } from "../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
 import type { PromptQuarantine } from "./promptquarantine.js";
+import type { StalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
 import type { TargetConnections } from "./targetconnections.js";
 import type { TargetRates } from "./targetrates.js";
@@ -40,6 +41,7 @@
     readonly loadTracker: LoadTracker;
     readonly targetRates: TargetRates;
     readonly promptQuarantine: PromptQuarantine;
+    readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
     readonly dataCentre: string;
--- a/packages/daemon/src/relay/stalldetector.ts
+++ b/packages/daemon/src/relay/stalldetector.ts
@@ -21,8 +21,8 @@
 const STALL_MILLISECONDS = 500;
 /** Before its first event, a request also waits for earlier prompts and for a new connection. */
 const FIRST_EVENT_STALL_MILLISECONDS = 1_000;
-/** A suspected head gets requests again after this time. */
-const SUSPICION_MILLISECONDS = 6_000;
+/** A suspected head gets requests again after this time, or earlier if it is known to go on. */
+export const SUSPICION_MILLISECONDS = 6_000;
 
 /** A running detector. */
 export interface StallDetector {
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -71,7 +71,7 @@
         if (placement.kind === "placed" && this.withdrawRetry()) {
             this.mayHaveRun ||= stalled.sent;
             this.release(stalled);
-            stalled.exchange?.cancel();
+            this.parts.stalledHeads.keep(this.context, stalled);
             this.parts.connections.renew(stalled.target.address);
             this.parts.log.emit("streamMoved", {
                 ...requestLogFields(this.context),
@@ -166,7 +166,7 @@
         attempt.exchange = parts.connections.send(
             target.address,
             { method, path, headers, body: context.body, onNewConnection: false },
-            {
+            parts.stalledHeads.receiverOf(attempt, {
                 sent: () => {
                     attempt.sent = true;
                     attempt.written = true;
@@ -176,7 +176,7 @@
                 data: chunk => this.receiveData(attempt, chunk),
                 ended: () => this.receiveEnd(attempt),
                 failed: error => this.receiveFailure(attempt, error),
-            },
+            }),
         );
     }
 
@@ -378,6 +378,7 @@
     }
 
     protected override finish(outcome: string, details: EndDetails = {}): void {
+        this.parts.stalledHeads.release(this.context);
         super.finish(outcome, {
             lastEventId: this.lastEventId,
             ...details,
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -18,6 +18,7 @@
 import type { CallerRequest, RelayProtocol, ResponseHead } from "../../ports/relayprotocol.js";
 import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
+import { createStalledHeads } from "../stalledheads.js";
 import { createRelayState } from "../state.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
 import { createTargetRates } from "../targetrates.js";
@@ -181,6 +182,7 @@
         reachableDaemons: () => [],
         knownDaemons: () => 1,
     });
+    const loadTracker = createLoadTracker();
     const demand = createDemandMeter();
     const budget = createRetryBudget({ ratio: 0, minimumPerSecond: (options.retries ?? 5) / 10 });
     const { caller, response } = createCaller();
@@ -208,9 +210,10 @@
                 },
                 renew: () => undefined,
             },
-            loadTracker: createLoadTracker(),
+            loadTracker,
             targetRates,
             promptQuarantine,
+            stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
             peerLoadOf: () => ({ inProgress: 0, pendingPromptTokens: 0 }),
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -36,6 +36,7 @@
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
+import { createStalledHeads } from "./stalledheads.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { createTargetConnections } from "./targetconnections.js";
 import { createTargetRates, type TargetRates } from "./targetrates.js";
@@ -231,6 +232,7 @@
         loadTracker,
         targetRates: shared.targetRates,
         promptQuarantine: shared.promptQuarantine,
+        stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
         dataCentre: settings.dataCentre,
         peerLoadOf: target => peerLoads.totalOf(target, clock.monotonic()),
