Let two daemons find out soon that all waiting reads of the configuration are silent

CONFIG: when the waiting reads of the configuration went silent at all daemons at once, no daemon learned of a change for up to 8.5 s. A daemon that heard others waited 8 s and relied on a peer that knew the new version, or on a read of the registry that failed; if these reads were not waiting at that moment, none failed.

The first daemon by name and one more, if possible of another data centre, now wait 0.5 s only, so that a silent read ends within 1 s. They tell a new version to all daemons with their next message (150 ms), and these end their own silent read after the grace time as before. The other daemons still save reads by waiting 8 s; two daemons of a fleet make some 1.3 more reads a second each.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -45,6 +45,8 @@
     readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
+    /** Whether this daemon tells all others at once of a configuration that has come into force. */
+    readonly announcesConfiguration: () => boolean;
     /** Called when another daemon has a newer configuration in force. */
     readonly onNewerConfiguration: () => void;
 }
@@ -77,6 +79,7 @@
     let lastSentLoads = "";
     let lastBroadcastAt = Number.NEGATIVE_INFINITY;
     let quarantineToldAt = Number.NEGATIVE_INFINITY;
+    let toldVersion = 0;
 
     const send = (message: LoadMessage, receivers: readonly DaemonPresence[]): void => {
         const bytes = encodeLoadMessage(message);
@@ -88,16 +91,21 @@
         const text = JSON.stringify(message.loads);
         const now = clock.monotonic();
         const hasNews = parts.hasQuarantineNews();
-        if (!hasNews && text === lastSentLoads && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS) {
+        const isNewVersion = message.configurationVersion > toldVersion && parts.announcesConfiguration();
+        if (
+            !hasNews && !isNewVersion && text === lastSentLoads
+            && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS
+        ) {
             return;
         }
         const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
         const { local: localRounds, remote: remoteRounds } = broadcastRounds(daemons.count());
         const peers = daemons.others();
-        const includesRemote = round % remoteRounds === 0;
+        const includesRemote = isNewVersion || round % remoteRounds === 0;
         if (includesRemote) {
             lastSentLoads = text;
             lastBroadcastAt = now;
+            toldVersion = message.configurationVersion;
         }
         if (includesRemote || round % localRounds === 0) {
             const tellsQuarantine = hasNews
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -20,6 +20,8 @@
     let socket: Socket;
     let exchange: LoadExchange;
     let hasNews = false;
+    let configurationVersion = 0;
+    let announces = false;
     const received: LoadMessage[] = [];
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
@@ -27,6 +29,8 @@
     beforeEach(async () => {
         received.length = 0;
         hasNews = false;
+        configurationVersion = 0;
+        announces = false;
         socket = createSocket("udp4");
         await new Promise<void>(resolve => socket.bind(0, OTHER.ip, resolve));
         socket.on("message", bytes => {
@@ -52,7 +56,8 @@
             quarantine: () => report,
             hasQuarantineNews: () => hasNews,
             onQuarantine: (told, daemon) => void merged.push({ report: told, daemon }),
-            configurationVersion: () => 0,
+            configurationVersion: () => configurationVersion,
+            announcesConfiguration: () => announces,
             onNewerConfiguration: () => undefined,
         });
     });
@@ -66,6 +71,19 @@
         return received.filter(({ quarantine }) => quarantine !== undefined).length;
     };
 
+    [true, false].forEach(isWatcher => {
+        it(`tells a new configuration ${isWatcher ? "at once" : "with the next loads"}`, async () => {
+            while (received.length < 2) {
+                await receiveFor(10);
+            }
+            received.length = 0;
+            announces = isWatcher;
+            configurationVersion = 7;
+            await receiveFor(400);
+            expect(received.map(message => message.configurationVersion)).to.deep.equal(isWatcher ? [7] : []);
+        });
+    });
+
     it("tells a change at once", async () => {
         exchange.broadcastKnowledge();
         expect(await receiveFor(50)).to.equal(1);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -28,6 +28,11 @@
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import { createServiceRetryBudgets, type RetryAllowance, type ServiceRetryBudgets } from "./budgets.js";
+import {
+    type ConfigurationReader,
+    configurationWaitMilliseconds,
+    isConfigurationWatcher,
+} from "./configurationwait.js";
 import { createDemandMeters } from "./demandmeters.js";
 import { startListeners } from "./lifecycle.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
@@ -82,19 +87,8 @@
 const TARGETS_LONG_POLL_MILLISECONDS = 900;
 /** Versions published within this time are read as one batch. */
 const CONFIGURATION_READ_DELAY_MILLISECONDS = 200;
-/**
- * Used while other daemons are reachable: they announce a newer configuration even if the connection of the long poll is
- * dead. If the store is unreachable for all daemons, registry reads fail, and that aborts the long poll as well.
- */
-const CONFIGURATION_LONG_POLL_MILLISECONDS = 8_000;
 /** Other daemons may announce a configuration that is still in transit to this one over a slower link. */
 const ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS = 400;
-/**
- * Without other daemons, a dead connection is detected only when the long poll times out. The long poll is therefore
- * shorter by this than the time within which a configuration must be in force; the reserve covers the overrun of the
- * read, the delay before the next one, and its response.
- */
-const CONFIGURATION_RESERVE_MILLISECONDS = 1_100;
 /** A lost group is usually formed again within this time. */
 const GROUP_COUNT_WINDOW_MILLISECONDS = 10_000;
 const DEFAULT_PEER_PORT = 7_340;
@@ -250,14 +244,14 @@
     return registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
 }
 
+/** Returns the position of this daemon among the readers of the configuration. */
+function configurationReader({ settings, clock, peerLoads, daemons }: SharedParts): ConfigurationReader {
+    return { self: selfOf(settings), peers: locate(peerLoads.peers(clock.monotonic()), daemons) };
+}
+
 /** Follows the configuration and the targets; returns the follower of the configuration. */
 function followStore(shared: SharedParts): TopicFollower {
-    const { settings, ports, clock, log, random, state, peerLoads } = shared;
-    const isolatedWaitMilliseconds = Math.max(
-        0,
-        settings.configurationMilliseconds - CONFIGURATION_RESERVE_MILLISECONDS,
-    );
-    const hasActivePeers = (): boolean => peerLoads.peers(clock.monotonic()).length > 0;
+    const { settings, ports, log, random, state } = shared;
     const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
         changes.forEach(({ value }) => {
             if (value !== undefined && state.applyConfiguration(value)) {
@@ -268,7 +262,8 @@
         topic: ports.configuration(log),
         log,
         random,
-        waitMilliseconds: () => hasActivePeers() ? CONFIGURATION_LONG_POLL_MILLISECONDS : isolatedWaitMilliseconds,
+        waitMilliseconds: () =>
+            configurationWaitMilliseconds(configurationReader(shared), settings.configurationMilliseconds),
         pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
         replace: applyConfigurations,
         apply: applyConfigurations,
@@ -372,6 +367,7 @@
         hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
+        announcesConfiguration: () => isConfigurationWatcher(configurationReader(shared)),
         onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
         onSuspicion: ({ head, group }, daemon) => {
             if (groupOf(state, head) !== group) {
