Count a field without a colon as a field of an event

A target's stream with a line "data" and no colon was abandoned as "not-an-event" if the event began with it, and counted as no progress otherwise. The standard of server-sent events takes a line without a colon as the name of a field with an empty value.

The names data, event, id and retry are read so. A block that begins with any other line without a colon is still taken for no event: the standard would ignore it, but bytes that are no answer begin so.

Lines that end with CR LF are not treated here: an event ends at two line feeds.

--- a/packages/daemon/src/relay/eventsplitter.ts
+++ b/packages/daemon/src/relay/eventsplitter.ts
@@ -27,9 +27,13 @@
 const EVENT_END = Buffer.from("\n\n");
 const NEWLINE = 0x0a;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
-const CONTENT_LINE = /^(?:id|data):/m;
-/** Name of a field and a colon, the colon of a comment, or an empty line. */
-const FIRST_LINE = /^\s*(?:[a-z-]*:|$)/i;
+/** A field without a colon has an empty value. */
+const CONTENT_LINE = /^(?:id|data)(?::|\r?$)/m;
+/**
+ * Name of a field and a colon, the colon of a comment, an empty line, or the name of a field that the standard defines. Any
+ * other line without a colon is a field that receivers ignore; a block that begins with one is taken for no event.
+ */
+const FIRST_LINE = /^\s*(?:[a-z-]*:|(?:data|event|id|retry)\r?\n|$)/i;
 
 /** Creates a splitter. */
 export function createEventSplitter(): EventSplitter {
