Answer the whole requests before bytes that are no request

Bytes that Node's parser rejects destroyed the connection at once, with the responses to earlier whole requests: one that was being written was cut (1 of 5 bytes received), one that had not begun was not sent at all.

After such bytes the connection is read no further, the whole requests before them are answered, and then it is closed slowly: its side is ended and what arrives is read for at most 2 s, so that no reset takes the last response away. Without a request, and when the caller has closed its side or reset the connection, it is closed at once as before.

--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers. Its limits follow the configuration. */
 import { createServer, type Server } from "node:http";
-import type { Socket } from "node:net";
 import { limitConnections } from "./connectionlimits.js";
+import { closeAfterParserErrors } from "./parsererrors.js";
 import { inOrder, type RequestHandler } from "./requestorder.js";
 import type { RelayState } from "./state.js";
 
@@ -19,10 +19,7 @@
         requestTimeout: 0,
         noDelay: true,
     }, inOrder(handle));
-    server.on("clientError", (...[, socket]: [Error, Socket]) => {
-        // No request was parsed, so the caller must not receive a response that it could match to one.
-        socket.destroy();
-    });
+    closeAfterParserErrors(server);
     const connectionLimits = limitConnections(server);
     // Node counts a response as sent when its last bytes are written, although they may wait for a slow caller.
     server.closeIdleConnections = () => connectionLimits.closeIdle();
