Give the test of a rule's concurrency a request that stays in progress

The request that held the only place ended by itself, after 100 ms without a token or at its deadline of 150 ms. If the second request came later, it was rightly admitted, and the engine of the test answered it with a stream that is no answer to it (502). No fault of the product.

The first request now ends only when the test ends it, as complete or cut off, and the second must be refused whenever it comes; the engine must have received one request. That a deadline frees the place is a test of its own.

--- a/packages/daemon/src/front/tests/limits.test.ts
+++ b/packages/daemon/src/front/tests/limits.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
+import type { ServerResponse } from "node:http";
 import { createPublished } from "../../tasks/published.js";
-import { chat, respondComplete, send, streamEvents, until, withTestServer } from "./testserver.js";
+import { chat, chunkOf, respondComplete, send, until, withTestServer } from "./testserver.js";
 
 const share = { team: "legal", weight: 1, queueLength: 1 };
 
@@ -37,17 +38,46 @@
             }));
     });
 
-    it("applies the concurrency of the most specific rule", () =>
+    const endings: { title: string; end: (held: ServerResponse) => void; }[] = [
+        { title: "is complete", end: held => held.end("data: [DONE]\n\n") },
+        { title: "is cut off", end: held => held.destroy() },
+    ];
+    endings.forEach(({ title, end }) => {
+        it(`applies the concurrency of the most specific rule until the request in progress ${title}`, async () => {
+            let held: ServerResponse | undefined;
+            await withTestServer({
+                engines: [(...[, response]) => {
+                    held = response.writeHead(200, { "content-type": "text/event-stream" });
+                    response.write(`data: ${chunkOf("a")}\n\n`);
+                }],
+                rows: [{ kind: "rule", name: "narrow", model: "notes", team: "legal", concurrency: 1 }],
+                tokenTimeoutMilliseconds: 60_000,
+            }, async server => {
+                const first = chat(server, { stream: true }, { "x-damaskvale-deadline-ms": "60000" });
+                await until(() => server.engines[0]!.received.length === 1);
+                const second = await chat(server);
+
+                expect(second).to.deep.include({ status: 429, code: "rate_limited", outcome: "not-run" });
+                expect(server.engines[0]!.received).to.have.length(1);
+                server.engines[0]!.handle = respondComplete;
+                end(held!);
+                await first.catch(() => undefined);
+                await until(() => server.dispatcher.inProgress() === 0);
+                expect((await chat(server)).status).to.equal(200);
+            });
+        });
+    });
+
+    it("ends the concurrency of a request with its deadline", () =>
         withTestServer({
-            engines: [streamEvents(["a"], "hang")],
+            engines: [(...[, response]) =>
+                void response.writeHead(200, { "content-type": "text/event-stream" }).write(
+                    `data: ${chunkOf("a")}\n\n`,
+                )],
             rows: [{ kind: "rule", name: "narrow", model: "notes", team: "legal", concurrency: 1 }],
+            tokenTimeoutMilliseconds: 60_000,
         }, async server => {
-            const first = chat(server, { stream: true }, { "x-damaskvale-deadline-ms": "150" });
-            await until(() => server.engines[0]!.received.length === 1);
-            const second = await chat(server);
-            await first;
-
-            expect(second).to.deep.include({ status: 429, code: "rate_limited", outcome: "not-run" });
+            await chat(server, { stream: true }, { "x-damaskvale-deadline-ms": "150" });
             await until(() => server.dispatcher.inProgress() === 0);
             server.engines[0]!.handle = respondComplete;
             expect((await chat(server)).status).to.equal(200);
--- a/packages/daemon/src/front/tests/testserver.ts
+++ b/packages/daemon/src/front/tests/testserver.ts
@@ -101,6 +101,8 @@
     readonly front?: Partial<FrontEndOptions>;
     readonly dispatcher?: Partial<DispatcherOptions>;
     readonly rows?: readonly Record<string, unknown>[];
+    /** Time without a token after which a stream of an engine counts as silent. */
+    readonly tokenTimeoutMilliseconds?: number;
 }
 
 /** Starts the server and its targets; `close` stops all of them. */
@@ -123,7 +125,7 @@
             engines: createEngineClient({
                 ...shared,
                 firstTokenTimeoutMilliseconds: 150,
-                tokenTimeoutMilliseconds: 100,
+                tokenTimeoutMilliseconds: options.tokenTimeoutMilliseconds ?? 100,
             }),
             services: createServiceClient(shared),
             groups,
