Keep a target that two older copies in a row lack for the whole grace time

Cause: the grace time of 2.2 s ran from the first copy. When the store came back twice within seconds, a target that both copies lacked was dropped before it could write its entry again.

Change: each older copy without the entry starts the time again. An explicit removal of the entry ends it after 1 s as usual.

Evidence: two unit tests of the state. Without the change, the first fails (no target serves 1.5 s after the second copy).

--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -102,6 +102,8 @@
     private targetsByService = new Map<string, Target[]>();
     /** Timers of the next step after the removal of an entry, by target id. */
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
+    /** Targets that an older copy of the store lacks and whose entries are awaited again. */
+    private readonly awaitedTargets = new Set<string>();
     /** Last state of recently dropped targets, by id. */
     private readonly droppedTargets = new Map<string, Target>();
     private readonly listeners: (() => void)[] = [];
@@ -154,11 +156,11 @@
         const ids = new Set(latest.map(target => target.id));
         const missing = [...this.targetsById.keys()].filter(id => !ids.has(id));
         if (isRestored) {
-            missing.filter(id => !this.removalTimers.has(id))
-                .forEach(id => this.schedule(id, RESTORED_GRACE_MILLISECONDS, () => this.markLapsed(id)));
+            missing.filter(id => !this.removalTimers.has(id) || this.awaitedTargets.has(id))
+                .forEach(id => this.awaitEntry(id));
         }
         else {
-            missing.forEach(key => this.change({ key }));
+            missing.filter(id => !this.awaitedTargets.has(id)).forEach(key => this.change({ key }));
         }
         latest.map(target => isRestored ? keepNewerFields(target, this.targetsById.get(target.id)) : target)
             .forEach(target => this.change({ key: target.id, value: target }));
@@ -198,6 +200,7 @@
         if (value !== undefined) {
             clearTimeout(this.removalTimers.get(key));
             this.removalTimers.delete(key);
+            this.awaitedTargets.delete(key);
             const entry = keepDraining(value, target ?? this.droppedTargets.get(key));
             this.targetsById.set(key, entry);
             this.notifyChange(target, entry);
@@ -209,11 +212,20 @@
         else if (target.draining) {
             this.drop(target, "removed");
         }
-        else if (!this.removalTimers.has(key)) {
+        else if (!this.removalTimers.has(key) || this.awaitedTargets.delete(key)) {
             this.schedule(key, REGISTRATION_GRACE_MILLISECONDS, () => this.markLapsed(key));
         }
     }
 
+    /** Waits for the entry of a target to be written again after the store came back from an older copy. */
+    private awaitEntry(id: string): void {
+        this.awaitedTargets.add(id);
+        this.schedule(id, RESTORED_GRACE_MILLISECONDS, () => {
+            this.awaitedTargets.delete(id);
+            this.markLapsed(id);
+        });
+    }
+
     /** Drops lapsed hosts whose address now belongs to a registered target. */
     private forgetLapsedAt(address: string): void {
         [...this.targetsById.values()].filter(target => !target.registered && target.address === address)
@@ -278,8 +290,9 @@
         this.updateIndexes();
     }
 
-    /** Runs an action after a delay unless the target is registered again before. */
+    /** Runs an action after a delay unless the target is registered or scheduled again before. */
     private schedule(id: string, milliseconds: number, action: () => void): void {
+        clearTimeout(this.removalTimers.get(id));
         const timer = setTimeout(() => {
             this.removalTimers.delete(id);
             action();
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -226,6 +226,25 @@
         });
     });
 
+    it("keeps a target that older copies lack twice within two seconds until the second time has passed", () => {
+        state.applyTargets([{ key: "p", value: target("p") }]);
+        state.replaceTargets([], true);
+        clock.tick(1_500);
+        state.replaceTargets([], true);
+        clock.tick(1_500);
+        expect(serving()).to.deep.equal(["p"]);
+        clock.tick(1_000);
+        expect(serving()).to.deep.equal([]);
+    });
+
+    it("drops a target that an older copy lacks one second after its entry is removed", () => {
+        state.applyTargets([{ key: "p", value: target("p") }]);
+        state.replaceTargets([], true);
+        state.applyTargets([{ key: "p" }]);
+        clock.tick(1_000);
+        expect(serving()).to.deep.equal([]);
+    });
+
     it("keeps a group that the older copy does not know or knows in an earlier state", () => {
         const started = { ...head, startedAt: 1 };
         const earlier = { ...started, membership: { group: "d~m~0.0", epoch: 0, rank: 0, state: "open" } as const };
