--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -172,7 +172,7 @@
     topicRestored: define(
         228,
         "info",
-        "A topic is read anew because the platform's store came back from an older copy.",
+        "A topic is read anew because an answer of the platform's store belongs to another era.",
     ),
     targetsChanged: define(420, "info", "A target was registered, started again, drains, lapsed or was removed."),
     engineOrdered: define(421, "info", "An order was given to an engine."),
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -6,6 +6,7 @@
     createSuspicions,
     type DaemonLocation,
     type DemandMeter,
+    eraOf,
     type LoadTracker,
     type PeerLoads,
     type RelayConfiguration,
@@ -37,6 +38,7 @@
 import { createRelay, type Relay } from "./relay.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createRelayState, type RelayState } from "./state.js";
+import { logStoreEra, refreshAfterRestore } from "./storerestore.js";
 import { createTargetConnections } from "./targetconnections.js";
 import { createTargetRates, type TargetRates } from "./targetrates.js";
 
@@ -136,8 +138,7 @@
         await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.promptQuarantine));
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
-    ports.storeEra.onRisen((era, previous) => log.emit("storeEraRose", { era, previous }));
-    ports.storeEra.onIgnored(text => log.emit("storeEraIgnored", { text, era: ports.storeEra.current() }));
+    logStoreEra(ports.storeEra, log);
     const configuration = followStore(shared);
     const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration);
     const listeners = await listening;
@@ -286,11 +287,6 @@
     return configuration;
 }
 
-/** Makes followers notice at once that the store came back from an older copy, although their reads may be waiting. */
-function refreshAfterRestore(storeEra: StoreEra, followers: readonly TopicFollower[]): void {
-    storeEra.onRisen(() => followers.forEach(follower => follower.refresh(0)));
-}
-
 function wirePlanning(
     shared: SharedParts,
     relay: Relay,
@@ -303,6 +299,7 @@
         log,
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
+        isOfCurrentEra: fencingToken => eraOf(fencingToken) >= ports.storeEra.current(),
     });
     const exchange = wireExchange(shared, configuration, head => planner.suspect(head));
     const planner = startEnginePlanner({
--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -25,6 +25,8 @@
      * partitions by then, so this must be 0 unless the receivers of orders reject old fencing tokens.
      */
     readonly extensionMilliseconds: number;
+    /** Returns whether the store gave a token out in its current era. A lease of an earlier era is not used. */
+    readonly isOfCurrentEra: (fencingToken: number) => boolean;
 }
 
 /** Renewals within one lease, so that a single lost answer does not end it. */
@@ -45,6 +47,9 @@
     const renewOnce = async (): Promise<boolean> => {
         const sentAt = clock.monotonic();
         const next = await group.renew(leaseMilliseconds, share?.fencingToken ?? 0);
+        if (!options.isOfCurrentEra(next.fencingToken)) {
+            throw new StoreError("refused", "The assignment belongs to an earlier era of the store.");
+        }
         const changed = next.fencingToken !== share?.fencingToken;
         if (changed) {
             log.emit("partitionsChanged", { ...next });
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -1,4 +1,5 @@
 /** Guards against orders from a daemon whose lease has expired, and against a slow handover of partitions. */
+import { fencingTokenOf } from "@damaskvale/core";
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { type PartitionAssignment, StoreError } from "../../ports/registry.js";
@@ -13,10 +14,12 @@
     let answers: Answer[];
     let tokens: number[];
     let lease: PartitionLease;
+    let currentEra: number;
 
     const start = (extensionMilliseconds: number): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
         tokens = [];
+        currentEra = 0;
         lease = startPartitionLease({
             group: {
                 partitionCount: 8,
@@ -33,6 +36,7 @@
             log: { emit: () => undefined },
             leaseMilliseconds: 2_500,
             extensionMilliseconds,
+            isOfCurrentEra: token => token >= fencingTokenOf(currentEra, 0),
         });
     };
     afterEach(async () => {
@@ -76,10 +80,22 @@
         answers = [share, { fencingToken: 20_000_004, partitions: [2] }];
         start(20_000);
         await clock.tickAsync(10);
+        currentEra = 2;
         lease.invalidate("restored");
         const before = lease.current();
         await clock.tickAsync(200);
         expect([before, lease.current()?.partitions]).to.deep.equal([undefined, [2]]);
         expect(tokens.slice(0, 2)).to.deep.equal([0, 0]);
     });
+
+    it("does not use an assignment of an earlier era that arrives after the store came back", async () => {
+        answers = [share, { fencingToken: 20_000_004, partitions: [2] }];
+        start(20_000);
+        currentEra = 2;
+        lease.invalidate("restored");
+        await clock.tickAsync(10);
+        const late = lease.current();
+        await clock.tickAsync(700);
+        expect([late, lease.current()?.partitions]).to.deep.equal([undefined, [2]]);
+    });
 });
