Do not wait at an offset of an earlier era of the store

Cause: a rise of the era ends a read that is waiting, but a follower that was in its pause between two reads, or whose read of all values was answered late, then waited up to 15 s (presence) or 8 s (configuration) at an offset of the earlier era, which the store may have given out again.

Change: a read at an offset of another era than the current one does not wait.

Tests: a new case in followtopic.test.ts. In the two cases of older copies the current era now rises with the answer, as it does in the daemon; their expectations are the same.

--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -63,6 +63,7 @@
         topic,
         log,
         random,
+        currentEra: () => storeEra.current(),
         waitMilliseconds: () => FOLLOW_WAIT_MILLISECONDS,
         pauseMilliseconds: () => FOLLOW_PAUSE_MILLISECONDS,
         replace: (changes, isRestored) => {
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -267,6 +267,7 @@
         topic: ports.configuration(log),
         log,
         random,
+        currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () => hasActivePeers() ? CONFIGURATION_LONG_POLL_MILLISECONDS : isolatedWaitMilliseconds,
         pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
         replace: applyConfigurations,
@@ -276,6 +277,7 @@
         topic: ports.targets(log),
         log,
         random,
+        currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () => TARGETS_LONG_POLL_MILLISECONDS,
         pauseMilliseconds: () => registryReadDelay(shared),
         // The long poll for the configuration uses the same network, so its connection is probably dead as well.
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -9,6 +9,8 @@
     readonly log: EventLog;
     /** Returns a random number from 0 to below 1, to spread retries. */
     readonly random: () => number;
+    /** Returns the era of the store that is known now. A read at an offset of another era does not wait. */
+    readonly currentEra: () => number;
     /**
      * Called with all keys that have values, at the start and after a gap. `isRestored` is set after the store came back
      * from an older copy; values that were written since may then be missing or older until they are written again.
@@ -100,7 +102,8 @@
 
     private async readChanges(position: { readonly offset: number; readonly era: number; }): Promise<void> {
         const { topic, log, random, apply } = this.options;
-        const wait = this.isLost || this.isRefreshing ? 0 : this.options.waitMilliseconds();
+        const isImmediate = this.isLost || this.isRefreshing || position.era !== this.options.currentEra();
+        const wait = isImmediate ? 0 : this.options.waitMilliseconds();
         this.waitingRead = wait > 0 ? new AbortController() : undefined;
         const page = await topic.readFrom(position.offset, wait, this.waitingRead?.signal);
         this.isRefreshing = false;
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -11,9 +11,11 @@
     let follower: TopicFollower;
     let calls: string[];
     let seen: string[];
+    let currentEra: number;
 
     const start = (answers: readonly Answer[]): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout"] });
+        currentEra = 1;
         calls = [];
         seen = [];
         const rest = [...answers];
@@ -44,6 +46,7 @@
             },
             log: { emit: () => undefined },
             random: () => 0,
+            currentEra: () => currentEra,
             waitMilliseconds: () => 2_500,
             pauseMilliseconds: () => 10,
             replace: (changes, isRestored) =>
@@ -131,6 +134,14 @@
         expect(calls.length).to.be.below(15);
     });
 
+    // The era may rise during the pause between two reads, when there is no waiting read to refresh.
+    it("does not wait at an offset of an earlier era when another answer has stated a later one", async () => {
+        start([{ changes: [], nextOffset: 5, era: 1 }]);
+        currentEra = 2;
+        await clock.tickAsync(100);
+        expect(calls).to.deep.equal(["newest", "after 5 wait 0"]);
+    });
+
     const restored = { changes: [{ key: "a", value: "1" }], nextOffset: 4, era: 2 };
     const restores: readonly { readonly name: string; readonly answer: Answer; }[] = [
         { name: "gave the offset out again", answer: { changes: [{ key: "b", value: "9" }], nextOffset: 6, era: 2 } },
@@ -139,6 +150,8 @@
     restores.forEach(({ name, answer }) => {
         it(`reads all values again when the store came back from an older copy and ${name}`, async () => {
             start([{ changes: [{ key: "a", value: "2" }], nextOffset: 5, era: 1 }, answer, restored]);
+            await clock.tickAsync(15);
+            currentEra = 2;
             await clock.tickAsync(1_000);
             expect(calls).to.deep.equal(["newest", "after 5 wait 2500", "newest", "after 4 wait 2500"]);
             expect(seen).to.deep.equal(["all a=2", "restored a=1"]);
