Announce a daemon again when its announcement was written in an earlier era

Cause: a daemon that learned of a new era and whose announcement was then answered by a store of the earlier one stayed unknown to the others, since the era did not rise again.

Change: an append returns its era; an announcement of an earlier era is repeated with backoff.

--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -43,7 +43,10 @@
     };
     const announce = async (failures: number): Promise<void> => {
         try {
-            await topic.announce(self);
+            const era = await topic.announce(self);
+            if (era < storeEra.current()) {
+                throw new StoreError("refused", "The announcement was written in an earlier era of the store.");
+            }
         }
         catch (error) {
             if (!(error instanceof StoreError)) {
--- a/packages/daemon/src/ports/presence.ts
+++ b/packages/daemon/src/ports/presence.ts
@@ -11,6 +11,7 @@
 
 /** Records of the daemons by name. Calls reject with a `StoreError`. */
 export interface PresenceTopic extends KeyedTopic<DaemonPresence> {
-    announce(presence: DaemonPresence): Promise<void>;
+    /** Resolves to the era of the store in which the record was written. */
+    announce(presence: DaemonPresence): Promise<number>;
     withdraw(daemon: string): Promise<void>;
 }
