--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -19,6 +19,10 @@
     readonly limitedTargets: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
+    /** Era of the platform's store, 0 while no answer has stated one. */
+    readonly storeEra: () => number;
+    /** Answers of the store whose statement of the era was missing, lower or unreadable. */
+    readonly storeErasIgnored: () => number;
 }
 
 /** Responds to a request of an operator; returns whether it did. */
@@ -58,6 +62,11 @@
         labelNames: ["kind", "result"],
         registers,
     });
+    const eraChanges = new Counter({
+        name: "damaskvale_store_era_changes_total",
+        help: "Times that the platform's store came back from an older copy.",
+        registers,
+    });
     const duration = histogram("damaskvale_request_milliseconds", "Time from a request to its end.", registers);
     const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
     addGauges(values, registers);
@@ -71,6 +80,7 @@
             }
         },
         requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
+        storeEraRose: () => eraChanges.inc(),
         engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
     };
     return {
@@ -112,6 +122,8 @@
         ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
         ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
+        ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
+        ["damaskvale_store_eras_ignored", "Answers of the store that state no valid era.", values.storeErasIgnored],
     ];
     gauges.forEach(([name, help, read]) =>
         new Gauge({
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -13,6 +13,8 @@
             servingGroups: () => 5,
             limitedTargets: () => 2,
             quarantinedParts: () => 4,
+            storeEra: () => 6,
+            storeErasIgnored: () => 8,
         });
         log.emit("requestEnded", {
             requestId: "r1",
@@ -21,6 +23,7 @@
             firstEventMilliseconds: 60,
         });
         log.emit("engineOrdered", { host: "i-1", kind: "join", result: "accepted" });
+        log.emit("storeEraRose", { era: 6, previous: 5 });
         const lines = (await text()).split("\n");
         expect(lines).to.include.members([
             'damaskvale_events_total{event="requestEnded"} 1',
@@ -33,8 +36,11 @@
             "damaskvale_serving_groups 5",
             "damaskvale_limited_targets 2",
             "damaskvale_quarantined_parts 4",
+            "damaskvale_store_era_changes_total 1",
+            "damaskvale_store_era 6",
+            "damaskvale_store_eras_ignored 8",
         ]);
         expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
-        expect(passed).to.deep.equal(["requestEnded", "engineOrdered"]);
+        expect(passed).to.deep.equal(["requestEnded", "engineOrdered", "storeEraRose"]);
     });
 });
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -31,6 +31,8 @@
             servingGroups: () => 0,
             limitedTargets: () => 0,
             quarantinedParts: () => 1,
+            storeEra: () => 0,
+            storeErasIgnored: () => 0,
         });
         const handler = createQuarantineHandler({
             quarantined: () => [statement],
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -176,6 +176,8 @@
         servingGroups: () => state.countServingGroups(),
         limitedTargets: () => targetRates.limitedTargets(),
         quarantinedParts: () => promptQuarantine.quarantined().length,
+        storeEra: () => ports.storeEra.current(),
+        storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
