Fuzz ownership, configuration and registry over eras of the store

Never two owners of a domain with one token; a domain is planned again 4.5 s (the lease and 2 s) after the last disturbance; no configuration goes back and the newest is in force 2.5 s after; no sound target is dropped by an undisturbed daemon; daemons know each other.

--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -1,6 +1,7 @@
 /** Registry of the fuzz modules that `npm run proofs` runs. */
 import { claimsFuzz } from "./claims.js";
 import { configurationFuzz } from "./configuration.js";
+import { erasFuzz } from "./eras.js";
 import { groupsFuzz } from "./groups.js";
 import { admissionFuzz } from "./limits.js";
 import { membershipFuzz } from "./membership.js";
@@ -23,6 +24,7 @@
     routingFuzz,
     retryFuzz,
     requestsFuzz,
+    erasFuzz,
     groupsFuzz,
     membershipFuzz,
 ];
