Measure the calls to a store that comes back from an older copy

Benchmark `eras`: 8 to 152 simulated daemons with the real followers, lease, presence and state on a simulated store in simulated time.

--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,6 +1,7 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
 import { configurationBench } from "./configuration.js";
 import { controlBench } from "./control/bench.js";
+import { erasBench } from "./eras/bench.js";
 import { foldBench } from "./fold.js";
 import { groupsBench } from "./groups/bench.js";
 import { limitsBench } from "./limits/limits.js";
@@ -18,6 +19,7 @@
     retriesBench,
     targetLimitsBench,
     quarantineBench,
+    erasBench,
     groupsBench,
     foldBench,
     configurationBench,
