--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -6,6 +6,7 @@
     createSuspicions,
     type DaemonLocation,
     type DemandMeter,
+    eraOf,
     type LoadTracker,
     type PeerLoads,
     type RelayConfiguration,
@@ -43,6 +44,7 @@
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
 import { createRelayState, type RelayState } from "./state.js";
+import { logStoreEra, refreshAfterRestore } from "./storerestore.js";
 import { createTargetConnections } from "./targetconnections.js";
 import { createTargetRates, type TargetRates } from "./targetrates.js";
 
@@ -131,8 +133,7 @@
         await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.promptQuarantine));
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
-    ports.storeEra.onRisen((era, previous) => log.emit("storeEraRose", { era, previous }));
-    ports.storeEra.onIgnored(text => log.emit("storeEraIgnored", { text, era: ports.storeEra.current() }));
+    logStoreEra(ports.storeEra, log);
     const configuration = followStore(shared);
     const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration);
     const listeners = await listening;
@@ -170,6 +171,8 @@
         servingGroups: () => state.countServingGroups(),
         limitedTargets: () => targetRates.limitedTargets(),
         quarantinedParts: () => promptQuarantine.quarantined().length,
+        storeEra: () => ports.storeEra.current(),
+        storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
@@ -262,6 +265,7 @@
         topic: ports.configuration(log),
         log,
         random,
+        currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () =>
             configurationWaitMilliseconds(configurationReader(shared), settings.configurationMilliseconds),
         pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
@@ -272,6 +276,7 @@
         topic: ports.targets(log),
         log,
         random,
+        currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () => TARGETS_LONG_POLL_MILLISECONDS,
         pauseMilliseconds: () => registryReadDelay(shared),
         // The long poll for the configuration uses the same network, so its connection is probably dead as well.
@@ -283,11 +288,6 @@
     return configuration;
 }
 
-/** Makes followers notice at once that the store came back from an older copy, although their reads may be waiting. */
-function refreshAfterRestore(storeEra: StoreEra, followers: readonly TopicFollower[]): void {
-    storeEra.onRisen(() => followers.forEach(follower => follower.refresh(0)));
-}
-
 function wirePlanning(
     shared: SharedParts,
     relay: Relay,
@@ -300,6 +300,7 @@
         log,
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
+        isOfCurrentEra: fencingToken => eraOf(fencingToken) >= ports.storeEra.current(),
     });
     const exchange = wireExchange(shared, configuration, head => planner.suspect(head));
     const planner = startEnginePlanner({
