Move the settings and ports of the platform's daemon out of the wiring module

RelaySettings and PlatformPorts are interfaces that other modules may need without the composition root; they stand in relay/platformports.ts, unchanged.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -27,6 +27,7 @@
 export type * from "./ports/stream.js";
 export type * from "./ports/tableview.js";
 export type * from "./relay/budgets.js";
+export type * from "./relay/platformports.js";
 export * from "./relay/state.js";
 export * from "./relay/targetrates.js";
 export * from "./relay/wire.js";
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -20,18 +20,17 @@
 import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
 import type { Clock } from "../ports/clock.js";
-import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
-import type { DaemonPresence, PresenceTopic } from "../ports/presence.js";
-import type { ConfigurationTopic, PartitionGroup, TargetTopic, TopicChange } from "../ports/registry.js";
-import type { RelayProtocol } from "../ports/relayprotocol.js";
+import type { DaemonPresence } from "../ports/presence.js";
+import type { TopicChange } from "../ports/registry.js";
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
-import { createServiceRetryBudgets, type RetryAllowance, type ServiceRetryBudgets } from "./budgets.js";
+import { createServiceRetryBudgets, type ServiceRetryBudgets } from "./budgets.js";
 import { createDemandMeters } from "./demandmeters.js";
 import { startListeners } from "./lifecycle.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
 import { registryReadDelayMilliseconds } from "./pace.js";
+import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
@@ -40,38 +39,6 @@
 import { createTargetConnections } from "./targetconnections.js";
 import { createTargetRates, type TargetRates } from "./targetrates.js";
 
-/** Settings of the daemon on a platform. */
-export interface RelaySettings {
-    readonly daemon: string;
-    readonly dataCentre: string;
-    readonly ip: string;
-    /** First and last port of the range for messages between daemons. */
-    readonly internalPorts: readonly number[];
-    readonly callerListen: string;
-    readonly readinessListen: string;
-    readonly shutdownMilliseconds: number;
-    /** Time within which a target that announced that it is draining must stop getting requests. */
-    readonly drainNoticeMilliseconds: number;
-    /** Time within which a published configuration must be in force. */
-    readonly configurationMilliseconds: number;
-    /** `IP:PORT` at which metrics are served; absent if they are not served. */
-    readonly metricsListen?: string;
-    readonly retryAllowance: RetryAllowance;
-    /** Whether engines refuse orders with a lower fencing token than the highest they have seen. */
-    readonly enginesEnforceFencing: boolean;
-}
-
-/** Adapters that a platform provides. */
-export interface PlatformPorts {
-    readonly protocol: RelayProtocol;
-    readonly storeEra: StoreEra;
-    readonly configuration: (log: EventLog) => ConfigurationTopic;
-    readonly targets: (log: EventLog) => TargetTopic;
-    readonly partitions: PartitionGroup;
-    readonly engines: (log: EventLog) => EngineControl;
-    readonly presence: (log: EventLog) => PresenceTopic;
-}
-
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
 const LEASE_MILLISECONDS = 2_500;
