Obey the time for which a target turns this daemon away

Cause: nothing read Retry-After of a 503. Change: platform/ decodes it into a typed statement beside the rate; targetrests (core) keeps the longest end for each process, an hour at most; targetavailability is the one place that all ways to a target ask, for rates and rests. What stood twice for limits and rests is one now: earlier processes (targetprocess), unreadable statements, and the wait of candidates. If all targets wait, callers are refused at once with up to twice the shortest wait, 10 s counted at most.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,8 @@
 export * from "./placement/slidingmaximum.js";
 export * from "./placement/suspicions.js";
 export * from "./placement/targetlimits.js";
+export type * from "./placement/targetprocess.js";
+export * from "./placement/targetrests.js";
 export * from "./quarantine/blame.js";
 export * from "./quarantine/quarantine.js";
 export { nextTrialAt } from "./quarantine/statements.js";
--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -12,8 +12,8 @@
     readonly pendingPromptTokens: number;
     /** Whether the group is suspected of making no progress. */
     readonly suspected: boolean;
-    /** Time until the rate that the head states allows this daemon a request, in milliseconds. */
-    readonly rateWaitMilliseconds: number;
+    /** Time until the head takes a request of this daemon, by the rate and the rest that it states, in milliseconds. */
+    readonly waitMilliseconds: number;
 }
 
 /** Input of the placement of one request. */
@@ -48,6 +48,8 @@
 /** Time to retry while lost groups are formed again, and the jitter added to it. */
 const RECOVERY_RETRY_MILLISECONDS = 1_500;
 const RECOVERY_RETRY_JITTER_MILLISECONDS = 1_000;
+/** Longest wait for a target that callers are told, because others may take its place before. */
+const MAXIMUM_LIMITED_RETRY_MILLISECONDS = 10_000;
 
 /**
  * Places a request at a group that can start it before the deadline. Groups are chosen at random in proportion to their
@@ -64,7 +66,7 @@
     if (withFreeSlots.length === 0) {
         return { kind: "refused", reason: "full", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) };
     }
-    const available = withFreeSlots.filter(({ rateWaitMilliseconds }) => rateWaitMilliseconds === 0);
+    const available = withFreeSlots.filter(({ waitMilliseconds }) => waitMilliseconds === 0);
     if (available.length === 0) {
         return { kind: "refused", reason: "limited", retryAfterMilliseconds: limitRetryMilliseconds(input, healthy) };
     }
@@ -124,20 +126,20 @@
     return input.recovering ? recoveryRetryMilliseconds(input) : slotWaitMilliseconds(input, candidates);
 }
 
-/** Returns the time until the first limited group allows a request, or a full one has a free slot. */
+/** Returns the time until the first group that takes none now allows a request, or a full one has a free slot. */
 function limitRetryMilliseconds(input: PlacementInput, candidates: readonly PlacementCandidate[]): number {
     const limited = candidates.filter(({ inProgress }) => inProgress < input.engine.slots);
     const full = candidates.filter(({ inProgress }) => inProgress >= input.engine.slots);
-    const turn = limitedRetryMilliseconds(limited.map(candidate => candidate.rateWaitMilliseconds), input.random);
+    const turn = limitedRetryMilliseconds(limited.map(candidate => candidate.waitMilliseconds), input.random);
     return full.length === 0 ? turn : Math.min(turn, retryDelayMilliseconds(input, full));
 }
 
 /**
- * Returns the time after which a caller should retry that was refused because all targets limit their rate. It is up to
- * twice the shortest wait, so that callers refused together do not return together.
+ * Returns the time after which a caller should retry that was refused because all targets limit their rate or rest. It is
+ * up to twice the shortest wait, so that callers refused together do not return together.
  */
 export function limitedRetryMilliseconds(waits: readonly number[], random: () => number): number {
-    return Math.ceil(Math.min(...waits) * (1 + random()));
+    return Math.ceil(Math.min(MAXIMUM_LIMITED_RETRY_MILLISECONDS, ...waits) * (1 + random()));
 }
 
 function recoveryRetryMilliseconds({ random }: PlacementInput): number {
--- a/packages/core/src/placement/targetlimits.ts
+++ b/packages/core/src/placement/targetlimits.ts
@@ -1,10 +1,8 @@
 /** Limits on the request rate that targets state in their responses, as known from this daemon's and others' responses. */
+import { isFromEarlierProcess, type StatedProcess } from "./targetprocess.js";
 
 /** What one response says. Times are monotonic milliseconds of this daemon. */
-export interface LimitObservation {
-    readonly target: string;
-    /** Start time of the target's process, in Unix milliseconds, if known. */
-    readonly startedAt?: number;
+export interface LimitObservation extends StatedProcess {
     /** When the request of the response was sent. */
     readonly sentAt: number;
     /** Whether the request succeeded. Other responses may lack a limit that is still in force. */
@@ -14,9 +12,7 @@
 }
 
 /** The newest statement known of a target. */
-export interface StatedLimit {
-    readonly target: string;
-    readonly startedAt?: number;
+export interface StatedLimit extends StatedProcess {
     /** Absent if the target has stated that it is no longer limited. */
     readonly requestsPerSecond?: number;
     /** When the target was last known to state this, in monotonic milliseconds of this daemon. */
@@ -79,7 +75,3 @@
                 .forEach(({ target }) => limits.delete(target)),
     };
 }
-
-function isFromEarlierProcess(left: StatedLimit, right: StatedLimit): boolean {
-    return left.startedAt !== undefined && right.startedAt !== undefined && left.startedAt < right.startedAt;
-}
--- /dev/null
+++ b/packages/core/src/placement/targetprocess.ts
@@ -0,0 +1,16 @@
+/** Identity of a process of a target, to which everything that the target states of itself belongs. */
+
+/** A process of a target. */
+export interface StatedProcess {
+    readonly target: string;
+    /** Start time of the process in Unix milliseconds, if known. */
+    readonly startedAt?: number;
+}
+
+/** Returns whether a process certainly started before another one of the same target. */
+export function isFromEarlierProcess(
+    left: Pick<StatedProcess, "startedAt">,
+    right: Pick<StatedProcess, "startedAt">,
+): boolean {
+    return left.startedAt !== undefined && right.startedAt !== undefined && left.startedAt < right.startedAt;
+}
--- a/packages/core/src/placement/tests/fleetload.test.ts
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -104,7 +104,7 @@
             inProgress,
             pendingPromptTokens: 0,
             suspected: false,
-            rateWaitMilliseconds: 0,
+            waitMilliseconds: 0,
         })),
         dataCentre: "a",
         promptTokens: PROMPT_TOKENS,
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -27,7 +27,7 @@
     inProgress: 0,
     pendingPromptTokens: 0,
     suspected: false,
-    rateWaitMilliseconds: 0,
+    waitMilliseconds: 0,
     ...fields,
 });
 const input = (candidates: readonly PlacementCandidate[], fields: Partial<PlacementInput> = {}): PlacementInput => ({
@@ -72,17 +72,17 @@
     { guards: "queueing at full groups", input: input([candidate("x", { inProgress: 18 })]), expected: "full" },
     {
         guards: "choosing an idle head beyond the rate that it states",
-        input: input([candidate("x", { rateWaitMilliseconds: 1 }), candidate("y", { inProgress: 17 })]),
+        input: input([candidate("x", { waitMilliseconds: 1 }), candidate("y", { inProgress: 17 })]),
         expected: "y",
     },
     {
         guards: "sending more than the rate of the only group",
-        input: input([candidate("x", { rateWaitMilliseconds: 1 })]),
+        input: input([candidate("x", { waitMilliseconds: 1 })]),
         expected: "limited",
     },
     {
         guards: "queueing at full groups because a limited one is idle",
-        input: input([candidate("x", { rateWaitMilliseconds: 1 }), candidate("y", { inProgress: 18 })]),
+        input: input([candidate("x", { waitMilliseconds: 1 }), candidate("y", { inProgress: 18 })]),
         expected: "limited",
     },
     {
@@ -106,7 +106,7 @@
     });
 
     it("tells a caller refused for a limit to return when the first target takes a request, or within twice that time", () => {
-        const limited = [800, 500].map((wait, index) => candidate(`${index}`, { rateWaitMilliseconds: wait }));
+        const limited = [800, 500].map((wait, index) => candidate(`${index}`, { waitMilliseconds: wait }));
         const waits = [0, 0.999].map(random => {
             const placement = placeRequest(input(limited, { random: () => random }));
             return placement.kind === "refused" ? placement.retryAfterMilliseconds : 0;
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -141,6 +141,17 @@
         "info",
         "A target that seemed to have crashed has answered as the same process; its crash does not count.",
     ),
+    targetResting: define(
+        342,
+        "info",
+        "A target turned a request away and wants none from this daemon for a time.",
+    ),
+    targetRestUnreadable: define(
+        343,
+        "warn",
+        "A target turned a request away with a time that cannot be read; the target goes on getting requests.",
+        "Find out which software the target runs.",
+    ),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -59,6 +59,18 @@
     | { readonly kind: "unlimited"; }
     | { readonly kind: "unreadable"; readonly text: string; };
 
+/** What a response that turns a request away says about the time for which its target wants none from this daemon. */
+export type RestStatement =
+    | { readonly kind: "none"; }
+    | { readonly kind: "resting"; readonly milliseconds: number; }
+    | { readonly kind: "unreadable"; readonly text: string; };
+
+/** What a response says about its target. */
+export interface TargetStatements {
+    readonly rate: RateStatement;
+    readonly rest: RestStatement;
+}
+
 /** Meaning of the head of a response. */
 export interface DecodedResponse {
     /** Whether the target states that it has not run the request and never will. */
@@ -67,7 +79,7 @@
     readonly misdirected: boolean;
     /** Id of the request that the response belongs to, if the target states it. */
     readonly requestId?: string;
-    readonly rate: RateStatement;
+    readonly statements: TargetStatements;
     /** Headers that are forwarded to the caller unchanged. */
     readonly forwarded: HeaderList;
 }
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -17,6 +17,10 @@
     readonly servingGroups: () => number;
     /** Targets that limit their request rate. */
     readonly limitedTargets: () => number;
+    /** Targets that want no requests from this daemon for a time. */
+    readonly restingTargets: () => number;
+    /** Responses of targets with a statement that could not be read, since the start. */
+    readonly unreadableStatements: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
 }
@@ -111,6 +115,8 @@
         ["damaskvale_configuration_version", "Configuration in force.", values.configurationVersion],
         ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
         ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
+        ["damaskvale_resting_targets", "Targets that want no requests for a time.", values.restingTargets],
+        ["damaskvale_unreadable_statements", "Responses with an unreadable statement.", values.unreadableStatements],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
     ];
     gauges.forEach(([name, help, read]) =>
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -64,10 +64,9 @@
 
     private sendOrGiveUp(reason: RefusalReason, retryAfterMilliseconds: number): void {
         const { route } = this.context.admitted;
-        const untried = this.untriedTargets();
         const target = this.chooseTarget();
-        if (target === undefined && this.sends === 0 && untried.length > 0) {
-            const waits = untried.map(candidate => this.parts.targetRates.waitMilliseconds(candidate));
+        const waits = target === undefined ? this.waitsOfTargets() : [];
+        if (waits.length > 0 && waits.every(milliseconds => milliseconds > 0)) {
             this.giveUp("limited", limitedRetryMilliseconds(waits, this.parts.random));
             return;
         }
@@ -88,14 +87,23 @@
         return this.parts.state.servingTargets(this.context.service).filter(({ id }) => !this.tried.includes(id));
     }
 
-    /** Returns the least loaded target that has not been tried and whose rate allows a request now. */
+    /** Returns the waits for the targets that were not tried, or for all if there are none or the request was sent. */
+    private waitsOfTargets(): readonly number[] {
+        const untried = this.untriedTargets();
+        const targets = this.sends === 0 && untried.length > 0
+            ? untried
+            : this.parts.state.servingTargets(this.context.service);
+        return targets.map(target => this.parts.availability.waitMilliseconds(target));
+    }
+
+    /** Returns the least loaded target that has not been tried and takes a request now. */
     private chooseTarget(): Target | undefined {
         const cost = (target: Target): number =>
             (this.parts.loadTracker.get(target.id)?.inProgress ?? 0)
             + (target.dataCentre === this.parts.dataCentre ? 0 : REMOTE_COST)
             + this.parts.random();
         return this.untriedTargets()
-            .filter(target => this.parts.targetRates.waitMilliseconds(target) === 0)
+            .filter(target => this.parts.availability.waitMilliseconds(target) === 0)
             .map(target => ({ target, cost: cost(target) }))
             .sort((left, right) => left.cost - right.cost)[0]?.target;
     }
@@ -107,7 +115,7 @@
         this.attempt = attempt;
         this.tried.push(target.id);
         this.sends += 1;
-        parts.targetRates.recordSent(target);
+        parts.availability.recordSent(target);
         parts.loadTracker.sent(target.id, { promptTokens: 0, stream: false }, now);
         parts.log.emit("requestSent", { ...requestLogFields(context), target: target.id, attempt: this.sends });
         const { method, path } = context.request;
@@ -141,7 +149,8 @@
             return;
         }
         if (!attempt.decoded.misdirected) {
-            this.parts.targetRates.recordResponse(attempt, { status: head.status, rate: attempt.decoded.rate });
+            const { statements } = attempt.decoded;
+            this.parts.availability.recordResponse(attempt, { status: head.status, statements });
         }
     }
 
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -13,8 +13,8 @@
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
 import type { PromptQuarantine } from "./promptquarantine.js";
 import type { RelayState } from "./state.js";
+import type { TargetAvailability } from "./targetavailability.js";
 import type { TargetConnections } from "./targetconnections.js";
-import type { TargetRates } from "./targetrates.js";
 
 /** An admitted request. Times are monotonic milliseconds. */
 export interface RequestContext {
@@ -38,7 +38,7 @@
     readonly state: RelayState;
     readonly connections: TargetConnections;
     readonly loadTracker: LoadTracker;
-    readonly targetRates: TargetRates;
+    readonly availability: TargetAvailability;
     readonly promptQuarantine: PromptQuarantine;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -24,7 +24,8 @@
     return placeRequest({
         engine,
         model,
-        candidates: candidates.filter(({ head }) => !tried.includes(head)),
+        // A tried group that waits cannot be chosen, but tells when the caller should retry.
+        candidates: candidates.filter(candidate => !tried.includes(candidate.head) || isWaiting(candidate)),
         recovering: healthyCount < parts.recentGroupCounts.add(`${context.service}/${model.name}`, healthyCount, now),
         dataCentre: parts.dataCentre,
         promptTokens: context.request.promptTokens,
@@ -33,6 +34,14 @@
     });
 }
 
+/** Returns the `Retry-After` of a request that a group refused: later than usual if no group takes a request now. */
+export function refusedRetryMilliseconds(context: RequestContext, parts: RelayParts): number {
+    const placement = placeStream(context, parts, []);
+    return placement.kind === "refused" && placement.reason === "limited"
+        ? placement.retryAfterMilliseconds
+        : REFUSED_RETRY_AFTER_MILLISECONDS;
+}
+
 /** Adds the work of a request to the demand for its model, whether or not it can be served. */
 export function recordDemand({ request, service, lookup }: RequestContext, { clock, demandOf }: RelayParts): void {
     const engine = lookup.findService(service)?.engine;
@@ -44,13 +53,19 @@
     }
 }
 
-/** Describes the candidate groups for the log: head, requests in progress, and whether it is suspected or limited. */
+/** Describes the candidate groups for the log: head, requests in progress, and whether it is suspected or waits. */
 export function describeCandidates(context: RequestContext, parts: RelayParts): readonly string[] {
     return candidatesOf(context, parts)
-        .map(({ head, inProgress, suspected, rateWaitMilliseconds }) =>
-            [head, inProgress, ...(suspected ? ["suspected"] : []), ...(rateWaitMilliseconds > 0 ? ["limited"] : [])]
-                .join(":")
-        );
+        .map(candidate => {
+            const { head, inProgress, suspected } = candidate;
+            return [head, inProgress, ...(suspected ? ["suspected"] : []), ...(isWaiting(candidate) ? ["limited"] : [])]
+                .join(":");
+        });
+}
+
+/** Returns whether the head takes no request of this daemon now, by the rate and the rest that it states. */
+function isWaiting({ waitMilliseconds }: PlacementCandidate): boolean {
+    return waitMilliseconds > 0;
 }
 
 function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
@@ -59,7 +74,7 @@
 
 function toPlacementCandidate(
     group: EngineGroup,
-    { loadTracker, peerLoadOf: loadOfOthers, targetRates }: RelayParts,
+    { loadTracker, peerLoadOf: loadOfOthers, availability }: RelayParts,
 ): PlacementCandidate {
     const head = group.head?.id ?? "";
     const load = loadTracker.get(head);
@@ -70,6 +85,6 @@
         inProgress: (load?.inProgress ?? 0) + peerLoad.inProgress,
         pendingPromptTokens: (load?.pendingPromptTokens ?? 0) + peerLoad.pendingPromptTokens,
         suspected: load?.suspectedAt !== undefined,
-        rateWaitMilliseconds: group.head === undefined ? 0 : targetRates.waitMilliseconds(group.head),
+        waitMilliseconds: group.head === undefined ? 0 : availability.waitMilliseconds(group.head),
     };
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -13,7 +13,13 @@
     writeResponseHead,
 } from "./responses.js";
 import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
-import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
+import {
+    describeCandidates,
+    placeStream,
+    recordDemand,
+    REFUSED_RETRY_AFTER_MILLISECONDS,
+    refusedRetryMilliseconds,
+} from "./streamplacement.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
@@ -148,7 +154,7 @@
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
-        parts.targetRates.recordSent(target);
+        parts.availability.recordSent(target);
         parts.loadTracker.sent(headId, { promptTokens: context.request.promptTokens, stream: true }, now);
         parts.log.emit("streamSent", {
             ...requestLogFields(context),
@@ -193,7 +199,7 @@
             parts.headUnusable(attempt.head);
         }
         else {
-            parts.targetRates.recordResponse(attempt, { status: head.status, rate: decoded.rate });
+            parts.availability.recordResponse(attempt, { status: head.status, statements: decoded.statements });
         }
         if (decoded.notRun) {
             attempt.sent = false;
@@ -331,7 +337,7 @@
             lastEventId: this.lastEventId,
         });
         if (attempt.isPassthrough || !this.mayRetry()) {
-            this.giveUp("not-run", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("not-run", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         if (!this.giveUpIfQuarantined()) {
--- a/packages/daemon/src/relay/targetrates.ts
+++ b/packages/daemon/src/relay/targetrates.ts
@@ -13,6 +13,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RateStatement } from "../ports/relayprotocol.js";
+import type { UnreadableStatements } from "./unreadablestatements.js";
 
 /** The process of a target that a request was sent to, and when, in monotonic milliseconds. */
 export interface SentRequest {
@@ -49,6 +50,7 @@
     readonly knownDaemons: () => number;
     /** Returns whether a target is registered. */
     readonly isKnown: (target: string) => boolean;
+    readonly unreadable: UnreadableStatements;
 }
 
 /** Pacer of a limited target, and the statement and time for which its share was computed. */
@@ -72,8 +74,6 @@
 class TargetRatesTask implements TargetRates {
     private readonly limits = createTargetLimits();
     private readonly paced = new Map<string, PacedTarget>();
-    /** Unreadable statements that were logged, by target. */
-    private readonly unreadable = new Map<string, string>();
     private readonly listeners: ((limit: StatedLimit) => void)[] = [];
     private prunedAt = Number.NEGATIVE_INFINITY;
 
@@ -84,7 +84,7 @@
         { status, rate }: { readonly status: number; readonly rate: RateStatement; },
     ): void {
         if (rate.kind === "unreadable") {
-            this.logUnreadable(target.id, rate.text);
+            this.parts.unreadable.record("targetLimitUnreadable", target.id, rate.text);
             return;
         }
         const change = this.limits.observe({
@@ -180,13 +180,6 @@
         });
     }
 
-    private logUnreadable(target: string, text: string): void {
-        if (this.unreadable.get(target) !== text) {
-            this.unreadable.set(target, text);
-            this.parts.log.emit("targetLimitUnreadable", { target, text });
-        }
-    }
-
     private prune(now: number): void {
         if (now - this.prunedAt < PRUNE_INTERVAL_MILLISECONDS) {
             return;
@@ -194,8 +187,6 @@
         this.prunedAt = now;
         const { isKnown } = this.parts;
         this.limits.prune(isKnown, now);
-        [this.unreadable, this.paced].forEach(entries =>
-            [...entries.keys()].filter(target => !isKnown(target)).forEach(target => entries.delete(target))
-        );
+        [...this.paced.keys()].filter(target => !isKnown(target)).forEach(target => this.paced.delete(target));
     }
 }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -19,8 +19,8 @@
 import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRelayState } from "../state.js";
+import { createTargetAvailability } from "../targetavailability.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
-import { createTargetRates } from "../targetrates.js";
 
 /** One request that the relay sent, and the receiver through which the test responds to it. */
 export interface FakeSend {
@@ -64,10 +64,15 @@
     readonly promptParts?: readonly string[];
     /** Targets that have stated a limit and got the last request that it allows. */
     readonly limitedTargets?: readonly string[];
+    /** Targets that have turned this daemon away for {@link REST_MILLISECONDS}. */
+    readonly restingTargets?: readonly string[];
     /** Retries that the budget allows. */
     readonly retries?: number;
 }
 
+/** Time for which resting targets want no requests. */
+export const REST_MILLISECONDS = 10_000;
+
 /** Response heads, encoded for the fake protocol. */
 export const responseHeads = {
     stream: { status: 200, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
@@ -102,9 +107,14 @@
         notRun: headers["not-run"] !== undefined,
         misdirected: headers["misdirected"] !== undefined,
         requestId: headers["request-id"] as string | undefined,
-        rate: headers["rate"] === undefined
-            ? { kind: "unlimited" }
-            : { kind: "limited", requestsPerSecond: Number(headers["rate"]) },
+        statements: {
+            rate: headers["rate"] === undefined
+                ? { kind: "unlimited" }
+                : { kind: "limited", requestsPerSecond: Number(headers["rate"]) },
+            rest: headers["rest"] === undefined
+                ? { kind: "none" }
+                : { kind: "resting", milliseconds: Number(headers["rest"]) },
+        },
         forwarded: Object.entries(headers).flat() as string[],
     }),
 };
@@ -160,7 +170,7 @@
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
     const log: EventLog = { emit: (name, fields = {}) => void events.push({ name, fields }) };
-    const targetRates = createTargetRates({
+    const availability = createTargetAvailability({
         clock,
         log,
         self: { daemon: "daemon-0", dataCentre: "x" },
@@ -169,9 +179,15 @@
         isKnown: id => state.targetById(id) !== undefined,
     });
     options.limitedTargets?.forEach(id =>
-        targetRates.recordResponse({ target: { id }, sentAt: 0 }, {
+        availability.recordResponse({ target: { id }, sentAt: 0 }, {
             status: 200,
-            rate: { kind: "limited", requestsPerSecond: 0.1 },
+            statements: { rate: { kind: "limited", requestsPerSecond: 0.1 }, rest: { kind: "none" } },
+        })
+    );
+    options.restingTargets?.forEach(id =>
+        availability.recordResponse({ target: { id }, sentAt: 0 }, {
+            status: 503,
+            statements: { rate: { kind: "unlimited" }, rest: { kind: "resting", milliseconds: REST_MILLISECONDS } },
         })
     );
     const promptQuarantine = createPromptQuarantine({
@@ -209,7 +225,7 @@
                 renew: () => undefined,
             },
             loadTracker: createLoadTracker(),
-            targetRates,
+            availability,
             promptQuarantine,
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -12,6 +12,8 @@
             configurationVersion: () => 12,
             servingGroups: () => 5,
             limitedTargets: () => 2,
+            restingTargets: () => 6,
+            unreadableStatements: () => 8,
             quarantinedParts: () => 4,
         });
         log.emit("requestEnded", {
@@ -32,6 +34,8 @@
             "damaskvale_log_lines_dropped 7",
             "damaskvale_serving_groups 5",
             "damaskvale_limited_targets 2",
+            "damaskvale_resting_targets 6",
+            "damaskvale_unreadable_statements 8",
             "damaskvale_quarantined_parts 4",
         ]);
         expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -30,6 +30,8 @@
             configurationVersion: () => 0,
             servingGroups: () => 0,
             limitedTargets: () => 0,
+            restingTargets: () => 0,
+            unreadableStatements: () => 0,
             quarantinedParts: () => 1,
         });
         const handler = createQuarantineHandler({
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -36,8 +36,8 @@
 import { createRelay, type Relay } from "./relay.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createRelayState, type RelayState } from "./state.js";
+import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
 import { createTargetConnections } from "./targetconnections.js";
-import { createTargetRates, type TargetRates } from "./targetrates.js";
 
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
@@ -89,7 +89,7 @@
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
-    readonly targetRates: TargetRates;
+    readonly availability: TargetAvailability;
     readonly promptQuarantine: PromptQuarantine;
 }
 
@@ -140,12 +140,14 @@
         linesDropped: output.dropped,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
-        limitedTargets: () => targetRates.limitedTargets(),
+        limitedTargets: () => availability.limitedTargets(),
+        restingTargets: () => availability.restingTargets(),
+        unreadableStatements: () => availability.unreadableStatements(),
         quarantinedParts: () => promptQuarantine.quarantined().length,
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
-    const targetRates = createTargetRates({
+    const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
         self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
@@ -172,7 +174,7 @@
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
         daemons,
-        targetRates,
+        availability,
         promptQuarantine,
     };
     return { shared, metrics };
@@ -196,7 +198,7 @@
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
         }),
         loadTracker,
-        targetRates: shared.targetRates,
+        availability: shared.availability,
         promptQuarantine: shared.promptQuarantine,
         headUnusable,
         dataCentre: settings.dataCentre,
@@ -320,7 +322,7 @@
     configuration: TopicFollower,
     suspect: (head: string) => void,
 ): LoadExchange {
-    const { settings, clock, log, state, loadTracker, peerLoads, daemons, targetRates, promptQuarantine } = shared;
+    const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, promptQuarantine } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
@@ -331,8 +333,8 @@
         loadTracker,
         peerLoads,
         onMembership: reported => state.applyMembership(reported),
-        limits: () => targetRates.statements(),
-        onLimit: limit => targetRates.merge(limit),
+        limits: () => availability.limits(),
+        onLimit: limit => availability.mergeLimit(limit),
         quarantine: () => promptQuarantine.report(),
         hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
@@ -349,7 +351,7 @@
             }
         },
     });
-    targetRates.onChange(() => exchange.broadcastKnowledge());
+    availability.onChange(() => exchange.broadcastKnowledge());
     promptQuarantine.onNews(() => exchange.broadcastKnowledge());
     return exchange;
 }
--- a/packages/proofs/src/bench/limits/limitedfleet.ts
+++ b/packages/proofs/src/bench/limits/limitedfleet.ts
@@ -3,7 +3,7 @@
  * may send is decided by a gate, so that ways to share the rate can be compared.
  */
 import type { Target } from "@damaskvale/core";
-import { createTargetRates, type RateStatement } from "@damaskvale/daemon";
+import { createTargetRates, createUnreadableStatements, type RateStatement } from "@damaskvale/daemon";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 
@@ -75,13 +75,15 @@
 /** Gate with the production code. */
 export function createProductionGate({ daemon, daemons, now, heard, announce }: GateContext): Gate {
     const locate = (index: number) => ({ daemon: `d${index}`, dataCentre: `z${index % 3}` });
+    const log = { emit: () => undefined };
     const rates = createTargetRates({
         clock: { monotonic: now, wall: now },
-        log: { emit: () => undefined },
+        log,
         self: locate(daemon),
         reachableDaemons: () => heard().map(locate),
         knownDaemons: () => daemons,
         isKnown: () => true,
+        unreadable: createUnreadableStatements(log),
     });
     rates.onChange(announce);
     return {
