Give targets that say that they leave no new requests

Cause: nothing read Server-Leaving; a daemon that is cut off from the registry went on sending. Change: the first response that says so marks the process as draining in the state. Entries of the same process don't lift it, a new process isn't held to it; daemons tell each other at once and with the loads. The planner closes and forms groups as for entries that drain. A host whose entry lapses after the notice stays a member of its group, so that its streams are not cut.

--- a/packages/core/src/placement/targetprocess.ts
+++ b/packages/core/src/placement/targetprocess.ts
@@ -7,6 +7,12 @@
     readonly startedAt?: number;
 }
 
+/** Statement of a process that it leaves, as daemons tell it to each other. */
+export interface LeavingStatement extends StatedProcess {
+    /** When a daemon first heard it, in monotonic milliseconds of this daemon. */
+    readonly statedAt: number;
+}
+
 /** Returns whether a process certainly started before another one of the same target. */
 export function isFromEarlierProcess(
     left: Pick<StatedProcess, "startedAt">,
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -141,6 +141,11 @@
         "info",
         "A target that seemed to have crashed has answered as the same process; its crash does not count.",
     ),
+    targetLeaving: define(
+        341,
+        "info",
+        "A target says in its responses that it leaves; it gets no new requests.",
+    ),
     targetResting: define(
         342,
         "info",
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -2,7 +2,7 @@
  * Exchange of loads and suspicions between daemons over UDP. Each message supersedes the previous one, so messages need
  * neither retransmission nor ordering, and there is no connection that could go dead unnoticed.
  */
-import type { LoadTracker, PeerLoads, QuarantineReport, StatedLimit } from "@damaskvale/core";
+import type { LeavingStatement, LoadTracker, PeerLoads, QuarantineReport, StatedLimit } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -37,6 +37,10 @@
     readonly limits: () => readonly StatedLimit[];
     /** Called with each statement that another daemon knows; its time is of this daemon's monotonic clock. */
     readonly onLimit: (limit: StatedLimit) => void;
+    /** Statements of targets that they leave, as far as this daemon knows. */
+    readonly leaving: () => readonly LeavingStatement[];
+    /** Called with each such statement that another daemon knows; its time is of this daemon's monotonic clock. */
+    readonly onLeaving: (statement: LeavingStatement, daemon: string) => void;
     /** What this daemon knows about prompt parts on which targets crash. */
     readonly quarantine: () => QuarantineReport;
     /** Whether crashes or decisions about parts are so new that every message should tell of them. */
@@ -55,7 +59,7 @@
     suspect(suspicion: HeadSuspicion): void;
     /** Immediately sends all daemons a membership that an engine reported. */
     broadcastMembership(reported: ReportedMembership): void;
-    /** Immediately sends all daemons what this one knows of limits and quarantined parts. */
+    /** Immediately sends all daemons what this one knows of limits, leaving targets and quarantined parts. */
     broadcastKnowledge(): void;
     stop(): void;
 }
@@ -136,7 +140,7 @@
 }
 
 function createMessage(
-    { clock, self, loadTracker, configurationVersion, limits }: LoadExchangeParts,
+    { clock, self, loadTracker, configurationVersion, limits, leaving }: LoadExchangeParts,
     updates: Partial<Pick<LoadMessage, "suspects" | "memberships">>,
 ): LoadMessage {
     const now = clock.monotonic();
@@ -146,11 +150,20 @@
         loads: describeLoads(loadTracker),
         suspects: [],
         memberships: [],
-        limits: limits().map(({ statedAt, ...limit }) => ({ ...limit, ageMilliseconds: Math.max(0, now - statedAt) })),
+        limits: limits().map(limit => withAge(limit, now)),
+        leaving: leaving().map(statement => withAge(statement, now)),
         ...updates,
     };
 }
 
+/** Replaces the time of a statement by its age, because the clocks of daemons differ. */
+function withAge<Statement extends LeavingStatement>(
+    { statedAt, ...statement }: Statement,
+    now: number,
+): Omit<Statement, "statedAt"> & { readonly ageMilliseconds: number; } {
+    return { ...statement, ageMilliseconds: Math.max(0, now - statedAt) };
+}
+
 function addQuarantine({ clock, quarantine }: LoadExchangeParts, message: LoadMessage): LoadMessage {
     return { ...message, quarantine: encodeQuarantine(quarantine(), clock.monotonic()) };
 }
@@ -167,6 +180,9 @@
     message.limits.forEach(({ ageMilliseconds, ...limit }) =>
         parts.onLimit({ ...limit, statedAt: now - ageMilliseconds })
     );
+    message.leaving.forEach(({ ageMilliseconds, ...process }) =>
+        parts.onLeaving({ ...process, statedAt: now - ageMilliseconds }, daemon)
+    );
     if (message.quarantine !== undefined) {
         parts.onQuarantine(decodeQuarantine(message.quarantine, now), daemon);
     }
--- a/packages/daemon/src/peers/loadmessage.ts
+++ b/packages/daemon/src/peers/loadmessage.ts
@@ -10,6 +10,13 @@
     readonly group: string;
 }
 
+/** Fields of what a process of a target states, with its age on sending. */
+const statementFields = {
+    target: z.string(),
+    startedAt: z.number().optional(),
+    ageMilliseconds: z.number().nonnegative(),
+};
+
 const messageSchema = z.object({
     daemon: z.string(),
     configurationVersion: z.number(),
@@ -28,11 +35,11 @@
     })),
     /** Absent in messages of daemons of earlier versions. */
     limits: z.array(z.object({
-        target: z.string(),
-        startedAt: z.number().optional(),
+        ...statementFields,
         requestsPerSecond: z.number().nonnegative().optional(),
-        ageMilliseconds: z.number().nonnegative(),
     })).default([]),
+    /** Targets that said that they leave. Absent in messages of daemons of earlier versions. */
+    leaving: z.array(z.object(statementFields)).default([]),
     /** Absent in messages of daemons of earlier versions, and if there is nothing to tell. */
     quarantine: quarantineSchema.optional(),
 });
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -1,5 +1,5 @@
 /** What one daemon knows of quarantined parts reaches the others at once, and later also those that missed it. */
-import { createLoadTracker, createPeerLoads, type QuarantineReport } from "@damaskvale/core";
+import { createLoadTracker, createPeerLoads, type LeavingStatement, type QuarantineReport } from "@damaskvale/core";
 import { expect } from "chai";
 import { createSocket, type Socket } from "node:dgram";
 import type { AddressInfo } from "node:net";
@@ -8,6 +8,7 @@
 import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from "../loadmessage.js";
 import { encodeQuarantine } from "../quarantinemessage.js";
 
+const LEAVING_AGE_MILLISECONDS = 500;
 const SELF = { daemon: "d0", ip: "127.0.0.71", dataCentre: "x" };
 const OTHER = { daemon: "d1", ip: "127.0.0.72", dataCentre: "x" };
 const report: QuarantineReport = {
@@ -23,6 +24,7 @@
     const received: LoadMessage[] = [];
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
+    const leaving: { readonly statement: LeavingStatement; readonly daemon: string; }[] = [];
 
     beforeEach(async () => {
         received.length = 0;
@@ -49,6 +51,8 @@
             onMembership: () => undefined,
             limits: () => [],
             onLimit: () => undefined,
+            leaving: () => [{ target: "t", startedAt: 1, statedAt: performance.now() - LEAVING_AGE_MILLISECONDS }],
+            onLeaving: (statement, daemon) => void leaving.push({ statement, daemon }),
             quarantine: () => report,
             hasQuarantineNews: () => hasNews,
             onQuarantine: (told, daemon) => void merged.push({ report: told, daemon }),
@@ -72,6 +76,20 @@
         expect(received[0]?.quarantine?.crashes[0]?.target).to.equal("t");
     });
 
+    it("tells and takes over at once which targets leave, by the age of their statements", async () => {
+        exchange.broadcastKnowledge();
+        await receiveFor(50);
+        const { leaving: told = [] } = received[0] ?? {};
+        expect(told).to.have.length(1);
+        expect(told[0]).to.include({ target: "t", startedAt: 1 });
+        expect(told[0]?.ageMilliseconds).to.be.within(LEAVING_AGE_MILLISECONDS, LEAVING_AGE_MILLISECONDS + 50);
+        const { port } = socket.address() as AddressInfo;
+        socket.send(encodeLoadMessage({ ...(received[0] as LoadMessage), daemon: OTHER.daemon }), port, SELF.ip);
+        await receiveFor(50);
+        expect(leaving.map(({ statement: { target, startedAt }, daemon }) => [target, startedAt, daemon]))
+            .to.deep.equal([["t", 1, OTHER.daemon]]);
+    });
+
     it("tells a daemon that missed it or is new within a second", async () => {
         expect(await receiveFor(1_100)).to.be.within(1, 2);
     });
@@ -90,6 +108,7 @@
             suspects: [],
             memberships: [],
             limits: [],
+            leaving: [],
         };
         const quarantine = encodeQuarantine({ ...report, crashes: [], proven: [{ part: "a", at: 0 }] }, 100);
         [message, { ...message, quarantine }].forEach(sent => socket.send(encodeLoadMessage(sent), port, SELF.ip));
--- a/packages/daemon/src/peers/tests/quarantinemessage.test.ts
+++ b/packages/daemon/src/peers/tests/quarantinemessage.test.ts
@@ -8,6 +8,7 @@
     daemon: "d0",
     configurationVersion: 1,
     loads: [],
+    leaving: [],
     suspects: [],
     memberships: [],
     limits: [],
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -69,6 +69,8 @@
 export interface TargetStatements {
     readonly rate: RateStatement;
     readonly rest: RestStatement;
+    /** Whether the target leaves: it wants no new requests until its process ends. */
+    readonly leaving: boolean;
 }
 
 /** Meaning of the head of a response. */
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -8,6 +8,7 @@
     isServing,
     type RelayConfiguration,
     type RouteLookup,
+    type StatedProcess,
     type Target,
 } from "@damaskvale/core";
 import type { TopicChange } from "../ports/registry.js";
@@ -46,6 +47,11 @@
     applyTargets(changes: readonly TopicChange<Target>[]): void;
     /** Applies a membership that holds until the entry of the host changes in the registry. */
     applyMembership(reported: ReportedMembership): void;
+    /**
+     * Marks a process of a target as draining, because it says so itself. No entry of the same process lifts this. Returns
+     * whether the target is known as this process.
+     */
+    drain(process: StatedProcess): boolean;
     /** Drops a host whose entry lapsed; does nothing while the host is registered. */
     forget(id: string): void;
     /**
@@ -75,10 +81,13 @@
     return new RelayStateTask(onTargetChange);
 }
 
-/** A process that has announced its end never takes requests again, whatever an older entry says. */
-function keepDraining(entry: Target, known: Target | undefined): Target {
-    const isSameProcess = entry.startedAt !== undefined && entry.startedAt === known?.startedAt;
-    return isSameProcess && known.draining ? { ...entry, draining: true } : entry;
+/**
+ * A process that has announced its end never takes requests again, whatever an older entry says. Without a start time, an
+ * entry is taken for one of the same process only if that process said itself that it leaves.
+ */
+function keepDraining(entry: Target, known: Target | undefined, isLeaving: boolean): Target {
+    const isSameProcess = entry.startedAt === known?.startedAt && (isLeaving || entry.startedAt !== undefined);
+    return isSameProcess && known?.draining === true ? { ...entry, draining: true } : entry;
 }
 
 /** Returns an entry of an older copy of the store with what is known to be newer. */
@@ -104,6 +113,8 @@
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
     /** Last state of recently dropped targets, by id. */
     private readonly droppedTargets = new Map<string, Target>();
+    /** Ids of known targets whose process said itself that it leaves. */
+    private readonly leavingTargets = new Set<string>();
     private readonly listeners: (() => void)[] = [];
 
     constructor(private readonly onTargetChange: TargetChangeListener) {}
@@ -178,6 +189,25 @@
         }
     }
 
+    drain({ target: id, startedAt }: StatedProcess): boolean {
+        const dropped = this.droppedTargets.get(id);
+        if (dropped !== undefined && dropped.startedAt === startedAt) {
+            this.droppedTargets.set(id, { ...dropped, draining: true });
+        }
+        const target = this.targetsById.get(id);
+        if (target === undefined || target.startedAt !== startedAt) {
+            return false;
+        }
+        this.leavingTargets.add(id);
+        if (!target.draining) {
+            const draining = { ...target, draining: true };
+            this.targetsById.set(id, draining);
+            this.onTargetChange("draining", draining);
+            this.updateIndexes();
+        }
+        return true;
+    }
+
     forget(id: string): void {
         const target = this.targetsById.get(id);
         if (target?.registered === false) {
@@ -198,7 +228,10 @@
         if (value !== undefined) {
             clearTimeout(this.removalTimers.get(key));
             this.removalTimers.delete(key);
-            const entry = keepDraining(value, target ?? this.droppedTargets.get(key));
+            const entry = keepDraining(value, target ?? this.droppedTargets.get(key), this.leavingTargets.has(key));
+            if (entry.startedAt !== target?.startedAt) {
+                this.leavingTargets.delete(key);
+            }
             this.targetsById.set(key, entry);
             this.notifyChange(target, entry);
             this.forgetLapsedAt(value.address);
@@ -206,7 +239,7 @@
         else if (target === undefined) {
             return;
         }
-        else if (target.draining) {
+        else if (target.draining && !this.leavingTargets.has(key)) {
             this.drop(target, "removed");
         }
         else if (!this.removalTimers.has(key)) {
@@ -238,6 +271,7 @@
 
     private drop(target: Target, kind: TargetChangeKind): void {
         this.targetsById.delete(target.id);
+        this.leavingTargets.delete(target.id);
         this.droppedTargets.set(target.id, target);
         setTimeout(() => this.droppedTargets.delete(target.id), DROPPED_RETENTION_MILLISECONDS).unref();
         this.onTargetChange(kind, target);
--- a/packages/daemon/src/relay/targetavailability.ts
+++ b/packages/daemon/src/relay/targetavailability.ts
@@ -1,11 +1,12 @@
 /**
- * What targets say of themselves in their responses, and when this daemon may send a request to each of them. Every way
- * in which a request of a caller reaches a target passes through here: first sends, retries, resumed and moved streams,
- * and requests to plain targets.
+ * What targets say of themselves in their responses: their rate, how long they rest, and that they leave. Every way in
+ * which a request of a caller reaches a target asks here first: first sends, retries, resumed and moved streams, and
+ * requests to plain targets. Targets that leave are marked as draining in the state, which offers them to nobody.
  */
 import {
     createTargetRests,
     type DaemonLocation,
+    type LeavingStatement,
     MAXIMUM_REST_MILLISECONDS,
     type StatedLimit,
     type StatedProcess,
@@ -14,6 +15,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RestStatement, TargetStatements } from "../ports/relayprotocol.js";
+import type { RelayState } from "./state.js";
 import { createTargetRates, type SentRequest, type TargetRates } from "./targetrates.js";
 import { createUnreadableStatements, type UnreadableStatements } from "./unreadablestatements.js";
 
@@ -35,6 +37,10 @@
     limits(): readonly StatedLimit[];
     /** Records what another daemon knows about the rate of a target. */
     mergeLimit(limit: StatedLimit): void;
+    /** Returns the statements of known targets that they leave, for other daemons. */
+    leaving(): readonly LeavingStatement[];
+    /** Records what another daemon heard of a target that leaves. */
+    mergeLeaving(statement: LeavingStatement, daemon: string): void;
     /** Number of targets that limit their rate. */
     limitedTargets(): number;
     /** Number of targets that want no requests from this daemon now. */
@@ -54,10 +60,14 @@
     readonly reachableDaemons: () => readonly DaemonLocation[];
     /** Number of all daemons, including this one. */
     readonly knownDaemons: () => number;
-    /** Returns whether a target is registered. */
-    readonly isKnown: (target: string) => boolean;
+    readonly state: Pick<RelayState, "targetById" | "drain">;
 }
 
+/**
+ * How long other daemons are believed that a process of unknown start leaves. Later, another process may run under its
+ * id, which this daemon could not tell from it.
+ */
+const UNIDENTIFIED_PROCESS_MILLISECONDS = 3_000;
 const PRUNE_INTERVAL_MILLISECONDS = 5_000;
 
 /** Creates the availability. All targets take requests at first. */
@@ -69,16 +79,29 @@
     private readonly unreadable: UnreadableStatements;
     private readonly rates: TargetRates;
     private readonly rests = createTargetRests();
+    /** Statements of targets that they leave, by target. */
+    private readonly leavingTargets = new Map<string, LeavingStatement>();
+    private readonly listeners: (() => void)[] = [];
     private prunedAt = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly parts: TargetAvailabilityParts) {
         this.unreadable = createUnreadableStatements(parts.log);
-        this.rates = createTargetRates({ ...parts, unreadable: this.unreadable });
+        this.rates = createTargetRates({
+            ...parts,
+            isKnown: target => this.isKnown(target),
+            unreadable: this.unreadable,
+        });
+        this.rates.onChange(() => this.announce());
     }
 
     recordResponse(request: SentRequest, { status, statements }: StatingResponse): void {
+        const process: StatedProcess = { target: request.target.id, startedAt: request.target.startedAt };
         this.rates.recordResponse(request, { status, rate: statements.rate });
-        this.recordRest({ target: request.target.id, startedAt: request.target.startedAt }, statements.rest, status);
+        this.recordRest(process, statements.rest, status);
+        const now = this.parts.clock.monotonic();
+        if (statements.leaving && this.recordLeaving({ ...process, statedAt: now }, { learnedFrom: "response", status })) {
+            this.announce();
+        }
     }
 
     waitMilliseconds(target: Target): number {
@@ -100,6 +123,17 @@
         this.rates.merge(limit);
     }
 
+    leaving(): readonly LeavingStatement[] {
+        return [...this.leavingTargets.values()].filter(statement => this.isLeaving(statement));
+    }
+
+    mergeLeaving(statement: LeavingStatement, daemon: string): void {
+        const ageMilliseconds = this.parts.clock.monotonic() - statement.statedAt;
+        if (statement.startedAt !== undefined || ageMilliseconds < UNIDENTIFIED_PROCESS_MILLISECONDS) {
+            this.recordLeaving(statement, { learnedFrom: "daemon", daemon, ageMilliseconds });
+        }
+    }
+
     limitedTargets(): number {
         return this.rates.limitedTargets();
     }
@@ -113,7 +147,36 @@
     }
 
     onChange(listener: () => void): void {
-        this.rates.onChange(listener);
+        this.listeners.push(listener);
+    }
+
+    private announce(): void {
+        this.listeners.forEach(listener => listener());
+    }
+
+    private isKnown(target: string): boolean {
+        return this.parts.state.targetById(target) !== undefined;
+    }
+
+    /** Returns whether a process is known to leave by a statement, and still present. */
+    private isLeaving({ target, startedAt }: StatedProcess): boolean {
+        const statement = this.leavingTargets.get(target);
+        const known = this.parts.state.targetById(target);
+        return statement !== undefined && known !== undefined && known.draining
+            && statement.startedAt === startedAt && known.startedAt === startedAt;
+    }
+
+    /** Marks a target as draining; returns whether it was not known that this process leaves. */
+    private recordLeaving(statement: LeavingStatement, source: Readonly<Record<string, unknown>>): boolean {
+        const { target, startedAt } = statement;
+        const wasLeaving = this.isLeaving(statement);
+        const isPresent = this.parts.state.drain({ target, startedAt });
+        if (wasLeaving || !isPresent) {
+            return false;
+        }
+        this.leavingTargets.set(target, statement);
+        this.parts.log.emit("targetLeaving", { target, startedAt, ...source });
+        return true;
     }
 
     private recordRest(process: StatedProcess, rest: RestStatement, status: number): void {
@@ -139,8 +202,11 @@
     private prune(now: number): void {
         if (now - this.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
             this.prunedAt = now;
-            this.rests.prune(this.parts.isKnown, now);
-            this.unreadable.prune(this.parts.isKnown);
+            const isKnown = (target: string): boolean => this.isKnown(target);
+            this.rests.prune(isKnown, now);
+            this.unreadable.prune(isKnown);
+            [...this.leavingTargets.keys()].filter(target => !isKnown(target))
+                .forEach(target => this.leavingTargets.delete(target));
         }
     }
 }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -15,7 +15,7 @@
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { EventLog } from "../../ports/eventlog.js";
-import type { CallerRequest, RelayProtocol, ResponseHead } from "../../ports/relayprotocol.js";
+import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
 import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRelayState } from "../state.js";
@@ -66,10 +66,15 @@
     readonly limitedTargets?: readonly string[];
     /** Targets that have turned this daemon away for {@link REST_MILLISECONDS}. */
     readonly restingTargets?: readonly string[];
+    /** Targets that have said that they leave. */
+    readonly leavingTargets?: readonly string[];
     /** Retries that the budget allows. */
     readonly retries?: number;
 }
 
+/** Statements of a target that says nothing of itself. */
+export const noStatements: TargetStatements = { rate: { kind: "unlimited" }, rest: { kind: "none" }, leaving: false };
+
 /** Time for which resting targets want no requests. */
 export const REST_MILLISECONDS = 10_000;
 
@@ -114,6 +119,7 @@
             rest: headers["rest"] === undefined
                 ? { kind: "none" }
                 : { kind: "resting", milliseconds: Number(headers["rest"]) },
+            leaving: headers["leaving"] !== undefined,
         },
         forwarded: Object.entries(headers).flat() as string[],
     }),
@@ -176,20 +182,18 @@
         self: { daemon: "daemon-0", dataCentre: "x" },
         reachableDaemons: () => [],
         knownDaemons: () => 1,
-        isKnown: id => state.targetById(id) !== undefined,
+        state,
     });
-    options.limitedTargets?.forEach(id =>
-        availability.recordResponse({ target: { id }, sentAt: 0 }, {
-            status: 200,
-            statements: { rate: { kind: "limited", requestsPerSecond: 0.1 }, rest: { kind: "none" } },
-        })
-    );
-    options.restingTargets?.forEach(id =>
+    const recordStatements = (id: string, stated: Partial<TargetStatements>): void =>
         availability.recordResponse({ target: { id }, sentAt: 0 }, {
             status: 503,
-            statements: { rate: { kind: "unlimited" }, rest: { kind: "resting", milliseconds: REST_MILLISECONDS } },
-        })
+            statements: { ...noStatements, ...stated },
+        });
+    options.limitedTargets?.forEach(id => recordStatements(id, { rate: { kind: "limited", requestsPerSecond: 0.1 } }));
+    options.restingTargets?.forEach(id =>
+        recordStatements(id, { rest: { kind: "resting", milliseconds: REST_MILLISECONDS } })
     );
+    options.leavingTargets?.forEach(id => recordStatements(id, { leaving: true }));
     const promptQuarantine = createPromptQuarantine({
         clock,
         log,
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -226,6 +226,99 @@
         });
     });
 
+    const notices: readonly {
+        readonly guards: string;
+        readonly startedAt?: number;
+        readonly stated?: number;
+        readonly then?: (entry: Target) => void;
+        readonly serving: boolean;
+    }[] = [
+        { guards: "serving from a target that says that it leaves", startedAt: 1, stated: 1, serving: false },
+        { guards: "serving from one whose start is unknown", serving: false },
+        { guards: "holding a process to the notice of an earlier one", startedAt: 2, stated: 1, serving: true },
+        {
+            guards: "lifting the notice by an entry that says serving",
+            startedAt: 1,
+            stated: 1,
+            then: entry => state.applyTargets([{ key: "p", value: entry }]),
+            serving: false,
+        },
+        {
+            guards: "lifting it by such an entry if the start is unknown",
+            then: entry => state.applyTargets([{ key: "p", value: entry }]),
+            serving: false,
+        },
+        {
+            guards: "lifting it by an older copy of the store",
+            startedAt: 1,
+            stated: 1,
+            then: entry => state.replaceTargets([entry], true),
+            serving: false,
+        },
+        {
+            guards: "lifting it by an entry that lapsed and returned",
+            startedAt: 1,
+            stated: 1,
+            then: entry => {
+                state.applyTargets([{ key: "p" }]);
+                clock.tick(1_000);
+                state.applyTargets([{ key: "p", value: entry }]);
+            },
+            serving: false,
+        },
+        {
+            guards: "losing a notice that is read while the entry has lapsed",
+            startedAt: 1,
+            stated: 2,
+            then: entry => {
+                state.applyTargets([{ key: "p" }]);
+                clock.tick(1_000);
+                state.drain({ target: "p", startedAt: 1 });
+                state.applyTargets([{ key: "p", value: entry }]);
+            },
+            serving: false,
+        },
+        {
+            guards: "holding a new process of the target to it",
+            startedAt: 1,
+            stated: 1,
+            then: entry => state.applyTargets([{ key: "p", value: { ...entry, startedAt: 2 } }]),
+            serving: true,
+        },
+        {
+            guards: "holding a target to it that was removed and registered again, if the start is unknown",
+            then: entry => {
+                state.applyTargets([{ key: "p" }]);
+                clock.tick(1_000);
+                state.applyTargets([{ key: "p", value: entry }]);
+            },
+            serving: true,
+        },
+    ];
+    notices.forEach(({ guards, startedAt, stated, then, serving: expected }) => {
+        it(`prevents ${guards}`, () => {
+            const entry = target("p", { startedAt });
+            state.applyTargets([{ key: "p", value: entry }]);
+            state.drain({ target: "p", startedAt: stated });
+            then?.(entry);
+            expect(serving()).to.deep.equal(expected ? ["p"] : []);
+        });
+    });
+
+    it("keeps another target at the address of one that leaves", () => {
+        state.applyTargets([{ key: "p", value: target("p") }, { key: "q", value: target("q", { address: "p.example:80" }) }]);
+        state.drain({ target: "p" });
+        expect(serving()).to.deep.equal(["q"]);
+    });
+
+    it("keeps a leaving host whose entry lapses as a member of its group, so that streams there are not cut", () => {
+        state.applyTargets([{ key: "h", value: head }]);
+        state.drain({ target: "h" });
+        state.applyTargets([{ key: "h" }]);
+        clock.tick(1_000);
+        expect([heads(), state.targets().map(({ id }) => id)]).to.deep.equal([[], ["h"]]);
+    });
+
     it("keeps a group that the older copy does not know or knows in an earlier state", () => {
         const started = { ...head, startedAt: 1 };
         const earlier = { ...started, membership: { group: "d~m~0.0", epoch: 0, rank: 0, state: "open" } as const };
--- a/packages/daemon/src/relay/tests/targetavailability.test.ts
+++ b/packages/daemon/src/relay/tests/targetavailability.test.ts
@@ -1,9 +1,15 @@
-/** Every way in which a request reaches a target keeps to what the target states: its rate and its rests. */
+/** Every way in which a request reaches a target keeps to what the target states: its rate, its rests, and that it leaves. */
 import { expect } from "chai";
 import type { ResponseHead } from "../../ports/relayprotocol.js";
 import { relayPlain } from "../plainrelay.js";
 import { createStreamRelay } from "../streamrelay.js";
-import { createRelayFixture, type RelayFixture, type RelayFixtureOptions, responseHeads } from "./fixture.js";
+import {
+    createRelayFixture,
+    noStatements,
+    type RelayFixture,
+    type RelayFixtureOptions,
+    responseHeads,
+} from "./fixture.js";
 
 const event = (id: number): Buffer => Buffer.from(`id: ${id}\ndata: ${id}\n\n`);
 
@@ -32,14 +38,19 @@
     headers: { ...head.headers, ...headers },
 });
 
-/** Options by which targets want no requests now, with the fixture's name for them. */
-const unavailable: readonly {
+/** Options by which targets take no requests for a while. */
+const waiting: readonly {
     readonly statement: string;
     readonly of: (...targets: string[]) => Partial<RelayFixtureOptions>;
 }[] = [
     { statement: "limited", of: (...limitedTargets) => ({ limitedTargets }) },
     { statement: "resting", of: (...restingTargets) => ({ restingTargets }) },
 ];
+/** Options by which targets take no requests. */
+const unavailable: typeof waiting = [
+    ...waiting,
+    { statement: "leaving", of: (...leavingTargets) => ({ leavingTargets }) },
+];
 
 const cases: readonly {
     readonly guards: string;
@@ -129,7 +140,7 @@
     });
 
     [startPlain, startStream].forEach(start =>
-        unavailable.forEach(({ statement, of }) => {
+        waiting.forEach(({ statement, of }) => {
             it(`refuses at once with the time of the next request if all targets are ${statement}, by ${start.name}`, () => {
                 const { caller } = start(of("a", "b"));
                 expect([caller.status, caller.headers[0]]).to.deep.equal([503, "Retry-After"]);
@@ -152,13 +163,87 @@
         })
     );
 
+    [startPlain, startStream].forEach(start =>
+        [responseHeads.ok, responseHeads.notRun, responseHeads.error, responseHeads.silent503].forEach(head => {
+            it(`that it leaves is read by ${start.name} from ${JSON.stringify(head)}`, () => {
+                const fixture = start({ targets: ["a"] });
+                fixture.sends[0]?.receiver.sent();
+                fixture.sends[0]?.receiver.head(withHeaders(head, { leaving: "1" }));
+                expect(fixture.parts.state.targetById("a")?.draining).to.equal(true);
+                expect(fixture.parts.availability.leaving().map(({ target }) => target)).to.deep.equal(["a"]);
+            });
+        })
+    );
+
+    it("that it leaves is not taken from another process at its address", () => {
+        const fixture = startStream({ targets: ["a"] });
+        fixture.sends[0]?.receiver.sent();
+        fixture.sends[0]?.receiver.head(withHeaders(responseHeads.misdirected, { leaving: "1" }));
+        expect(fixture.parts.state.targetById("a")?.draining).to.equal(false);
+    });
+
+    it("that it leaves ends no stream in progress there", () => {
+        const { sends, caller } = startStream({ targets: ["a"] });
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head(withHeaders(responseHeads.stream, { leaving: "1" }));
+        [1, 2].forEach(id => sends[0]?.receiver.data(event(id)));
+        sends[0]?.receiver.ended();
+        expect([caller.status, caller.body, caller.ended]).to.deep.equal([200, `${event(1)}${event(2)}`, true]);
+        expect(caller.headers).to.include("leaving");
+    });
+
+    it("that it leaves keeps no answer that is ready from its caller", () => {
+        const { sends, caller } = startPlain({ targets: ["a"] });
+        sends[0]?.receiver.sent();
+        sends[0]?.receiver.head(withHeaders(responseHeads.ok, { leaving: "1" }));
+        sends[0]?.receiver.data(Buffer.from("done"));
+        sends[0]?.receiver.ended();
+        expect([caller.status, caller.body, caller.ended]).to.deep.equal([200, "done", true]);
+    });
+
+    it("that it leaves is logged and announced once, with its source", () => {
+        const fixture = startPlain({ targets: ["a", "b"] });
+        const { availability, clock } = fixture.parts;
+        let announced = 0;
+        availability.onChange(() => {
+            announced += 1;
+        });
+        const leave = (id: string): void =>
+            availability.recordResponse({ target: { id }, sentAt: 0 }, {
+                status: 200,
+                statements: { ...noStatements, leaving: true },
+            });
+        ["a", "a"].forEach(leave);
+        availability.mergeLeaving({ target: "b", statedAt: clock.monotonic() }, "daemon-1");
+        leave("b");
+        const logged = fixture.events.filter(({ name }) => name === "targetLeaving")
+            .map(({ fields: { target, learnedFrom, daemon, status } }) => [target, learnedFrom, daemon, status]);
+        expect(logged).to.deep.equal([["a", "response", undefined, 200], ["b", "daemon", "daemon-1", undefined]]);
+        expect(announced).to.equal(1);
+    });
+
+    const told: readonly { readonly guards: string; readonly startedAt?: number; readonly ageMilliseconds: number; }[] = [
+        { guards: "another process than the one that another daemon heard", startedAt: 7, ageMilliseconds: 0 },
+        { guards: "a process of unknown start that may have replaced the one heard long ago", ageMilliseconds: 4_000 },
+    ];
+    told.forEach(({ guards, startedAt, ageMilliseconds }) => {
+        it(`is not held against ${guards}`, () => {
+            const { parts: { availability, clock, state } } = startPlain({ targets: ["a"] });
+            availability.mergeLeaving(
+                { target: "a", startedAt, statedAt: clock.monotonic() - ageMilliseconds },
+                "daemon-1",
+            );
+            expect([state.targetById("a")?.draining, availability.leaving()]).to.deep.equal([false, []]);
+        });
+    });
+
     it("logs a rest once, with its process", () => {
         const fixture = startPlain({ targets: ["a"] });
         const target = { id: "a", startedAt: 7 };
         const respond = (milliseconds: number): void =>
             fixture.parts.availability.recordResponse({ target, sentAt: 0 }, {
                 status: 503,
-                statements: { rate: { kind: "unlimited" }, rest: { kind: "resting", milliseconds } },
+                statements: { ...noStatements, rest: { kind: "resting", milliseconds } },
             });
         [5_000, 6_000, 9e9].forEach(respond);
         const logged = fixture.events.filter(({ name }) => name === "targetResting").map(({ fields }) => fields);
@@ -174,7 +259,7 @@
         ["soon", "soon", "-1"].forEach(text =>
             availability.recordResponse({ target: { id: "a" }, sentAt: 0 }, {
                 status: 503,
-                statements: { rate: { kind: "unlimited" }, rest: { kind: "unreadable", text } },
+                statements: { ...noStatements, rest: { kind: "unreadable", text } },
             })
         );
         const logged = fixture.events.filter(({ name }) => name === "targetRestUnreadable").map(({ fields }) => fields);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -153,7 +153,7 @@
         self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
         reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
         knownDaemons: daemons.count,
-        isKnown: target => state.targetById(target) !== undefined,
+        state,
     });
     const promptQuarantine = createPromptQuarantine({
         clock: systemClock,
@@ -335,6 +335,8 @@
         onMembership: reported => state.applyMembership(reported),
         limits: () => availability.limits(),
         onLimit: limit => availability.mergeLimit(limit),
+        leaving: () => availability.leaving(),
+        onLeaving: (statement, daemon) => availability.mergeLeaving(statement, daemon),
         quarantine: () => promptQuarantine.report(),
         hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
