--- a/packages/proofs/src/fuzz/index.ts
+++ b/packages/proofs/src/fuzz/index.ts
@@ -9,6 +9,7 @@
 import { retryFuzz, routingFuzz } from "./routing.js";
 import { fairnessFuzz, sharesFuzz } from "./shares.js";
 import { targetLimitsFuzz } from "./targetlimits.js";
+import { targetStatementsFuzz } from "./targetstatements.js";
 import type { FuzzModule } from "./types.js";
 
 /** All fuzz modules, in execution order. */
@@ -19,6 +20,7 @@
     fairnessFuzz,
     sharesFuzz,
     targetLimitsFuzz,
+    targetStatementsFuzz,
     quarantineFuzz,
     routingFuzz,
     retryFuzz,
