--- a/packages/core/src/placement/targetrests.ts
+++ b/packages/core/src/placement/targetrests.ts
@@ -30,7 +30,11 @@
 
     return {
         observe: ({ target, startedAt }, milliseconds, now) => {
-            const next: TargetRest = { target, startedAt, endsAt: now + Math.min(milliseconds, MAXIMUM_REST_MILLISECONDS) };
+            const next: TargetRest = {
+                target,
+                startedAt,
+                endsAt: now + Math.min(milliseconds, MAXIMUM_REST_MILLISECONDS),
+            };
             const known = rests.get(target);
             const isSuperseded = known !== undefined && (
                 isFromEarlierProcess(next, known) || known.startedAt === startedAt && known.endsAt >= next.endsAt
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -38,6 +38,7 @@
             }
         });
         const daemons = createDaemonList(SELF.daemon);
+        const statedAt = performance.now() - LEAVING_AGE_MILLISECONDS;
         daemons.replace([SELF, OTHER]);
         exchange = startLoadExchange({
             clock: { monotonic: () => performance.now(), wall: () => 0 },
@@ -51,7 +52,7 @@
             onMembership: () => undefined,
             limits: () => [],
             onLimit: () => undefined,
-            leaving: () => [{ target: "t", startedAt: 1, statedAt: performance.now() - LEAVING_AGE_MILLISECONDS }],
+            leaving: () => [{ target: "t", startedAt: 1, statedAt }],
             onLeaving: (statement, daemon) => void leaving.push({ statement, daemon }),
             quarantine: () => report,
             hasQuarantineNews: () => hasNews,
--- a/packages/daemon/src/relay/targetavailability.ts
+++ b/packages/daemon/src/relay/targetavailability.ts
@@ -99,7 +99,9 @@
         this.rates.recordResponse(request, { status, rate: statements.rate });
         this.recordRest(process, statements.rest, status);
         const now = this.parts.clock.monotonic();
-        if (statements.leaving && this.recordLeaving({ ...process, statedAt: now }, { learnedFrom: "response", status })) {
+        if (
+            statements.leaving && this.recordLeaving({ ...process, statedAt: now }, { learnedFrom: "response", status })
+        ) {
             this.announce();
         }
     }
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -306,7 +306,10 @@
     });
 
     it("keeps another target at the address of one that leaves", () => {
-        state.applyTargets([{ key: "p", value: target("p") }, { key: "q", value: target("q", { address: "p.example:80" }) }]);
+        state.applyTargets([{ key: "p", value: target("p") }, {
+            key: "q",
+            value: target("q", { address: "p.example:80" }),
+        }]);
         state.drain({ target: "p" });
         expect(serving()).to.deep.equal(["q"]);
     });
--- a/packages/daemon/src/relay/tests/targetavailability.test.ts
+++ b/packages/daemon/src/relay/tests/targetavailability.test.ts
@@ -222,10 +222,14 @@
         expect(announced).to.equal(1);
     });
 
-    const told: readonly { readonly guards: string; readonly startedAt?: number; readonly ageMilliseconds: number; }[] = [
-        { guards: "another process than the one that another daemon heard", startedAt: 7, ageMilliseconds: 0 },
-        { guards: "a process of unknown start that may have replaced the one heard long ago", ageMilliseconds: 4_000 },
-    ];
+    const told: readonly { readonly guards: string; readonly startedAt?: number; readonly ageMilliseconds: number; }[] =
+        [
+            { guards: "another process than the one that another daemon heard", startedAt: 7, ageMilliseconds: 0 },
+            {
+                guards: "a process of unknown start that may have replaced the one heard long ago",
+                ageMilliseconds: 4_000,
+            },
+        ];
     told.forEach(({ guards, startedAt, ageMilliseconds }) => {
         it(`is not held against ${guards}`, () => {
             const { parts: { availability, clock, state } } = startPlain({ targets: ["a"] });
--- a/packages/proofs/src/fuzz/targetstatements.ts
+++ b/packages/proofs/src/fuzz/targetstatements.ts
@@ -178,9 +178,7 @@
         this.daemons.forEach((...[, to]) => {
             this.deliver(this.now + PEER_MILLISECONDS, () => {
                 if (to !== from && !this.isCutOff(to)) {
-                    statements.forEach(statement =>
-                        this.daemons[to]?.availability.mergeLeaving(statement, `d${from}`)
-                    );
+                    statements.forEach(statement => this.daemons[to]?.availability.mergeLeaving(statement, `d${from}`));
                 }
             });
         });
@@ -275,14 +273,21 @@
                 },
                 { weight: 1, arbitrary: fc.record({ kind: fc.constant("leave" as const) }) },
                 { weight: 1, arbitrary: fc.record({ kind: fc.constant("restartTarget" as const) }) },
-                { weight: 1, arbitrary: fc.record({ kind: fc.constant("restartDaemon" as const), daemon: daemonIndex }) },
+                {
+                    weight: 1,
+                    arbitrary: fc.record({ kind: fc.constant("restartDaemon" as const), daemon: daemonIndex }),
+                },
                 {
                     weight: 1,
                     arbitrary: fc.record({ kind: fc.constant("cutStore" as const), daemon: daemonIndex, milliseconds }),
                 },
                 {
                     weight: 1,
-                    arbitrary: fc.record({ kind: fc.constant("cutDaemons" as const), daemon: daemonIndex, milliseconds }),
+                    arbitrary: fc.record({
+                        kind: fc.constant("cutDaemons" as const),
+                        daemon: daemonIndex,
+                        milliseconds,
+                    }),
                 },
             ),
             { minLength: 1, maxLength: 120, size: "max" },
