--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -9,7 +9,7 @@
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 
 /** `Retry-After` of a request that every group refused. */
-export const REFUSED_RETRY_AFTER_MILLISECONDS = 800;
+const REFUSED_RETRY_AFTER_MILLISECONDS = 800;
 
 /** Places a request on a group that has not been tried for it. */
 export function placeStream(context: RequestContext, parts: RelayParts, tried: readonly string[]): Placement {
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -13,13 +13,7 @@
     writeResponseHead,
 } from "./responses.js";
 import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
-import {
-    describeCandidates,
-    placeStream,
-    recordDemand,
-    REFUSED_RETRY_AFTER_MILLISECONDS,
-    refusedRetryMilliseconds,
-} from "./streamplacement.js";
+import { describeCandidates, placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
@@ -135,7 +129,7 @@
             return;
         }
         if (!this.withdrawRetry()) {
-            this.giveUp("budget", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("budget", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         this.send(placement.head);
@@ -145,7 +139,7 @@
         const { context, parts } = this;
         const target = parts.state.targetById(headId);
         if (target === undefined) {
-            this.giveUp("no-group", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("no-group", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         const now = parts.clock.monotonic();
