--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -146,6 +146,22 @@
         "info",
         "A target that seemed to have crashed has answered as the same process; its crash does not count.",
     ),
+    targetLeaving: define(
+        341,
+        "info",
+        "A target says in its responses that it leaves; it gets no new requests.",
+    ),
+    targetResting: define(
+        342,
+        "info",
+        "A target turned a request away and wants none from this daemon for a time.",
+    ),
+    targetRestUnreadable: define(
+        343,
+        "warn",
+        "A target turned a request away with a time that cannot be read; the target goes on getting requests.",
+        "Find out which software the target runs.",
+    ),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -17,6 +17,10 @@
     readonly servingGroups: () => number;
     /** Targets that limit their request rate. */
     readonly limitedTargets: () => number;
+    /** Targets that want no requests from this daemon for a time. */
+    readonly restingTargets: () => number;
+    /** Responses of targets with a statement that could not be read, since the start. */
+    readonly unreadableStatements: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
     /** Era of the platform's store, 0 while no answer has stated one. */
@@ -121,6 +125,8 @@
         ["damaskvale_configuration_version", "Configuration in force.", values.configurationVersion],
         ["damaskvale_serving_groups", "Groups that may get requests.", values.servingGroups],
         ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
+        ["damaskvale_resting_targets", "Targets that want no requests for a time.", values.restingTargets],
+        ["damaskvale_unreadable_statements", "Responses with an unreadable statement.", values.unreadableStatements],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
         ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
         ["damaskvale_store_eras_ignored", "Answers of the store that state no valid era.", values.storeErasIgnored],
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -14,8 +14,8 @@
 import type { PromptQuarantine } from "./promptquarantine.js";
 import type { StalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
+import type { TargetAvailability } from "./targetavailability.js";
 import type { TargetConnections } from "./targetconnections.js";
-import type { TargetRates } from "./targetrates.js";
 
 /** An admitted request. Times are monotonic milliseconds. */
 export interface RequestContext {
@@ -39,7 +39,7 @@
     readonly state: RelayState;
     readonly connections: TargetConnections;
     readonly loadTracker: LoadTracker;
-    readonly targetRates: TargetRates;
+    readonly availability: TargetAvailability;
     readonly promptQuarantine: PromptQuarantine;
     readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -13,7 +13,7 @@
     writeResponseHead,
 } from "./responses.js";
 import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
-import { describeCandidates, placeStream, recordDemand, REFUSED_RETRY_AFTER_MILLISECONDS } from "./streamplacement.js";
+import { describeCandidates, placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
@@ -127,7 +127,7 @@
             return;
         }
         if (!this.withdrawRetry()) {
-            this.giveUp("budget", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("budget", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         this.send(placement.head);
@@ -137,7 +137,7 @@
         const { context, parts } = this;
         const target = parts.state.targetById(headId);
         if (target === undefined) {
-            this.giveUp("no-group", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("no-group", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         const now = parts.clock.monotonic();
@@ -146,7 +146,7 @@
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
-        parts.targetRates.recordSent(target);
+        parts.availability.recordSent(target);
         parts.loadTracker.sent(headId, { promptTokens: context.request.promptTokens, stream: true }, now);
         parts.log.emit("streamSent", {
             ...requestLogFields(context),
@@ -191,7 +191,7 @@
             parts.headUnusable(attempt.head);
         }
         else {
-            parts.targetRates.recordResponse(attempt, { status: head.status, rate: decoded.rate });
+            parts.availability.recordResponse(attempt, { status: head.status, statements: decoded.statements });
         }
         if (decoded.notRun) {
             attempt.sent = false;
@@ -329,7 +329,7 @@
             lastEventId: this.lastEventId,
         });
         if (attempt.isPassthrough || !this.mayRetry()) {
-            this.giveUp("not-run", REFUSED_RETRY_AFTER_MILLISECONDS);
+            this.giveUp("not-run", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
         if (!this.giveUpIfQuarantined()) {
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -15,13 +15,13 @@
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
 import type { EventLog } from "../../ports/eventlog.js";
-import type { CallerRequest, RelayProtocol, ResponseHead } from "../../ports/relayprotocol.js";
+import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
 import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createStalledHeads } from "../stalledheads.js";
 import { createRelayState } from "../state.js";
+import { createTargetAvailability } from "../targetavailability.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
-import { createTargetRates } from "../targetrates.js";
 
 /** One request that the relay sent, and the receiver through which the test responds to it. */
 export interface FakeSend {
@@ -65,10 +65,20 @@
     readonly promptParts?: readonly string[];
     /** Targets that have stated a limit and got the last request that it allows. */
     readonly limitedTargets?: readonly string[];
+    /** Targets that have turned this daemon away for {@link REST_MILLISECONDS}. */
+    readonly restingTargets?: readonly string[];
+    /** Targets that have said that they leave. */
+    readonly leavingTargets?: readonly string[];
     /** Retries that the budget allows. */
     readonly retries?: number;
 }
 
+/** Statements of a target that says nothing of itself. */
+export const noStatements: TargetStatements = { rate: { kind: "unlimited" }, rest: { kind: "none" }, leaving: false };
+
+/** Time for which resting targets want no requests. */
+export const REST_MILLISECONDS = 10_000;
+
 /** Response heads, encoded for the fake protocol. */
 export const responseHeads = {
     stream: { status: 200, headers: { "request-id": "r1", "stamp": "s1" }, delimited: true },
@@ -103,9 +113,15 @@
         notRun: headers["not-run"] !== undefined,
         misdirected: headers["misdirected"] !== undefined,
         requestId: headers["request-id"] as string | undefined,
-        rate: headers["rate"] === undefined
-            ? { kind: "unlimited" }
-            : { kind: "limited", requestsPerSecond: Number(headers["rate"]) },
+        statements: {
+            rate: headers["rate"] === undefined
+                ? { kind: "unlimited" }
+                : { kind: "limited", requestsPerSecond: Number(headers["rate"]) },
+            rest: headers["rest"] === undefined
+                ? { kind: "none" }
+                : { kind: "resting", milliseconds: Number(headers["rest"]) },
+            leaving: headers["leaving"] !== undefined,
+        },
         forwarded: Object.entries(headers).flat() as string[],
     }),
 };
@@ -161,20 +177,24 @@
     const events: { name: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const clock = { monotonic: () => performance.now(), wall: () => Date.now() };
     const log: EventLog = { emit: (name, fields = {}) => void events.push({ name, fields }) };
-    const targetRates = createTargetRates({
+    const availability = createTargetAvailability({
         clock,
         log,
         self: { daemon: "daemon-0", dataCentre: "x" },
         reachableDaemons: () => [],
         knownDaemons: () => 1,
-        isKnown: id => state.targetById(id) !== undefined,
+        state,
     });
-    options.limitedTargets?.forEach(id =>
-        targetRates.recordResponse({ target: { id }, sentAt: 0 }, {
-            status: 200,
-            rate: { kind: "limited", requestsPerSecond: 0.1 },
-        })
+    const recordStatements = (id: string, stated: Partial<TargetStatements>): void =>
+        availability.recordResponse({ target: { id }, sentAt: 0 }, {
+            status: 503,
+            statements: { ...noStatements, ...stated },
+        });
+    options.limitedTargets?.forEach(id => recordStatements(id, { rate: { kind: "limited", requestsPerSecond: 0.1 } }));
+    options.restingTargets?.forEach(id =>
+        recordStatements(id, { rest: { kind: "resting", milliseconds: REST_MILLISECONDS } })
     );
+    options.leavingTargets?.forEach(id => recordStatements(id, { leaving: true }));
     const promptQuarantine = createPromptQuarantine({
         clock,
         log,
@@ -211,7 +231,7 @@
                 renew: () => undefined,
             },
             loadTracker,
-            targetRates,
+            availability,
             promptQuarantine,
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             headUnusable: head => void unusableHeads.push(head),
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -10,7 +10,6 @@
     type LoadTracker,
     type PeerLoads,
     type RelayConfiguration,
-    type StoreEra,
     type TargetLoad,
 } from "@damaskvale/core";
 import { createBoundedOutput } from "../adapters/boundedoutput.js";
@@ -21,14 +20,12 @@
 import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
 import type { Clock } from "../ports/clock.js";
-import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
-import type { DaemonPresence, PresenceTopic } from "../ports/presence.js";
-import type { ConfigurationTopic, PartitionGroup, TargetTopic, TopicChange } from "../ports/registry.js";
-import type { RelayProtocol } from "../ports/relayprotocol.js";
+import type { DaemonPresence } from "../ports/presence.js";
+import type { TopicChange } from "../ports/registry.js";
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
-import { createServiceRetryBudgets, type RetryAllowance, type ServiceRetryBudgets } from "./budgets.js";
+import { createServiceRetryBudgets, type ServiceRetryBudgets } from "./budgets.js";
 import {
     type ConfigurationReader,
     configurationWaitMilliseconds,
@@ -38,6 +35,7 @@
 import { startListeners } from "./lifecycle.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
 import { registryReadDelayMilliseconds } from "./pace.js";
+import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
@@ -45,40 +43,8 @@
 import { createStalledHeads } from "./stalledheads.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { logStoreEra, refreshAfterRestore } from "./storerestore.js";
+import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
 import { createTargetConnections } from "./targetconnections.js";
-import { createTargetRates, type TargetRates } from "./targetrates.js";
-
-/** Settings of the daemon on a platform. */
-export interface RelaySettings {
-    readonly daemon: string;
-    readonly dataCentre: string;
-    readonly ip: string;
-    /** First and last port of the range for messages between daemons. */
-    readonly internalPorts: readonly number[];
-    readonly callerListen: string;
-    readonly readinessListen: string;
-    readonly shutdownMilliseconds: number;
-    /** Time within which a target that announced that it is draining must stop getting requests. */
-    readonly drainNoticeMilliseconds: number;
-    /** Time within which a published configuration must be in force. */
-    readonly configurationMilliseconds: number;
-    /** `IP:PORT` at which metrics are served; absent if they are not served. */
-    readonly metricsListen?: string;
-    readonly retryAllowance: RetryAllowance;
-    /** Whether engines refuse orders with a lower fencing token than the highest they have seen. */
-    readonly enginesEnforceFencing: boolean;
-}
-
-/** Adapters that a platform provides. */
-export interface PlatformPorts {
-    readonly protocol: RelayProtocol;
-    readonly storeEra: StoreEra;
-    readonly configuration: (log: EventLog) => ConfigurationTopic;
-    readonly targets: (log: EventLog) => TargetTopic;
-    readonly partitions: PartitionGroup;
-    readonly engines: (log: EventLog) => EngineControl;
-    readonly presence: (log: EventLog) => PresenceTopic;
-}
 
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
@@ -119,7 +85,7 @@
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
-    readonly targetRates: TargetRates;
+    readonly availability: TargetAvailability;
     readonly promptQuarantine: PromptQuarantine;
 }
 
@@ -169,20 +135,22 @@
         linesDropped: output.dropped,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         servingGroups: () => state.countServingGroups(),
-        limitedTargets: () => targetRates.limitedTargets(),
+        limitedTargets: () => availability.limitedTargets(),
+        restingTargets: () => availability.restingTargets(),
+        unreadableStatements: () => availability.unreadableStatements(),
         quarantinedParts: () => promptQuarantine.quarantined().length,
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
-    const targetRates = createTargetRates({
+    const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
         self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
         reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
         knownDaemons: daemons.count,
-        isKnown: target => state.targetById(target) !== undefined,
+        state,
     });
     const promptQuarantine = createPromptQuarantine({
         clock: systemClock,
@@ -203,7 +171,7 @@
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
         daemons,
-        targetRates,
+        availability,
         promptQuarantine,
     };
     return { shared, metrics };
@@ -227,7 +195,7 @@
             connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
         }),
         loadTracker,
-        targetRates: shared.targetRates,
+        availability: shared.availability,
         promptQuarantine: shared.promptQuarantine,
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
@@ -351,7 +319,7 @@
     configuration: TopicFollower,
     suspect: (head: string) => void,
 ): LoadExchange {
-    const { settings, clock, log, state, loadTracker, peerLoads, daemons, targetRates, promptQuarantine } = shared;
+    const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, promptQuarantine } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
@@ -362,8 +330,10 @@
         loadTracker,
         peerLoads,
         onMembership: reported => state.applyMembership(reported),
-        limits: () => targetRates.statements(),
-        onLimit: limit => targetRates.merge(limit),
+        limits: () => availability.limits(),
+        onLimit: limit => availability.mergeLimit(limit),
+        leaving: () => availability.leaving(),
+        onLeaving: (statement, daemon) => availability.mergeLeaving(statement, daemon),
         quarantine: () => promptQuarantine.report(),
         hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
@@ -381,7 +351,7 @@
             }
         },
     });
-    targetRates.onChange(() => exchange.broadcastKnowledge());
+    availability.onChange(() => exchange.broadcastKnowledge());
     promptQuarantine.onNews(() => exchange.broadcastKnowledge());
     return exchange;
 }
