Split the simulation of the part quarantine into modules

partfleet.ts had grown to 390 lines: time, connectivity, callers, targets, exchange, disturbances and the record of false quarantines were one class. Each is a module now; partfleet.ts wires them. The random numbers are drawn in the same order.

--- a/packages/proofs/src/bench/quarantine/partfleettypes.ts
+++ b/packages/proofs/src/bench/quarantine/partfleettypes.ts
@@ -1,6 +1,8 @@
 /** Types of the simulation of daemons that serve prompts with shared parts. */
-import type { PartQuarantine, QuarantineReport } from "@damaskvale/core";
+import type { PartQuarantine, PartStatement, QuarantineReport } from "@damaskvale/core";
 import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { Connectivity } from "./connectivity.js";
+import type { SimulatedTime } from "./simulatedtime.js";
 
 /** Part that crashes targets for a time. Other requests can contain it too. */
 export interface HarmfulPart {
@@ -100,6 +102,36 @@
     blames: Map<string, number>;
 }
 
+/** First attempt of a request that crashes nothing. */
+export interface SoundRequest {
+    readonly first: string;
+    readonly at: number;
+    readonly isRefused: boolean;
+}
+
+/** Decision that a daemon made or was told. */
+export interface RecordedStatement {
+    readonly at: number;
+    readonly daemon: number;
+    readonly statement: PartStatement;
+}
+
+/** What the modules of the simulation share, with the records of what happened. */
+export interface FleetWorld {
+    readonly options: PartFleetOptions;
+    readonly time: SimulatedTime;
+    readonly connectivity: Connectivity;
+    readonly daemons: readonly Daemon[];
+    readonly targets: readonly TargetProcess[];
+    readonly attempts: HarmfulAttempt[];
+    readonly crashes: HarmfulCrash[];
+    readonly statements: RecordedStatement[];
+    readonly sound: SoundRequest[];
+    /** Whether a part crashes targets now. */
+    readonly isHarmful: (part: string) => boolean;
+    readonly trace: (line: string) => void;
+}
+
 /** Replaces times by ages, and ages by times. */
 export function shiftReport({ crashes, proven, statements }: QuarantineReport, by: number): QuarantineReport {
     return {
