Tell the other daemons of crashes in which no unproven part was in use

Callers saw nothing of it; the quarantine saw too few crashes of other causes and could blame a part at two crashes where it asks for more. The observer dropped a crash that it could name no part of: one whose streams were all proven, or had no shared part. It records it now if a request had been written there. A connection that was refused while the target had no request still counts for nothing.

Two new cases of crashobserver.test.ts fail before and pass now. One older case expected no crash after a proven stream lost its connection; it expects one crash without parts now, so that a part that is blamed there still fails it.

--- a/packages/daemon/src/relay/crashobserver.ts
+++ b/packages/daemon/src/relay/crashobserver.ts
@@ -36,7 +36,10 @@
     readonly clock: Clock;
     /** Called with the parts of a request that is proven, and when its first event came. */
     readonly onProven: (parts: readonly string[], firstEventAt: number) => void;
-    /** Called when a target crashed, and again if more parts turn out to have been in use. */
+    /**
+     * Called when a target crashed, and again if more parts turn out to have been in use. A crash without parts counts
+     * too, because it shows that crashes have other causes.
+     */
     readonly onCrash: (crash: CrashObservation) => void;
     /** Called when a process that seemed to have crashed sends events. */
     readonly onAlive: (target: TargetProcess) => void;
@@ -103,7 +106,7 @@
                 }
             },
             connectionLost: () => {
-                this.recordCrash(target);
+                this.recordCrash(target, attempt);
                 this.remove(target.id, attempt);
             },
             dropped: () => void this.remove(target.id, attempt),
@@ -140,17 +143,21 @@
         }
     }
 
-    /** Records a crash unless it is known with all parts that were in use by requests that the target had. */
-    private recordCrash({ id, startedAt }: TargetProcess): void {
+    /**
+     * Records a crash unless it is known with all parts that were in use by requests that the target had. A connection
+     * that was refused while the target had none says nothing of when the process ended.
+     */
+    private recordCrash({ id, startedAt }: TargetProcess, { isSent }: TrackedAttempt): void {
         const now = this.parts.clock.monotonic();
-        const inUse = [...this.unproven.get(id) ?? []]
-            .filter(attempt => attempt.isSent && attempt.startedAt === startedAt)
-            .flatMap(({ promptParts }) => promptParts);
+        const waiting = [...this.unproven.get(id) ?? []]
+            .filter(attempt => attempt.isSent && attempt.startedAt === startedAt);
+        const inUse = waiting.flatMap(({ promptParts }) => promptParts);
         const known = this.crashes.get(id);
         const isSameCrash = known !== undefined && known.startedAt === startedAt
             && (startedAt !== undefined || now - known.at < SAME_CRASH_MILLISECONDS);
         const seen = isSameCrash ? known.parts : new Set<string>();
-        if (inUse.every(part => seen.has(part))) {
+        const wasInUse = isSent || waiting.length > 0;
+        if (!wasInUse || isSameCrash && inUse.every(part => seen.has(part))) {
             return;
         }
         const promptParts = new Set([...seen, ...inUse]);
--- a/packages/daemon/src/relay/tests/crashobserver.test.ts
+++ b/packages/daemon/src/relay/tests/crashobserver.test.ts
@@ -117,9 +117,26 @@
     {
         guards: "a stream that went on is blamed, or proven twice",
         proven: [["a"]],
-        crashes: [],
+        crashes: [[]],
         run: scene => proveAfter(500, scene),
     },
+    {
+        guards: "a crash that ends proven streams only is told of never, or twice",
+        proven: [["a"], ["b"]],
+        crashes: [[]],
+        run: ({ observe, wait }) => {
+            const attempts = [["a"], ["b"]].map(parts => sent(observe(parts)));
+            attempts.forEach(attempt => attempt.progressed());
+            wait(500);
+            attempts.forEach(attempt => attempt.progressed());
+            attempts.forEach(attempt => attempt.connectionLost());
+        },
+    },
+    {
+        guards: "a crash of requests without shared parts does not count",
+        crashes: [[]],
+        run: ({ observe }) => sent(observe([])).connectionLost(),
+    },
     {
         guards: "a short stream that ended whole proves nothing",
         proven: [["a"]],
