Let more daemons try a quarantined part while none has had a request with it

Callers of a mended part that is rarely used were refused for 42 s and more: one daemon of up to 14 could try the part again, and few of its requests reach that daemon. After the pause the first daemon in the order of rendezvous hashing may try; while none has, twice as many may after each further 500 ms. A daemon that is told of a trial holds back. At most two daemons may try a part with more than three crashes, whose trials reach a target after the fifth one. The simulation tells of a trial at once, as the daemons do.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export * from "./quarantine/blame.js";
 export * from "./quarantine/quarantine.js";
 export { nextTrialAt } from "./quarantine/statements.js";
+export { trialRank } from "./quarantine/trials.js";
 export * from "./quarantine/types.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -60,6 +60,10 @@
 export const TRIAL_PAUSE_GROWTH = 4;
 /** No trial at this number of crashes, so that no trial causes the fifth. */
 export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
+/** While nobody has tried a part that is due, twice as many daemons may after each such time. */
+export const TRIAL_STAGE_MILLISECONDS = 500;
+/** Daemons that may try a part with more crashes than `MAXIMUM_CRASHES_FOR_TRIAL`, since their trials count singly. */
+export const MAXIMUM_LATE_TRIAL_DAEMONS = 2;
 /** A trial without a result is repeated after this time, which grows too. */
 export const TRIAL_RESULT_MILLISECONDS = 10_000;
 /** Time that callers are told when no automatic trial is left. */
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -20,6 +20,7 @@
 import { Proofs } from "./proofs.js";
 import { Reporter } from "./reports.js";
 import { nextTrialAt, Statements } from "./statements.js";
+import { trialDaemons } from "./trials.js";
 import type {
     CrashObservation,
     PartQuarantine,
@@ -80,7 +81,7 @@
         return crash === undefined ? [] : this.withdraw(crash, now);
     }
 
-    check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict {
+    check(parts: readonly string[], mayTry: (part: string, daemons: number) => boolean, now: number): PartVerdict {
         this.advance(now);
         const refused = parts
             .flatMap(part => this.statements.isQuarantined(part) ? this.statements.find(part) ?? [] : [])
@@ -91,7 +92,8 @@
         }
         const last = refused.reduce((left, right) => left.trialAt >= right.trialAt ? left : right, first);
         const { part } = last.statement;
-        if (last.trialAt <= now && mayTry(part)) {
+        const daemons = Math.min(...refused.map(({ statement }) => trialDaemons(statement, now)));
+        if (daemons > 0 && mayTry(part, daemons)) {
             refused.forEach(({ statement }) =>
                 this.statements.state({ ...statement, trials: statement.trials + 1, trialAt: now }, now)
             );
--- a/packages/core/src/quarantine/types.ts
+++ b/packages/core/src/quarantine/types.ts
@@ -68,8 +68,11 @@
     recordCrash(crash: CrashObservation, now: number): readonly PartStatement[];
     /** Drops the crash of a process that has answered again. */
     withdrawCrash(target: string, startedAt: number | undefined, now: number): readonly PartStatement[];
-    /** Decides about a request. `mayTry` tells whether this daemon is the one that may try the part again. */
-    check(parts: readonly string[], mayTry: (part: string) => boolean, now: number): PartVerdict;
+    /**
+     * Decides about a request. `mayTry` tells whether this daemon is among the first `daemons` in the order in which they
+     * may try the part again.
+     */
+    check(parts: readonly string[], mayTry: (part: string, daemons: number) => boolean, now: number): PartVerdict;
     /** Releases a part for an operator; returns `undefined` if it is not quarantined. */
     release(part: string, now: number): PartStatement | undefined;
     report(now: number): QuarantineReport;
--- a/packages/daemon/src/relay/promptquarantine.ts
+++ b/packages/daemon/src/relay/promptquarantine.ts
@@ -4,7 +4,7 @@
     type PartStatement,
     type PartVerdict,
     type QuarantineReport,
-    rendezvous,
+    trialRank,
 } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -44,8 +44,8 @@
     readonly knownDaemons: () => number;
 }
 
-/** The daemon that tries parts again follows the daemons that are heard, whose reports expire after seconds. */
-const CHOICE_MILLISECONDS = 400;
+/** Ranks follow the daemons that are heard, whose reports expire after seconds. */
+const RANK_MILLISECONDS = 400;
 /** Daemons tell each other often of what proves parts sound this long after a crash or a decision. */
 const NEWS_MILLISECONDS = 4_000;
 /** What this daemon found out itself, as opposed to what another one told. */
@@ -65,8 +65,8 @@
     private readonly newsListeners: (() => void)[] = [];
     /** Time of the newest crash or decision. */
     private newsAt = Number.NEGATIVE_INFINITY;
-    /** Whether this daemon tries a part, and when that was computed. */
-    private choice: { readonly part: string; readonly at: number; readonly isSelf: boolean; } | undefined;
+    /** Rank of this daemon for a part, and when that was computed. */
+    private ranked: { readonly part: string; readonly at: number; readonly rank: number; } | undefined;
 
     constructor(private readonly parts: PromptQuarantineParts) {
         this.observer = createCrashObserver({
@@ -90,7 +90,7 @@
         if (promptParts.length === 0) {
             return { kind: "allowed" };
         }
-        const mayTry = (part: string): boolean => isFirstAttempt && this.isChosen(part);
+        const mayTry = (part: string, daemons: number): boolean => isFirstAttempt && this.rankFor(part) < daemons;
         const verdict = this.decisions.check(promptParts, mayTry, this.now());
         if (verdict.kind === "trial") {
             this.announceNews();
@@ -175,18 +175,14 @@
         this.newsListeners.forEach(listener => listener());
     }
 
-    /**
-     * Returns whether this daemon is the one that tries a part again. While it hears less than half of the daemons, it
-     * tries none, because another part of the fleet may choose a daemon too.
-     */
-    private isChosen(part: string): boolean {
+    /** Returns the rank of this daemon among those that may try a part again. */
+    private rankFor(part: string): number {
         const now = this.now();
-        if (this.choice?.part !== part || now - this.choice.at > CHOICE_MILLISECONDS) {
+        if (this.ranked?.part !== part || now - this.ranked.at > RANK_MILLISECONDS) {
             const { self, reachableDaemons, knownDaemons } = this.parts;
-            const daemons = [self, ...reachableDaemons()];
-            const isMajority = daemons.length * 2 > knownDaemons();
-            this.choice = { part, at: now, isSelf: isMajority && rendezvous(part, daemons, 1)[0] === self };
+            const fleet = { self, reachable: reachableDaemons(), known: knownDaemons() };
+            this.ranked = { part, at: now, rank: trialRank(part, fleet) };
         }
-        return this.choice.isSelf;
+        return this.ranked.rank;
     }
 }
--- a/packages/daemon/src/relay/tests/promptquarantine.test.ts
+++ b/packages/daemon/src/relay/tests/promptquarantine.test.ts
@@ -25,21 +25,26 @@
 
 describe("the quarantine of a daemon", () => {
     const names = ["d0", "d1", "d2", "d3"];
-    const trials = (reachableOf: (name: string) => readonly string[], known: number): number => {
-        const day = 3_600_000;
-        return names.map(name => createDaemon(name, reachableOf(name), known, () => day))
+    const pause = 30_000;
+    const trials = (reachableOf: (name: string) => readonly string[], known: number, now: number): number =>
+        names.map(name => createDaemon(name, reachableOf(name), known, () => now))
             .filter(({ quarantine: created }) => {
-                quarantinePart(created, { statedAt: 0 });
+                quarantinePart(created, { statedAt: 0, crashes: 2 });
                 return created.check(["bad"], true).kind === "trial";
             }).length;
-    };
     const others = (name: string): readonly string[] => names.filter(other => other !== name);
+    const oneOther = (name: string): readonly string[] => others(name).slice(0, 1);
+    const nobody = (): readonly string[] => [];
+    const hour = 3_600_000;
 
     const chosen: readonly { readonly guards: string; readonly trials: number; readonly run: () => number; }[] = [
-        { guards: "no daemon or several daemons try a part again", trials: 1, run: () => trials(others, 4) },
-        { guards: "two halves of a fleet try it", trials: 0, run: () => trials(name => others(name).slice(0, 1), 4) },
-        { guards: "a daemon that hears nobody tries it", trials: 0, run: () => trials(() => [], 4) },
-        { guards: "a daemon that is alone never tries it", trials: 4, run: () => trials(() => [], 1) },
+        { guards: "a part is tried before its pause is over", trials: 0, run: () => trials(others, 4, pause - 1) },
+        { guards: "no daemon or several daemons try it at first", trials: 1, run: () => trials(others, 4, pause) },
+        { guards: "only a daemon without requests may try it", trials: 2, run: () => trials(others, 4, pause + 500) },
+        { guards: "a daemon without requests bars the others", trials: 4, run: () => trials(others, 4, pause + 1_000) },
+        { guards: "two halves of a fleet try it", trials: 0, run: () => trials(oneOther, 4, hour) },
+        { guards: "a daemon that hears nobody tries it", trials: 0, run: () => trials(nobody, 4, hour) },
+        { guards: "a daemon that is alone never tries it", trials: 4, run: () => trials(nobody, 1, hour) },
     ];
     chosen.forEach(({ guards, trials: expected, run }) =>
         it(`prevents that ${guards}`, () => expect(run()).to.equal(expected))
--- a/packages/proofs/src/bench/quarantine/callers.ts
+++ b/packages/proofs/src/bench/quarantine/callers.ts
@@ -82,7 +82,9 @@
         if (target === undefined) {
             return;
         }
-        const verdict = daemon.quarantine.check(parts, part => this.exchange.mayTry(daemon, part), time.now);
+        const mayTry = (part: string, count: number): boolean => this.exchange.mayTry(daemon, part, count);
+        const verdict = daemon.quarantine.check(parts, mayTry, time.now);
+        daemon.announced ||= verdict.kind === "trial";
         if (attempt === 1 && this.isSound(request)) {
             sound.push({ first: parts[0] ?? "", at: time.now, isRefused: verdict.kind === "refused" });
         }
--- a/packages/proofs/src/bench/quarantine/partexchange.ts
+++ b/packages/proofs/src/bench/quarantine/partexchange.ts
@@ -1,5 +1,5 @@
 /** Exchange of what the simulated daemons know about parts, with delays and losses. */
-import { type PartStatement, rendezvous } from "@damaskvale/core";
+import { type PartStatement, trialRank } from "@damaskvale/core";
 import { type Daemon, type FleetWorld, shiftReport } from "./partfleettypes.js";
 import { TICK_MILLISECONDS } from "./simulatedtime.js";
 
@@ -35,15 +35,14 @@
         }
     }
 
-    /** Whether a daemon is the one that tries a part again. */
-    mayTry(daemon: Daemon, part: string): boolean {
+    /** Whether a daemon is among the first `count` that may try a part again. */
+    mayTry({ index, heardAt }: Daemon, part: string, count: number): boolean {
         const { time, daemons } = this.world;
-        const heard = daemons.filter(other =>
-            other === daemon
-            || time.now - (daemon.heardAt.get(other.index) ?? Number.NEGATIVE_INFINITY) < HEARD_MILLISECONDS
-        );
-        const names = heard.map(({ index }) => `d${index}`);
-        return heard.length * 2 > daemons.length && rendezvous(part, names, 1)[0] === `d${daemon.index}`;
+        const reachable = daemons.filter(other =>
+            other.index !== index
+            && time.now - (heardAt.get(other.index) ?? Number.NEGATIVE_INFINITY) < HEARD_MILLISECONDS
+        ).map(other => `d${other.index}`);
+        return trialRank(part, { self: `d${index}`, reachable, known: daemons.length }) < count;
     }
 
     private announce(from: Daemon): void {
