Try a sound part a second time when its trial fails after many crashes

A failed trial after more than three crashes was the last one, so that an operator had to release the part. Such a part gets two trials now. Two daemons may begin the first at once and one the second, so that three requests reach targets, as the rule allows.

A new case of trials.test.ts expects a trial where there was none.

--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -62,8 +62,11 @@
 export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
 /** While nobody has tried a part that is due, twice as many daemons may after each such time. */
 export const TRIAL_STAGE_MILLISECONDS = 500;
-/** Daemons that may try a part with more crashes than `MAXIMUM_CRASHES_FOR_TRIAL`, since their trials count singly. */
-export const MAXIMUM_LATE_TRIAL_DAEMONS = 2;
+/**
+ * Trials of a part that was sound before and met more crashes than `MAXIMUM_CRASHES_FOR_TRIAL`. A first one can fail by
+ * another part. Two daemons may make the first trial at once, so that three requests in all reach a target.
+ */
+export const MAXIMUM_LATE_TRIALS = 2;
 /** A trial without a result is repeated after this time, which grows too. */
 export const TRIAL_RESULT_MILLISECONDS = 10_000;
 /** Time that callers are told when no automatic trial is left. */
--- a/packages/core/src/quarantine/statements.ts
+++ b/packages/core/src/quarantine/statements.ts
@@ -4,6 +4,7 @@
     CRASH_RETENTION_MILLISECONDS,
     DOUBTFUL_TRIAL_PAUSE_MILLISECONDS,
     MAXIMUM_CRASHES_FOR_TRIAL,
+    MAXIMUM_LATE_TRIALS,
     MAXIMUM_STATEMENTS,
     OPERATOR_REVISIONS,
     STATEMENT_RETENTION_MILLISECONDS,
@@ -99,12 +100,12 @@
 
 /**
  * Returns the time of the next automatic trial, or infinity if none is left. A part that was sound before can meet many
- * crashes at once by another cause, and gets one trial then, too.
+ * crashes at once by another cause, and gets two trials then, too.
  */
 export function nextTrialAt(statement: PartStatement): number {
     const { crashes, cause, trials, trialAt, statedAt, wasProven, isAmbiguous } = statement;
     const isLate = crashes > MAXIMUM_CRASHES_FOR_TRIAL;
-    if (isLate && (!wasProven || cause === "trial-failed")) {
+    if (isLate && (!wasProven || cause === "trial-failed" && trials >= MAXIMUM_LATE_TRIALS)) {
         return Number.POSITIVE_INFINITY;
     }
     if (trialAt !== undefined) {
--- a/packages/core/src/quarantine/tests/trials.test.ts
+++ b/packages/core/src/quarantine/tests/trials.test.ts
@@ -32,6 +32,18 @@
     { guards: "trials beside one that was told", given: { trials: 1, trialAt: PAUSE }, now: PAUSE + 5_000, daemons: 0 },
     { guards: "a trial without a result that is the last", given: { trials: 1, trialAt: 0 }, now: 10_000, daemons: 1 },
     { guards: "many trials after the fifth crash", given: late, now: 3_600_000, daemons: 2 },
+    {
+        guards: "a sound part whose trial failed by another part and that nobody tries again",
+        given: { ...late, cause: "trial-failed", trials: 1 },
+        now: 3_600_000,
+        daemons: 1,
+    },
+    {
+        guards: "a third trial after the fifth crash",
+        given: { ...late, cause: "trial-failed", trials: 2 },
+        now: 3_600_000,
+        daemons: 0,
+    },
     { guards: "a trial after a failed one and four crashes", given: { crashes: 4 }, now: 3_600_000, daemons: 0 },
 ];
 
--- a/packages/core/src/quarantine/trials.ts
+++ b/packages/core/src/quarantine/trials.ts
@@ -3,7 +3,7 @@
  * them while none has had such a request, because the requests of a rare part reach each daemon rarely.
  */
 import { rendezvous } from "../membership/rendezvous.js";
-import { MAXIMUM_CRASHES_FOR_TRIAL, MAXIMUM_LATE_TRIAL_DAEMONS, TRIAL_STAGE_MILLISECONDS } from "./constants.js";
+import { MAXIMUM_CRASHES_FOR_TRIAL, MAXIMUM_LATE_TRIALS, TRIAL_STAGE_MILLISECONDS } from "./constants.js";
 import { nextTrialAt } from "./statements.js";
 import type { PartStatement } from "./types.js";
 
@@ -23,7 +23,11 @@
         return 0;
     }
     const daemons = 2 ** Math.floor(overdue / TRIAL_STAGE_MILLISECONDS);
-    return statement.crashes > MAXIMUM_CRASHES_FOR_TRIAL ? Math.min(daemons, MAXIMUM_LATE_TRIAL_DAEMONS) : daemons;
+    return statement.crashes > MAXIMUM_CRASHES_FOR_TRIAL ? Math.min(daemons, lateDaemons(statement)) : daemons;
+}
+
+function lateDaemons({ trials }: PartStatement): number {
+    return Math.max(1, MAXIMUM_LATE_TRIALS - trials);
 }
 
 /**
