Give a requested model without a group the hosts of other groups

Cause: groups were chosen over the free hosts of one domain only.

Change: when a model that callers request has had no group in any domain for 3 s, all owners rank the domains by the same registry; the first one closes as many groups of other models as the new group needs, lets their streams end, and forms the group of their hosts. The last group of a requested model is never released, nor any group while free hosts suffice. The next domain in the ranking follows after 30 s without a group. Event 425 names the groups, the inputs and the time without a group.

--- a/packages/core/src/engines/assessment.ts
+++ b/packages/core/src/engines/assessment.ts
@@ -12,14 +12,20 @@
     /** Head of the group, unless it is unknown or lost. */
     readonly head?: Target;
     readonly lostMember: boolean;
-    /** Whether a member is draining, or the head's registry entry lapsed for good, so that it gets no requests. */
+    /**
+     * Whether the group is to end: a member is draining, the head's registry entry lapsed for good, so that it gets no
+     * requests, or its hosts are needed for a model without a group.
+     */
     readonly retiring: boolean;
+    /** Whether the hosts of the group will soon be needed for a model without a group, so that it is not opened. */
+    readonly withheld: boolean;
 }
 
 /** Assesses a group by the state of its hosts and the orders in progress. */
 export function assessGroup(group: EngineGroup, input: DomainPlanInput, pending: PendingOperations): AssessedGroup {
     const hosts = new Map(input.hosts.map(host => [host.target.id, host]));
     const isLost = (id: string): boolean => hosts.get(id)?.lost ?? true;
+    const isReleased = input.reassignment?.releases.includes(group.name) === true;
     const willNotJoin = (id: string): boolean => isLost(id) || hosts.get(id)?.target.draining === true;
     return {
         group,
@@ -27,15 +33,17 @@
         head: group.head === undefined || isLost(group.head.id) ? undefined : group.head,
         lostMember: !group.complete || group.members.some(member => isLost(member.id)),
         retiring: group.members.some(member => member.draining)
-            || (group.head !== undefined && hosts.get(group.head.id)?.lapsed === true),
+            || (group.head !== undefined && hosts.get(group.head.id)?.lapsed === true)
+            || (isReleased && input.reassignment?.due === true),
+        withheld: isReleased,
     };
 }
 
 /** Returns the orders that open, close or dissolve a group. */
 export function ordersForGroup(assessed: AssessedGroup): EngineOrder[] {
-    const { group, forming, head, lostMember } = assessed;
+    const { group, forming, head, lostMember, withheld } = assessed;
     const { name, epoch } = group;
-    if (isReadyToOpen(group) && head !== undefined && !lostMember) {
+    if (isReadyToOpen(group) && head !== undefined && !lostMember && !withheld) {
         return [{ kind: "open", host: head.id, group: name, epoch }];
     }
     if (forming) {
--- a/packages/core/src/engines/demand.ts
+++ b/packages/core/src/engines/demand.ts
@@ -8,6 +8,8 @@
     record(model: string, workMilliseconds: number, now: number): void;
     /** Returns the work of each model relative to the others. Few requests are blended with the configured shares. */
     demandByModel(models: readonly ModelProfile[], now: number): ReadonlyMap<string, number>;
+    /** Returns the models that callers requested recently and more than once, whatever the configured shares are. */
+    requestedModels(now: number): ReadonlySet<string>;
 }
 
 /** Prompt and output tokens of one request. */
@@ -20,6 +22,8 @@
 const DECAY_MILLISECONDS = 10_000;
 /** Weight of the configured shares, as a number of requests. */
 const PRIOR_WEIGHT_REQUESTS = 10;
+/** Least decayed number of requests of a model that callers request; a single request never reaches it for long. */
+const MINIMUM_REQUESTS = 1;
 
 /** Returns the time that a request occupies a group: its prefill and its part of the decode steps of a full group. */
 export function requestWorkMilliseconds(engine: EngineProfile, model: ModelProfile, tokens: RequestTokens): number {
@@ -30,6 +34,7 @@
 /** Creates a meter without requests. */
 export function createDemandMeter(): DemandMeter {
     const workByModel = new Map<string, number>();
+    const requestsByModel = new Map<string, number>();
     let requests = 0;
     let decayedAt = 0;
 
@@ -37,6 +42,7 @@
         const factor = Math.exp((decayedAt - now) / DECAY_MILLISECONDS);
         requests *= factor;
         workByModel.forEach((amount, model) => workByModel.set(model, amount * factor));
+        requestsByModel.forEach((count, model) => requestsByModel.set(model, count * factor));
         decayedAt = now;
     };
     return {
@@ -44,6 +50,13 @@
             decay(now);
             requests += 1;
             workByModel.set(model, (workByModel.get(model) ?? 0) + workMilliseconds);
+            requestsByModel.set(model, (requestsByModel.get(model) ?? 0) + 1);
+        },
+        requestedModels: now => {
+            decay(now);
+            return new Set(
+                [...requestsByModel].filter(([, count]) => count >= MINIMUM_REQUESTS).map(([model]) => model),
+            );
         },
         demandByModel: (models, now) => {
             decay(now);
--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -59,7 +59,33 @@
         loadsAllowed: Math.max(0, input.loadsAllowedSoon),
         loadsAreQuick: input.loadsAreQuick,
     };
-    return { demands, free, newGroups: chooseGroupCounts(demands, free) };
+    return { demands, free, newGroups: withReassignment(chooseGroupCounts(demands, free), input, targets.length) };
+}
+
+/**
+ * Returns the chosen numbers of groups, or one group of the model that this domain is to form if none of it was chosen,
+ * for example because its loads exceed the rate: they then start one after the other.
+ */
+function withReassignment(
+    newGroups: ReadonlyMap<string, number>,
+    { models, reassignment }: DomainPlanInput,
+    freeHosts: number,
+): ReadonlyMap<string, number> {
+    const model = models.find(({ name }) => name === reassignment?.model);
+    const isMissing = model !== undefined && model.size <= freeHosts && (newGroups.get(model.name) ?? 0) === 0;
+    return isMissing ? new Map(models.map(({ name }) => [name, name === model.name ? 1 : 0])) : newGroups;
+}
+
+/** Returns the loads of free hosts for a model without a group for which more hosts become free. */
+export function loadsForReassignment(
+    { reassignment, models }: DomainPlanInput,
+    free: readonly Target[],
+    pending: PendingOperations,
+): WeightLoad[] {
+    const model = models.find(({ name }) => name === reassignment?.model);
+    return model === undefined || reassignment?.due !== true
+        ? []
+        : free.filter(target => !pending.holdsWeights(target, model.name)).map(target => ({ target, model }));
 }
 
 /**
--- a/packages/core/src/engines/groupcounts.ts
+++ b/packages/core/src/engines/groupcounts.ts
@@ -68,6 +68,11 @@
     return demands.map(entry => ({ ...entry, demand: total > 0 ? entry.demand / total : 1 / demands.length }));
 }
 
+/** Returns the cost of the load of a model whose groups share its part of the demand. */
+export function loadCost(share: number, groups: number): number {
+    return share * (share / groups) ** LOAD_EXPONENT;
+}
+
 function costOf(demands: readonly ModelDemand[], counts: readonly number[], free: FreeHosts): number {
     const spares = remainingSpares(demands, counts, free);
     const forgoneGroups = demands.reduce((sum, { profile, holders }, index) => {
@@ -80,7 +85,7 @@
             return sum + entry.demand * NO_GROUP_COST;
         }
         const hasSpare = spares.others > 0 || (spares.holders[index] ?? 0) > 0;
-        return sum + entry.demand * (entry.demand / effectiveGroups(entry, added, hasSpare, free)) ** LOAD_EXPONENT;
+        return sum + loadCost(entry.demand, effectiveGroups(entry, added, hasSpare, free));
     }, 0);
     return load * (1 + forgoneGroups * FORGONE_GROUP_COST);
 }
--- a/packages/core/src/engines/planinput.ts
+++ b/packages/core/src/engines/planinput.ts
@@ -1,5 +1,6 @@
 /** Input of the planner of a domain. */
 import type { ModelProfile } from "../routes/types.js";
+import type { GrantedReassignment } from "./starvation.js";
 import type { Target } from "./types.js";
 
 /** State of one host as the planner sees it. */
@@ -26,6 +27,8 @@
     readonly groupsByModel: ReadonlyMap<string, number>;
     /** Work requested of each model, relative to the others. */
     readonly demandByModel: ReadonlyMap<string, number>;
+    /** Group of a model without any that this domain is to form, if it is this domain's turn. */
+    readonly reassignment?: GrantedReassignment;
     /** Number of loads from the weight store that may start now. */
     readonly loadsAllowed: number;
     /** Number of loads that may start within the next seconds. */
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -9,6 +9,7 @@
     type FreeHostAllocation,
     type GroupChoice,
     joinOrders,
+    loadsForReassignment,
     repeatJoins,
 } from "./forming.js";
 import { collectGroups, countCompleteGroups } from "./groups.js";
@@ -69,9 +70,12 @@
     }
     const free = freeHostsOf(input, groups, pending);
     const groupsInDomain = countCompleteGroups(groups.map(({ group }) => group));
-    const choice = canFormGroups(input, changes) ? chooseGroups(input, free, groupsInDomain, pending) : undefined;
+    const isAwaitingHosts = free.length < hostsForReassignment(input);
+    const choice = !isAwaitingHosts && canFormGroups(input, changes)
+        ? chooseGroups(input, free, groupsInDomain, pending)
+        : undefined;
     const allocation: FreeHostAllocation = choice === undefined
-        ? { joins: [], loading: [], idle: free }
+        ? allocateWithoutChoice(input, free, isAwaitingHosts, pending)
         : formGroups(input, choice.newGroups, free, pending);
     if (allocation.joins.length > 0) {
         return { orders: allocation.joins, choice };
@@ -89,6 +93,23 @@
     return { orders: warmSpare(input, groups, free, pending), choice };
 }
 
+/** Returns the number of hosts that the domain needs for a model without a group, or 0. */
+function hostsForReassignment({ models, reassignment }: DomainPlanInput): number {
+    return models.find(({ name }) => name === reassignment?.model)?.size ?? 0;
+}
+
+/** Returns how hosts are used while no groups are formed: they may load weights for a model that awaits more hosts. */
+function allocateWithoutChoice(
+    input: DomainPlanInput,
+    free: readonly Target[],
+    isAwaitingHosts: boolean,
+    pending: PendingOperations,
+): FreeHostAllocation {
+    const loading = isAwaitingHosts ? loadsForReassignment(input, free, pending) : [];
+    const loadingIds = new Set(loading.map(({ target }) => target.id));
+    return { joins: [], loading, idle: free.filter(({ id }) => !loadingIds.has(id)) };
+}
+
 /** Returns the free hosts that can get an order now and are not expected in a group that is being formed. */
 function freeHostsOf(input: DomainPlanInput, groups: readonly AssessedGroup[], pending: PendingOperations): Target[] {
     const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
--- a/packages/core/src/engines/tests/demand.test.ts
+++ b/packages/core/src/engines/tests/demand.test.ts
@@ -84,3 +84,13 @@
         expect([newGroups.get("large"), newGroups.get("small")]).to.deep.equal([0, 4]);
     });
 });
+
+describe("requested models", () => {
+    it("are those with recent requests, whatever the shares are, but not one with a single request", () => {
+        const meter = createDemandMeter();
+        Array.from({ length: 4 }, () => meter.record("large", 10, 1_000));
+        meter.record("small", 10, 1_000);
+        expect([...meter.requestedModels(3_000)]).to.deep.equal(["large"]);
+        expect([...meter.requestedModels(60_000)]).to.deep.equal([]);
+    });
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,8 @@
 export * from "./engines/orders.js";
 export * from "./engines/planinput.js";
 export * from "./engines/planner.js";
+export * from "./engines/reassignment.js";
+export * from "./engines/starvation.js";
 export * from "./engines/types.js";
 export * from "./groups/confirm.js";
 export * from "./groups/constants.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -1,7 +1,5 @@
 /** Plans the groups of the domains that this daemon owns, sends orders to engines, and reads back their effect. */
 import {
-    collectGroups,
-    countCompleteGroups,
     createDomainPlanner,
     type DemandMeter,
     type DomainPlanInput,
@@ -9,6 +7,7 @@
     type EngineHost,
     type EngineOrder,
     type EngineProfile,
+    type GrantedReassignment,
     type GroupChoice,
     type GroupMembership,
     type Service,
@@ -21,8 +20,10 @@
 import type { PartitionAssignment } from "../ports/registry.js";
 import type { RelayState, ReportedMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
+import { countGroups, domainsOf, roundDemand } from "./fleet.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
+import { createReassignments, type Reassignments } from "./reassignments.js";
 
 /** Collaborators of the planner. */
 export interface EnginePlannerParts {
@@ -52,8 +53,6 @@
 const ROUND_INTERVAL_MILLISECONDS = 100;
 /** Groups may be chosen whose loads cannot all start now, as long as the rate allows them within this time. */
 const LOAD_HORIZON_SECONDS = 10;
-/** Significant digits of demands in the log. */
-const DEMAND_DIGITS = 3;
 /** Debounce time, so that orders that finish together trigger one round. */
 const ROUND_DELAY_MILLISECONDS = 5;
 
@@ -72,6 +71,7 @@
     private readonly refusedTokens = new Map<string, number>();
     /** Last logged choice of groups, by domain. */
     private readonly loggedChoices = new Map<string, string>();
+    private readonly reassignments: Reassignments;
     private highestEpoch = 0;
     /** Groups whose heads were announced to the other daemons as serving. */
     private announcedServing: ReadonlySet<string> = new Set();
@@ -79,7 +79,10 @@
     private stopped = false;
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly parts: EnginePlannerParts) {}
+    constructor(private readonly parts: EnginePlannerParts) {
+        const describe = (target: Target): EngineHost => this.records.describe(target, parts.clock.monotonic());
+        this.reassignments = createReassignments({ ...parts, describe });
+    }
 
     start(): void {
         this.timer = setInterval(() => this.planRound(), ROUND_INTERVAL_MILLISECONDS);
@@ -130,13 +133,22 @@
             if (engine !== undefined) {
                 const domains = domainsOf(state, service.name)
                     .filter(domain => assignment.partitions.includes(partitionOf(domain, partitionCount)));
-                domains.forEach(domain => this.planDomain(domain, service, engine, assignment));
+                const reassignments = this.reassignments.update(service, engine, domains);
+                domains.forEach(domain =>
+                    this.planDomain(domain, service, engine, assignment, reassignments.get(domain))
+                );
                 this.announceServing(domains);
             }
         });
     }
 
-    private planDomain(domain: string, service: Service, engine: EngineProfile, assignment: PartitionAssignment): void {
+    private planDomain(
+        domain: string,
+        service: Service,
+        engine: EngineProfile,
+        assignment: PartitionAssignment,
+        reassignment: GrantedReassignment | undefined,
+    ): void {
         const { clock, state, partitionCount, demandOf } = this.parts;
         const now = clock.monotonic();
         const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
@@ -155,6 +167,7 @@
             models: engine.models,
             groupsByModel: countGroups(state, service.name),
             demandByModel: demandOf(service.name).demandByModel(engine.models, now),
+            reassignment,
             ...this.allowedLoads(loadsPerSecond, now),
             registryDelayMilliseconds: this.parts.registryDelayMilliseconds(),
             fencingToken: assignment.fencingToken,
@@ -199,7 +212,7 @@
         }
         const models = choice.demands.map(({ profile: { name }, demand, groups, holders }) => ({
             name,
-            demand: roundToDigits(demand, DEMAND_DIGITS),
+            demand: roundDemand(demand),
             groups,
             holders,
             chosen: choice.newGroups.get(name),
@@ -308,10 +321,6 @@
     }
 }
 
-function roundToDigits(value: number, digits: number): number {
-    return Number(value.toPrecision(digits));
-}
-
 /** Returns whether most hosts are unreachable, so that this daemon is probably partitioned from a working domain. */
 function isNetworkPartitioned(hosts: readonly EngineHost[]): boolean {
     return hosts.filter(host => host.unreachable).length * 2 > hosts.length;
@@ -321,18 +330,7 @@
     return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
 }
 
-function domainsOf(state: RelayState, service: string): string[] {
-    const domains = state.targets().filter(target => target.service === service).map(target => target.domain);
-    return [...new Set(domains)].filter(domain => domain !== undefined);
-}
-
 /** Returns the partition of a domain, which is the same on every daemon. */
 function partitionOf(domain: string, partitionCount: number): number {
     return createHash("sha256").update(domain).digest().readUInt32BE(0) % partitionCount;
 }
-
-function countGroups(state: RelayState, service: string): Map<string, number> {
-    const engine = state.lookup()?.findService(service)?.engine;
-    const targets = state.targets().filter(target => target.service === service);
-    return countCompleteGroups(collectGroups(targets, engine?.models ?? []));
-}
--- /dev/null
+++ b/packages/daemon/src/engines/reassignments.ts
@@ -0,0 +1,107 @@
+/** Watches the fleets of engine services for models without a group, and tells domains which groups to take apart. */
+import {
+    createStarvationWatch,
+    type DemandMeter,
+    type EngineHost,
+    type EngineProfile,
+    type Fleet,
+    type GrantedReassignment,
+    type Service,
+    type StarvationWatch,
+    type Target,
+} from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { RelayState } from "../relay/state.js";
+import { countGroups, roundDemand } from "./fleet.js";
+
+/** Collaborators of the reassignments. */
+export interface ReassignmentParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly state: RelayState;
+    readonly demandOf: (service: string) => DemandMeter;
+    /** Returns a host of an own domain as this daemon's planner sees it. */
+    readonly describe: (target: Target) => EngineHost;
+}
+
+/** Reassignments of the domains that this daemon owns. */
+export interface Reassignments {
+    /** Returns the reassignment of each domain of a service that has one, by domain, and logs those that are new. */
+    update(service: Service, engine: EngineProfile, ownDomains: readonly string[]): ReadonlyMap<
+        string,
+        GrantedReassignment
+    >;
+}
+
+/** Creates reassignments for fleets that have not been seen yet. */
+export function createReassignments(parts: ReassignmentParts): Reassignments {
+    return new ReassignmentTask(parts);
+}
+
+class ReassignmentTask implements Reassignments {
+    private readonly watches = new Map<string, StarvationWatch>();
+    /** Last logged reassignment, by domain. */
+    private readonly logged = new Map<string, string>();
+
+    constructor(private readonly parts: ReassignmentParts) {}
+
+    update(
+        service: Service,
+        engine: EngineProfile,
+        ownDomains: readonly string[],
+    ): ReadonlyMap<string, GrantedReassignment> {
+        const fleet = this.fleetOf(service, engine, ownDomains);
+        const watch = this.watches.get(service.name) ?? createStarvationWatch();
+        this.watches.set(service.name, watch);
+        const granted = new Map(
+            watch.update(fleet, this.parts.clock.monotonic()).filter(({ domain }) => ownDomains.includes(domain))
+                .map(reassignment => [reassignment.domain, reassignment]),
+        );
+        ownDomains.forEach(domain => this.logNew(domain, granted.get(domain), fleet));
+        return granted;
+    }
+
+    /** Returns the fleet of a service in all domains; hosts of own domains are as their engines reported last. */
+    private fleetOf({ name }: Service, { models }: EngineProfile, ownDomains: readonly string[]): Fleet {
+        const { clock, state, demandOf, describe } = this.parts;
+        const now = clock.monotonic();
+        const targets = state.targets().filter(target => target.service === name).flatMap(target => {
+            if (target.domain === undefined || !ownDomains.includes(target.domain)) {
+                return target;
+            }
+            const host = describe(target);
+            return host.lost || host.unreachable ? [] : host.target;
+        });
+        return {
+            models,
+            targets,
+            requestedModels: demandOf(name).requestedModels(now),
+            demandByModel: demandOf(name).demandByModel(models, now),
+            groupsByModel: countGroups(state, name),
+        };
+    }
+
+    /** Logs why groups of a domain are taken apart, once for each reassignment. */
+    private logNew(domain: string, reassignment: GrantedReassignment | undefined, fleet: Fleet): void {
+        if (reassignment === undefined) {
+            this.logged.delete(domain);
+            return;
+        }
+        const { model, releases, freeHosts, loads, starvedMilliseconds, due } = reassignment;
+        const seen = [model, ...releases].join();
+        if (!due || releases.length === 0 || this.logged.get(domain) === seen) {
+            return;
+        }
+        this.logged.set(domain, seen);
+        const models = fleet.models.map(({ name, size }) => ({
+            name,
+            size,
+            demand: roundDemand(fleet.demandByModel.get(name) ?? 0),
+            requested: fleet.requestedModels.has(name),
+            groups: fleet.groupsByModel.get(name) ?? 0,
+        }));
+        const milliseconds = Math.round(starvedMilliseconds);
+        this.parts.log.emit("groupsReassigned", { domain, model, releases, freeHosts, loads, milliseconds, models });
+    }
+}
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -179,6 +179,12 @@
     engineReported: define(422, "info", "The state of an engine was read from the engine itself."),
     domainFenced: define(423, "warn", "An engine has orders of a newer owner; this daemon waits for its next lease."),
     groupsChosen: define(424, "info", "Groups were chosen for the free hosts of a domain."),
+    groupsReassigned: define(
+        425,
+        "warn",
+        "Groups of a domain are taken apart because a model that callers request has no group in any domain.",
+        "If it repeats, add hosts or change the shares of the models.",
+    ),
     groupFormed: define(401, "info", "A replica group was formed."),
     groupDissolved: define(402, "info", "A replica group was dissolved."),
     groupTakenOver: define(403, "warn", "A replica group was taken over from a holder whose lease expired."),
