Keep loads of targets at or above zero, and drop unused entries

Cause: a first event or bytes of an unknown target made an entry that stayed, and a first event told twice counted awaitingFirstEvent to -1. Change: only requests and suspicions make entries; counts stop at 0; an entry without requests and suspicion is dropped.

--- a/packages/core/src/placement/loadtracker.ts
+++ b/packages/core/src/placement/loadtracker.ts
@@ -48,6 +48,12 @@
     streams: boolean;
 }
 
+/** Takes one request off those without a first event. */
+function startRequest(load: MutableLoad, promptTokens: number): void {
+    load.awaitingFirstEvent = Math.max(0, load.awaitingFirstEvent - 1);
+    load.pendingPromptTokens = Math.max(0, load.pendingPromptTokens - promptTokens);
+}
+
 /** Creates an empty tracker. */
 export function createLoadTracker(): LoadTracker {
     const loads = new Map<string, MutableLoad>();
@@ -59,6 +65,17 @@
         return load;
     };
 
+    const dropIfUnused = (target: string, { inProgress, suspectedAt }: MutableLoad): void => {
+        if (inProgress === 0 && suspectedAt === undefined) {
+            loads.delete(target);
+        }
+    };
+    const recordProgress = (target: string, load: MutableLoad, now: number): void => {
+        load.lastProgressAt = now;
+        load.suspectedAt = undefined;
+        dropIfUnused(target, load);
+    };
+
     return {
         get: target => loads.get(target),
         sent: (target, { promptTokens, stream }, now) => {
@@ -72,30 +89,29 @@
             load.pendingPromptTokens += promptTokens;
         },
         started: (target, promptTokens, now) => {
-            const load = loadOf(target, now);
-            load.awaitingFirstEvent -= 1;
-            load.pendingPromptTokens -= promptTokens;
-            load.lastProgressAt = now;
-            load.suspectedAt = undefined;
+            const load = loads.get(target);
+            if (load === undefined) {
+                return;
+            }
+            startRequest(load, promptTokens);
+            recordProgress(target, load, now);
         },
         progressed: (target, now) => {
-            const load = loadOf(target, now);
-            load.lastProgressAt = now;
-            load.suspectedAt = undefined;
+            const load = loads.get(target);
+            if (load !== undefined) {
+                recordProgress(target, load, now);
+            }
         },
         ended: (target, promptTokens, started) => {
             const load = loads.get(target);
             if (load === undefined) {
                 return;
             }
-            load.inProgress -= 1;
+            load.inProgress = Math.max(0, load.inProgress - 1);
             if (!started) {
-                load.awaitingFirstEvent -= 1;
-                load.pendingPromptTokens -= promptTokens;
-            }
-            if (load.inProgress <= 0 && load.suspectedAt === undefined) {
-                loads.delete(target);
+                startRequest(load, promptTokens);
             }
+            dropIfUnused(target, load);
         },
         suspect: (target, now, group) => {
             const load = loadOf(target, now);
@@ -106,9 +122,7 @@
             const load = loads.get(target);
             if (load !== undefined) {
                 load.suspectedAt = undefined;
-            }
-            if (load !== undefined && load.inProgress <= 0) {
-                loads.delete(target);
+                dropIfUnused(target, load);
             }
         },
         targets: () => [...loads.keys()],
