State the wait for a free slot without multiplying by the slots twice

Cause: the estimate divided by groups times slots and multiplied by slots. Change: it divides by the groups, which is the same for every profile with slots; the comment says why it is not the wait for the first free slot: callers that were refused together need one each. The wait for the first slot would be below 100 ms, which the present test forbids.

--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -144,8 +144,11 @@
     return Math.round(RECOVERY_RETRY_MILLISECONDS + random() * RECOVERY_RETRY_JITTER_MILLISECONDS);
 }
 
-/** Estimates the wait for a free slot: the mean duration of a response in a full group over the number of groups. */
+/**
+ * Estimates the wait for a free slot: the mean duration of a response in a full group over the number of groups. In this
+ * time as many slots become free as one group has, so that the callers that were refused together find one each.
+ */
 function slotWaitMilliseconds({ engine, model }: PlacementInput, candidates: readonly PlacementCandidate[]): number {
     const duration = decodeStepMilliseconds(engine, model, engine.slots) * engine.meanOutputTokens;
-    return Math.ceil(duration / Math.max(1, candidates.length * engine.slots) * engine.slots);
+    return Math.ceil(duration / Math.max(1, candidates.length));
 }
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -1,7 +1,7 @@
 /** Requests go to groups with free slots, or are refused at once with a time to retry if no group can start them. */
 import { expect } from "chai";
 import type { EngineProfile } from "../../routes/types.js";
-import { type PlacementCandidate, type PlacementInput, placeRequest } from "../place.js";
+import { decodeStepMilliseconds, type PlacementCandidate, type PlacementInput, placeRequest } from "../place.js";
 
 const model = { name: "large", size: 6, share: 0.67, pace: 1, loadMilliseconds: 16_000, warmMilliseconds: 1_600 };
 const engine: EngineProfile = {
@@ -105,6 +105,17 @@
         expect(placement.kind === "refused" && placement.retryAfterMilliseconds).to.be.within(100, 3_000);
     });
 
+    it("tells a refused caller to wait for as many free slots as one group has", () => {
+        const fullGroups = (count: number): PlacementCandidate[] =>
+            Array.from({ length: count }, (...[, index]) => candidate(`${index}`, { inProgress: engine.slots }));
+        const waits = [1, 2, 4].map(count => {
+            const placement = placeRequest(input(fullGroups(count)));
+            return placement.kind === "refused" ? placement.retryAfterMilliseconds : 0;
+        });
+        const duration = decodeStepMilliseconds(engine, model, engine.slots) * engine.meanOutputTokens;
+        expect(waits).to.deep.equal([1, 2, 4].map(count => Math.ceil(duration / count)));
+    });
+
     it("tells a caller refused for a limit to return when the first target takes a request, or within twice that time", () => {
         const limited = [800, 500].map((wait, index) => candidate(`${index}`, { rateWaitMilliseconds: wait }));
         const waits = [0, 0.999].map(random => {
