Take an unregistered host that loads before an empty one

Cause: the penalty for a lapsed entry, 1.5, exceeded the distance between the ranks of a loading and an empty host, against its comment. Change: the rank of empty hosts leaves room for the penalty.

--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -35,7 +35,7 @@
 type JoinOrder = Extract<EngineOrder, { kind: "join"; }>;
 
 /** Ranks of hosts for a group by the weights that they hold; hosts with lower ranks are taken first. */
-const HOST_RANKS = { warm: 0, holding: 1, busy: 2, loading: 3, empty: 4, otherWeights: 5 } as const;
+const HOST_RANKS = { warm: 0, holding: 1, busy: 2, loading: 3, empty: 5, otherWeights: 6 } as const;
 /** Added to the rank of a host whose registry entry lapsed: it is taken before hosts that must load the weights. */
 const UNREGISTERED_PENALTY = 1.5;
 
