Announce serving groups once with several engine services

Cause: the set of announced groups was replaced for each service, so that all groups were announced each round. Change: the heads of all services are compared once a round.

--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -104,12 +104,19 @@
             .forEach(member => this.records.recordSuspicion(member, now));
     }
 
-    /** Announces heads that started serving since the last round; other daemons would see them only in their next read. */
-    private announceServing(domains: readonly string[]): void {
+    /**
+     * Announces heads of the own domains of all services that started serving since the last round; other daemons would
+     * see them only in their next read.
+     */
+    private announceServing(assignment: PartitionAssignment): void {
         const { state, onMembership } = this.parts;
-        const serving = state.targets().filter(({ domain, membership }) =>
-            membership?.state === "open" && domain !== undefined && domains.includes(domain)
-        );
+        const serving = this.engineServices().flatMap(({ service }) => {
+            const domains = this.ownDomainsOf(service, assignment);
+            return state.targets().filter(target =>
+                target.service === service.name && target.membership?.state === "open"
+                && target.domain !== undefined && domains.includes(target.domain)
+            );
+        });
         serving.filter(target => !this.announcedServing.has(target.membership?.group ?? "")).forEach(target =>
             onMembership({
                 host: target.id,
@@ -122,24 +129,31 @@
     }
 
     private planRound(): void {
-        const { state, lease, partitionCount } = this.parts;
+        const { state, lease } = this.parts;
         const assignment = lease.current();
         if (assignment === undefined) {
             return;
         }
         this.records.retain(new Set(state.targets().map(target => target.id)));
-        (state.lookup()?.configuration.services ?? []).forEach(service => {
-            const { engine } = service;
-            if (engine !== undefined) {
-                const domains = domainsOf(state, service.name)
-                    .filter(domain => assignment.partitions.includes(partitionOf(domain, partitionCount)));
-                const reassignments = this.reassignments.update(service, engine, domains);
-                domains.forEach(domain =>
-                    this.planDomain(domain, service, engine, assignment, reassignments.get(domain))
-                );
-                this.announceServing(domains);
-            }
+        this.engineServices().forEach(({ service, engine }) => {
+            const domains = this.ownDomainsOf(service, assignment);
+            const reassignments = this.reassignments.update(service, engine, domains);
+            domains.forEach(domain =>
+                this.planDomain(domain, service, engine, assignment, reassignments.get(domain))
+            );
         });
+        this.announceServing(assignment);
+    }
+
+    private engineServices(): { readonly service: Service; readonly engine: EngineProfile; }[] {
+        return (this.parts.state.lookup()?.configuration.services ?? []).flatMap(service =>
+            service.engine === undefined ? [] : [{ service, engine: service.engine }]
+        );
+    }
+
+    private ownDomainsOf({ name }: Service, { partitions }: PartitionAssignment): string[] {
+        const { state, partitionCount } = this.parts;
+        return domainsOf(state, name).filter(domain => partitions.includes(partitionOf(domain, partitionCount)));
     }
 
     private planDomain(
