Drop the usage of rules without requests

Cause: the usage of a rule with a rate was kept after the rule was removed. Change: once a second, usage without requests in progress or in the window is dropped.

--- a/packages/daemon/src/dispatch/rulelimits.ts
+++ b/packages/daemon/src/dispatch/rulelimits.ts
@@ -7,6 +7,8 @@
     allows(rule: RowOf<"rule"> | undefined, now: number): boolean;
     /** Counts a request against the rule until the returned function is called. */
     begin(rule: RowOf<"rule"> | undefined, now: number): () => void;
+    /** Number of rules with requests in progress or in the last seconds. */
+    rulesInUse(): number;
 }
 
 interface Usage {
@@ -20,10 +22,22 @@
 /** Creates the limits. Usage is tracked only for rules that set a limit. */
 export function createRuleLimits(): RuleLimits {
     const usages = new Map<string, Usage>();
+    let prunedAt = 0;
 
+    /** Drops the usage of rules without requests; a rule may have been removed since its last one. */
+    const pruneUnused = (now: number): void => {
+        if (now - prunedAt < RATE_WINDOW_MILLISECONDS) {
+            return;
+        }
+        prunedAt = now;
+        [...usages].filter(([, { inProgress, starts }]) =>
+            inProgress === 0 && !starts.some(start => isRecent(start, now))
+        )
+            .forEach(([name]) => usages.delete(name));
+    };
     const usageOf = (name: string, now: number): Usage => {
         const usage = usages.get(name) ?? { inProgress: 0, starts: [] };
-        usage.starts = usage.starts.filter(start => start > now - RATE_WINDOW_MILLISECONDS);
+        usage.starts = usage.starts.filter(start => isRecent(start, now));
         usages.set(name, usage);
         return usage;
     };
@@ -32,6 +46,7 @@
 
     return {
         allows: (rule, now) => {
+            pruneUnused(now);
             if (!hasLimits(rule)) {
                 return true;
             }
@@ -53,5 +68,10 @@
                 }
             };
         },
+        rulesInUse: () => usages.size,
     };
 }
+
+function isRecent(start: number, now: number): boolean {
+    return start > now - RATE_WINDOW_MILLISECONDS;
+}
