Say that all targets refused only if all of them did

Cause: the message depended on the last failure alone. Change: refusals are counted; the code stays no_ready_group, because no target has run the request in either case.

--- a/packages/daemon/src/dispatch/run.ts
+++ b/packages/daemon/src/dispatch/run.ts
@@ -25,9 +25,14 @@
     mayHaveRun: boolean;
     /** Targets that failed, in order. */
     readonly tried: string[];
+    /** Number of these that refused the request before starting it. */
+    refusals: number;
     lastFailure?: TargetFailure;
 }
 
+/** What the error of a request depends on whose attempts all failed. */
+export type FailedRun = Pick<Run<DispatchRequest>, "lastFailure" | "mayHaveRun" | "tried" | "refusals">;
+
 /** Finished attempt, as `recordAttempt` takes it. */
 export interface AttemptRecord {
     readonly attemptId: string;
@@ -46,7 +51,7 @@
     delivery: Delivery,
     lifetime: Lifetime,
 ): Run<Request> {
-    return { context, request, delivery, lifetime, attempts: 0, mayHaveRun: false, tried: [] };
+    return { context, request, delivery, lifetime, attempts: 0, mayHaveRun: false, tried: [], refusals: 0 };
 }
 
 /** Counts a new attempt and returns its id, which is unique across daemons and restarts. */
@@ -66,6 +71,7 @@
     if (failure !== undefined) {
         run.lastFailure = failure;
         run.tried.push(attempt.target);
+        run.refusals += failure.kind === "refused" ? 1 : 0;
         run.mayHaveRun ||= !isProvenNotRun(failure);
     }
     context.metrics.increment("attempts", 1, { route: request.kind, result });
@@ -108,9 +114,12 @@
 }
 
 /** Returns the error of a request whose attempts all failed. */
-export function attemptsFailedError(run: Run<DispatchRequest>): CallerError {
+export function attemptsFailedError(run: FailedRun): CallerError {
     if (run.lastFailure?.kind === "refused" && !run.mayHaveRun) {
-        return { code: "no_ready_group", message: "All targets refused the request before starting it." };
+        const refused = run.refusals === run.tried.length
+            ? "All targets that were tried refused"
+            : "The last of the targets that were tried refused";
+        return { code: "no_ready_group", message: `${refused} the request before starting it; none has run it.` };
     }
     return {
         code: "target_failed",
