Refuse a blank number in the table file

Cause: Number reads white space as 0. Change: such a cell is no number; the issue names file, row and column.

--- a/packages/core/src/table/csv.ts
+++ b/packages/core/src/table/csv.ts
@@ -165,7 +165,8 @@
     const text = cell.startsWith("'") && FORMULA_CELL.test(cell.slice(1)) ? cell.slice(1) : cell;
     const parsers: Record<ColumnType, () => unknown> = {
         text: () => text,
-        number: () => Number(text),
+        // A cell of white space is no number; `Number` would read 0.
+        number: () => text.trim() === "" ? Number.NaN : Number(text),
         list: () => text.split(" ").filter(item => item !== "").map(unescapeItem),
     };
     return parsers[type]();
--- a/packages/core/src/table/tests/table.test.ts
+++ b/packages/core/src/table/tests/table.test.ts
@@ -131,6 +131,15 @@
         expect(safeParseTable('kind,name\n"target', "f.csv").val).to.have.nested.property("[0].code", "invalid_csv");
     });
 
+    ["weight", "revision", "members"].forEach(column =>
+        it(`does not read a cell of white space as 0 in ${column}`, () => {
+            const kind = column === "members" ? "model" : "target";
+            const text = `kind,name,${column}${column === "members" ? ",version,replicas" : ""}\n${kind},t, `;
+            const found = safeParseTable(column === "members" ? `${text},1,1` : text, "f.csv").val;
+            expect(found).to.have.nested.property("[0].place").that.deep.equals({ file: "f.csv", row: 2, column });
+        })
+    );
+
     const checks: { code: string; rows: object[]; }[] = [
         { code: "duplicate_key", rows: [{ kind: "target", name: "t" }, { kind: "target", name: "t" }] },
         { code: "duplicate_rule", rows: [{ kind: "rule", name: "a" }, { kind: "rule", name: "b" }] },
