Turn only cells of number columns into numbers

Cause: names of digits became numbers in all columns but three. Change: the types of the columns of the table decide.

--- a/packages/cli/src/rowchange.ts
+++ b/packages/cli/src/rowchange.ts
@@ -1,17 +1,18 @@
 /** Changes of single columns given on the command line. */
+import { columnTypeOf } from "@damaskvale/core";
 
-const LIST_COLUMNS = new Set(["dataCentres", "keyHashes", "models", "services", "urls"]);
-const TEXT_COLUMNS = new Set(["version", "name", "path"]);
+const NUMBER = /^-?\d+(\.\d+)?$/;
 
 /** Parses `COLUMN=VALUE`. An empty value clears the cell. List items are separated by spaces or commas. */
 export function parseChange(change: string): [column: string, value: unknown] {
     const column = change.slice(0, change.indexOf("="));
     const value = change.slice(change.indexOf("=") + 1);
-    if (LIST_COLUMNS.has(column)) {
+    const type = columnTypeOf(column);
+    if (type === "list") {
         return [column, value.split(/[ ,]+/).filter(item => item !== "")];
     }
     if (value === "") {
         return [column, undefined];
     }
-    return [column, /^-?\d+(\.\d+)?$/.test(value) && !TEXT_COLUMNS.has(column) ? Number(value) : value];
+    return [column, type === "number" && NUMBER.test(value) ? Number(value) : value];
 }
--- a/packages/core/src/table/csv.ts
+++ b/packages/core/src/table/csv.ts
@@ -14,7 +14,8 @@
     readonly line: number;
 }
 
-type ColumnType = "text" | "number" | "list";
+/** Type of the cells of a column. Items of a list are separated by spaces. */
+export type ColumnType = "text" | "number" | "list";
 
 /** Columns in order. The revision ensures that an edited file is applied only to the revisions it was exported from. */
 const columnTypes = {
@@ -54,6 +55,11 @@
 const columns = Object.keys(columnTypes) as Column[];
 const kinds = new Map(rowSchema.options.map(option => [option.shape.kind.value as string, option]));
 
+/** Returns the type of the cells of a column, or `undefined` if there is no such column. */
+export function columnTypeOf(name: string): ColumnType | undefined {
+    return isColumn(name) ? columnTypes[name] : undefined;
+}
+
 /** Matches a cell that a spreadsheet would run as a formula, also after white space, or that starts with a quote. */
 const FORMULA_CELL = /^\s*[=+\-@＝＋－＠'\t\r]/;
 
