Tell an answer that is no JSON as an answer

Cause: a body that could not be parsed counted as an unreachable daemon. Change: it is a refusal with its status and the first 200 characters, or a malformed answer with status 200; no further daemon is called.

--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -27,6 +27,9 @@
     readonly schema: Schema;
 }
 
+/** Characters that are quoted of an answer that is no JSON. */
+const QUOTED_CHARACTERS = 200;
+
 const errorSchema = z.object({
     error: z.object({
         message: z.string(),
@@ -70,13 +73,23 @@
             headersTimeout: options.timeoutMilliseconds,
             bodyTimeout: options.timeoutMilliseconds,
         });
-        return parseResponse(response.statusCode, await response.body.json(), call.schema);
+        return parseResponse(response.statusCode, parseJson(await response.body.text()), call.schema);
     }
     catch (error) {
         return Err({ kind: "unreachable", issues: [issue("daemon_unreachable", [daemon], messageOf(error))] });
     }
 }
 
+/** Returns the value of a JSON text, or the text itself if it is none, as proxies and other servers send it. */
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        return text;
+    }
+}
+
 function parseResponse<Schema extends z.ZodType>(
     status: number,
     body: unknown,
@@ -90,10 +103,15 @@
     }
     const parsed = errorSchema.safeParse(body);
     const { code, message, issues } = parsed.data?.error
-        ?? { code: "unknown", message: `status ${status}`, issues: [] };
+        ?? { code: "unknown", message: describeAnswer(status, body), issues: [] };
     return Err({ kind: "refused", status, code, issues: issues.length > 0 ? issues : [issue(code, [], message)] });
 }
 
+function describeAnswer(status: number, body: unknown): string {
+    const text = typeof body === "string" ? body.trim().slice(0, QUOTED_CHARACTERS) : "";
+    return text === "" ? `status ${status}` : `status ${status}: ${text}`;
+}
+
 function messageOf(error: unknown): string {
     const { code, message } = error as { code?: string; message?: string; };
     return message || code || String(error);
