Answer 400 to a malformed path of the operator API

Cause: a malformed percent escape was answered with 503 and an event. Change: the path is checked first; the answer is malformed_path and names it.

--- a/packages/daemon/src/control/control.ts
+++ b/packages/daemon/src/control/control.ts
@@ -17,7 +17,7 @@
 export function createControlHandler(options: ControlOptions): ControlHandler {
     const routes = createRoutes(options);
     return async (request, response) => {
-        const path = new URL(request.url ?? "/", "http://control").pathname;
+        const path = pathOf(request.url ?? "/");
         const operator = authenticate(request, options.operators);
         if (operator === undefined) {
             sendResponse(
@@ -26,10 +26,27 @@
             );
             return;
         }
-        sendResponse(response, await dispatchRequest(options, routes, request, operator, path));
+        sendResponse(
+            response,
+            path === undefined
+                ? errorResponse(400, "malformed_path", `The path ${request.url} is malformed.`)
+                : await dispatchRequest(options, routes, request, operator, path),
+        );
     };
 }
 
+/** Returns the path of a request target, or `undefined` if it or one of its percent escapes is malformed. */
+function pathOf(target: string): string | undefined {
+    try {
+        const { pathname } = new URL(target, "http://control");
+        decodeURIComponent(pathname);
+        return pathname;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 async function dispatchRequest(
     options: ControlOptions,
     routes: Readonly<Record<string, Route>>,
