--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -41,10 +41,13 @@
     let share: PartitionAssignment | undefined;
     let validUntil = 0;
 
-    /** Renews once; returns whether the share changed. */
+    /** Renews once; returns whether the share changed. A renewal that ends after the lease was left gives no share. */
     const renewOnce = async (): Promise<boolean> => {
         const sentAt = clock.monotonic();
         const next = await group.renew(leaseMilliseconds, share?.fencingToken ?? 0);
+        if (stopped) {
+            return false;
+        }
         const changed = next.fencingToken !== share?.fencingToken;
         if (changed) {
             log.emit("partitionsChanged", { ...next });
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -12,16 +12,21 @@
     let clock: FakeClock;
     let answers: Answer[];
     let tokens: number[];
+    /** Milliseconds until each of the next renewals is answered; the others are answered at once. */
+    let delays: number[];
     let lease: PartitionLease;
 
     const start = (extensionMilliseconds: number): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
         tokens = [];
+        delays = [];
         lease = startPartitionLease({
             group: {
                 partitionCount: 8,
-                renew: (...[, token]) => {
+                renew: async (...[, token]) => {
                     tokens.push(token);
+                    const [delay] = delays.splice(0, 1);
+                    await (delay === undefined ? undefined : new Promise(resolve => setTimeout(resolve, delay)));
                     const answer = answers.length > 1 ? answers.shift() : answers[0];
                     return answer === "silent" || answer === undefined
                         ? Promise.reject(new StoreError("unanswered", "silent"))
@@ -72,6 +77,17 @@
         expect(tokens).to.deep.equal([0, 4, 5]);
     });
 
+    it("is not used again by a renewal that ends after the daemon left the group", async () => {
+        answers = [share, { fencingToken: 5, partitions: [2] }];
+        start(20_000);
+        await clock.tickAsync(10);
+        delays = [1_000];
+        await clock.tickAsync(200);
+        await lease.stop();
+        await clock.tickAsync(5_000);
+        expect([lease.current(), tokens]).to.deep.equal([undefined, [0, 4]]);
+    });
+
     it("is not used after the store came back from an older copy, until it is acquired again", async () => {
         answers = [share, { fencingToken: 20_000_004, partitions: [2] }];
         start(20_000);
