Renew the lease further after an unexpected error

Cause: any error but the store's ended the loop for good. Figures: the new test failed before and passes.

--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -63,18 +63,19 @@
                 changed = await renewOnce();
             }
             catch (error) {
+                // Any other error is a fault of this program; the lease is renewed further nonetheless.
                 if (!(error instanceof StoreError)) {
-                    throw error;
+                    log.emit("taskFailed", { task: "partition lease", error });
                 }
                 if (share !== undefined && clock.monotonic() > validUntil + options.extensionMilliseconds) {
                     share = undefined;
-                    log.emit("partitionsLapsed", { reason: error.message });
+                    log.emit("partitionsLapsed", { reason: error instanceof Error ? error.message : String(error) });
                 }
             }
             await sleep(changed ? HANDOVER_RENEWAL_MILLISECONDS : leaseMilliseconds / RENEWALS_PER_LEASE);
         }
     };
-    run().catch((error: unknown) => log.emit("taskFailed", { task: "partition lease", error }));
+    void run();
     return {
         invalidate: reason => {
             if (share !== undefined) {
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -4,7 +4,7 @@
 import { type PartitionAssignment, StoreError } from "../../ports/registry.js";
 import { type PartitionLease, startPartitionLease } from "../partitionlease.js";
 
-type Answer = PartitionAssignment | "silent";
+type Answer = PartitionAssignment | "silent" | "faulty";
 
 const share: PartitionAssignment = { fencingToken: 4, partitions: [1] };
 
@@ -12,6 +12,7 @@
     let clock: FakeClock;
     let answers: Answer[];
     let tokens: number[];
+    let events: string[];
     /** Milliseconds until each of the next renewals is answered; the others are answered at once. */
     let delays: number[];
     let lease: PartitionLease;
@@ -19,6 +20,7 @@
     const start = (extensionMilliseconds: number): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
         tokens = [];
+        events = [];
         delays = [];
         lease = startPartitionLease({
             group: {
@@ -28,6 +30,9 @@
                     const [delay] = delays.splice(0, 1);
                     await (delay === undefined ? undefined : new Promise(resolve => setTimeout(resolve, delay)));
                     const answer = answers.length > 1 ? answers.shift() : answers[0];
+                    if (answer === "faulty") {
+                        throw new TypeError("faulty");
+                    }
                     return answer === "silent" || answer === undefined
                         ? Promise.reject(new StoreError("unanswered", "silent"))
                         : Promise.resolve(answer);
@@ -35,7 +40,7 @@
                 leave: () => Promise.resolve(),
             },
             clock: { monotonic: () => performance.now(), wall: () => Date.now() },
-            log: { emit: () => undefined },
+            log: { emit: name => void events.push(name) },
             leaseMilliseconds: 2_500,
             extensionMilliseconds,
         });
@@ -77,6 +82,16 @@
         expect(tokens).to.deep.equal([0, 4, 5]);
     });
 
+    it("is renewed further after an error that is not the store's, which is told", async () => {
+        answers = [share, "faulty", { fencingToken: 5, partitions: [2] }];
+        start(0);
+        await clock.tickAsync(3_000);
+        expect([lease.current()?.fencingToken, events]).to.deep.equal([
+            5,
+            ["partitionsChanged", "taskFailed", "partitionsChanged"],
+        ]);
+    });
+
     it("is not used again by a renewal that ends after the daemon left the group", async () => {
         answers = [share, { fencingToken: 5, partitions: [2] }];
         start(20_000);
