--- a/packages/daemon/src/tasks/snapshotwriter.ts
+++ b/packages/daemon/src/tasks/snapshotwriter.ts
@@ -67,9 +67,11 @@
             if (!isWriting && (offsetsBehind >= interval || now - checkedAt >= CHECK_INTERVAL_MILLISECONDS)) {
                 isWriting = true;
                 checkedAt = now;
-                void write(interval).finally(() => {
-                    isWriting = false;
-                });
+                write(interval)
+                    .catch((error: unknown) => events.emit("taskFailed", { task: `snapshot writer of ${name}`, error }))
+                    .finally(() => {
+                        isWriting = false;
+                    });
             }
         },
     };
