Answer a peer when the state cannot be read, and report the error

Cause: the promise was not handled, which ends the process. Figures: the new test failed before and passes. Three tests and the fuzz world pass the log to the exchange, nothing else of them is changed.

--- a/packages/daemon/src/tasks/exchange.ts
+++ b/packages/daemon/src/tasks/exchange.ts
@@ -1,6 +1,7 @@
 /** Exchanges entries and states of streams between daemons. One exchange serves all streams of a daemon. */
 import type { Entry } from "@damaskvale/core";
 import { randomUUID } from "node:crypto";
+import type { EventLog } from "../ports/eventlog.js";
 import type { PeerNetwork } from "../ports/peers.js";
 
 /** Data of one stream that other daemons can fetch. */
@@ -25,7 +26,7 @@
 const ANSWER_TIMEOUT_MILLISECONDS = 1_000;
 
 /** Creates the exchange and registers its receivers. */
-export function createStreamExchange(network: PeerNetwork): StreamExchange {
+export function createStreamExchange(network: PeerNetwork, events: EventLog): StreamExchange {
     const sources = new Map<string, StreamSource>();
     const waiting = new Map<string, (answer: unknown) => void>();
 
@@ -54,13 +55,24 @@
         resolve?.(answer);
     };
 
+    /** Sends the newest state. Without one, the peer is told so at once and need not wait for its timeout. */
+    const sendState = async (peer: string, request: string, stream: string): Promise<void> => {
+        let snapshot: unknown;
+        try {
+            snapshot = await sources.get(stream)?.snapshot();
+        }
+        finally {
+            network.send(peer, { kind: "state", request, stream, snapshot });
+        }
+    };
+
     network.onMessage("fetchEntries", (from, { request, stream, from: offset }) => {
         const entries = [...sources.get(stream)?.entriesFrom(offset) ?? []];
         network.send(from, { kind: "entries", request, stream, entries });
     });
     network.onMessage("fetchState", (from, { request, stream }) => {
-        const snapshot = sources.get(stream)?.snapshot() ?? Promise.resolve(undefined);
-        void snapshot.then(value => network.send(from, { kind: "state", request, stream, snapshot: value }));
+        sendState(from, request, stream)
+            .catch((error: unknown) => events.emit("taskFailed", { task: `state of ${stream} for ${from}`, error }));
     });
     network.onMessage("entries", (from, { request, entries }) => settle(requestKey(from, "entries", request), entries));
     network.onMessage("state", (from, { request, snapshot }) => settle(requestKey(from, "state", request), snapshot));
--- a/packages/daemon/src/tasks/tests/claims.test.ts
+++ b/packages/daemon/src/tasks/tests/claims.test.ts
@@ -41,7 +41,7 @@
         metrics: { increment: () => undefined, gauge: () => undefined, timing: () => undefined },
         random: () => 0.5,
     };
-    const exchange = createStreamExchange(network);
+    const exchange = createStreamExchange(network, shared.events);
     const stream = createFollowedStream({ ...shared, name: claimsStream(0), definition: claimsFold, log, exchange });
     stream.start();
     await advance(50);
--- a/packages/daemon/src/tasks/tests/exchange.test.ts
+++ b/packages/daemon/src/tasks/tests/exchange.test.ts
@@ -1,10 +1,13 @@
 import { expect } from "chai";
 import type { PeerMessage } from "../../messages.js";
+import type { EventLog } from "../../ports/eventlog.js";
 import type { PeerNetwork } from "../../ports/peers.js";
 import { createStreamExchange } from "../exchange.js";
 import { createAnswerStore } from "../recordedanswers.js";
 import { withTimers } from "./streamfakes.js";
 
+const silentLog: EventLog = { emit: () => undefined };
+
 /** Network that records sent messages, and delivers the messages of a test. */
 function recordingNetwork() {
     const sent: PeerMessage[] = [];
@@ -19,6 +22,7 @@
     };
     return {
         network,
+        sent,
         requestOf: (index: number) => (sent[index] as { request: string; }).request,
         deliver: (from: string, message: PeerMessage) => receivers.get(message.kind)?.(from, message as never),
     };
@@ -39,7 +43,7 @@
         withTimers(async advance => {
             const [before, after] = [recordingNetwork(), recordingNetwork()];
             const ask = ({ network }: typeof before) => [
-                createStreamExchange(network).fetchEntries("b", "s", 0),
+                createStreamExchange(network, silentLog).fetchEntries("b", "s", 0),
                 createAnswerStore(network, 1_000).fetch("b", "fees", "key"),
             ];
             void Promise.all(ask(before));
@@ -50,10 +54,21 @@
             expect(await Promise.all(asked)).to.deep.equal([undefined, undefined]);
         }));
 
+    it("are answered at once when the state cannot be read, which is told", async () => {
+        const recording = recordingNetwork();
+        const events: string[] = [];
+        const exchange = createStreamExchange(recording.network, { emit: name => void events.push(name) });
+        exchange.serve("s", { entriesFrom: () => [], snapshot: () => Promise.reject(new Error("out of memory")) });
+        recording.deliver("b", { kind: "fetchState", request: "r1", stream: "s" });
+        await new Promise(resolve => setImmediate(resolve));
+        expect(recording.sent).to.deep.equal([{ kind: "state", request: "r1", stream: "s", snapshot: undefined }]);
+        expect(events).to.deep.equal(["taskFailed"]);
+    });
+
     it("are not settled by an answer of another kind or peer", () =>
         withTimers(async advance => {
             const recording = recordingNetwork();
-            const asked = createStreamExchange(recording.network).fetchEntries("b", "s", 0);
+            const asked = createStreamExchange(recording.network, silentLog).fetchEntries("b", "s", 0);
             const request = recording.requestOf(0);
             recording.deliver("b", { kind: "state", request, stream: "s", snapshot: {} });
             recording.deliver("c", { kind: "entries", request, stream: "s", entries: [] });
--- a/packages/daemon/src/tasks/tests/follower.test.ts
+++ b/packages/daemon/src/tasks/tests/follower.test.ts
@@ -30,7 +30,7 @@
         definition: tableFold,
         author: { daemon: "a", incarnation: "1" },
         log,
-        exchange: createStreamExchange(peerNetwork(answer)),
+        exchange: createStreamExchange(peerNetwork(answer), { emit: () => undefined }),
         clock: { monotonic: () => performance.now(), wall: () => Date.now() },
         events: { emit: () => undefined },
         metrics: { increment: () => undefined, gauge: () => undefined, timing: () => undefined },
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -126,7 +126,7 @@
 }
 
 function createStreams(settings: Settings, adapters: Adapters) {
-    const exchange = createStreamExchange(adapters.network);
+    const exchange = createStreamExchange(adapters.network, adapters.events);
     const shared = { ...adapters, log: adapters.platformLog, exchange };
     const stream = <State, Body>(name: string, definition: FoldDefinition<State, Body>) =>
         createFollowedStream({ ...shared, name, definition });
--- a/packages/proofs/src/fuzz/world/daemon.ts
+++ b/packages/proofs/src/fuzz/world/daemon.ts
@@ -60,7 +60,6 @@
         this.starts += 1;
         const incarnation = String(this.starts);
         const network = this.network.attach(name);
-        const exchange = createStreamExchange(network);
         const clock = { monotonic: () => this.time.now(), wall: () => this.time.now() };
         const generator = xoroshiro128plus(this.starts);
         const random = () => (generator.next() >>> 0) / 2 ** 32;
@@ -72,6 +71,7 @@
                 }
             },
         };
+        const exchange = createStreamExchange(network, events);
         const metrics = { increment: () => undefined, gauge: () => undefined, timing: () => undefined };
         const log = this.platform.client(name);
         const streams = this.streamNames.map(stream =>
