Read the host list again after an error of its reader

Cause: a rejected read was not handled, which ends the process; a read that threw left the task marked as reading for good.

--- a/packages/daemon/src/tasks/hosts.ts
+++ b/packages/daemon/src/tasks/hosts.ts
@@ -52,8 +52,8 @@
 
     /** Starts polling the list. */
     start(): void {
-        void this.read();
-        this.timer = setInterval(() => void this.read(), HOST_LIST_INTERVAL_MILLISECONDS);
+        this.readInBackground();
+        this.timer = setInterval(() => this.readInBackground(), HOST_LIST_INTERVAL_MILLISECONDS);
     }
 
     /** Stops polling the list. */
@@ -61,15 +61,19 @@
         clearInterval(this.timer);
     }
 
+    /** Reads the list; an error of this program is told, and the next read follows at its usual time. */
+    private readInBackground(): void {
+        this.read().catch((error: unknown) =>
+            this.options.eventLog.emit("taskFailed", { task: "list of hosts", error })
+        );
+    }
+
     private async read(): Promise<void> {
         if (this.reading) {
             return;
         }
-        this.reading = true;
-        const { list, clock, eventLog, metrics } = this.options;
-        const result = await list.list().finally(() => {
-            this.reading = false;
-        });
+        const { clock, eventLog, metrics } = this.options;
+        const result = await this.readList();
         const now = clock.monotonic();
         if (result.err) {
             if (!this.failing) {
@@ -86,6 +90,16 @@
         metrics.gauge("hosts.list_age", readAt === undefined ? 0 : now - readAt);
     }
 
+    private async readList(): ReturnType<HostList["list"]> {
+        this.reading = true;
+        try {
+            return await this.options.list.list();
+        }
+        finally {
+            this.reading = false;
+        }
+    }
+
     private merge(listed: readonly ListedHost[]): ReadonlyMap<string, ListedHost> {
         const own = listed.filter(host => host.dataCentre === this.options.dataCentre);
         const owned = this.options.owned();
