Close the least recently used pool

Cause: the oldest pool was closed, however much it was used. Change: use moves a pool to the end; the maximum is an argument for the test.

--- a/packages/daemon/src/adapters/pools.ts
+++ b/packages/daemon/src/adapters/pools.ts
@@ -24,11 +24,12 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 /** Below the keep-alive timeout of common servers, so that servers rarely close a pooled connection during a request. */
 const KEEP_ALIVE_MILLISECONDS = 4_000;
-/** Largest number of pools; the oldest pool is closed when it is exceeded. */
+/** Largest number of pools; the least recently used pool is closed when it is exceeded. */
 const MAXIMUM_POOLS = 4_096;
 
 /** Creates the pools. Requests are not pipelined, so that a lost connection affects only one request. */
-export function createTargetPools(): TargetPools {
+export function createTargetPools(maximumPools = MAXIMUM_POOLS): TargetPools {
+    /** Pools by origin, the least recently used one first. */
     const pools = new Map<string, Pool>();
 
     const retire = (origin: string): void => {
@@ -41,6 +42,8 @@
         poolFor: origin => {
             const existing = pools.get(origin);
             if (existing !== undefined) {
+                pools.delete(origin);
+                pools.set(origin, existing);
                 return existing;
             }
             const pool = new Pool(origin, {
@@ -53,7 +56,7 @@
                 bodyTimeout: 0,
             });
             pools.set(origin, pool);
-            if (pools.size > MAXIMUM_POOLS) {
+            if (pools.size > maximumPools) {
                 retire([...pools.keys()][0] ?? origin);
             }
             return pool;
