--- a/packages/daemon/src/adapters/forwardclient.ts
+++ b/packages/daemon/src/adapters/forwardclient.ts
@@ -6,15 +6,13 @@
 import { type ChunkParser, createChunkParser } from "./ssechunks.js";
 import { parseObject } from "./targetanswer.js";
 
-/** Options of the client. Times in milliseconds. */
+/** Options of the client. */
 export interface ForwardClientOptions {
     /** Pools of connections to daemons. */
     readonly pools: TargetPools;
     /** Name of this daemon. */
     readonly daemon: string;
     readonly peerSecret: string;
-    readonly idleTimeoutMilliseconds?: number;
-    readonly probeTimeoutMilliseconds?: number;
 }
 
 /** Longer than the progress timeouts that the other daemon applies to its engines. */
@@ -48,7 +46,7 @@
         signal: request.signal,
         mayWrite: request.mayWrite,
         isComplete: chunks.complete,
-        idleTimeoutMilliseconds: () => options.idleTimeoutMilliseconds ?? IDLE_TIMEOUT_MILLISECONDS,
+        idleTimeoutMilliseconds: () => IDLE_TIMEOUT_MILLISECONDS,
     });
     for await (const event of events) {
         if (event.kind === "quiet") {
@@ -145,6 +143,6 @@
         method: "GET",
         path: "/healthz",
         headers: peerHeaders(options, request.team.name),
-        timeoutMilliseconds: options.probeTimeoutMilliseconds ?? PROBE_TIMEOUT_MILLISECONDS,
+        timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
     });
 }
