Load anew in the engine stand-in for another model

Cause: the end of a load was matched by the group alone. Change: each load has a number, and only the last one makes it ready.

--- a/packages/stand-ins/src/engine/role.ts
+++ b/packages/stand-ins/src/engine/role.ts
@@ -49,9 +49,12 @@
 export function createRole(options: RoleOptions, onRelease: () => void): Role {
     let role: RoleState = { state: "idle" };
     let highestFence = 0;
+    let loads = 0;
 
     const load = async (assignment: Order): Promise<void> => {
-        const isStillLoading = (): boolean => role.assignment?.group === assignment.group && role.state === "loading";
+        loads += 1;
+        const number = loads;
+        const isStillLoading = (): boolean => loads === number && role.state === "loading";
         while (isStillLoading() && !await fetchWeights(options.platform, assignment)) {
             await delay(WEIGHT_RETRY_MILLISECONDS);
         }
