Use one clock in the batch of the engine stand-in

Cause: ends were taken from the wall clock, all else from the argument. Change: cancel and abortAll take the time.

--- a/packages/stand-ins/src/engine/batch.ts
+++ b/packages/stand-ins/src/engine/batch.ts
@@ -44,14 +44,14 @@
     readonly fence: number;
 }
 
-/** Batch of one engine. */
+/** Batch of one engine. All times are wall clock milliseconds. */
 export interface Batch {
     /** Queues an attempt. Returns undefined if the queue is full or the id was used before. */
     start(request: AttemptRequest, now: number): Attempt | undefined;
     find(id: string): Attempt | undefined;
-    cancel(id: string): boolean;
+    cancel(id: string, now: number): boolean;
     /** Aborts all queued and running attempts with the state `broken`. */
-    abortAll(): void;
+    abortAll(now: number): void;
     tick(now: number): void;
     load(): { readonly running: number; readonly queued: number; };
 }
@@ -62,9 +62,9 @@
     let queued: Attempt[] = [];
     let running: Attempt[] = [];
 
-    const finishAttempt = (attempt: Attempt, state: AttemptState): void => {
+    const finishAttempt = (attempt: Attempt, state: AttemptState, now: number): void => {
         attempt.state = state;
-        attempt.idleSince = Date.now();
+        attempt.idleSince = now;
         journal.finish(attempt.entry, state);
         queued = queued.filter(other => other !== attempt);
         running = running.filter(other => other !== attempt);
@@ -82,7 +82,7 @@
     const removeExpired = (now: number): void => {
         [...attempts.values()].filter(attempt => isExpired(attempt, options, now)).forEach(attempt => {
             if (isUnfinished(attempt)) {
-                finishAttempt(attempt, "cancelled");
+                finishAttempt(attempt, "cancelled", now);
             }
             attempts.delete(attempt.id);
         });
@@ -101,21 +101,21 @@
             return attempt;
         },
         find: id => attempts.get(id),
-        cancel: id => {
+        cancel: (id, now) => {
             const attempt = attempts.get(id);
             if (attempt === undefined || !isUnfinished(attempt)) {
                 return false;
             }
-            finishAttempt(attempt, "cancelled");
+            finishAttempt(attempt, "cancelled", now);
             return true;
         },
-        abortAll: () => [...running, ...queued].forEach(attempt => finishAttempt(attempt, "broken")),
+        abortAll: now => [...running, ...queued].forEach(attempt => finishAttempt(attempt, "broken", now)),
         tick: now => {
             startQueued(now);
             running.filter(({ prefillUntil }) => prefillUntil <= now).forEach(attempt => {
                 attempt.produced += 1;
                 if (attempt.produced >= attempt.answer.tokens.length) {
-                    finishAttempt(attempt, "done");
+                    finishAttempt(attempt, "done", now);
                 }
                 else {
                     notify(attempt);
--- a/packages/stand-ins/src/engine/main.ts
+++ b/packages/stand-ins/src/engine/main.ts
@@ -70,7 +70,7 @@
         loadMilliseconds: Number(flags["load-milliseconds"]),
         memberTimeoutMilliseconds: Number(flags["member-timeout-milliseconds"]),
     }, () => {
-        batch.abortAll();
+        batch.abortAll(Date.now());
         cache.clear(Date.now());
     });
     let checking = false;
@@ -81,7 +81,7 @@
         }
         checking = true;
         if (!await role.allMembersHoldGroup()) {
-            batch.abortAll();
+            batch.abortAll(Date.now());
         }
         checking = false;
     };
--- a/packages/stand-ins/src/engine/routes.ts
+++ b/packages/stand-ins/src/engine/routes.ts
@@ -45,7 +45,7 @@
             method: "DELETE",
             pattern: /^\/attempts\/([^/]+)$/,
             handle: ({ parameters: [id] }) =>
-                parts.batch.cancel(decodeURIComponent(id!))
+                parts.batch.cancel(decodeURIComponent(id!), Date.now())
                     ? { status: 200, body: {} }
                     : createErrorReply(404, "attempt_not_found", "the attempt is not in progress"),
         },
--- a/packages/stand-ins/src/engine/tests/batch.test.ts
+++ b/packages/stand-ins/src/engine/tests/batch.test.ts
@@ -28,7 +28,7 @@
         [1, 2, 3].forEach(now => batch.tick(now));
 
         expect([first, low, high].map(attempt => attempt!.state)).to.deep.equal(["done", "queued", "running"]);
-        batch.abortAll();
+        batch.abortAll(4);
         expect(journal.entries().map(({ attempt, result }) => `${attempt} ${result}`)).to.deep.equal([
             "first done",
             "low broken",
@@ -36,6 +36,21 @@
         ]);
     });
 
+    it("retains a finished attempt for its time on the clock of the caller", () => {
+        const batch = createBatch(
+            { size: 1, queueLength: 2, blockMilliseconds: 0, retainMilliseconds: 1_500 },
+            createPrefixCache(cacheOptions),
+            createJournal(),
+        );
+        start(batch, "first", 5);
+        [1, 2].forEach(now => batch.tick(now));
+        const found = [1_400, 2_600].map(now => {
+            batch.tick(now);
+            return batch.find("first")?.state;
+        });
+        expect(found).to.deep.equal(["done", undefined]);
+    });
+
     it("delays cache events, so that a router sees a stale cache as it does in production", () => {
         const cache = createPrefixCache(cacheOptions);
         expect(cache.lookUpAndStore(["a", "b"], 0)).to.equal(0);
