Keep the planners of two services in one domain apart

Cause: planner state and logged choices were kept by domain, so that the choice was logged each round and what was known of warm hosts was dropped. Change: both are kept by service and domain.

--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -20,7 +20,7 @@
 import type { PartitionAssignment } from "../ports/registry.js";
 import type { RelayState, ReportedMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
-import { countGroups, domainsOf, roundDemand } from "./fleet.js";
+import { countGroups, domainsOf, fleetKey, roundDemand } from "./fleet.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
 import { createReassignments, type Reassignments } from "./reassignments.js";
@@ -64,12 +64,13 @@
 }
 
 class EnginePlannerTask implements EnginePlanner {
+    /** Planners by service and domain, since hosts of several services may share a domain. */
     private readonly planners = new Map<string, DomainPlanner>();
     private readonly records = createHostRecords();
     private readonly loads = createLoadRateLimiter();
     /** Fencing token of this daemon that an engine refused, by domain. */
     private readonly refusedTokens = new Map<string, number>();
-    /** Last logged choice of groups, by domain. */
+    /** Last logged choice of groups, by service and domain. */
     private readonly loggedChoices = new Map<string, string>();
     private readonly reassignments: Reassignments;
     private highestEpoch = 0;
@@ -138,9 +139,7 @@
         this.engineServices().forEach(({ service, engine }) => {
             const domains = this.ownDomainsOf(service, assignment);
             const reassignments = this.reassignments.update(service, engine, domains);
-            domains.forEach(domain =>
-                this.planDomain(domain, service, engine, assignment, reassignments.get(domain))
-            );
+            domains.forEach(domain => this.planDomain(domain, service, engine, assignment, reassignments.get(domain)));
         });
         this.announceServing(assignment);
     }
@@ -175,7 +174,7 @@
         }
         hosts.filter(host => host.lost && !host.target.registered).forEach(host => state.forget(host.target.id));
         const loadsPerSecond = engine.loadsPerSecond * assignment.partitions.length / partitionCount;
-        const { orders, choice } = this.plannerOf(domain).plan({
+        const { orders, choice } = this.plannerOf(service.name, domain).plan({
             domain,
             hosts,
             models: engine.models,
@@ -188,7 +187,7 @@
             nextEpoch: this.nextEpoch(assignment),
             now,
         });
-        this.logChoice(domain, choice);
+        this.logChoice(service.name, domain, choice);
         const byId = new Map(targets.map(target => [target.id, target]));
         orders.forEach(order => {
             const target = byId.get(order.host);
@@ -220,7 +219,7 @@
     }
 
     /** Logs a choice of groups if there were free hosts and it differs from the last logged choice. */
-    private logChoice(domain: string, choice: GroupChoice | undefined): void {
+    private logChoice(service: string, domain: string, choice: GroupChoice | undefined): void {
         if (choice === undefined || choice.free.count === 0) {
             return;
         }
@@ -235,8 +234,9 @@
             choice.free.count,
             models.map(({ name, holders, chosen }) => [name, holders, chosen]),
         ]);
-        if (this.loggedChoices.get(domain) !== seen) {
-            this.loggedChoices.set(domain, seen);
+        const key = fleetKey(service, domain);
+        if (this.loggedChoices.get(key) !== seen) {
+            this.loggedChoices.set(key, seen);
             this.parts.log.emit("groupsChosen", { domain, ...choice.free, models });
         }
     }
@@ -270,7 +270,7 @@
         const { startedAt, registered } = target;
         log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, startedAt, registered, result });
         if (order.kind === "stage" && result !== "accepted" && result !== "already-holds") {
-            this.plannerOf(domain).recordRefusedLoad(target.id);
+            this.plannerOf(target.service, domain).recordRefusedLoad(target.id);
         }
         if (order.kind === "leave" && (result === "accepted" || result === "already-holds")) {
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt });
@@ -305,9 +305,10 @@
         });
     }
 
-    private plannerOf(domain: string): DomainPlanner {
-        const planner = this.planners.get(domain) ?? createDomainPlanner();
-        this.planners.set(domain, planner);
+    private plannerOf(service: string, domain: string): DomainPlanner {
+        const key = fleetKey(service, domain);
+        const planner = this.planners.get(key) ?? createDomainPlanner();
+        this.planners.set(key, planner);
         return planner;
     }
 
--- a/packages/daemon/src/engines/fleet.ts
+++ b/packages/daemon/src/engines/fleet.ts
@@ -18,6 +18,11 @@
     return countCompleteGroups(collectGroups(targets, engine?.models ?? []));
 }
 
+/** Returns the key of the hosts of a service in one domain. */
+export function fleetKey(service: string, domain: string): string {
+    return JSON.stringify([service, domain]);
+}
+
 /** Rounds a demand for the log. */
 export function roundDemand(demand: number): number {
     return Number(demand.toPrecision(DEMAND_DIGITS));
--- a/packages/daemon/src/engines/reassignments.ts
+++ b/packages/daemon/src/engines/reassignments.ts
@@ -13,7 +13,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RelayState } from "../relay/state.js";
-import { countGroups, roundDemand } from "./fleet.js";
+import { countGroups, fleetKey, roundDemand } from "./fleet.js";
 
 /** Collaborators of the reassignments. */
 export interface ReassignmentParts {
@@ -41,7 +41,7 @@
 
 class ReassignmentTask implements Reassignments {
     private readonly watches = new Map<string, StarvationWatch>();
-    /** Last logged reassignment, by domain. */
+    /** Last logged reassignment, by service and domain. */
     private readonly logged = new Map<string, string>();
 
     constructor(private readonly parts: ReassignmentParts) {}
@@ -58,7 +58,7 @@
             watch.update(fleet, this.parts.clock.monotonic()).filter(({ domain }) => ownDomains.includes(domain))
                 .map(reassignment => [reassignment.domain, reassignment]),
         );
-        ownDomains.forEach(domain => this.logNew(domain, granted.get(domain), fleet));
+        ownDomains.forEach(domain => this.logNew(service.name, domain, granted.get(domain), fleet));
         return granted;
     }
 
@@ -83,17 +83,23 @@
     }
 
     /** Logs why groups of a domain are taken apart, once for each reassignment. */
-    private logNew(domain: string, reassignment: GrantedReassignment | undefined, fleet: Fleet): void {
+    private logNew(
+        service: string,
+        domain: string,
+        reassignment: GrantedReassignment | undefined,
+        fleet: Fleet,
+    ): void {
+        const key = fleetKey(service, domain);
         if (reassignment === undefined) {
-            this.logged.delete(domain);
+            this.logged.delete(key);
             return;
         }
         const { model, releases, freeHosts, loads, starvedMilliseconds, due } = reassignment;
         const seen = [model, ...releases].join();
-        if (!due || releases.length === 0 || this.logged.get(domain) === seen) {
+        if (!due || releases.length === 0 || this.logged.get(key) === seen) {
             return;
         }
-        this.logged.set(domain, seen);
+        this.logged.set(key, seen);
         const models = fleet.models.map(({ name, size }) => ({
             name,
             size,
--- a/packages/daemon/src/engines/tests/engineplanner.test.ts
+++ b/packages/daemon/src/engines/tests/engineplanner.test.ts
@@ -1,6 +1,5 @@
 /** The planner announces each group that starts to serve once, whatever services have engines. */
-import type { EngineProfile, Target } from "@damaskvale/core";
-import { createDemandMeter } from "@damaskvale/core";
+import { createDemandMeter, type EngineProfile, type Target } from "@damaskvale/core";
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { createRelayState, type RelayState } from "../../relay/state.js";
@@ -11,7 +10,7 @@
     loadsPerSecond: 1,
 } as unknown as EngineProfile;
 
-const head = (service: string): Target => ({
+const head = (service: string, domain = "d"): Target => ({
     id: `head-of-${service}`,
     service,
     address: `10.0.0.1:${service.length}`,
@@ -20,7 +19,7 @@
     registered: true,
     slots: 1,
     startedAt: 1,
-    domain: "d",
+    domain,
     model: "m",
     stagedModels: ["m"],
     busy: false,
@@ -28,15 +27,24 @@
     membership: { group: `d~m~1.${service.length}`, epoch: service.length, rank: 0, state: "open" },
 });
 
-const stateOf = (services: readonly string[]): RelayState => {
+const freeHost = (service: string, index: number): Target => ({
+    ...head(service),
+    id: `free-${index}-of-${service}`,
+    address: `10.0.1.${index}:${service.length}`,
+    stagedModels: [],
+    model: undefined,
+    membership: undefined,
+});
+
+const stateOf = (services: readonly string[], hosts: readonly Target[], profile = engine): RelayState => {
     const state = createRelayState();
     state.applyConfiguration({
         version: 1,
         routes: [],
-        services: services.map(name => ({ name, healthPath: "/", maximumConnections: 9, engine })),
+        services: services.map(name => ({ name, healthPath: "/", maximumConnections: 9, engine: profile })),
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
     });
-    state.replaceTargets(services.map(head));
+    state.replaceTargets(hosts);
     return state;
 };
 
@@ -44,13 +52,15 @@
     let clock: FakeClock;
     let planner: EnginePlanner;
     let announced: string[];
+    let events: string[];
 
     const start = (state: RelayState): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"] });
         announced = [];
+        events = [];
         planner = startEnginePlanner({
             clock: { monotonic: () => performance.now(), wall: () => Date.now() },
-            log: { emit: () => undefined },
+            log: { emit: name => void events.push(name) },
             state,
             lease: {
                 current: () => ({ fencingToken: 1, partitions: [0] }),
@@ -84,9 +94,19 @@
         clock.uninstall();
     });
 
+    it("keeps the choices of two services in one domain apart", async () => {
+        const [model] = engine.models;
+        const profile = { ...engine, models: [{ ...model, size: 3, loadMilliseconds: 60_000 }] } as EngineProfile;
+        const hosts = [freeHost("pool", 0), freeHost("other", 0), freeHost("other", 1)];
+        start(stateOf(["pool", "other"], hosts, profile));
+        await clock.tickAsync(5_000);
+        // Each service logs one choice with empty hosts and one with hosts that load.
+        expect(events.filter(name => name === "groupsChosen").length).to.be.within(2, 4);
+    });
+
     [["pool"], ["pool", "other"]].forEach(services =>
         it(`does not announce groups of ${services.length} services in each round`, async () => {
-            start(stateOf(services));
+            start(stateOf(services, services.map(name => head(name, `domain of ${name}`))));
             await clock.tickAsync(2_000);
             expect([...announced].sort()).to.deep.equal(services.map(name => `head-of-${name}`).sort());
         })
