Release no group while lapsed hosts complete the free ones

Cause: the ranking counts registered hosts only, but a host whose entry lapsed may become a member. Conclusion: closes a gap that was read, not seen.

--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -40,7 +40,8 @@
 export function createDomainPlanner(): DomainPlanner {
     const pending = new PendingOperations();
     return {
-        plan: input => {
+        plan: given => {
+            const input = withNeededReleases(given);
             pending.removeExpired(input.models, new Set(input.hosts.map(host => host.target.id)), input.now);
             const groups = collectGroups(input.hosts.map(host => host.target), input.models)
                 .map(group => assessGroup(group, input, pending));
@@ -58,6 +59,14 @@
     };
 }
 
+/** Returns the input without releases if the free hosts suffice, also those whose registry entries lapsed. */
+function withNeededReleases(input: DomainPlanInput): DomainPlanInput {
+    const free = freeHosts(input.hosts.filter(host => !host.unreachable));
+    return input.reassignment === undefined || free.length < hostsForReassignment(input)
+        ? input
+        : { ...input, reassignment: { ...input.reassignment, releases: [] } };
+}
+
 /** Plans the free hosts: forms groups, or else loads weights onto spares, or else warms up one spare. */
 function planFreeHosts(
     input: DomainPlanInput,
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -188,6 +188,9 @@
             now,
         });
         this.logChoice(service.name, domain, choice);
+        if (reassignment !== undefined) {
+            this.reassignments.recordOrders(service.name, reassignment, orders);
+        }
         const byId = new Map(targets.map(target => [target.id, target]));
         orders.forEach(order => {
             const target = byId.get(order.host);
--- a/packages/daemon/src/engines/reassignments.ts
+++ b/packages/daemon/src/engines/reassignments.ts
@@ -3,6 +3,7 @@
     createStarvationWatch,
     type DemandMeter,
     type EngineHost,
+    type EngineOrder,
     type EngineProfile,
     type Fleet,
     type GrantedReassignment,
@@ -27,11 +28,13 @@
 
 /** Reassignments of the domains that this daemon owns. */
 export interface Reassignments {
-    /** Returns the reassignment of each domain of a service that has one, by domain, and logs those that are new. */
+    /** Returns the reassignment of each domain of a service that has one, by domain. */
     update(service: Service, engine: EngineProfile, ownDomains: readonly string[]): ReadonlyMap<
         string,
         GrantedReassignment
     >;
+    /** Logs why groups are taken apart, once for each reassignment whose orders begin to do so. */
+    recordOrders(service: string, reassignment: GrantedReassignment, orders: readonly EngineOrder[]): void;
 }
 
 /** Creates reassignments for fleets that have not been seen yet. */
@@ -41,6 +44,8 @@
 
 class ReassignmentTask implements Reassignments {
     private readonly watches = new Map<string, StarvationWatch>();
+    /** Fleet of the last update, by service. */
+    private readonly fleets = new Map<string, Fleet>();
     /** Last logged reassignment, by service and domain. */
     private readonly logged = new Map<string, string>();
 
@@ -54,14 +59,45 @@
         const fleet = this.fleetOf(service, engine, ownDomains);
         const watch = this.watches.get(service.name) ?? createStarvationWatch();
         this.watches.set(service.name, watch);
+        this.fleets.set(service.name, fleet);
         const granted = new Map(
             watch.update(fleet, this.parts.clock.monotonic()).filter(({ domain }) => ownDomains.includes(domain))
                 .map(reassignment => [reassignment.domain, reassignment]),
         );
-        ownDomains.forEach(domain => this.logNew(service.name, domain, granted.get(domain), fleet));
+        ownDomains.filter(domain => !granted.has(domain))
+            .forEach(domain => this.logged.delete(fleetKey(service.name, domain)));
         return granted;
     }
 
+    recordOrders(service: string, reassignment: GrantedReassignment, orders: readonly EngineOrder[]): void {
+        const { domain, model, releases, freeHosts, loads, starvedMilliseconds } = reassignment;
+        const key = fleetKey(service, domain);
+        const seen = [model, ...releases].join();
+        const isReleasing = orders.some(order =>
+            (order.kind === "close" || order.kind === "leave") && releases.includes(order.group)
+        );
+        const fleet = this.fleets.get(service);
+        if (fleet === undefined || !isReleasing || this.logged.get(key) === seen) {
+            return;
+        }
+        this.logged.set(key, seen);
+        this.parts.log.emit("groupsReassigned", {
+            domain,
+            model,
+            releases,
+            freeHosts,
+            loads,
+            milliseconds: Math.round(starvedMilliseconds),
+            models: fleet.models.map(({ name, size }) => ({
+                name,
+                size,
+                demand: roundDemand(fleet.demandByModel.get(name) ?? 0),
+                requested: fleet.requestedModels.has(name),
+                groups: fleet.groupsByModel.get(name) ?? 0,
+            })),
+        });
+    }
+
     /** Returns the fleet of a service in all domains; hosts of own domains are as their engines reported last. */
     private fleetOf({ name }: Service, { models }: EngineProfile, ownDomains: readonly string[]): Fleet {
         const { clock, state, demandOf, describe } = this.parts;
@@ -81,33 +117,4 @@
             groupsByModel: countGroups(state, name),
         };
     }
-
-    /** Logs why groups of a domain are taken apart, once for each reassignment. */
-    private logNew(
-        service: string,
-        domain: string,
-        reassignment: GrantedReassignment | undefined,
-        fleet: Fleet,
-    ): void {
-        const key = fleetKey(service, domain);
-        if (reassignment === undefined) {
-            this.logged.delete(key);
-            return;
-        }
-        const { model, releases, freeHosts, loads, starvedMilliseconds, due } = reassignment;
-        const seen = [model, ...releases].join();
-        if (!due || releases.length === 0 || this.logged.get(key) === seen) {
-            return;
-        }
-        this.logged.set(key, seen);
-        const models = fleet.models.map(({ name, size }) => ({
-            name,
-            size,
-            demand: roundDemand(fleet.demandByModel.get(name) ?? 0),
-            requested: fleet.requestedModels.has(name),
-            groups: fleet.groupsByModel.get(name) ?? 0,
-        }));
-        const milliseconds = Math.round(starvedMilliseconds);
-        this.parts.log.emit("groupsReassigned", { domain, model, releases, freeHosts, loads, milliseconds, models });
-    }
 }
