--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -9,6 +9,7 @@
     type FreeHostAllocation,
     type GroupChoice,
     joinOrders,
+    loadsForReassignment,
     repeatJoins,
 } from "./forming.js";
 import { collectGroups, countCompleteGroups } from "./groups.js";
@@ -39,7 +40,8 @@
 export function createDomainPlanner(): DomainPlanner {
     const pending = new PendingOperations();
     return {
-        plan: input => {
+        plan: given => {
+            const input = withNeededReleases(given);
             pending.removeExpired(input.models, new Set(input.hosts.map(host => host.target.id)), input.now);
             const groups = collectGroups(input.hosts.map(host => host.target), input.models)
                 .map(group => assessGroup(group, input, pending));
@@ -57,6 +59,14 @@
     };
 }
 
+/** Returns the input without releases if the free hosts suffice, also those whose registry entries lapsed. */
+function withNeededReleases(input: DomainPlanInput): DomainPlanInput {
+    const free = freeHosts(input.hosts.filter(host => !host.unreachable));
+    return input.reassignment === undefined || free.length < hostsForReassignment(input)
+        ? input
+        : { ...input, reassignment: { ...input.reassignment, releases: [] } };
+}
+
 /** Plans the free hosts: forms groups, or else loads weights onto spares, or else warms up one spare. */
 function planFreeHosts(
     input: DomainPlanInput,
@@ -69,9 +79,12 @@
     }
     const free = freeHostsOf(input, groups, pending);
     const groupsInDomain = countCompleteGroups(groups.map(({ group }) => group));
-    const choice = canFormGroups(input, changes) ? chooseGroups(input, free, groupsInDomain, pending) : undefined;
+    const isAwaitingHosts = free.length < hostsForReassignment(input);
+    const choice = !isAwaitingHosts && canFormGroups(input, changes)
+        ? chooseGroups(input, free, groupsInDomain, pending)
+        : undefined;
     const allocation: FreeHostAllocation = choice === undefined
-        ? { joins: [], loading: [], idle: free }
+        ? allocateWithoutChoice(input, free, isAwaitingHosts, pending)
         : formGroups(input, choice.newGroups, free, pending);
     if (allocation.joins.length > 0) {
         return { orders: allocation.joins, choice };
@@ -89,6 +102,23 @@
     return { orders: warmSpare(input, groups, free, pending), choice };
 }
 
+/** Returns the number of hosts that the domain needs for a model without a group, or 0. */
+function hostsForReassignment({ models, reassignment }: DomainPlanInput): number {
+    return models.find(({ name }) => name === reassignment?.model)?.size ?? 0;
+}
+
+/** Returns how hosts are used while no groups are formed: they may load weights for a model that awaits more hosts. */
+function allocateWithoutChoice(
+    input: DomainPlanInput,
+    free: readonly Target[],
+    isAwaitingHosts: boolean,
+    pending: PendingOperations,
+): FreeHostAllocation {
+    const loading = isAwaitingHosts ? loadsForReassignment(input, free, pending) : [];
+    const loadingIds = new Set(loading.map(({ target }) => target.id));
+    return { joins: [], loading, idle: free.filter(({ id }) => !loadingIds.has(id)) };
+}
+
 /** Returns the free hosts that can get an order now and are not expected in a group that is being formed. */
 function freeHostsOf(input: DomainPlanInput, groups: readonly AssessedGroup[], pending: PendingOperations): Target[] {
     const abandoned = new Set(groups.filter(({ forming }) => !forming).map(({ group }) => group.name));
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -1,7 +1,5 @@
 /** Plans the groups of the domains that this daemon owns, sends orders to engines, and reads back their effect. */
 import {
-    collectGroups,
-    countCompleteGroups,
     createDomainPlanner,
     type DemandMeter,
     type DomainPlanInput,
@@ -9,6 +7,7 @@
     type EngineHost,
     type EngineOrder,
     type EngineProfile,
+    type GrantedReassignment,
     type GroupChoice,
     type GroupMembership,
     type Service,
@@ -21,8 +20,10 @@
 import type { PartitionAssignment } from "../ports/registry.js";
 import type { RelayState, ReportedMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
+import { countGroups, domainsOf, fleetKey, roundDemand } from "./fleet.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
+import { createReassignments, type Reassignments } from "./reassignments.js";
 
 /** Collaborators of the planner. */
 export interface EnginePlannerParts {
@@ -52,8 +53,6 @@
 const ROUND_INTERVAL_MILLISECONDS = 100;
 /** Groups may be chosen whose loads cannot all start now, as long as the rate allows them within this time. */
 const LOAD_HORIZON_SECONDS = 10;
-/** Significant digits of demands in the log. */
-const DEMAND_DIGITS = 3;
 /** Debounce time, so that orders that finish together trigger one round. */
 const ROUND_DELAY_MILLISECONDS = 5;
 
@@ -65,13 +64,15 @@
 }
 
 class EnginePlannerTask implements EnginePlanner {
+    /** Planners by service and domain, since hosts of several services may share a domain. */
     private readonly planners = new Map<string, DomainPlanner>();
     private readonly records = createHostRecords();
     private readonly loads = createLoadRateLimiter();
     /** Fencing token of this daemon that an engine refused, by domain. */
     private readonly refusedTokens = new Map<string, number>();
-    /** Last logged choice of groups, by domain. */
+    /** Last logged choice of groups, by service and domain. */
     private readonly loggedChoices = new Map<string, string>();
+    private readonly reassignments: Reassignments;
     private highestEpoch = 0;
     /** Groups whose heads were announced to the other daemons as serving. */
     private announcedServing: ReadonlySet<string> = new Set();
@@ -79,7 +80,10 @@
     private stopped = false;
     private timer: NodeJS.Timeout | undefined;
 
-    constructor(private readonly parts: EnginePlannerParts) {}
+    constructor(private readonly parts: EnginePlannerParts) {
+        const describe = (target: Target): EngineHost => this.records.describe(target, parts.clock.monotonic());
+        this.reassignments = createReassignments({ ...parts, describe });
+    }
 
     start(): void {
         this.timer = setInterval(() => this.planRound(), ROUND_INTERVAL_MILLISECONDS);
@@ -101,12 +105,19 @@
             .forEach(member => this.records.recordSuspicion(member, now));
     }
 
-    /** Announces heads that started serving since the last round; other daemons would see them only in their next read. */
-    private announceServing(domains: readonly string[]): void {
+    /**
+     * Announces heads of the own domains of all services that started serving since the last round; other daemons would
+     * see them only in their next read.
+     */
+    private announceServing(assignment: PartitionAssignment): void {
         const { state, onMembership } = this.parts;
-        const serving = state.targets().filter(({ domain, membership }) =>
-            membership?.state === "open" && domain !== undefined && domains.includes(domain)
-        );
+        const serving = this.engineServices().flatMap(({ service }) => {
+            const domains = this.ownDomainsOf(service, assignment);
+            return state.targets().filter(target =>
+                target.service === service.name && target.membership?.state === "open"
+                && target.domain !== undefined && domains.includes(target.domain)
+            );
+        });
         serving.filter(target => !this.announcedServing.has(target.membership?.group ?? "")).forEach(target =>
             onMembership({
                 host: target.id,
@@ -119,24 +130,38 @@
     }
 
     private planRound(): void {
-        const { state, lease, partitionCount } = this.parts;
+        const { state, lease } = this.parts;
         const assignment = lease.current();
         if (assignment === undefined) {
             return;
         }
         this.records.retain(new Set(state.targets().map(target => target.id)));
-        (state.lookup()?.configuration.services ?? []).forEach(service => {
-            const { engine } = service;
-            if (engine !== undefined) {
-                const domains = domainsOf(state, service.name)
-                    .filter(domain => assignment.partitions.includes(partitionOf(domain, partitionCount)));
-                domains.forEach(domain => this.planDomain(domain, service, engine, assignment));
-                this.announceServing(domains);
-            }
+        this.engineServices().forEach(({ service, engine }) => {
+            const domains = this.ownDomainsOf(service, assignment);
+            const reassignments = this.reassignments.update(service, engine, domains);
+            domains.forEach(domain => this.planDomain(domain, service, engine, assignment, reassignments.get(domain)));
         });
+        this.announceServing(assignment);
+    }
+
+    private engineServices(): { readonly service: Service; readonly engine: EngineProfile; }[] {
+        return (this.parts.state.lookup()?.configuration.services ?? []).flatMap(service =>
+            service.engine === undefined ? [] : [{ service, engine: service.engine }]
+        );
+    }
+
+    private ownDomainsOf({ name }: Service, { partitions }: PartitionAssignment): string[] {
+        const { state, partitionCount } = this.parts;
+        return domainsOf(state, name).filter(domain => partitions.includes(partitionOf(domain, partitionCount)));
     }
 
-    private planDomain(domain: string, service: Service, engine: EngineProfile, assignment: PartitionAssignment): void {
+    private planDomain(
+        domain: string,
+        service: Service,
+        engine: EngineProfile,
+        assignment: PartitionAssignment,
+        reassignment: GrantedReassignment | undefined,
+    ): void {
         const { clock, state, partitionCount, demandOf } = this.parts;
         const now = clock.monotonic();
         const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
@@ -149,19 +174,23 @@
         }
         hosts.filter(host => host.lost && !host.target.registered).forEach(host => state.forget(host.target.id));
         const loadsPerSecond = engine.loadsPerSecond * assignment.partitions.length / partitionCount;
-        const { orders, choice } = this.plannerOf(domain).plan({
+        const { orders, choice } = this.plannerOf(service.name, domain).plan({
             domain,
             hosts,
             models: engine.models,
             groupsByModel: countGroups(state, service.name),
             demandByModel: demandOf(service.name).demandByModel(engine.models, now),
+            reassignment,
             ...this.allowedLoads(loadsPerSecond, now),
             registryDelayMilliseconds: this.parts.registryDelayMilliseconds(),
             fencingToken: assignment.fencingToken,
             nextEpoch: this.nextEpoch(assignment),
             now,
         });
-        this.logChoice(domain, choice);
+        this.logChoice(service.name, domain, choice);
+        if (reassignment !== undefined) {
+            this.reassignments.recordOrders(service.name, reassignment, orders);
+        }
         const byId = new Map(targets.map(target => [target.id, target]));
         orders.forEach(order => {
             const target = byId.get(order.host);
@@ -193,13 +222,13 @@
     }
 
     /** Logs a choice of groups if there were free hosts and it differs from the last logged choice. */
-    private logChoice(domain: string, choice: GroupChoice | undefined): void {
+    private logChoice(service: string, domain: string, choice: GroupChoice | undefined): void {
         if (choice === undefined || choice.free.count === 0) {
             return;
         }
         const models = choice.demands.map(({ profile: { name }, demand, groups, holders }) => ({
             name,
-            demand: roundToDigits(demand, DEMAND_DIGITS),
+            demand: roundDemand(demand),
             groups,
             holders,
             chosen: choice.newGroups.get(name),
@@ -208,8 +237,9 @@
             choice.free.count,
             models.map(({ name, holders, chosen }) => [name, holders, chosen]),
         ]);
-        if (this.loggedChoices.get(domain) !== seen) {
-            this.loggedChoices.set(domain, seen);
+        const key = fleetKey(service, domain);
+        if (this.loggedChoices.get(key) !== seen) {
+            this.loggedChoices.set(key, seen);
             this.parts.log.emit("groupsChosen", { domain, ...choice.free, models });
         }
     }
@@ -243,7 +273,7 @@
         const { startedAt, registered } = target;
         log.emit("engineOrdered", { ...order, domain, fencingToken, expectedSequence, startedAt, registered, result });
         if (order.kind === "stage" && result !== "accepted" && result !== "already-holds") {
-            this.plannerOf(domain).recordRefusedLoad(target.id);
+            this.plannerOf(target.service, domain).recordRefusedLoad(target.id);
         }
         if (order.kind === "leave" && (result === "accepted" || result === "already-holds")) {
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt });
@@ -278,9 +308,10 @@
         });
     }
 
-    private plannerOf(domain: string): DomainPlanner {
-        const planner = this.planners.get(domain) ?? createDomainPlanner();
-        this.planners.set(domain, planner);
+    private plannerOf(service: string, domain: string): DomainPlanner {
+        const key = fleetKey(service, domain);
+        const planner = this.planners.get(key) ?? createDomainPlanner();
+        this.planners.set(key, planner);
         return planner;
     }
 
@@ -308,10 +339,6 @@
     }
 }
 
-function roundToDigits(value: number, digits: number): number {
-    return Number(value.toPrecision(digits));
-}
-
 /** Returns whether most hosts are unreachable, so that this daemon is probably partitioned from a working domain. */
 function isNetworkPartitioned(hosts: readonly EngineHost[]): boolean {
     return hosts.filter(host => host.unreachable).length * 2 > hosts.length;
@@ -321,18 +348,7 @@
     return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
 }
 
-function domainsOf(state: RelayState, service: string): string[] {
-    const domains = state.targets().filter(target => target.service === service).map(target => target.domain);
-    return [...new Set(domains)].filter(domain => domain !== undefined);
-}
-
 /** Returns the partition of a domain, which is the same on every daemon. */
 function partitionOf(domain: string, partitionCount: number): number {
     return createHash("sha256").update(domain).digest().readUInt32BE(0) % partitionCount;
 }
-
-function countGroups(state: RelayState, service: string): Map<string, number> {
-    const engine = state.lookup()?.findService(service)?.engine;
-    const targets = state.targets().filter(target => target.service === service);
-    return countCompleteGroups(collectGroups(targets, engine?.models ?? []));
-}
--- /dev/null
+++ b/packages/daemon/src/engines/tests/engineplanner.test.ts
@@ -0,0 +1,114 @@
+/** The planner announces each group that starts to serve once, whatever services have engines. */
+import { createDemandMeter, type EngineProfile, type Target } from "@damaskvale/core";
+import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { createRelayState, type RelayState } from "../../relay/state.js";
+import { type EnginePlanner, startEnginePlanner } from "../engineplanner.js";
+
+const engine = {
+    models: [{ name: "m", size: 1, share: 1, pace: 1, loadMilliseconds: 1_000, warmMilliseconds: 100 }],
+    loadsPerSecond: 1,
+} as unknown as EngineProfile;
+
+const head = (service: string, domain = "d"): Target => ({
+    id: `head-of-${service}`,
+    service,
+    address: `10.0.0.1:${service.length}`,
+    dataCentre: "x",
+    draining: false,
+    registered: true,
+    slots: 1,
+    startedAt: 1,
+    domain,
+    model: "m",
+    stagedModels: ["m"],
+    busy: false,
+    orderSequence: 1,
+    membership: { group: `d~m~1.${service.length}`, epoch: service.length, rank: 0, state: "open" },
+});
+
+const freeHost = (service: string, index: number): Target => ({
+    ...head(service),
+    id: `free-${index}-of-${service}`,
+    address: `10.0.1.${index}:${service.length}`,
+    stagedModels: [],
+    model: undefined,
+    membership: undefined,
+});
+
+const stateOf = (services: readonly string[], hosts: readonly Target[], profile = engine): RelayState => {
+    const state = createRelayState();
+    state.applyConfiguration({
+        version: 1,
+        routes: [],
+        services: services.map(name => ({ name, healthPath: "/", maximumConnections: 9, engine: profile })),
+        limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+    });
+    state.replaceTargets(hosts);
+    return state;
+};
+
+describe("engine planner", () => {
+    let clock: FakeClock;
+    let planner: EnginePlanner;
+    let announced: string[];
+    let events: string[];
+
+    const start = (state: RelayState): void => {
+        clock = install({ toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"] });
+        announced = [];
+        events = [];
+        planner = startEnginePlanner({
+            clock: { monotonic: () => performance.now(), wall: () => Date.now() },
+            log: { emit: name => void events.push(name) },
+            state,
+            lease: {
+                current: () => ({ fencingToken: 1, partitions: [0] }),
+                invalidate: () => undefined,
+                stop: () => Promise.resolve(),
+            },
+            partitionCount: 1,
+            engines: {
+                order: () => Promise.resolve("accepted"),
+                report: ({ startedAt, stagedModels, model, busy, orderSequence, membership }) =>
+                    Promise.resolve({
+                        startedAt,
+                        stagedModels,
+                        model,
+                        busy,
+                        orderSequence,
+                        membership,
+                        waiting: 0,
+                        running: 0,
+                        pace: 1,
+                    }),
+            },
+            trafficSeen: () => true,
+            demandOf: () => createDemandMeter(),
+            registryDelayMilliseconds: () => 0,
+            onMembership: ({ host }) => void announced.push(host),
+        });
+    };
+    afterEach(() => {
+        planner.stop();
+        clock.uninstall();
+    });
+
+    it("keeps the choices of two services in one domain apart", async () => {
+        const [model] = engine.models;
+        const profile = { ...engine, models: [{ ...model, size: 3, loadMilliseconds: 60_000 }] } as EngineProfile;
+        const hosts = [freeHost("pool", 0), freeHost("other", 0), freeHost("other", 1)];
+        start(stateOf(["pool", "other"], hosts, profile));
+        await clock.tickAsync(5_000);
+        // Each service logs one choice with empty hosts and one with hosts that load.
+        expect(events.filter(name => name === "groupsChosen").length).to.be.within(2, 4);
+    });
+
+    [["pool"], ["pool", "other"]].forEach(services =>
+        it(`does not announce groups of ${services.length} services in each round`, async () => {
+            start(stateOf(services, services.map(name => head(name, `domain of ${name}`))));
+            await clock.tickAsync(2_000);
+            expect([...announced].sort()).to.deep.equal(services.map(name => `head-of-${name}`).sort());
+        })
+    );
+});
--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -43,10 +43,13 @@
     let share: PartitionAssignment | undefined;
     let validUntil = 0;
 
-    /** Renews once; returns whether the share changed. */
+    /** Renews once; returns whether the share changed. A renewal that ends after the lease was left gives no share. */
     const renewOnce = async (): Promise<boolean> => {
         const sentAt = clock.monotonic();
         const next = await group.renew(leaseMilliseconds, share?.fencingToken ?? 0);
+        if (stopped) {
+            return false;
+        }
         if (!options.isOfCurrentEra(next.fencingToken)) {
             throw new StoreError("refused", "The assignment belongs to an earlier era of the store.");
         }
@@ -65,18 +68,19 @@
                 changed = await renewOnce();
             }
             catch (error) {
+                // Any other error is a fault of this program; the lease is renewed further nonetheless.
                 if (!(error instanceof StoreError)) {
-                    throw error;
+                    log.emit("taskFailed", { task: "partition lease", error });
                 }
                 if (share !== undefined && clock.monotonic() > validUntil + options.extensionMilliseconds) {
                     share = undefined;
-                    log.emit("partitionsLapsed", { reason: error.message });
+                    log.emit("partitionsLapsed", { reason: error instanceof Error ? error.message : String(error) });
                 }
             }
             await sleep(changed ? HANDOVER_RENEWAL_MILLISECONDS : leaseMilliseconds / RENEWALS_PER_LEASE);
         }
     };
-    run().catch((error: unknown) => log.emit("taskFailed", { task: "partition lease", error }));
+    void run();
     return {
         invalidate: reason => {
             if (share !== undefined) {
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -5,7 +5,7 @@
 import { type PartitionAssignment, StoreError } from "../../ports/registry.js";
 import { type PartitionLease, startPartitionLease } from "../partitionlease.js";
 
-type Answer = PartitionAssignment | "silent";
+type Answer = PartitionAssignment | "silent" | "faulty";
 
 const share: PartitionAssignment = { fencingToken: 4, partitions: [1] };
 
@@ -13,6 +13,9 @@
     let clock: FakeClock;
     let answers: Answer[];
     let tokens: number[];
+    let events: string[];
+    /** Milliseconds until each of the next renewals is answered; the others are answered at once. */
+    let delays: number[];
     let lease: PartitionLease;
     let currentEra: number;
 
@@ -20,12 +23,19 @@
         clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
         tokens = [];
         currentEra = 0;
+        events = [];
+        delays = [];
         lease = startPartitionLease({
             group: {
                 partitionCount: 8,
-                renew: (...[, token]) => {
+                renew: async (...[, token]) => {
                     tokens.push(token);
+                    const [delay] = delays.splice(0, 1);
+                    await (delay === undefined ? undefined : new Promise(resolve => setTimeout(resolve, delay)));
                     const answer = answers.length > 1 ? answers.shift() : answers[0];
+                    if (answer === "faulty") {
+                        throw new TypeError("faulty");
+                    }
                     return answer === "silent" || answer === undefined
                         ? Promise.reject(new StoreError("unanswered", "silent"))
                         : Promise.resolve(answer);
@@ -33,7 +43,7 @@
                 leave: () => Promise.resolve(),
             },
             clock: { monotonic: () => performance.now(), wall: () => Date.now() },
-            log: { emit: () => undefined },
+            log: { emit: name => void events.push(name) },
             leaseMilliseconds: 2_500,
             extensionMilliseconds,
             isOfCurrentEra: token => token >= fencingTokenOf(currentEra, 0),
@@ -76,6 +86,27 @@
         expect(tokens).to.deep.equal([0, 4, 5]);
     });
 
+    it("is renewed further after an error that is not the store's, which is told", async () => {
+        answers = [share, "faulty", { fencingToken: 5, partitions: [2] }];
+        start(0);
+        await clock.tickAsync(3_000);
+        expect([lease.current()?.fencingToken, events]).to.deep.equal([
+            5,
+            ["partitionsChanged", "taskFailed", "partitionsChanged"],
+        ]);
+    });
+
+    it("is not used again by a renewal that ends after the daemon left the group", async () => {
+        answers = [share, { fencingToken: 5, partitions: [2] }];
+        start(20_000);
+        await clock.tickAsync(10);
+        delays = [1_000];
+        await clock.tickAsync(200);
+        await lease.stop();
+        await clock.tickAsync(5_000);
+        expect([lease.current(), tokens]).to.deep.equal([undefined, [0, 4]]);
+    });
+
     it("is not used after the store came back from an older copy, until it is acquired again", async () => {
         answers = [share, { fencingToken: 20_000_004, partitions: [2] }];
         start(20_000);
