--- a/packages/daemon/src/relay/tests/retrycount.test.ts
+++ b/packages/daemon/src/relay/tests/retrycount.test.ts
@@ -24,7 +24,7 @@
 ];
 
 const kinds: Readonly<Record<"repeatable" | "stream", (fixture: RelayFixture) => void>> = {
-    repeatable: ({ context, parts }) => void relayPlain(context, parts, () => undefined),
+    repeatable: ({ context, parts }) => createPlainRelay(context, parts, () => undefined).start(),
     stream: ({ context, parts }) => createStreamRelay(context, parts, () => undefined).start(),
 };
 
