Deliver a whole response whose connection is reset while its caller is slow

What callers saw: as for a close, but the target resets the connection after its whole response; half the body was lost.

Cause: found by the review. The same class: an error of the connection was taken for the end of reading although Node had parsed the response to its end.

Change: close and error go through one method, which does nothing once the response is complete.

What the kernel had not handed over when the reset came is lost as before.

--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -136,8 +136,14 @@
     ) {
         message.on("socket", socket => this.watchConnect(socket));
         message.on("response", response => this.receive(response));
-        message.on("error", error => this.finish(() => receiver.failed(error)));
-        message.on("close", () => this.receiveClose());
+        message.on("error", error => this.receiveConnectionEnd(error));
+        message.on(
+            "close",
+            () =>
+                this.receiveConnectionEnd(
+                    new ClosedConnectionError("The connection to the target closed before the response was complete."),
+                ),
+        );
     }
 
     cancel(): void {
@@ -226,15 +232,11 @@
         this.message.once("close", stop);
     }
 
-    /** The connection of a whole response may close while the rest of the response is still to be read after a pause. */
-    private receiveClose(): void {
-        if (this.answer?.complete === true) {
-            return;
+    /** The connection of a whole response may end while the rest of the response is still to be read after a pause. */
+    private receiveConnectionEnd(error: Error): void {
+        if (this.answer?.complete !== true) {
+            this.finish(() => this.receiver.failed(error));
         }
-        const error = new ClosedConnectionError(
-            "The connection to the target closed before the response was complete.",
-        );
-        this.finish(() => this.receiver.failed(error));
     }
 
     private receive(response: IncomingMessage): void {
--- a/packages/daemon/src/relay/tests/targetconnections.test.ts
+++ b/packages/daemon/src/relay/tests/targetconnections.test.ts
@@ -7,6 +7,8 @@
 interface Case {
     readonly guards: string;
     readonly answer: string;
+    /** What the target sends a moment after the answer. */
+    readonly rest?: string;
     /** What the target does with the connection after the response. */
     readonly end: "close" | "reset" | "reset-at-once" | "keep";
     readonly outcome: "ended" | "failed";
@@ -50,6 +52,13 @@
         end: "reset-at-once",
         outcome: "ended",
     },
+    {
+        guards: "a complete response with a length whose connection is reset a moment later",
+        answer: `${head}Content-Length: 10\r\n\r\naaaaa`,
+        rest: "bbbbb",
+        end: "reset",
+        outcome: "ended",
+    },
     {
         guards: "a chunked response that ends with its connection",
         answer: `${head}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n`,
@@ -72,12 +81,21 @@
     keep: () => undefined,
 };
 
-function listen(answer: string, end: Case["end"]): Promise<Server> {
+const REST_DELAY_MILLISECONDS = 10;
+
+function listen({ answer, rest, end }: Case): Promise<Server> {
     const server = createServer(socket => {
         socket.on("error", () => undefined);
         socket.once("data", () => {
             socket.write(answer);
-            endings[end](socket);
+            if (rest === undefined) {
+                endings[end](socket);
+                return;
+            }
+            setTimeout(() => {
+                socket.write(rest);
+                endings[end](socket);
+            }, REST_DELAY_MILLISECONDS);
         });
     });
     return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve(server)));
@@ -114,10 +132,11 @@
 
 describe("target connections", () => {
     manners.forEach(({ onNewConnection, reading }) => {
-        cases.forEach(({ guards, answer, end, outcome }) => {
+        cases.forEach(entry => {
+            const { guards, outcome } = entry;
             const title = `${outcome === "ended" ? "accepts" : "refuses"} ${guards}`;
             it(`${title} (new connection: ${onNewConnection}, ${reading})`, async () => {
-                const server = await listen(answer, end);
+                const server = await listen(entry);
                 const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
                 const seen = await read(address, onNewConnection, reading);
                 server.close();
