Leave responses with a stated length out of the shared pace

All long bodies shared 32 MiB a second, so that a sound body of 20 MB beside ten endless ones took 4,695 ms in place of 1,050 ms (once each) and missed a deadline of 4 s.

Change: only bodies without a stated length, which may have no end, share the pace. The memory under fast bodies of a stated length is as before and not bounded by this.

--- a/packages/daemon/src/relay/readpace.ts
+++ b/packages/daemon/src/relay/readpace.ts
@@ -1,6 +1,7 @@
 /**
- * Limits how fast long response bodies are read, all of a process together. The buffers of reads are collected late, so
- * that without a limit the memory of the process grows with the speed of its targets.
+ * Limits how fast long response bodies without a stated length are read, all of a process together: they may have no end.
+ * The buffers of reads are collected late, so that without a limit the memory of the process grows with the speed of its
+ * targets.
  */
 
 /** Limit of the reads of all long bodies. */
@@ -17,7 +18,7 @@
 
 /** Bytes at the start of each body that are not limited, so that events and short answers are never delayed. */
 const UNLIMITED_BYTES = 1_048_576;
-/** Rate of all bodies together beyond their starts; more than the network of an entry host carries. */
+/** Rate of all such bodies together beyond their starts. */
 const BYTES_PER_MILLISECOND = 32_768;
 
 /** Creates the limit. */
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -249,8 +249,11 @@
         const delimited = isDelimited(status, headers);
         this.receiver.head({ status, headers, delimited });
         response.on("data", (chunk: Buffer) => {
-            if (!this.done) {
-                this.receiver.data(chunk);
+            if (this.done) {
+                return;
+            }
+            this.receiver.data(chunk);
+            if (headers["content-length"] === undefined) {
                 this.keepPace(chunk.length);
             }
         });
