Let at most three daemons at once try a part on which few targets have crashed

While nobody had tried a part, twice as many daemons could after each 500 ms, without a bound: with 16 daemons that get a request 5 ms apart, 3 s overdue, 10 and 16 of them tried it if news takes 50 and 100 ms, and each trial can crash a target.

Change: MAXIMUM_TRIAL_DAEMONS, three.

Open: with a part at three crashes, three trials at once reach six.

--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -62,6 +62,8 @@
 export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
 /** While nobody has tried a part that is due, twice as many daemons may after each such time. */
 export const TRIAL_STAGE_MILLISECONDS = 500;
+/** Daemons that may try a part at once before they learn of each other's trials. Each of these can crash a target. */
+export const MAXIMUM_TRIAL_DAEMONS = 3;
 /**
  * Trials of a part that was sound before and met more crashes than `MAXIMUM_CRASHES_FOR_TRIAL`. A first one can fail by
  * another part. Two daemons may make the first trial at once, so that three requests in all reach a target.
--- a/packages/core/src/quarantine/trials.ts
+++ b/packages/core/src/quarantine/trials.ts
@@ -3,7 +3,12 @@
  * them while none has had such a request, because the requests of a rare part reach each daemon rarely.
  */
 import { rendezvous } from "../membership/rendezvous.js";
-import { MAXIMUM_CRASHES_FOR_TRIAL, MAXIMUM_LATE_TRIALS, TRIAL_STAGE_MILLISECONDS } from "./constants.js";
+import {
+    MAXIMUM_CRASHES_FOR_TRIAL,
+    MAXIMUM_LATE_TRIALS,
+    MAXIMUM_TRIAL_DAEMONS,
+    TRIAL_STAGE_MILLISECONDS,
+} from "./constants.js";
 import { nextTrialAt } from "./statements.js";
 import type { PartStatement } from "./types.js";
 
@@ -22,7 +27,7 @@
     if (overdue < 0) {
         return 0;
     }
-    const daemons = 2 ** Math.floor(overdue / TRIAL_STAGE_MILLISECONDS);
+    const daemons = Math.min(2 ** Math.floor(overdue / TRIAL_STAGE_MILLISECONDS), MAXIMUM_TRIAL_DAEMONS);
     return statement.crashes > MAXIMUM_CRASHES_FOR_TRIAL ? Math.min(daemons, lateDaemons(statement)) : daemons;
 }
 
