Look the model of a reassignment up in one place

Cause: forming.ts (twice) and planner.ts found the model by the same expression. Change: findReassignedModel in starvation.ts. Behaviour is unchanged; no test was touched.

--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -6,6 +6,7 @@
 import type { EngineOrder } from "./orders.js";
 import type { PendingOperations } from "./pendingoperations.js";
 import type { DomainPlanInput } from "./planinput.js";
+import { findReassignedModel } from "./starvation.js";
 import type { Target } from "./types.js";
 
 /** Groups chosen for the free hosts of a domain, with the demands and hosts on which the choice is based. */
@@ -71,7 +72,7 @@
     { models, reassignment }: DomainPlanInput,
     freeHosts: number,
 ): ReadonlyMap<string, number> {
-    const model = models.find(({ name }) => name === reassignment?.model);
+    const model = findReassignedModel(models, reassignment);
     const isMissing = model !== undefined && model.size <= freeHosts && (newGroups.get(model.name) ?? 0) === 0;
     return isMissing ? new Map(models.map(({ name }) => [name, name === model.name ? 1 : 0])) : newGroups;
 }
@@ -82,7 +83,7 @@
     free: readonly Target[],
     pending: PendingOperations,
 ): WeightLoad[] {
-    const model = models.find(({ name }) => name === reassignment?.model);
+    const model = findReassignedModel(models, reassignment);
     return model === undefined || reassignment?.due !== true
         ? []
         : free.filter(target => !pending.holdsWeights(target, model.name)).map(target => ({ target, model }));
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -17,6 +17,7 @@
 import { PendingOperations } from "./pendingoperations.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
 import { stageHosts } from "./staging.js";
+import { findReassignedModel } from "./starvation.js";
 import type { Target } from "./types.js";
 
 /** Result of one planning round. */
@@ -104,7 +105,7 @@
 
 /** Returns the number of hosts that the domain needs for a model without a group, or 0. */
 function hostsForReassignment({ models, reassignment }: DomainPlanInput): number {
-    return models.find(({ name }) => name === reassignment?.model)?.size ?? 0;
+    return findReassignedModel(models, reassignment)?.size ?? 0;
 }
 
 /** Returns how hosts are used while no groups are formed: they may load weights for a model that awaits more hosts. */
--- a/packages/core/src/engines/starvation.ts
+++ b/packages/core/src/engines/starvation.ts
@@ -1,4 +1,5 @@
 /** Decides when a model has been without a group for long enough that groups of other models are taken apart for it. */
+import type { ModelProfile } from "../routes/types.js";
 import { type Fleet, rankReassignments, type Reassignment, starvedModels } from "./reassignment.js";
 
 /** Reassignment that its domain may carry out. */
@@ -9,6 +10,14 @@
     readonly due: boolean;
 }
 
+/** Returns the model of a reassignment, if there is one and the configuration still has it. */
+export function findReassignedModel(
+    models: readonly ModelProfile[],
+    reassignment: Reassignment | undefined,
+): ModelProfile | undefined {
+    return models.find(({ name }) => name === reassignment?.model);
+}
+
 /** Watch over the models of one service. */
 export interface StarvationWatch {
     /** Returns the reassignments of the domains whose turn it is. `now` is in monotonic milliseconds. */
