Give the bound of unstated bodies and the refusal of a stopping daemon one place each

Cause: plainrelay.ts and streamrelay.ts held the same check of a body without a stated length; writeShutdown built the status and the Retry-After of writeRefusal again. Change: exceedsUnstatedLength; writeRefusal takes the way in which the response is ended; a return without effect is gone. Behaviour is unchanged; no test was touched.

The process tests were not run.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -5,7 +5,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
-    MAXIMUM_UNSTATED_BODY_BYTES,
+    exceedsUnstatedLength,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -203,7 +203,7 @@
     }
 
     private passOn(attempt: Attempt, bytes: Buffer): void {
-        if (attempt.bodyBytes > MAXIMUM_UNSTATED_BODY_BYTES && attempt.head?.headers["content-length"] === undefined) {
+        if (exceedsUnstatedLength(attempt.head, attempt.bodyBytes)) {
             attempt.exchange?.cancel();
             this.attemptFailed(attempt, "body-too-long");
             return;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -8,7 +8,10 @@
 const PAUSE_THRESHOLD_BYTES = 65_536;
 
 /** Maximum size of a body whose target states no length and that is not a stream. */
-export const MAXIMUM_UNSTATED_BODY_BYTES = 16_777_216;
+const MAXIMUM_UNSTATED_BODY_BYTES = 16_777_216;
+
+/** Sends the rest of a response and ends it. */
+type EndOfResponse = (text: string) => void;
 
 /** Why a request is refused before any target could run it. */
 export type RefusalReason =
@@ -66,6 +69,11 @@
     response.writeHead(head.status, [...headers]);
 }
 
+/** Returns whether so many bytes of a body are more than are passed on of one whose length is not stated. */
+export function exceedsUnstatedLength(head: ResponseHead | undefined, bodyBytes: number): boolean {
+    return bodyBytes > MAXIMUM_UNSTATED_BODY_BYTES && head?.headers["content-length"] === undefined;
+}
+
 /** Writes bytes of a target's response, and pauses the target if the caller reads more slowly than it sends. */
 export function writePaced(response: ServerResponse, bytes: Buffer, exchange: TargetExchange | undefined): void {
     response.write(bytes);
@@ -86,12 +94,14 @@
 }
 
 /** Refuses a request that no target has run or will run, with a `Retry-After` header. */
-export function writeRefusal(response: ServerResponse, reason: RefusalReason, retryAfterMilliseconds: number): void {
-    writeErrorResponse(response, NOT_RUN_STATUS, reason, ["Retry-After", secondsOf(retryAfterMilliseconds)]);
-}
-
-function secondsOf(milliseconds: number): string {
-    return (Math.max(0, milliseconds) / 1_000).toFixed(3);
+export function writeRefusal(
+    response: ServerResponse,
+    reason: RefusalReason,
+    retryAfterMilliseconds: number,
+    end?: EndOfResponse,
+): void {
+    const seconds = (Math.max(0, retryAfterMilliseconds) / 1_000).toFixed(3);
+    writeErrorResponse(response, NOT_RUN_STATUS, reason, ["Retry-After", seconds], end);
 }
 
 /** Fails a request that a target may have run. */
@@ -128,8 +138,7 @@
         writeFailure(response, "shutdown");
         return;
     }
-    const retryAfter = ["Retry-After", secondsOf(SHUTDOWN_RETRY_AFTER_MILLISECONDS)];
-    writeErrorResponse(response, NOT_RUN_STATUS, "shutdown", retryAfter, text => endAfterRequest(response, text));
+    writeRefusal(response, "shutdown", SHUTDOWN_RETRY_AFTER_MILLISECONDS, text => endAfterRequest(response, text));
 }
 
 /** Breaks off a response that has begun; returns whether nothing else can be written to it. */
@@ -156,7 +165,7 @@
     status: number,
     code: string,
     headers: readonly string[],
-    end = (text: string): void => void response.end(text),
+    end: EndOfResponse = text => void response.end(text),
 ): void {
     if (response.headersSent || response.destroyed) {
         return;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -5,7 +5,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
-    MAXIMUM_UNSTATED_BODY_BYTES,
+    exceedsUnstatedLength,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -239,14 +239,12 @@
         }
         if (attempt.splitter.isOversized()) {
             this.abandon(attempt, "event-too-long");
-            return;
         }
     }
 
     private passThrough(attempt: StreamAttempt, chunk: Buffer): void {
         attempt.passedThroughBytes += chunk.length;
-        const isLengthStated = attempt.opening?.head.headers["content-length"] !== undefined;
-        if (!isLengthStated && attempt.passedThroughBytes > MAXIMUM_UNSTATED_BODY_BYTES) {
+        if (exceedsUnstatedLength(attempt.opening?.head, attempt.passedThroughBytes)) {
             this.abandon(attempt, "body-too-long");
             return;
         }
