Quarantine a request that crashes each target that runs it

Cause: the quarantine knew shared parts of prompts only, and the relay of plain requests neither recorded crashes nor asked before it sent. A request without a prompt had nothing that could be blamed, and the retry within one attempt ended a second target. Change: the content of a request (team, service, method, path, model, prompt, body; a digest) is one more subject of the quarantine, beside the parts. Both relays name their subjects, observe each attempt and ask before each send; the steps stand once, in RelayTask. A plain request is proven by its whole response. Among subjects with the same crashes, the request goes before its parts; subjects that a later blame explains are released also if the last crash does not name them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,6 +41,7 @@
 export * from "./quarantine/blame.js";
 export * from "./quarantine/quarantine.js";
 export { nextTrialAt } from "./quarantine/statements.js";
+export { requestSubject } from "./quarantine/subjects.js";
 export { trialRank } from "./quarantine/trials.js";
 export * from "./quarantine/types.js";
 export * from "./retry/attempt.js";
--- a/packages/core/src/quarantine/constants.ts
+++ b/packages/core/src/quarantine/constants.ts
@@ -4,8 +4,8 @@
 export const MAXIMUM_CRASHES = 256;
 /** Parts that are remembered of one crash. Those that occur in another crash come first. */
 export const MAXIMUM_PARTS_OF_CRASH = 96;
-/** Parts whose last proof is remembered; the least recently used is dropped and then counts as never proven. */
-export const MAXIMUM_PROVEN_PARTS = 8_192;
+/** Parts and requests whose last proof is remembered; the least recently used is dropped and then counts as never proven. */
+export const MAXIMUM_PROVEN_PARTS = 16_384;
 /** Decisions that are remembered. Released parts are dropped first, then the oldest, whose parts are served again. */
 export const MAXIMUM_STATEMENTS = 256;
 
@@ -45,8 +45,6 @@
 export const TIMED_BLAME_MILLISECONDS = 2_500;
 /** Suspects are weighed again this often while nothing new is learned. */
 export const ADVANCE_MILLISECONDS = 100;
-/** Crashes closer than this count as one, because many targets can end at once by a cause of their own. */
-export const CRASH_SPACING_MILLISECONDS = 100;
 /** Crashes without the part that raise the number of crashes needed. */
 export const OTHER_CRASHES_MILLISECONDS = 30_000;
 
@@ -58,17 +56,10 @@
 export const TRIAL_PAUSE_MILLISECONDS = 30_000;
 /** Factor of the pause for each further crash. */
 export const TRIAL_PAUSE_GROWTH = 4;
-/** No trial at this number of crashes, so that no trial causes the fifth. */
-export const MAXIMUM_CRASHES_FOR_TRIAL = 3;
 /** While nobody has tried a part that is due, twice as many daemons may after each such time. */
 export const TRIAL_STAGE_MILLISECONDS = 500;
 /** Daemons that may try a part at once before they learn of each other's trials. Each of these can crash a target. */
 export const MAXIMUM_TRIAL_DAEMONS = 3;
-/**
- * Trials of a part that was sound before and met more crashes than `MAXIMUM_CRASHES_FOR_TRIAL`. A first one can fail by
- * another part. Two daemons may make the first trial at once, so that three requests in all reach a target.
- */
-export const MAXIMUM_LATE_TRIALS = 2;
 /** A trial without a result is repeated after this time, which grows too. */
 export const TRIAL_RESULT_MILLISECONDS = 10_000;
 /** Time that callers are told when no automatic trial is left. */
--- a/packages/core/src/quarantine/evidence.ts
+++ b/packages/core/src/quarantine/evidence.ts
@@ -4,6 +4,7 @@
 import type { Crashes, KnownCrash } from "./crashes.js";
 import type { Proofs } from "./proofs.js";
 import type { Statements } from "./statements.js";
+import { subjectKindOf } from "./subjects.js";
 import type { PartStatement } from "./types.js";
 
 /** Part that is not quarantined, with the crashes for which nothing else accounts. */
@@ -60,6 +61,7 @@
         const rivals = this.rivalsOf(suspect);
         const isAmbiguous = rivals.some(rival => !isBlamedBefore(suspect, rival));
         const isBlamed = !rivals.some(rival => isBlamedBefore(rival, suspect)) && this.test({
+            kind: subjectKindOf(suspect.part),
             crashTimes: suspect.crashes.map(({ at }) => at),
             otherCrashes: this.countOthers(suspect),
             wasProven: suspect.wasProven,
@@ -112,8 +114,15 @@
     }
 }
 
-/** Of parts with the same crashes, one that was never sound is the likelier cause. */
+/**
+ * Of subjects with the same crashes, one that was never sound is the likelier cause. If that doesn't tell them apart, one
+ * request goes before a part of it, because its blame concerns fewer callers.
+ */
 function isBlamedBefore(left: Suspect, right: Suspect): boolean {
-    return left.crashes.length > right.crashes.length
-        || left.crashes.length === right.crashes.length && !left.wasProven && right.wasProven;
+    if (left.crashes.length !== right.crashes.length) {
+        return left.crashes.length > right.crashes.length;
+    }
+    return left.wasProven === right.wasProven
+        ? subjectKindOf(left.part) === "request" && subjectKindOf(right.part) === "part"
+        : right.wasProven;
 }
--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -20,6 +20,7 @@
 import { Proofs } from "./proofs.js";
 import { Reporter } from "./reports.js";
 import { nextTrialAt, Statements } from "./statements.js";
+import { boundsOf } from "./subjects.js";
 import { trialDaemons } from "./trials.js";
 import type {
     CrashObservation,
@@ -68,12 +69,7 @@
     }
 
     recordCrash(crash: CrashObservation, now: number): Changes {
-        const concerned = this.addCrashes([{ ...crash, at: now }], now);
-        return this.withDue([
-            ...concerned.flatMap(part => this.countFurther(part, now)),
-            ...this.evaluate(concerned, now),
-            ...this.releaseExplained(concerned, now),
-        ]);
+        return this.withDue(this.weighCrashes(this.addCrashes([{ ...crash, at: now }], now), now));
     }
 
     withdrawCrash(target: string, startedAt: number | undefined, now: number): Changes {
@@ -129,9 +125,7 @@
             ...withdrawn,
             ...adopted,
             ...adopted.flatMap(({ part }) => this.releaseIfProven(part, now)),
-            ...concerned.flatMap(part => this.countFurther(part, now)),
-            ...isCleared || adopted.length + concerned.length > 0 ? this.evaluate(concerned, now) : [],
-            ...this.releaseExplained(concerned, now),
+            ...isCleared || adopted.length + concerned.length > 0 ? this.weighCrashes(concerned, now) : [],
         ]);
     }
 
@@ -158,6 +152,15 @@
         return [...new Set(crashes.flatMap(crash => [...this.crashes.add(crash, now)?.parts ?? []]))];
     }
 
+    /** Counts, blames and releases by what is known after crashes that concern these parts. */
+    private weighCrashes(concerned: readonly string[], now: number): Changes {
+        const further = concerned.flatMap(part => this.countFurther(part, now));
+        const blamed = this.evaluate(concerned, now);
+        const inSameCrashes = blamed.flatMap(({ part }) => this.evidence.crashesOf(part))
+            .flatMap(crash => [...crash.parts]);
+        return [...further, ...blamed, ...this.releaseExplained([...new Set([...concerned, ...inSameCrashes])], now)];
+    }
+
     /** Returns whether the proof clears a crash of the part. */
     private addProof(part: string, at: number, source: "own" | "told"): boolean {
         const crashedAt = this.crashes.withPart(part).at(-1)?.at ?? Number.NEGATIVE_INFINITY;
@@ -249,10 +252,14 @@
         );
         this.crashes.add({ ...crash, parts: [], withdrawn: true }, now);
         return blamed
-            .filter(({ part }) => countSpaced(this.evidence.crashesOf(part).map(({ at }) => at)) < LEAST_CRASHES)
+            .filter(({ part }) => this.countCrashes(part) < LEAST_CRASHES)
             .map(statement => this.stateReleased(statement, "crashes", now));
     }
 
+    private countCrashes(part: string): number {
+        return countSpaced(this.evidence.crashesOf(part).map(({ at }) => at), boundsOf(part).crashSpacingMilliseconds);
+    }
+
     private retryAfter(wait: number): number {
         this.refusals += 1;
         const least = Number.isFinite(wait) ? Math.max(wait, MINIMUM_RETRY_MILLISECONDS) : NO_TRIAL_RETRY_MILLISECONDS;
--- a/packages/core/src/quarantine/statements.ts
+++ b/packages/core/src/quarantine/statements.ts
@@ -3,8 +3,6 @@
 import {
     CRASH_RETENTION_MILLISECONDS,
     DOUBTFUL_TRIAL_PAUSE_MILLISECONDS,
-    MAXIMUM_CRASHES_FOR_TRIAL,
-    MAXIMUM_LATE_TRIALS,
     MAXIMUM_STATEMENTS,
     OPERATOR_REVISIONS,
     STATEMENT_RETENTION_MILLISECONDS,
@@ -12,6 +10,7 @@
     TRIAL_PAUSE_MILLISECONDS,
     TRIAL_RESULT_MILLISECONDS,
 } from "./constants.js";
+import { boundsOf } from "./subjects.js";
 import type { PartStatement } from "./types.js";
 
 /** Decision with the time at which this daemon learned of it. */
@@ -98,14 +97,19 @@
     }
 }
 
+/** Returns whether a trial could cause a crash that the platform counts, so that few are made. */
+export function isLateTrial({ part, crashes }: PartStatement): boolean {
+    return crashes > boundsOf(part).maximumCrashesForTrial;
+}
+
 /**
  * Returns the time of the next automatic trial, or infinity if none is left. A part that was sound before can meet many
  * crashes at once by another cause, and gets two trials then, too.
  */
 export function nextTrialAt(statement: PartStatement): number {
-    const { crashes, cause, trials, trialAt, statedAt, wasProven, isAmbiguous } = statement;
-    const isLate = crashes > MAXIMUM_CRASHES_FOR_TRIAL;
-    if (isLate && (!wasProven || cause === "trial-failed" && trials >= MAXIMUM_LATE_TRIALS)) {
+    const { crashes, trials, trialAt, statedAt, wasProven, isAmbiguous } = statement;
+    const isLate = isLateTrial(statement);
+    if (isLate && hasSpentTrials(statement)) {
         return Number.POSITIVE_INFINITY;
     }
     if (trialAt !== undefined) {
@@ -116,6 +120,14 @@
     return statedAt + first * TRIAL_PAUSE_GROWTH ** (isLate || isAmbiguous ? 0 : crashes - LEAST_CRASHES);
 }
 
+function hasSpentTrials({ part, cause, trials, wasProven }: PartStatement): boolean {
+    const { maximumFailedTrials, maximumUnprovenTrials } = boundsOf(part);
+    const failed = cause === "trial-failed" ? trials : 0;
+    return wasProven
+        ? failed > 0 && failed >= maximumFailedTrials.proven
+        : failed >= maximumFailedTrials.unproven || trials >= maximumUnprovenTrials;
+}
+
 function retentionOf({ state }: PartStatement): number {
     return state === "quarantined" ? STATEMENT_RETENTION_MILLISECONDS : CRASH_RETENTION_MILLISECONDS;
 }
--- a/packages/core/src/quarantine/trials.ts
+++ b/packages/core/src/quarantine/trials.ts
@@ -3,13 +3,9 @@
  * them while none has had such a request, because the requests of a rare part reach each daemon rarely.
  */
 import { rendezvous } from "../membership/rendezvous.js";
-import {
-    MAXIMUM_CRASHES_FOR_TRIAL,
-    MAXIMUM_LATE_TRIALS,
-    MAXIMUM_TRIAL_DAEMONS,
-    TRIAL_STAGE_MILLISECONDS,
-} from "./constants.js";
-import { nextTrialAt } from "./statements.js";
+import { MAXIMUM_TRIAL_DAEMONS, TRIAL_STAGE_MILLISECONDS } from "./constants.js";
+import { isLateTrial, nextTrialAt } from "./statements.js";
+import { boundsOf } from "./subjects.js";
 import type { PartStatement } from "./types.js";
 
 /** What a daemon knows of the others when it decides whether it may try a part. */
@@ -28,11 +24,11 @@
         return 0;
     }
     const daemons = Math.min(2 ** Math.floor(overdue / TRIAL_STAGE_MILLISECONDS), MAXIMUM_TRIAL_DAEMONS);
-    return statement.crashes > MAXIMUM_CRASHES_FOR_TRIAL ? Math.min(daemons, lateDaemons(statement)) : daemons;
+    return isLateTrial(statement) ? Math.min(daemons, lateDaemons(statement)) : daemons;
 }
 
-function lateDaemons({ trials }: PartStatement): number {
-    return Math.max(1, MAXIMUM_LATE_TRIALS - trials);
+function lateDaemons({ part, trials }: PartStatement): number {
+    return Math.max(1, boundsOf(part).lateTrialDaemons - trials);
 }
 
 /**
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -131,16 +131,20 @@
     targetCrashed: define(
         337,
         "warn",
-        "A target lost its connections as a crashed process does; names the shared prompt parts that were in use there.",
-        "Compare the parts with 338; other causes of crashes are those of the target's host.",
+        "A target lost its connections as a crashed process does; names the requests and prompt parts in use there.",
+        "Compare the names with 338; other causes of crashes are those of the target's host.",
     ),
     promptPartQuarantined: define(
         338,
         "warn",
-        "Requests with a part of a prompt are refused, because targets crash on it.",
-        "Have the part mended; lift the quarantine at a daemon's metrics address if the blame is wrong.",
+        "Requests with a part of a prompt, or with one content, are refused, because targets crash on it.",
+        "Have the part or request mended; lift the quarantine at a daemon's metrics address if the blame is wrong.",
+    ),
+    promptPartReleased: define(
+        339,
+        "info",
+        "Requests with a part of a prompt, or with one content, are accepted again.",
     ),
-    promptPartReleased: define(339, "info", "Requests with a part of a prompt are accepted again."),
     targetCrashWithdrawn: define(
         340,
         "info",
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -19,6 +19,8 @@
     /** Id of the last event that the caller received, if it resumes a stream. */
     readonly lastEventId?: number;
     readonly model?: string;
+    /** Parts of the prompt as the caller states them, its own last part included. */
+    readonly prompt?: string;
     readonly promptTokens: number;
     /** Ids of the parts of the prompt that other requests share, without repetitions; never the request's own last part. */
     readonly promptParts: readonly string[];
--- a/packages/daemon/src/relay/crashobserver.ts
+++ b/packages/daemon/src/relay/crashobserver.ts
@@ -1,8 +1,9 @@
 /**
- * Recognizes that a target crashed by the connections that it lost, and names the prompt parts that were in use there.
+ * Recognizes that a target crashed by the connections that it lost, and names the subjects of the requests that it had: the
+ * parts of their prompts and the requests themselves.
  *
- * A request counts as proven when its stream ended whole, or went on for a while after its first event: what crashes a
- * target does so as soon as the target begins to write.
+ * A request counts as proven when its response ended whole, or its stream went on for a while after its first event: what
+ * crashes a target does so as soon as the target begins to answer.
  */
 import type { CrashObservation, Target } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
@@ -14,11 +15,13 @@
 export interface ObservedAttempt {
     /** Records that the request is written to the target. */
     sent(): void;
+    /** Records the head of a response that is not a stream, which shows that the process lives. */
+    answered(): void;
     /** Records events of the stream. */
     progressed(): void;
     /** Records that the stream is not read for a while, so that its next events may be old. */
     paused(): void;
-    /** Records that the stream ended whole. */
+    /** Records that the response ended whole. */
     completed(): void;
     /** Records that the target reset, closed or refused the connection. */
     connectionLost(): void;
@@ -28,26 +31,26 @@
 
 /** Observer of all attempts of this daemon. */
 export interface CrashObserver {
-    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt;
+    observe(target: TargetProcess, subjects: readonly string[]): ObservedAttempt;
 }
 
 /** Collaborators of the observer. */
 export interface CrashObserverParts {
     readonly clock: Clock;
-    /** Called with the parts of a request that is proven, and when its first event came. */
-    readonly onProven: (parts: readonly string[], firstEventAt: number) => void;
+    /** Called with the subjects of a request that is proven, and when its response began. */
+    readonly onProven: (subjects: readonly string[], startedAt: number) => void;
     /**
-     * Called when a target crashed, and again if more parts turn out to have been in use. A crash without parts counts
+     * Called when a target crashed, and again if more subjects turn out to have been in use. A crash without any counts
      * too, because it shows that crashes have other causes.
      */
     readonly onCrash: (crash: CrashObservation) => void;
-    /** Called when a process that seemed to have crashed sends events. */
+    /** Called when a process that seemed to have crashed answers. */
     readonly onAlive: (target: TargetProcess) => void;
 }
 
 interface TrackedAttempt {
     readonly startedAt?: number;
-    readonly promptParts: readonly string[];
+    readonly subjects: readonly string[];
     readonly observedAt: number;
     isSent: boolean;
     wasPaused: boolean;
@@ -57,7 +60,7 @@
 interface RecordedCrash {
     readonly startedAt?: number;
     readonly at: number;
-    readonly parts: ReadonlySet<string>;
+    readonly subjects: ReadonlySet<string>;
 }
 
 /** Time after its first event from which a stream counts as proven. */
@@ -82,10 +85,10 @@
 
     constructor(private readonly parts: CrashObserverParts) {}
 
-    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt {
+    observe(target: TargetProcess, subjects: readonly string[]): ObservedAttempt {
         const attempt: TrackedAttempt = {
             startedAt: target.startedAt,
-            promptParts,
+            subjects,
             observedAt: this.parts.clock.monotonic(),
             isSent: false,
             wasPaused: false,
@@ -96,6 +99,7 @@
             sent: () => {
                 attempt.isSent = true;
             },
+            answered: () => this.answered(target, attempt),
             progressed: () => this.progressed(target, attempt),
             paused: () => {
                 attempt.wasPaused = true;
@@ -113,14 +117,19 @@
         };
     }
 
-    private progressed(target: TargetProcess, attempt: TrackedAttempt): void {
+    private answered(target: TargetProcess, attempt: TrackedAttempt): void {
         const now = this.parts.clock.monotonic();
         if (this.isAlive(target, attempt, now)) {
             this.crashes.delete(target.id);
             this.parts.onAlive(target);
         }
         attempt.firstEventAt ??= now;
-        if (now - attempt.firstEventAt >= PROVEN_MILLISECONDS && this.remove(target.id, attempt)) {
+    }
+
+    private progressed(target: TargetProcess, attempt: TrackedAttempt): void {
+        this.answered(target, attempt);
+        const firstEventAt = attempt.firstEventAt ?? Number.POSITIVE_INFINITY;
+        if (this.parts.clock.monotonic() - firstEventAt >= PROVEN_MILLISECONDS && this.remove(target.id, attempt)) {
             this.prove(attempt);
         }
     }
@@ -137,33 +146,33 @@
             && (startedAt !== undefined || observedAt < crash.at);
     }
 
-    private prove({ promptParts, firstEventAt }: TrackedAttempt): void {
-        if (promptParts.length > 0 && firstEventAt !== undefined) {
-            this.parts.onProven(promptParts, firstEventAt);
+    private prove({ subjects, firstEventAt }: TrackedAttempt): void {
+        if (subjects.length > 0 && firstEventAt !== undefined) {
+            this.parts.onProven(subjects, firstEventAt);
         }
     }
 
     /**
-     * Records a crash unless it is known with all parts that were in use by requests that the target had. A connection
+     * Records a crash unless it is known with all subjects that were in use by requests that the target had. A connection
      * that was refused while the target had none says nothing of when the process ended.
      */
     private recordCrash({ id, startedAt }: TargetProcess, { isSent }: TrackedAttempt): void {
         const now = this.parts.clock.monotonic();
         const waiting = [...this.unproven.get(id) ?? []]
             .filter(attempt => attempt.isSent && attempt.startedAt === startedAt);
-        const inUse = waiting.flatMap(({ promptParts }) => promptParts);
+        const inUse = waiting.flatMap(({ subjects }) => subjects);
         const known = this.crashes.get(id);
         const isSameCrash = known !== undefined && known.startedAt === startedAt
             && (startedAt !== undefined || now - known.at < SAME_CRASH_MILLISECONDS);
-        const seen = isSameCrash ? known.parts : new Set<string>();
+        const seen = isSameCrash ? known.subjects : new Set<string>();
         const wasInUse = isSent || waiting.length > 0;
-        if (!wasInUse || isSameCrash && inUse.every(part => seen.has(part))) {
+        if (!wasInUse || isSameCrash && inUse.every(subject => seen.has(subject))) {
             return;
         }
-        const promptParts = new Set([...seen, ...inUse]);
+        const subjects = new Set([...seen, ...inUse]);
         this.prune(now);
-        this.crashes.set(id, { startedAt, at: isSameCrash ? known.at : now, parts: promptParts });
-        this.parts.onCrash({ target: id, startedAt, parts: [...promptParts] });
+        this.crashes.set(id, { startedAt, at: isSameCrash ? known.at : now, subjects });
+        this.parts.onCrash({ target: id, startedAt, parts: [...subjects] });
     }
 
     /** Returns whether the attempt was not proven until now. */
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,7 +1,8 @@
 /** Relays a request to a plain target and returns the complete response. */
 import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
-import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
+import type { ObservedAttempt } from "./crashobserver.js";
+import { type CancelReason, type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -12,7 +13,7 @@
     writeRefusal,
     writeResponseHead,
 } from "./responses.js";
-import type { TargetExchange } from "./targetconnections.js";
+import { isLostConnection, type TargetExchange } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
 /** Statuses that imply that the request has not run. A target that sends one without stating this may have run it. */
@@ -29,6 +30,7 @@
 interface Attempt {
     readonly target: Target;
     readonly sentAt: number;
+    readonly observed: ObservedAttempt;
     exchange?: TargetExchange;
     /** Whether bytes of the request were written to the target. */
     sent: boolean;
@@ -53,7 +55,6 @@
 }
 
 class PlainRelayTask extends RelayTask implements PlainRelay {
-    private readonly tried: string[] = [];
     private attempt: Attempt | undefined;
     /** Whether the budget has given the next attempt already. */
     private isRetryWithdrawn = false;
@@ -80,6 +81,9 @@
             this.giveUp(reason, retryAfterMilliseconds);
             return;
         }
+        if (this.giveUpIfQuarantined()) {
+            return;
+        }
         const mayRetry = this.isRetryWithdrawn || this.withdrawRetry();
         this.isRetryWithdrawn = false;
         if (!mayRetry) {
@@ -117,13 +121,27 @@
     private send(target: Target): void {
         const { context, parts } = this;
         const now = parts.clock.monotonic();
-        const attempt: Attempt = { target, sentAt: now, sent: false, chunks: [], bodyBytes: 0, isPassedOn: false };
+        const observed = parts.promptQuarantine.observe(target, context.subjects);
+        const attempt: Attempt = {
+            target,
+            sentAt: now,
+            observed,
+            sent: false,
+            chunks: [],
+            bodyBytes: 0,
+            isPassedOn: false,
+        };
         this.attempt = attempt;
         this.tried.push(target.id);
         this.sends += 1;
         parts.availability.recordSent(target);
         parts.loadTracker.sent(target.id, { promptTokens: 0, stream: false }, now);
-        parts.log.emit("requestSent", { ...requestLogFields(context), target: target.id, attempt: this.sends });
+        parts.log.emit("requestSent", {
+            ...requestLogFields(context),
+            target: target.id,
+            attempt: this.sends,
+            trialOf: this.trialOf,
+        });
         const { method, path } = context.request;
         const headers = parts.protocol.encodeForTarget(context.request, {
             target: target.id,
@@ -136,11 +154,12 @@
             {
                 sent: () => {
                     attempt.sent = true;
+                    observed.sent();
                 },
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
                 ended: () => this.receiveEnd(attempt),
-                failed: error => this.attemptFailed(attempt, error.message),
+                failed: error => this.receiveFailure(attempt, error),
             },
         );
     }
@@ -156,6 +175,7 @@
         }
         if (!attempt.decoded.misdirected) {
             const { statements } = attempt.decoded;
+            attempt.observed.answered();
             this.parts.availability.recordResponse(attempt, { status: head.status, statements });
         }
     }
@@ -213,6 +233,7 @@
 
     private receiveEnd(attempt: Attempt): void {
         const { head, decoded } = attempt;
+        concludeObservation(attempt);
         if (this.isFinished) {
             return;
         }
@@ -270,7 +291,15 @@
             && this.chooseTarget() !== undefined;
     }
 
+    private receiveFailure(attempt: Attempt, error: Error): void {
+        if (isLostConnection(error)) {
+            attempt.observed.connectionLost();
+        }
+        this.attemptFailed(attempt, error.message);
+    }
+
     private attemptFailed(attempt: Attempt, reason: string): void {
+        attempt.observed.dropped();
         if (this.isFinished || this.attempt !== attempt) {
             return;
         }
@@ -303,14 +332,14 @@
         }
     }
 
-    private giveUp(reason: RefusalReason, retryAfterMilliseconds: number): void {
+    protected giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details: EndDetails = {}): void {
         if (this.mayHaveRun) {
-            writeFailure(this.context.response, "target-failed");
-            this.finish("failed");
+            writeFailure(this.context.response, reason === "quarantined" ? reason : "target-failed");
+            this.finish("failed", details);
             return;
         }
         writeRefusal(this.context.response, reason, retryAfterMilliseconds);
-        this.finish(`refused: ${reason}`, { retryAfterMilliseconds });
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, ...details });
     }
 
     /**
@@ -324,10 +353,23 @@
         }
         this.release(attempt);
         if (reason !== "caller-left" || this.isRepeatable()) {
+            attempt.observed.dropped();
             attempt.exchange?.cancel();
             return;
         }
         attempt.exchange?.resume();
-        startTimer(() => attempt.exchange?.cancel(), this.context.deadlineAt - this.parts.clock.monotonic()).unref();
+        startTimer(() => {
+            attempt.observed.dropped();
+            attempt.exchange?.cancel();
+        }, this.context.deadlineAt - this.parts.clock.monotonic()).unref();
+    }
+}
+
+/** Concludes from the end of a response. One that says that the request has not run proves nothing. */
+function concludeObservation({ observed, decoded }: Attempt): void {
+    if (decoded === undefined || decoded.notRun) {
+        observed.dropped();
+        return;
     }
+    observed.completed();
 }
--- a/packages/daemon/src/relay/quarantinehandler.ts
+++ b/packages/daemon/src/relay/quarantinehandler.ts
@@ -1,17 +1,20 @@
-/** Lists and lifts the quarantine of prompt parts for operators: `GET /quarantine` and `DELETE /quarantine/PART`. */
+/**
+ * Lists and lifts the quarantine of prompt parts and requests for operators: `GET /quarantine` and
+ * `DELETE /quarantine/SUBJECT`.
+ */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { OperatorHandler } from "./metrics.js";
 import type { PromptQuarantine } from "./promptquarantine.js";
 
 const LIST_PATH = "/quarantine";
-const PART_PATH = /^\/quarantine\/([\da-f]{1,32})$/i;
+const SUBJECT_PATH = /^\/quarantine\/((?:request-)?[\da-f]{1,32})$/i;
 
 /** Creates the handler. */
 export function createQuarantineHandler(
     quarantine: Pick<PromptQuarantine, "quarantined" | "release">,
 ): OperatorHandler {
     return ({ method, url = "" }: IncomingMessage, response: ServerResponse) => {
-        const part = PART_PATH.exec(url)?.[1]?.toLowerCase();
+        const part = SUBJECT_PATH.exec(url)?.[1]?.toLowerCase();
         if (method === "GET" && url === LIST_PATH) {
             const parts = quarantine.quarantined().map(({ part: id, crashes, cause, trials }) => ({
                 part: id,
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -6,6 +6,7 @@
 import { createPlainRelay } from "./plainrelay.js";
 import type { StoppableRelay } from "./relaytask.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
+import { identifyRequest } from "./requestidentity.js";
 import { type DenialReason, writeDenial, writeInternalError, writeRefusal } from "./responses.js";
 import { createStreamRelay, type StreamRelay } from "./streamrelay.js";
 
@@ -20,8 +21,8 @@
     inProgress(): number;
     /** Moves streams away from a head that makes no progress. */
     moveStreams(head: string): void;
-    /** Cancels the streams that wait for their first event and have a quarantined part. */
-    cancelWaiting(part: string): void;
+    /** Cancels the streams that wait for their first event and have a quarantined subject. */
+    cancelWaiting(subject: string): void;
     /** Ends all requests in progress because the daemon stops. */
     stop(): void;
 }
@@ -97,11 +98,13 @@
             writeRefusal(response, "too-late", 0);
             return;
         }
-        this.startRelay({ request, body, response, lookup, admitted, service, receivedAt, deadlineAt });
+        const identity = identifyRequest({ request, team: admitted.team?.name, service, body });
+        const subjects = [...request.promptParts, identity];
+        this.startRelay({ request, body, response, lookup, admitted, service, subjects, receivedAt, deadlineAt });
     }
 
-    cancelWaiting(part: string): void {
-        [...this.streams].forEach(stream => stream.guard(() => stream.cancelIfWaiting(part)));
+    cancelWaiting(subject: string): void {
+        [...this.streams].forEach(stream => stream.guard(() => stream.cancelIfWaiting(subject)));
     }
 
     stop(): void {
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,6 +1,6 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { breakOff, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
+import { breakOff, type RefusalReason, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
 import type { TargetConnections } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
@@ -26,6 +26,10 @@
     protected mayHaveRun = false;
     /** Whether the request has ended. */
     protected isFinished = false;
+    /** Ids of the targets to which it was sent or that refused its connection. */
+    protected readonly tried: string[] = [];
+    /** Quarantined subject that this request tries again. */
+    protected trialOf: string | undefined;
     protected readonly parts: RelayParts;
     /** Whether the request was written to the target of the latest attempt. */
     private isLatestSent = false;
@@ -66,6 +70,25 @@
     /** Cancels the attempt in progress, if there is one. */
     protected abstract cancelAttempt(reason: CancelReason): void;
 
+    /** Ends the request without a response of a target, in a way that states the truth. */
+    protected abstract giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details?: EndDetails): void;
+
+    /** Whether targets crash on a subject of the request, so that it is not sent again. */
+    protected isQuarantined(): boolean {
+        return this.parts.promptQuarantine.check(this.context.subjects, false).kind === "refused";
+    }
+
+    /** Gives up if targets crash on a subject of the request; returns whether it did. */
+    protected giveUpIfQuarantined(): boolean {
+        const verdict = this.parts.promptQuarantine.check(this.context.subjects, this.tried.length === 0);
+        this.trialOf = verdict.kind === "trial" ? verdict.part : undefined;
+        if (verdict.kind !== "refused") {
+            return false;
+        }
+        this.giveUp("quarantined", verdict.retryAfterMilliseconds, { part: verdict.part });
+        return true;
+    }
+
     /** Withdraws one retry from the budget; the first attempt is free. Returns whether the attempt may be made. */
     protected withdrawRetry(): boolean {
         return this.sends === 0 || this.parts.budgetOf(this.context.service).tryWithdraw(this.parts.clock.monotonic());
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -26,6 +26,8 @@
     readonly admitted: AdmittedRoute;
     /** Service that was picked from the route's weighted targets. */
     readonly service: string;
+    /** What can be blamed if targets crash: the shared parts of the prompt, and the identity of the request. */
+    readonly subjects: readonly string[];
     readonly receivedAt: number;
     /** Time by which the caller gets the final response. */
     readonly deadlineAt: number;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -24,8 +24,8 @@
     head(): string | undefined;
     /** Moves the stream to another group if one can take it. */
     moveToAnotherGroup(): void;
-    /** Cancels the attempt and gives up if the request has a part that is quarantined and waits for its first event. */
-    cancelIfWaiting(part: string): void;
+    /** Cancels the attempt and gives up if the request has a subject that is quarantined and waits for its first event. */
+    cancelIfWaiting(subject: string): void;
 }
 
 /** Creates the relay of a stream; `onEnded` is called exactly once after its start, when the request has ended. */
@@ -34,12 +34,9 @@
 }
 
 class StreamRelayTask extends RelayTask implements StreamRelay {
-    private readonly tried: string[] = [];
     private attempt: StreamAttempt | undefined;
     private lastEventId: number | undefined;
     private firstEventAt: number | undefined;
-    /** Quarantined part that this request tries again. */
-    private trialOf: string | undefined;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
@@ -83,13 +80,12 @@
         }
     }
 
-    cancelIfWaiting(part: string): void {
+    cancelIfWaiting(subject: string): void {
         const { attempt } = this;
-        if (attempt === undefined || attempt.started || attempt.isPassthrough || this.trialOf === part) {
+        if (attempt === undefined || attempt.started || attempt.isPassthrough || this.trialOf === subject) {
             return;
         }
-        const { promptParts } = this.context.request;
-        if (promptParts.includes(part) && this.isQuarantined()) {
+        if (this.context.subjects.includes(subject) && this.isQuarantined()) {
             this.mayHaveRun ||= attempt.sent;
             this.sends -= attempt.written ? 0 : 1;
             this.release(attempt);
@@ -98,22 +94,6 @@
         }
     }
 
-    private isQuarantined(): boolean {
-        return this.parts.promptQuarantine.check(this.context.request.promptParts, false).kind === "refused";
-    }
-
-    /** Gives up if a part of the request is quarantined; returns whether it did. */
-    private giveUpIfQuarantined(): boolean {
-        const { promptParts } = this.context.request;
-        const verdict = this.parts.promptQuarantine.check(promptParts, this.tried.length === 0);
-        this.trialOf = verdict.kind === "trial" ? verdict.part : undefined;
-        if (verdict.kind !== "refused") {
-            return false;
-        }
-        this.giveUp("quarantined", verdict.retryAfterMilliseconds, { part: verdict.part });
-        return true;
-    }
-
     private mayRetry(): boolean {
         const { route } = this.context.admitted;
         const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
@@ -141,7 +121,7 @@
             return;
         }
         const now = parts.clock.monotonic();
-        const observed = parts.promptQuarantine.observe(target, context.request.promptParts);
+        const observed = parts.promptQuarantine.observe(target, context.subjects);
         const attempt = createStreamAttempt(target, observed, now);
         this.attempt = attempt;
         this.tried.push(headId);
@@ -346,7 +326,7 @@
         }
     }
 
-    private giveUp(
+    protected giveUp(
         reason: RefusalReason,
         retryAfterMilliseconds: number,
         details: EndDetails = {},
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -63,6 +63,8 @@
     readonly lastEventId?: number;
     /** Shared parts of the prompt. */
     readonly promptParts?: readonly string[];
+    /** Identity of the request, if it can be quarantined. */
+    readonly identity?: string;
     /** Targets that have stated a limit and got the last request that it allows. */
     readonly limitedTargets?: readonly string[];
     /** Targets that have turned this daemon away for {@link REST_MILLISECONDS}. */
@@ -249,6 +251,7 @@
             lookup,
             admitted,
             service: "pool",
+            subjects: [...options.promptParts ?? [], ...options.identity === undefined ? [] : [options.identity]],
             receivedAt: performance.now(),
             deadlineAt: performance.now() + route.timeoutMilliseconds,
         },
