Release a quarantined subject by a trial that is answered at once

Callers saw (read in the code, shown by a test): a mended request or part stays refused after a trial that went well. Cause: a daemon that doesn't know the crashes any more, or not yet, took the time of the decision, which the trial itself states anew, for that of the last crash, and asked for a proof 250 ms later. Plain targets answer sooner. Change: without the crashes, a proof from the trial on counts. Evidence: the new case of requestbounds.test.ts failed before (still quarantined), passes now; 96 cases of the quarantine pass. Conclusion: mended; parts were concerned as well, where their first event came within 250 ms.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -220,13 +220,22 @@
         if (before?.state !== "quarantined") {
             return [];
         }
-        const known = this.crashes.withPart(part);
-        const crashedAt = known.length < before.crashes ? before.statedAt : known.at(-1)?.at ?? before.statedAt;
-        return this.proofs.lastOwnAt(part) > crashedAt + PROOF_MARGIN_MILLISECONDS
+        return this.proofs.lastOwnAt(part) > this.crashedBefore(before)
             ? [this.stateReleased(before, "trial-passed", now)]
             : [];
     }
 
+    /** Returns the time up to which a proof may be older than the last crash of a quarantined part. */
+    private crashedBefore({ part, crashes, trialAt, statedAt }: PartStatement): number {
+        const known = this.crashes.withPart(part);
+        const last = known.at(-1)?.at;
+        if (last !== undefined && known.length >= crashes) {
+            return last + PROOF_MARGIN_MILLISECONDS;
+        }
+        // A trial is made after the last crash, and states the decision anew.
+        return trialAt ?? statedAt + PROOF_MARGIN_MILLISECONDS;
+    }
+
     /**
      * Releases parts that were blamed before it was known that another part accounts for all their crashes and for more.
      * Daemons that see the same crash tell different candidates, which arrive one after another.
--- a/packages/core/src/quarantine/tests/requestbounds.test.ts
+++ b/packages/core/src/quarantine/tests/requestbounds.test.ts
@@ -118,4 +118,12 @@
     trialCases.forEach(({ guards, given, daemons }) =>
         it(`guards against ${guards}`, () => expect(trialDaemons({ ...blamed, ...given }, HOUR)).to.equal(daemons))
     );
+
+    it("ends with a trial that is answered at once, at a daemon that does not know the crashes", () => {
+        const quarantine = createPartQuarantine();
+        quarantine.merge({ crashes: [], proven: [], statements: [blamed] }, 0);
+        expect(quarantine.check([REQUEST], () => true, HOUR).kind).to.equal("trial");
+        quarantine.recordProven([REQUEST], HOUR + 90, HOUR + 80);
+        expect(quarantine.quarantined()).to.deep.equal([]);
+    });
 });
