Hand requests to another daemon while this one reaches no target

Cause: the only way of a request was caller, daemon, target. A daemon that is cut off from all targets could only refuse or wait, and each of its requests found that out alone, by a connect timeout, a stall or not at all. Change: a belief of each daemon whether it reaches any target (three targets missed in a row with no sign of another one between), fed by connections, responses, stalls and, in doubt, by probes of two targets each 250 ms. While it is cut off, and as the last resort of a request that met unreachable targets, the request goes to another daemon over TCP at the port for messages, once, with its remaining time and key; the response is passed on as it arrives. The other daemon admits, counts and relays it and never hands it on; it takes connections of announced daemons only and 128 such requests at most. Daemons state whether they take requests; one that is cut off or stops does not. After the heal, suspicions and idle connections of the cut are dropped. A daemon that may be cut off does not report suspicions of heads.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export * from "./placement/loadtracker.js";
 export * from "./placement/peerloads.js";
 export * from "./placement/place.js";
+export * from "./placement/reachability.js";
 export * from "./placement/requestpacer.js";
 export * from "./placement/slidingmaximum.js";
 export * from "./placement/suspicions.js";
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -166,6 +166,20 @@
         "A target turned a request away with a time that cannot be read; the target goes on getting requests.",
         "Find out which software the target runs.",
     ),
+    targetsUnreachable: define(
+        344,
+        "warn",
+        "This daemon reaches no target; it hands its requests to other daemons.",
+        "Check the path from this host to the targets.",
+    ),
+    targetsReachable: define(345, "info", "This daemon reaches targets again."),
+    requestHandedOver: define(346, "info", "A request is handed to another daemon, which reaches targets."),
+    handOverRefused: define(
+        347,
+        "warn",
+        "A connection that would hand over requests was refused, because its address belongs to no daemon.",
+        "Find out who connects to the port for messages between daemons.",
+    ),
     storeLost: define(
         220,
         "warn",
--- /dev/null
+++ b/packages/daemon/src/peers/handoverdaemons.ts
@@ -0,0 +1,44 @@
+/** Chooses the daemon that takes a request from this one, which reaches no target. */
+import type { DaemonPresence } from "../ports/presence.js";
+
+/** Daemons that take requests from this one. */
+export interface HandOverDaemons {
+    /** Records whether a daemon takes requests; one that has not said so does not. */
+    record(daemon: string, takesRequests: boolean): void;
+    /** Returns a daemon that was heard recently and takes requests, except those named. */
+    choose(excluded: readonly string[]): DaemonPresence | undefined;
+    /** Whether an address belongs to a daemon of this deployment. */
+    isDaemonAddress(ip: string): boolean;
+}
+
+/** Collaborators of the choice. */
+export interface HandOverDaemonsParts {
+    readonly dataCentre: string;
+    /** All other daemons that have announced themselves. */
+    readonly others: () => readonly DaemonPresence[];
+    /** Names of the daemons that were heard recently. */
+    readonly reachable: () => readonly string[];
+    /** Returns a random number in [0, 1). */
+    readonly random: () => number;
+}
+
+/** With fewer daemons in the own data centre, the requests are spread over all, so that they do not load one alone. */
+const LEAST_LOCAL_DAEMONS = 2;
+
+/** Creates the choice. */
+export function createHandOverDaemons(parts: HandOverDaemonsParts): HandOverDaemons {
+    const takingRequests = new Map<string, boolean>();
+    return {
+        record: (daemon, takesRequests) => void takingRequests.set(daemon, takesRequests),
+        choose: excluded => {
+            const reachable = new Set(parts.reachable());
+            const taking = parts.others().filter(({ daemon }) =>
+                reachable.has(daemon) && takingRequests.get(daemon) === true && !excluded.includes(daemon)
+            );
+            const local = taking.filter(({ dataCentre }) => dataCentre === parts.dataCentre);
+            const chosen = local.length >= LEAST_LOCAL_DAEMONS ? local : taking;
+            return chosen[Math.floor(parts.random() * chosen.length)];
+        },
+        isDaemonAddress: ip => parts.others().some(other => other.ip === ip),
+    };
+}
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -47,6 +47,10 @@
     readonly hasQuarantineNews: () => boolean;
     /** Called with what another daemon knows; its times are of this daemon's monotonic clock. */
     readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
+    /** Whether this daemon takes requests of daemons that reach no target. */
+    readonly takesRequests: () => boolean;
+    /** Called with whether another daemon does. */
+    readonly onTakesRequests: (daemon: string, takesRequests: boolean) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
     /** Whether this daemon tells all others at once of a configuration that has come into force. */
@@ -148,7 +152,7 @@
 }
 
 function createMessage(
-    { clock, self, loadTracker, configurationVersion, limits, leaving }: LoadExchangeParts,
+    { clock, self, loadTracker, configurationVersion, limits, leaving, takesRequests }: LoadExchangeParts,
     updates: Partial<Pick<LoadMessage, "suspects" | "memberships">>,
 ): LoadMessage {
     const now = clock.monotonic();
@@ -160,6 +164,7 @@
         memberships: [],
         limits: limits().map(limit => withAge(limit, now)),
         leaving: leaving().map(statement => withAge(statement, now)),
+        takesRequests: takesRequests(),
         ...updates,
     };
 }
@@ -185,6 +190,7 @@
         pendingPromptTokens,
     }));
     parts.peerLoads.update(daemon, loads, now);
+    parts.onTakesRequests(daemon, message.takesRequests);
     message.limits.forEach(({ ageMilliseconds, ...limit }) =>
         parts.onLimit({ ...limit, statedAt: now - ageMilliseconds })
     );
--- a/packages/daemon/src/peers/loadmessage.ts
+++ b/packages/daemon/src/peers/loadmessage.ts
@@ -40,6 +40,8 @@
     })).default([]),
     /** Targets that said that they leave. Absent in messages of daemons of earlier versions. */
     leaving: z.array(z.object(statementFields)).default([]),
+    /** Whether the daemon takes requests of daemons that reach no target; those of earlier versions do not. */
+    takesRequests: z.boolean().default(false),
     /** Absent in messages of daemons of earlier versions, and if there is nothing to tell. */
     quarantine: quarantineSchema.optional(),
 });
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -28,6 +28,8 @@
     const malformed: unknown[] = [];
     const leaving: { readonly statement: LeavingStatement; readonly daemon: string; }[] = [];
 
+    const takesRequests = new Map<string, boolean>();
+
     beforeEach(async () => {
         received.length = 0;
         merged.length = 0;
@@ -63,6 +65,8 @@
             quarantine: () => report,
             hasQuarantineNews: () => hasNews,
             onQuarantine: (told, daemon) => void merged.push({ report: told, daemon }),
+            takesRequests: () => true,
+            onTakesRequests: (daemon, takes) => void takesRequests.set(daemon, takes),
             configurationVersion: () => configurationVersion,
             announcesConfiguration: () => announces,
             onNewerConfiguration: () => undefined,
@@ -123,7 +127,7 @@
 
     it("merges what another daemon tells, and reads messages of earlier versions", async () => {
         const { port } = socket.address() as AddressInfo;
-        const message: LoadMessage = {
+        const message: Omit<LoadMessage, "takesRequests"> = {
             daemon: OTHER.daemon,
             configurationVersion: 0,
             loads: [],
@@ -133,9 +137,12 @@
             leaving: [],
         };
         const quarantine = encodeQuarantine({ ...report, crashes: [], proven: [{ part: "a", at: 0 }] }, 100);
-        [message, { ...message, quarantine }].forEach(sent => socket.send(encodeLoadMessage(sent), port, SELF.ip));
+        [message, { ...message, quarantine }].forEach(sent =>
+            socket.send(encodeLoadMessage(sent as LoadMessage), port, SELF.ip)
+        );
         await receiveFor(50);
         expect(merged.map(({ daemon, report: { proven } }) => [daemon, proven[0]?.part])).to.deep.equal([["d1", "a"]]);
         expect(malformed).to.deep.equal([]);
+        expect([...takesRequests]).to.deep.equal([[OTHER.daemon, false]]);
     });
 });
--- a/packages/daemon/src/peers/tests/quarantinemessage.test.ts
+++ b/packages/daemon/src/peers/tests/quarantinemessage.test.ts
@@ -9,6 +9,7 @@
     configurationVersion: 1,
     loads: [],
     leaving: [],
+    takesRequests: true,
     suspects: [],
     memberships: [],
     limits: [],
--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -92,5 +92,7 @@
 export interface RelayProtocol {
     decodeRequest(method: string, path: string, headers: IncomingHttpHeaders, list: HeaderList): CallerRequest;
     encodeForTarget(request: CallerRequest, fields: TargetRequestFields): HeaderList;
+    /** Encodes a request for another daemon, which admits it as if its caller had sent it there. */
+    encodeForDaemon(request: CallerRequest, fields: { readonly remainingMilliseconds: number; }): HeaderList;
     decodeResponse(head: ResponseHead): DecodedResponse;
 }
--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -1,11 +1,12 @@
 /** Starts the listeners of the daemon on a platform, and shuts them down. */
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
 import { createCallerServer } from "./callerserver.js";
 import { createReadinessServer } from "./readiness.js";
 import type { Relay } from "./relay.js";
-import { writeInternalError, writeShutdown } from "./responses.js";
+import type { RequestHandler } from "./requestorder.js";
+import { writeInternalError, writeRefusal, writeShutdown } from "./responses.js";
 import { drain } from "./shutdown.js";
 import type { RelayState } from "./state.js";
 
@@ -18,16 +19,34 @@
     readonly callerListen: string;
     /** `IP:PORT` for readiness checks. */
     readonly readinessListen: string;
+    /** How requests of other daemons are taken; absent if none are. */
+    readonly daemons?: DaemonListenerParts;
     /** Time from the signal until the platform kills the process. */
     readonly shutdownMilliseconds: number;
 }
 
+/** How requests are taken that other daemons hand over. */
+export interface DaemonListenerParts {
+    /** `IP:PORT` at which they are taken. */
+    readonly listen: string;
+    /** Whether an address belongs to a daemon of this deployment. */
+    readonly isDaemonAddress: (ip: string) => boolean;
+}
+
+/** Requests of other daemons in progress above which further ones are refused, so that the own callers are served. */
+const MAXIMUM_TAKEN_REQUESTS = 128;
+const TAKEN_RETRY_AFTER_MILLISECONDS = 500;
+
 /** Running listeners. */
 export interface Listeners {
     /** Takes the daemon out of rotation, waits for requests in progress, and resolves when the process may exit. */
     shutDown(): Promise<void>;
+    /** Whether the daemon has begun to stop. */
+    isDraining(): boolean;
 }
 
+type Handle = (request: IncomingMessage, response: ServerResponse, waitedMilliseconds: number) => Promise<void>;
+
 /** Starts the listeners. */
 export async function startListeners(parts: ListenerParts): Promise<Listeners> {
     const { log, relay, state } = parts;
@@ -37,7 +56,7 @@
     /** Responses to requests whose head was read, also before the relay admits them, until they end. */
     const unanswered = new Set<ServerResponse>();
 
-    const callerServer = createCallerServer(state, (request, response, waitedMilliseconds) => {
+    const handleWith = (handle: Handle): RequestHandler => (request, response, waitedMilliseconds) => {
         unanswered.add(response);
         response.once("close", () => unanswered.delete(response));
         if (stopped) {
@@ -47,11 +66,12 @@
         if (draining) {
             response.setHeader("Connection", "close");
         }
-        relay.handle(request, response, waitedMilliseconds).catch((error: unknown) => {
+        handle(request, response, waitedMilliseconds).catch((error: unknown) => {
             log.emit("requestFailed", { error });
             writeInternalError(response, true);
         });
-    });
+    };
+    const callerServer = createCallerServer(state, handleWith((...request) => relay.handle(...request)));
     const endAll = (): void => {
         stopped = true;
         cutOff = relay.inProgress();
@@ -63,7 +83,13 @@
     const readinessServer = createReadinessServer(() =>
         !draining && state.lookup() !== undefined && state.targets().length > 0
     );
-    await Promise.all([listenOn(callerServer, parts.callerListen), listenOn(readinessServer, parts.readinessListen)]);
+    await Promise.all([
+        listenOn(callerServer, parts.callerListen),
+        listenOn(readinessServer, parts.readinessListen),
+        ...(parts.daemons === undefined
+            ? []
+            : [listenOn(createDaemonServer(parts, parts.daemons, handleWith), parts.daemons.listen)]),
+    ]);
 
     return {
         shutDown: async () => {
@@ -73,5 +99,36 @@
             await drain(callerServer, { isIdle, endAll }, parts.shutdownMilliseconds);
             log.emit("daemonStopped", { cutOff });
         },
+        isDraining: () => draining,
     };
 }
+
+/** Creates the server for requests that other daemons hand over. Connections from other addresses are closed. */
+function createDaemonServer(
+    { log, relay, state }: ListenerParts,
+    { isDaemonAddress }: DaemonListenerParts,
+    handleWith: (handle: Handle) => RequestHandler,
+): Server {
+    let taken = 0;
+    const server = createCallerServer(
+        state,
+        handleWith(async (request, response, waitedMilliseconds) => {
+            if (taken >= MAXIMUM_TAKEN_REQUESTS) {
+                writeRefusal(response, "full", TAKEN_RETRY_AFTER_MILLISECONDS);
+                return;
+            }
+            taken += 1;
+            response.once("close", () => {
+                taken -= 1;
+            });
+            await relay.handleFromDaemon(request, response, waitedMilliseconds);
+        }),
+    );
+    server.prependListener("connection", socket => {
+        if (!isDaemonAddress(socket.remoteAddress ?? "")) {
+            log.emit("handOverRefused", { address: socket.remoteAddress });
+            socket.destroy();
+        }
+    });
+    return server;
+}
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -165,6 +165,7 @@
     }
 
     private receiveHead(attempt: Attempt, head: ResponseHead): void {
+        this.parts.reachability.recordReached();
         attempt.head = head;
         attempt.decoded = this.parts.protocol.decodeResponse(head);
         const { requestId } = attempt.decoded;
@@ -292,6 +293,7 @@
     }
 
     private receiveFailure(attempt: Attempt, error: Error): void {
+        this.recordConnectionFailure(attempt.target.id, attempt.sent, error);
         if (isLostConnection(error)) {
             attempt.observed.connectionLost();
         }
@@ -332,7 +334,14 @@
         }
     }
 
+    protected mayRepeat(): boolean {
+        return this.isRepeatable();
+    }
+
     protected giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details: EndDetails = {}): void {
+        if (this.tryToHandOver(reason)) {
+            return;
+        }
         if (this.mayHaveRun) {
             writeFailure(this.context.response, reason === "quarantined" ? reason : "target-failed");
             this.finish("failed", details);
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { CallerRequest } from "../ports/relayprotocol.js";
 import { readWithinLimits } from "./body.js";
+import { createHandOver, type HandOverPath } from "./handover.js";
 import { createPlainRelay } from "./plainrelay.js";
 import type { StoppableRelay } from "./relaytask.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
@@ -17,6 +18,8 @@
      * since it arrived.
      */
     handle(request: IncomingMessage, response: ServerResponse, waitedMilliseconds?: number): Promise<void>;
+    /** Handles one request that another daemon handed over; it is not handed on. */
+    handleFromDaemon(request: IncomingMessage, response: ServerResponse, waitedMilliseconds?: number): Promise<void>;
     /** Number of requests whose response has not ended. */
     inProgress(): number;
     /** Moves streams away from a head that makes no progress. */
@@ -34,16 +37,26 @@
 /** Timeout of a request if neither the caller nor the route sets one. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
 
-/** Creates the request path. */
-export function createRelay(parts: RelayParts): Relay {
-    return new RequestPath(parts);
+/** A request as it arrived. */
+interface ArrivedRequest {
+    readonly request: CallerRequest;
+    readonly body: Buffer;
+    readonly response: ServerResponse;
+    readonly receivedAt: number;
+    /** Whether it may be handed to another daemon. */
+    readonly mayHandOver: boolean;
+}
+
+/** Creates the request path. Without a way to the other daemons, no request is handed over. */
+export function createRelay(parts: RelayParts, handOverPath?: HandOverPath): Relay {
+    return new RequestPath(parts, handOverPath);
 }
 
 class RequestPath implements Relay {
     private readonly streams = new Set<StreamRelay>();
     private readonly requests = new Set<StoppableRelay>();
 
-    constructor(private readonly parts: RelayParts) {}
+    constructor(private readonly parts: RelayParts, private readonly handOverPath: HandOverPath | undefined) {}
 
     inProgress(): number {
         return this.requests.size;
@@ -54,7 +67,20 @@
             .forEach(stream => stream.guard(() => stream.moveToAnotherGroup()));
     }
 
-    async handle(message: IncomingMessage, response: ServerResponse, waitedMilliseconds = 0): Promise<void> {
+    handle(message: IncomingMessage, response: ServerResponse, waitedMilliseconds = 0): Promise<void> {
+        return this.receive(message, response, waitedMilliseconds, true);
+    }
+
+    handleFromDaemon(message: IncomingMessage, response: ServerResponse, waitedMilliseconds = 0): Promise<void> {
+        return this.receive(message, response, waitedMilliseconds, false);
+    }
+
+    private async receive(
+        message: IncomingMessage,
+        response: ServerResponse,
+        waitedMilliseconds: number,
+        mayHandOver: boolean,
+    ): Promise<void> {
         const receivedAt = this.parts.clock.monotonic() - waitedMilliseconds;
         const { method = "GET", url = "/", headers, rawHeaders } = message;
         let request: CallerRequest | undefined;
@@ -68,7 +94,7 @@
                 this.deny(response, read.kind, { requestId: request.id });
             }
             else if (read.kind === "whole" && !response.destroyed && !response.headersSent) {
-                this.admit(request, read.body, response, receivedAt);
+                this.admit({ request, body: read.body, response, receivedAt, mayHandOver });
             }
         }
         catch (error) {
@@ -78,7 +104,7 @@
         }
     }
 
-    private admit(request: CallerRequest, body: Buffer, response: ServerResponse, receivedAt: number): void {
+    private admit({ request, body, response, receivedAt, mayHandOver }: ArrivedRequest): void {
         const lookup = this.parts.state.lookup();
         if (lookup === undefined) {
             this.parts.log.emit("requestDenied", { requestId: request.id, reason: "no-configuration" });
@@ -100,7 +126,13 @@
         }
         const identity = identifyRequest({ request, team: admitted.team?.name, service, body });
         const subjects = [...request.promptParts, identity];
-        this.startRelay({ request, body, response, lookup, admitted, service, subjects, receivedAt, deadlineAt });
+        const context: RequestContext = {
+            ...{ request, body, response, lookup, admitted, service, subjects, receivedAt, deadlineAt },
+            handOver: () => mayHandOver && this.handOver(context),
+        };
+        if (!this.parts.reachability.isCutOff() || !context.handOver()) {
+            this.startRelay(context);
+        }
     }
 
     cancelWaiting(subject: string): void {
@@ -111,6 +143,22 @@
         [...this.requests].forEach(request => request.guard(() => request.stop()));
     }
 
+    /** Hands a request to another daemon; returns whether there is one that takes it. */
+    private handOver(context: RequestContext): boolean {
+        if (this.handOverPath?.choose([]) === undefined) {
+            return false;
+        }
+        const handOver = createHandOver(
+            context,
+            this.parts,
+            this.handOverPath,
+            () => this.requests.delete(handOver),
+        );
+        this.requests.add(handOver);
+        handOver.guard(() => handOver.start());
+        return true;
+    }
+
     private startRelay(context: RequestContext): void {
         const engine = context.lookup.findService(context.service)?.engine;
         if (engine !== undefined && context.request.model !== undefined) {
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,7 +1,7 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import { breakOff, type RefusalReason, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
-import type { TargetConnections } from "./targetconnections.js";
+import { isLostConnection, type TargetConnections } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
 /** Additional fields of the `requestEnded` event. */
@@ -10,6 +10,9 @@
 /** Why an attempt is cancelled. */
 export type CancelReason = "deadline" | "caller-left" | "error" | "shutdown";
 
+/** Reasons to refuse a request that another daemon may be able to serve, if this one does not reach the targets. */
+const HANDED_OVER_REASONS: ReadonlySet<RefusalReason> = new Set(["no-group", "no-target", "not-run"]);
+
 /** Relay that can be ended from outside. */
 export interface StoppableRelay {
     /** Runs a step of the request; an error that it throws ends the request. */
@@ -30,6 +33,8 @@
     protected readonly tried: string[] = [];
     /** Quarantined subject that this request tries again. */
     protected trialOf: string | undefined;
+    /** Whether a target could not be reached for this request. */
+    private hasMissedTarget = false;
     protected readonly parts: RelayParts;
     /** Whether the request was written to the target of the latest attempt. */
     private isLatestSent = false;
@@ -73,6 +78,33 @@
     /** Ends the request without a response of a target, in a way that states the truth. */
     protected abstract giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details?: EndDetails): void;
 
+    /** Whether the request may be run once more although a target may have run it. */
+    protected abstract mayRepeat(): boolean;
+
+    /** Records the end of a connection without a whole response; `sent` is whether the request was written to it. */
+    protected recordConnectionFailure(target: string, sent: boolean, error: Error): void {
+        if (!sent || isLostConnection(error)) {
+            this.hasMissedTarget = true;
+            this.parts.reachability.recordMissed(target);
+        }
+    }
+
+    /** Hands the request to another daemon if this one may not reach the targets; returns whether it did. */
+    protected tryToHandOver(reason: RefusalReason): boolean {
+        const isUnreachable = this.hasMissedTarget || this.parts.reachability.isCutOff();
+        const mayBeSent = !this.context.response.headersSent && (!this.mayHaveRun || this.mayRepeat());
+        if (this.isFinished || !isUnreachable || !mayBeSent || !HANDED_OVER_REASONS.has(reason)) {
+            return false;
+        }
+        if (!this.context.handOver()) {
+            return false;
+        }
+        this.isFinished = true;
+        clearTimeout(this.deadline);
+        this.onEnded();
+        return true;
+    }
+
     /** Whether targets crash on a subject of the request, so that it is not sent again. */
     protected isQuarantined(): boolean {
         return this.parts.promptQuarantine.check(this.context.subjects, false).kind === "refused";
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -16,6 +16,7 @@
 import type { RelayState } from "./state.js";
 import type { TargetAvailability } from "./targetavailability.js";
 import type { TargetConnections } from "./targetconnections.js";
+import type { TargetReachability } from "./targetreachability.js";
 
 /** An admitted request. Times are monotonic milliseconds. */
 export interface RequestContext {
@@ -31,6 +32,8 @@
     readonly receivedAt: number;
     /** Time by which the caller gets the final response. */
     readonly deadlineAt: number;
+    /** Hands the request to another daemon, which ends it; returns whether there is one. */
+    readonly handOver: () => boolean;
 }
 
 /** Collaborators of the relays. */
@@ -43,6 +46,7 @@
     readonly loadTracker: LoadTracker;
     readonly availability: TargetAvailability;
     readonly promptQuarantine: PromptQuarantine;
+    readonly reachability: TargetReachability;
     readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -24,6 +24,7 @@
     | "not-run"
     | "budget"
     | "quarantined"
+    | "cut-off"
     | "shutdown"
     | "internal";
 
--- /dev/null
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -0,0 +1,153 @@
+/** Components of the daemon on a platform that most others depend on. */
+import {
+    createLoadTracker,
+    createPeerLoads,
+    type DaemonLocation,
+    type DemandMeter,
+    type LoadTracker,
+    type PeerLoads,
+    type Target,
+} from "@damaskvale/core";
+import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
+import { createBunyanLog } from "../adapters/bunyanlog.js";
+import { systemClock } from "../adapters/clock.js";
+import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
+import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import { createServiceRetryBudgets, type ServiceRetryBudgets } from "./budgets.js";
+import { createDemandMeters } from "./demandmeters.js";
+import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
+import type { PlatformPorts, RelaySettings } from "./platformports.js";
+import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
+import { createRelayState, type RelayState } from "./state.js";
+import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
+import { createTargetConnections, type TargetConnections } from "./targetconnections.js";
+import { probeTarget } from "./targetprobe.js";
+import { startTargetReachability, type TargetReachability } from "./targetreachability.js";
+
+/** Descriptor of standard output. */
+const STANDARD_OUTPUT = 1;
+const CONNECTIONS_PER_TARGET = 40;
+/** Time for a target or a daemon to accept a connection. */
+export const CONNECT_TIMEOUT_MILLISECONDS = 400;
+
+/** Components that most others depend on. */
+export interface SharedParts {
+    readonly settings: RelaySettings;
+    readonly ports: PlatformPorts;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    /** Returns a random number in [0, 1). */
+    readonly random: () => number;
+    readonly state: RelayState;
+    readonly loadTracker: LoadTracker;
+    readonly peerLoads: PeerLoads;
+    readonly budgets: ServiceRetryBudgets;
+    readonly demandOf: (service: string) => DemandMeter;
+    readonly daemons: DaemonList;
+    readonly availability: TargetAvailability;
+    readonly promptQuarantine: PromptQuarantine;
+    readonly reachability: TargetReachability;
+    readonly connections: TargetConnections;
+    readonly handOverDaemons: HandOverDaemons;
+}
+
+/** Creates them, with the metrics that show them. */
+export function createSharedParts(
+    settings: RelaySettings,
+    ports: PlatformPorts,
+    requestsInProgress: () => number,
+): { readonly shared: SharedParts; readonly metrics: DaemonMetrics; } {
+    const output = createBoundedOutput(STANDARD_OUTPUT);
+    const bunyanLog = createLog(settings, output);
+    const state = createRelayState((kind, { id, service, address, startedAt, domain }) =>
+        metrics.log.emit("targetsChanged", { kind, target: id, service, address, startedAt, domain })
+    );
+    const metrics = createDaemonMetrics(bunyanLog, {
+        requestsInProgress,
+        linesDropped: output.dropped,
+        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
+        servingGroups: () => state.countServingGroups(),
+        limitedTargets: () => availability.limitedTargets(),
+        restingTargets: () => availability.restingTargets(),
+        unreadableStatements: () => availability.unreadableStatements(),
+        quarantinedParts: () => promptQuarantine.quarantined().length,
+        storeEra: () => ports.storeEra.current(),
+        storeErasIgnored: () => ports.storeEra.ignoredStatements(),
+    });
+    const daemons = createDaemonList(settings.daemon);
+    const peerLoads = createPeerLoads();
+    const availability = createTargetAvailability({
+        clock: systemClock,
+        log: metrics.log,
+        self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
+        reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
+        knownDaemons: daemons.count,
+        state,
+    });
+    const promptQuarantine = createPromptQuarantine({
+        clock: systemClock,
+        log: metrics.log,
+        self: settings.daemon,
+        reachableDaemons: () => peerLoads.peers(systemClock.monotonic()),
+        knownDaemons: daemons.count,
+    });
+    const reachability = wireReachability(ports, state, metrics.log);
+    const handOverDaemons = createHandOverDaemons({
+        dataCentre: settings.dataCentre,
+        others: daemons.others,
+        reachable: () => peerLoads.peers(systemClock.monotonic()),
+        random: Math.random,
+    });
+    const connections = createTargetConnections({
+        connectionsPerTarget: CONNECTIONS_PER_TARGET,
+        connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+    });
+    const shared: SharedParts = {
+        settings,
+        ports,
+        clock: systemClock,
+        log: metrics.log,
+        random: Math.random,
+        state,
+        loadTracker: createLoadTracker(),
+        peerLoads,
+        budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
+        demandOf: createDemandMeters(),
+        daemons,
+        availability,
+        promptQuarantine,
+        reachability,
+        handOverDaemons,
+        connections,
+    };
+    return { shared, metrics };
+}
+
+/** Adds the data centres of daemons, as far as they are known. */
+export function locate(names: readonly string[], daemons: DaemonList): DaemonLocation[] {
+    const dataCentres = new Map(daemons.others().map(({ daemon, dataCentre }) => [daemon, dataCentre]));
+    return names.map(daemon => ({ daemon, dataCentre: dataCentres.get(daemon) }));
+}
+
+function createLog({ daemon, dataCentre }: RelaySettings, { stream }: BoundedOutput): EventLog {
+    return createBunyanLog({ daemon, dataCentre, level: "info", secrets: [], stream });
+}
+
+function wireReachability(ports: PlatformPorts, state: RelayState, log: EventLog): TargetReachability {
+    const engines = ports.engines(log);
+    // The report of an engine proves more than an accepted connection, behind which nothing may answer.
+    const probedTargets = (): readonly Target[] => {
+        const registered = state.targets().filter(target => target.registered && !target.draining);
+        const hosts = registered.filter(({ domain }) => domain !== undefined);
+        return hosts.length > 0 ? hosts : registered;
+    };
+    return startTargetReachability({
+        clock: systemClock,
+        log,
+        targets: probedTargets,
+        probe: target => probeTarget(target, engines, CONNECT_TIMEOUT_MILLISECONDS),
+        random: Math.random,
+    });
+}
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -94,6 +94,10 @@
         }
     }
 
+    protected mayRepeat(): boolean {
+        return this.context.admitted.route.resumable;
+    }
+
     private mayRetry(): boolean {
         const { route } = this.context.admitted;
         const mayHaveRun = this.mayHaveRun || this.attempt?.sent === true;
@@ -162,6 +166,7 @@
 
     private receiveHead(attempt: StreamAttempt, head: ResponseHead): void {
         const { context, parts } = this;
+        parts.reachability.recordReached();
         const decoded = parts.protocol.decodeResponse(head);
         if (decoded.requestId !== undefined && decoded.requestId !== context.request.id) {
             this.abandon(attempt, "foreign-answer");
@@ -200,6 +205,7 @@
 
     private receiveData(attempt: StreamAttempt, chunk: Buffer): void {
         const now = this.parts.clock.monotonic();
+        this.parts.reachability.recordReached();
         if (attempt.isPassthrough) {
             this.passThrough(attempt, chunk);
             return;
@@ -277,6 +283,7 @@
     }
 
     private receiveFailure(attempt: StreamAttempt, error: Error): void {
+        this.recordConnectionFailure(attempt.head, attempt.written, error);
         if (isRefusedConnection(error)) {
             this.parts.headUnusable(attempt.head);
         }
@@ -332,6 +339,9 @@
         details: EndDetails = {},
     ): void {
         const { response } = this.context;
+        if (this.tryToHandOver(reason)) {
+            return;
+        }
         if (response.headersSent) {
             breakOff(response);
             this.finish("broken-off", details);
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -69,6 +69,8 @@
     /** Maximum number of connections to one target. */
     readonly connectionsPerTarget: number;
     readonly connectTimeoutMilliseconds: number;
+    /** Own address that connections start from; the system chooses one if it is absent. */
+    readonly localAddress?: string;
 }
 
 /** Idle connections are closed after this time unless the target sends another timeout. */
@@ -95,6 +97,7 @@
                 method: request.method,
                 path: request.path,
                 headers: [...request.headers, ...contentLengthOf(request)],
+                localAddress: options.localAddress,
                 agent: request.onNewConnection ? new Agent({ keepAlive: false }) : keepAliveAgent,
             });
             const exchange = new Exchange(message, receiver, options.connectTimeoutMilliseconds, pace.start());
@@ -103,7 +106,7 @@
         },
         renew: address => {
             const [host = "", port = ""] = address.split(":");
-            const name = keepAliveAgent.getName({ host, port: Number(port) });
+            const name = keepAliveAgent.getName({ host, port: Number(port), localAddress: options.localAddress });
             keepAliveAgent.freeSockets[name]?.forEach(socket => socket.destroy());
         },
     };
--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -63,6 +63,7 @@
     const relay = typeof given === "function"
         ? {
             handle: given,
+            handleFromDaemon: given,
             inProgress: () => 0,
             moveStreams: () => undefined,
             cancelWaiting: () => undefined,
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -22,6 +22,7 @@
 import { createRelayState } from "../state.js";
 import { createTargetAvailability } from "../targetavailability.js";
 import type { ResponseReceiver, TargetRequest } from "../targetconnections.js";
+import type { TargetReachability } from "../targetreachability.js";
 
 /** One request that the relay sent, and the receiver through which the test responds to it. */
 export interface FakeSend {
@@ -63,6 +64,10 @@
     readonly lastEventId?: number;
     /** Shared parts of the prompt. */
     readonly promptParts?: readonly string[];
+    /** Whether this daemon reaches targets; it does by default. */
+    readonly reachability?: TargetReachability;
+    /** Hands the request over; no daemon takes it by default. */
+    readonly handOver?: () => boolean;
     /** Identity of the request, if it can be quarantined. */
     readonly identity?: string;
     /** Targets that have stated a limit and got the last request that it allows. */
@@ -78,6 +83,16 @@
 /** Statements of a target that says nothing of itself. */
 export const noStatements: TargetStatements = { rate: { kind: "unlimited" }, rest: { kind: "none" }, leaving: false };
 
+/** Reachability of a daemon that reaches all targets. */
+export const reachesTargets: TargetReachability = {
+    recordReached: () => undefined,
+    recordMissed: () => undefined,
+    isCutOff: () => false,
+    isDoubtful: () => false,
+    onChange: () => undefined,
+    stop: () => undefined,
+};
+
 /** Time for which resting targets want no requests. */
 export const REST_MILLISECONDS = 10_000;
 
@@ -111,6 +126,7 @@
         throw new Error("The fixture does not decode requests.");
     },
     encodeForTarget: (...[, fields]) => Object.entries(fields).flatMap(([name, value]) => [name, String(value)]),
+    encodeForDaemon: (...[, fields]) => Object.entries(fields).flatMap(([name, value]) => [name, String(value)]),
     decodeResponse: ({ headers }) => ({
         notRun: headers["not-run"] !== undefined,
         misdirected: headers["misdirected"] !== undefined,
@@ -235,6 +251,7 @@
             loadTracker,
             availability,
             promptQuarantine,
+            reachability: options.reachability ?? reachesTargets,
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
@@ -253,6 +270,7 @@
             service: "pool",
             subjects: [...options.promptParts ?? [], ...options.identity === undefined ? [] : [options.identity]],
             receivedAt: performance.now(),
+            handOver: options.handOver ?? (() => false),
             deadlineAt: performance.now() + route.timeoutMilliseconds,
         },
     };
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -30,6 +30,7 @@
     const readinessPort = await freePort();
     const relay: Relay = {
         handle,
+        handleFromDaemon: handle,
         inProgress: () => 0,
         moveStreams: () => undefined,
         cancelWaiting: () => undefined,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,53 +1,35 @@
 /** Composition root of the daemon on a platform: connects the relay, the topic followers and the engine planner. */
 import {
-    createLoadTracker,
-    createPeerLoads,
     createSlidingMaximum,
     createSuspicions,
-    type DaemonLocation,
-    type DemandMeter,
     eraOf,
-    type LoadTracker,
-    type PeerLoads,
     type RelayConfiguration,
     type TargetLoad,
 } from "@damaskvale/core";
-import { createBoundedOutput } from "../adapters/boundedoutput.js";
-import { createBunyanLog } from "../adapters/bunyanlog.js";
-import { systemClock } from "../adapters/clock.js";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
-import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
-import type { Clock } from "../ports/clock.js";
-import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
 import type { TopicChange } from "../ports/registry.js";
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
-import { createServiceRetryBudgets, type ServiceRetryBudgets } from "./budgets.js";
 import {
     type ConfigurationReader,
     configurationWaitMilliseconds,
     isConfigurationWatcher,
 } from "./configurationwait.js";
-import { createDemandMeters } from "./demandmeters.js";
-import { startListeners } from "./lifecycle.js";
-import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
+import { type Listeners, startListeners } from "./lifecycle.js";
 import { registryReadDelayMilliseconds } from "./pace.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
-import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
+import { CONNECT_TIMEOUT_MILLISECONDS, createSharedParts, locate, type SharedParts } from "./sharedparts.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
-import { createRelayState, type RelayState } from "./state.js";
+import type { RelayState } from "./state.js";
 import { logStoreEra, refreshAfterRestore } from "./storerestore.js";
-import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
 import { createTargetConnections } from "./targetconnections.js";
 
-/** Descriptor of standard output. */
-const STANDARD_OUTPUT = 1;
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon keeps planning while the store is unreachable, if engines refuse orders of previous owners. */
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
@@ -60,8 +42,8 @@
 /** A lost group is usually formed again within this time. */
 const GROUP_COUNT_WINDOW_MILLISECONDS = 10_000;
 const DEFAULT_PEER_PORT = 7_340;
-const CONNECTIONS_PER_TARGET = 40;
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
+/** Streams that are handed over keep a connection each. */
+const CONNECTIONS_PER_DAEMON = 128;
 /** Progress within this time overrides the suspicion of another daemon. */
 const RECENT_PROGRESS_MILLISECONDS = 300;
 
@@ -71,38 +53,29 @@
         && now - load.lastProgressAt < RECENT_PROGRESS_MILLISECONDS;
 }
 
-/** Components that most others depend on. */
-interface SharedParts {
-    readonly settings: RelaySettings;
-    readonly ports: PlatformPorts;
-    readonly clock: Clock;
-    readonly log: EventLog;
-    /** Returns a random number in [0, 1). */
-    readonly random: () => number;
-    readonly state: RelayState;
-    readonly loadTracker: LoadTracker;
-    readonly peerLoads: PeerLoads;
-    readonly budgets: ServiceRetryBudgets;
-    readonly demandOf: (service: string) => DemandMeter;
-    readonly daemons: DaemonList;
-    readonly availability: TargetAvailability;
-    readonly promptQuarantine: PromptQuarantine;
-}
-
 /** Starts the daemon and resolves once it listens. On SIGTERM it drains and exits the process. */
 export async function startPlatformDaemon(settings: RelaySettings, ports: PlatformPorts): Promise<void> {
     const { shared, metrics } = createSharedParts(settings, ports, () => relay.inProgress());
     const { log } = shared;
     const relay = wireRelay(shared, head => stallDetector.headUnusable(head));
-    const listening = startListeners({ ...settings, log, relay, state: shared.state });
+    const listening = startListeners({
+        ...settings,
+        log,
+        relay,
+        state: shared.state,
+        daemons: {
+            listen: `${settings.ip}:${peerPortOf(settings)}`,
+            isDaemonAddress: shared.handOverDaemons.isDaemonAddress,
+        },
+    });
     if (settings.metricsListen !== undefined) {
         await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.promptQuarantine));
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     logStoreEra(ports.storeEra, log);
     const configuration = followStore(shared);
-    const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration);
     const listeners = await listening;
+    const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration, listeners);
     process.once("SIGTERM", () => {
         planner.stop();
         Promise.all([listeners.shutDown(), lease.stop()])
@@ -114,75 +87,6 @@
     process.on("SIGHUP", () => log.emit("settingsUnchanged"));
 }
 
-function createSharedParts(
-    settings: RelaySettings,
-    ports: PlatformPorts,
-    requestsInProgress: () => number,
-): { readonly shared: SharedParts; readonly metrics: DaemonMetrics; } {
-    const output = createBoundedOutput(STANDARD_OUTPUT);
-    const bunyanLog = createBunyanLog({
-        daemon: settings.daemon,
-        dataCentre: settings.dataCentre,
-        level: "info",
-        secrets: [],
-        stream: output.stream,
-    });
-    const state = createRelayState((kind, { id, service, address, startedAt, domain }) =>
-        metrics.log.emit("targetsChanged", { kind, target: id, service, address, startedAt, domain })
-    );
-    const metrics = createDaemonMetrics(bunyanLog, {
-        requestsInProgress,
-        linesDropped: output.dropped,
-        configurationVersion: () => state.lookup()?.configuration.version ?? 0,
-        servingGroups: () => state.countServingGroups(),
-        limitedTargets: () => availability.limitedTargets(),
-        restingTargets: () => availability.restingTargets(),
-        unreadableStatements: () => availability.unreadableStatements(),
-        quarantinedParts: () => promptQuarantine.quarantined().length,
-        storeEra: () => ports.storeEra.current(),
-        storeErasIgnored: () => ports.storeEra.ignoredStatements(),
-    });
-    const daemons = createDaemonList(settings.daemon);
-    const peerLoads = createPeerLoads();
-    const availability = createTargetAvailability({
-        clock: systemClock,
-        log: metrics.log,
-        self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
-        reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
-        knownDaemons: daemons.count,
-        state,
-    });
-    const promptQuarantine = createPromptQuarantine({
-        clock: systemClock,
-        log: metrics.log,
-        self: settings.daemon,
-        reachableDaemons: () => peerLoads.peers(systemClock.monotonic()),
-        knownDaemons: daemons.count,
-    });
-    const shared: SharedParts = {
-        settings,
-        ports,
-        clock: systemClock,
-        log: metrics.log,
-        random: Math.random,
-        state,
-        loadTracker: createLoadTracker(),
-        peerLoads,
-        budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
-        demandOf: createDemandMeters(),
-        daemons,
-        availability,
-        promptQuarantine,
-    };
-    return { shared, metrics };
-}
-
-/** Adds the data centres of daemons, as far as they are known. */
-function locate(names: readonly string[], daemons: DaemonList): DaemonLocation[] {
-    const dataCentres = new Map(daemons.others().map(({ daemon, dataCentre }) => [daemon, dataCentre]));
-    return names.map(daemon => ({ daemon, dataCentre: dataCentres.get(daemon) }));
-}
-
 function wireRelay(shared: SharedParts, headUnusable: (head: string) => void): Relay {
     const { settings, ports, clock, log, random, state, loadTracker, peerLoads, budgets, demandOf } = shared;
     const relay = createRelay({
@@ -190,13 +94,11 @@
         log,
         protocol: ports.protocol,
         state,
-        connections: createTargetConnections({
-            connectionsPerTarget: CONNECTIONS_PER_TARGET,
-            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-        }),
+        connections: shared.connections,
         loadTracker,
         availability: shared.availability,
         promptQuarantine: shared.promptQuarantine,
+        reachability: shared.reachability,
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
         dataCentre: settings.dataCentre,
@@ -205,11 +107,38 @@
         demandOf,
         budgetOf: budgets.of,
         random,
+    }, {
+        connections: createTargetConnections({
+            connectionsPerTarget: CONNECTIONS_PER_DAEMON,
+            connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+            localAddress: settings.ip,
+        }),
+        port: peerPortOf(settings),
+        choose: shared.handOverDaemons.choose,
     });
     shared.promptQuarantine.onQuarantined(part => relay.cancelWaiting(part));
     return relay;
 }
 
+/** Reports each change to the other daemons, and forgets what this one concluded about targets while it reached none. */
+function followReachability(
+    { reachability, loadTracker, state, connections }: SharedParts,
+    exchange: LoadExchange,
+): void {
+    reachability.onChange(isCutOff => {
+        if (!isCutOff) {
+            loadTracker.targets().forEach(target => loadTracker.clear(target));
+            state.targets().forEach(({ address }) => connections.renew(address));
+        }
+        exchange.broadcastKnowledge();
+    });
+}
+
+/** Returns the port at which daemons exchange messages and hand over requests. */
+function peerPortOf({ internalPorts }: RelaySettings): number {
+    return internalPorts[0] ?? DEFAULT_PEER_PORT;
+}
+
 /** Returns the delay between two registry reads in milliseconds. */
 function registryReadDelay({ daemons, settings }: SharedParts): number {
     return registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
@@ -260,6 +189,7 @@
     shared: SharedParts,
     relay: Relay,
     configuration: TopicFollower,
+    listeners: Listeners,
 ): { readonly planner: EnginePlanner; readonly lease: PartitionLease; readonly stallDetector: StallDetector; } {
     const { settings, ports, clock, log, random, state, loadTracker, budgets, daemons } = shared;
     const lease = startPartitionLease({
@@ -270,7 +200,8 @@
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
         isOfCurrentEra: fencingToken => eraOf(fencingToken) >= ports.storeEra.current(),
     });
-    const exchange = wireExchange(shared, configuration, head => planner.suspect(head));
+    const exchange = wireExchange(shared, configuration, listeners, head => planner.suspect(head));
+    followReachability(shared, exchange);
     const planner = startEnginePlanner({
         clock,
         log,
@@ -303,9 +234,10 @@
         groupOf: host => groupOf(state, host),
         moveStreams: head => relay.moveStreams(head),
         report: head => {
+            shared.reachability.recordMissed(head);
             planner.suspect(head);
             const group = groupOf(state, head);
-            if (group !== undefined) {
+            if (group !== undefined && !shared.reachability.isDoubtful()) {
                 exchange.suspect({ head, group });
             }
         },
@@ -317,16 +249,18 @@
 function wireExchange(
     shared: SharedParts,
     configuration: TopicFollower,
+    listeners: Listeners,
     suspect: (head: string) => void,
 ): LoadExchange {
     const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, promptQuarantine } = shared;
+    const { reachability, handOverDaemons } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
         log,
         self: selfOf(settings),
         daemons,
-        port: settings.internalPorts[0] ?? DEFAULT_PEER_PORT,
+        port: peerPortOf(settings),
         loadTracker,
         peerLoads,
         onMembership: reported => state.applyMembership(reported),
@@ -337,6 +271,8 @@
         quarantine: () => promptQuarantine.report(),
         hasQuarantineNews: () => promptQuarantine.hasNews(),
         onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
+        takesRequests: () => !reachability.isCutOff() && !listeners.isDraining(),
+        onTakesRequests: handOverDaemons.record,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         announcesConfiguration: () => isConfigurationWatcher(configurationReader(shared)),
         onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
