Say that a handed-over request may have run if it may have run here

Cause: a request whose connection was lost at this daemon was handed over, and the refusal of the other daemon, true for itself, was passed on. It was also sent once more without a retry of the budget. A request that may have run is handed over only while this daemon is cut off from all targets, and takes a retry of the budget.

--- a/packages/daemon/src/relay/handover.ts
+++ b/packages/daemon/src/relay/handover.ts
@@ -8,6 +8,7 @@
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
+    NOT_RUN_STATUSES,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -25,6 +26,12 @@
     readonly choose: (excluded: readonly string[]) => DaemonPresence | undefined;
 }
 
+/** How one request is handed over. */
+export interface HandOverOptions extends HandOverPath {
+    /** Whether a target may have run it for this daemon. */
+    readonly mayHaveRun: boolean;
+}
+
 /** A request that is handed over. */
 export interface HandOver extends StoppableRelay {
     start(): void;
@@ -39,10 +46,10 @@
 export function createHandOver(
     context: RequestContext,
     parts: RelayParts,
-    path: HandOverPath,
+    options: HandOverOptions,
     onEnded: () => void,
 ): HandOver {
-    return new HandOverTask(context, { ...parts, connections: path.connections }, path, onEnded);
+    return new HandOverTask(context, { ...parts, connections: options.connections }, options, onEnded);
 }
 
 class HandOverTask extends RelayTask implements HandOver {
@@ -54,15 +61,16 @@
     constructor(
         context: RequestContext,
         parts: RelayParts,
-        private readonly path: HandOverPath,
+        private readonly options: HandOverOptions,
         onEnded: () => void,
     ) {
         super(context, parts, onEnded);
+        this.mayHaveRun = options.mayHaveRun;
         context.response.on("drain", () => this.exchange?.resume());
     }
 
     start(): void {
-        const daemon = this.path.choose(this.tried);
+        const daemon = this.options.choose(this.tried);
         if (daemon === undefined || this.tried.length >= MAXIMUM_DAEMONS) {
             this.giveUp("cut-off", REFUSED_RETRY_AFTER_MILLISECONDS);
             return;
@@ -77,7 +85,7 @@
         this.tried.push(daemon);
         parts.log.emit("requestHandedOver", { ...requestLogFields(context), to: daemon });
         this.exchange = parts.connections.send(
-            `${ip}:${this.path.port}`,
+            `${ip}:${this.options.port}`,
             {
                 method: request.method,
                 path: request.path,
@@ -99,6 +107,11 @@
 
     private receiveHead(head: ResponseHead): void {
         this.head = head;
+        if (this.mayHaveRun && NOT_RUN_STATUSES.has(head.status)) {
+            this.exchange?.cancel();
+            this.giveUp("cut-off", REFUSED_RETRY_AFTER_MILLISECONDS);
+            return;
+        }
         const { forwarded } = this.parts.protocol.decodeResponse(head);
         const length = head.headers["content-length"];
         writeResponseHead(this.context.response, head, [
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -7,6 +7,7 @@
 import {
     breakOff,
     exceedsUnstatedLength,
+    NOT_RUN_STATUSES,
     type RefusalReason,
     writeFailure,
     writePaced,
@@ -16,8 +17,6 @@
 import { isLostConnection, type TargetExchange } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
-/** Statuses that imply that the request has not run. A target that sends one without stating this may have run it. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** `Retry-After` of a request that every target refused. */
 const REFUSED_RETRY_AFTER_MILLISECONDS = 300;
 /** `Retry-After` while no target of the service is registered. */
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -128,9 +128,9 @@
         const subjects = [...request.promptParts, identity];
         const context: RequestContext = {
             ...{ request, body, response, lookup, admitted, service, subjects, receivedAt, deadlineAt },
-            handOver: () => mayHandOver && this.handOver(context),
+            handOver: mayHaveRun => mayHandOver && this.handOver(context, mayHaveRun),
         };
-        if (!this.parts.reachability.isCutOff() || !context.handOver()) {
+        if (!this.parts.reachability.isCutOff() || !context.handOver(false)) {
             this.startRelay(context);
         }
     }
@@ -144,14 +144,14 @@
     }
 
     /** Hands a request to another daemon; returns whether there is one that takes it. */
-    private handOver(context: RequestContext): boolean {
+    private handOver(context: RequestContext, mayHaveRun: boolean): boolean {
         if (this.handOverPath?.choose([]) === undefined) {
             return false;
         }
         const handOver = createHandOver(
             context,
             this.parts,
-            this.handOverPath,
+            { ...this.handOverPath, mayHaveRun },
             () => this.requests.delete(handOver),
         );
         this.requests.add(handOver);
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -89,14 +89,24 @@
         }
     }
 
+    private isUnreachable(): boolean {
+        return this.hasMissedTarget || this.parts.reachability.isCutOff();
+    }
+
+    /** Whether the loss of the connection was one of all, so that a retry through another daemon is worth the budget. */
+    private mayRepeatElsewhere(): boolean {
+        return this.mayRepeat() && this.parts.reachability.isCutOff() && this.withdrawRetry();
+    }
+
     /** Hands the request to another daemon if this one may not reach the targets; returns whether it did. */
     protected tryToHandOver(reason: RefusalReason): boolean {
-        const isUnreachable = this.hasMissedTarget || this.parts.reachability.isCutOff();
-        const mayBeSent = !this.context.response.headersSent && (!this.mayHaveRun || this.mayRepeat());
-        if (this.isFinished || !isUnreachable || !mayBeSent || !HANDED_OVER_REASONS.has(reason)) {
+        if (this.isFinished || this.context.response.headersSent || !HANDED_OVER_REASONS.has(reason)) {
             return false;
         }
-        if (!this.context.handOver()) {
+        if (
+            !(this.mayHaveRun ? this.mayRepeatElsewhere() : this.isUnreachable())
+            || !this.context.handOver(this.mayHaveRun)
+        ) {
             return false;
         }
         this.isFinished = true;
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -32,8 +32,8 @@
     readonly receivedAt: number;
     /** Time by which the caller gets the final response. */
     readonly deadlineAt: number;
-    /** Hands the request to another daemon, which ends it; returns whether there is one. */
-    readonly handOver: () => boolean;
+    /** Hands the request to another daemon, which ends it, although it may have run or not; returns whether there is one. */
+    readonly handOver: (mayHaveRun: boolean) => boolean;
 }
 
 /** Collaborators of the relays. */
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -10,6 +10,9 @@
 /** Maximum size of a body whose target states no length and that is not a stream. */
 const MAXIMUM_UNSTATED_BODY_BYTES = 16_777_216;
 
+/** Statuses that imply that the request has not run. A target that sends one without stating this may have run it. */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Sends the rest of a response and ends it. */
 type EndOfResponse = (text: string) => void;
 
