Close a connection only after its caller has, so that its last response is read

A caller that sends another request behind gets a reset, its next write fails with EPIPE, and the response that waits in its buffer is dropped unread (193 bytes written by the daemon, 0 read). The hypothesis of unread bytes of the body's last chunk was wrong: all 214 bytes of the request had been read. Change: after the last response the end is sent, and the connection read on until its caller closes it, at most for 2 s; requests on a connection that has ended are dropped. The code that did so after parser errors serves both. A lingering connection is not idle.

--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -1,6 +1,8 @@
 /** HTTP server for callers. Its limits follow the configuration. */
 import { createServer, type Server } from "node:http";
+import type { Socket } from "node:net";
 import { limitConnections } from "./connectionlimits.js";
+import { closeAfterCaller } from "./lingering.js";
 import { closeAfterParserErrors } from "./parsererrors.js";
 import { inOrder, type RequestHandler } from "./requestorder.js";
 import type { RelayState } from "./state.js";
@@ -20,6 +22,10 @@
         noDelay: true,
     }, inOrder(handle));
     closeAfterParserErrors(server);
+    server.on("connection", (socket: Socket) => {
+        // Node calls it after the last response of a connection, and would close the connection for reading as well.
+        socket.destroySoon = () => closeAfterCaller(socket);
+    });
     const connectionLimits = limitConnections(server);
     // Node counts a response as sent when its last bytes are written, although they may wait for a slow caller.
     server.closeIdleConnections = () => connectionLimits.closeIdle();
--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -169,6 +169,8 @@
     }
 }
 
+/** A connection whose end has been sent waits for its caller to close it, and is not idle. */
 function isIdle({ socket, openResponses, openBodies, bytesRead }: Connection): boolean {
-    return openResponses === 0 && openBodies === 0 && bytesRead > 0 && socket.bytesRead === bytesRead;
+    return socket.writable && openResponses === 0 && openBodies === 0 && bytesRead > 0
+        && socket.bytesRead === bytesRead;
 }
--- a/packages/daemon/src/relay/lingering.ts
+++ b/packages/daemon/src/relay/lingering.ts
@@ -1,6 +1,9 @@
-/** Ends a response that begins before the body of its request has been read. */
+/** Ends responses and connections without a reset, which could take a response away from a caller that still sends. */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { startTimer } from "./timers.js";
 
+/** Time for which a caller may go on sending. */
 const LONGEST_MILLISECONDS = 2_000;
 const MOST_BYTES = 16_777_216;
 
@@ -32,3 +35,14 @@
     message.on("close", end);
     message.on("data", endIfTooLong);
 }
+
+/**
+ * Sends the end of a connection, and reads on until the caller has closed its side, for a bounded time. The operating system
+ * resets a connection that is closed while bytes are still arriving.
+ */
+export function closeAfterCaller(socket: Socket): void {
+    const timer = startTimer(() => socket.destroy(), LONGEST_MILLISECONDS).unref();
+    socket.once("close", () => clearTimeout(timer));
+    socket.end();
+    socket.resume();
+}
--- a/packages/daemon/src/relay/parsererrors.ts
+++ b/packages/daemon/src/relay/parsererrors.ts
@@ -1,10 +1,8 @@
 /** Closes connections on which other bytes than requests arrive, once the whole requests before them have been answered. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { startTimer } from "./timers.js";
+import { closeAfterCaller } from "./lingering.js";
 
-/** A connection that is closed with unread bytes is reset, which can take a response away; they are read for this time. */
-const LINGER_MILLISECONDS = 2_000;
 /** The caller closed its side inside a request, and may have left. */
 const EARLY_END = "HPE_INVALID_EOF_STATE";
 const PARSER_ERROR = /^HPE_/;
@@ -29,7 +27,7 @@
         if (!closing.has(socket)) {
             closing.add(socket);
             socket.pause();
-            whenClosed([...open].filter(({ req }) => req.complete), () => closeSlowly(socket));
+            whenClosed([...open].filter(({ req }) => req.complete), () => closeAfterCaller(socket));
         }
     });
 }
@@ -49,10 +47,3 @@
         })
     );
 }
-
-function closeSlowly(socket: Socket): void {
-    const timer = startTimer(() => socket.destroy(), LINGER_MILLISECONDS).unref();
-    socket.once("close", () => clearTimeout(timer));
-    socket.end();
-    socket.resume();
-}
