Release a request, not a part, that a later blame explains

A popular part, in all crashes and blamed for a moment, released the harmful one; its own proof then released itself. Change: only requests are released so, for which that was made; parts as before, if a new crash names them. Evidence: the new case of requestbounds.test.ts failed before ([] for [5c1e]), passes now.

--- a/packages/core/src/quarantine/quarantine.ts
+++ b/packages/core/src/quarantine/quarantine.ts
@@ -20,7 +20,7 @@
 import { Proofs } from "./proofs.js";
 import { Reporter } from "./reports.js";
 import { nextTrialAt, Statements } from "./statements.js";
-import { boundsOf } from "./subjects.js";
+import { boundsOf, subjectKindOf } from "./subjects.js";
 import { trialDaemons } from "./trials.js";
 import type {
     CrashObservation,
@@ -152,13 +152,17 @@
         return [...new Set(crashes.flatMap(crash => [...this.crashes.add(crash, now)?.parts ?? []]))];
     }
 
-    /** Counts, blames and releases by what is known after crashes that concern these parts. */
+    /**
+     * Counts, blames and releases by what is known after crashes that concern these parts. A request is blamed before its
+     * parts, so that the later blame of a part can explain its crashes although it is in none of the new ones.
+     */
     private weighCrashes(concerned: readonly string[], now: number): Changes {
         const further = concerned.flatMap(part => this.countFurther(part, now));
         const blamed = this.evaluate(concerned, now);
-        const inSameCrashes = blamed.flatMap(({ part }) => this.evidence.crashesOf(part))
-            .flatMap(crash => [...crash.parts]);
-        return [...further, ...blamed, ...this.releaseExplained([...new Set([...concerned, ...inSameCrashes])], now)];
+        const requests = blamed.flatMap(({ part }) => this.evidence.crashesOf(part))
+            .flatMap(crash => [...crash.parts])
+            .filter(subject => subjectKindOf(subject) === "request");
+        return [...further, ...blamed, ...this.releaseExplained([...new Set([...concerned, ...requests])], now)];
     }
 
     /** Returns whether the proof clears a crash of the part. */
--- a/packages/core/src/quarantine/tests/requestbounds.test.ts
+++ b/packages/core/src/quarantine/tests/requestbounds.test.ts
@@ -8,6 +8,7 @@
 const REQUEST = requestSubject("ab12");
 const OTHER = requestSubject("cd34");
 const PART = "5c1e";
+const POPULAR = "a0";
 const HOUR = 3_600_000;
 const never = (): boolean => false;
 const crash = (quarantine: PartQuarantine, process: number, subjects: readonly string[], now: number): unknown =>
@@ -66,6 +67,16 @@
         ],
         refused: [REQUEST],
     },
+    {
+        guards: "releasing a prompt part because a popular one, blamed for a moment, was in all its crashes",
+        given: quarantine => [
+            quarantine.recordProven([POPULAR], 0),
+            ...[1, 2, 3].map(process => crash(quarantine, process, [POPULAR, PART], 1_000 * process)),
+            ...[4, 5, 6, 7, 8].map(process => crash(quarantine, process, [POPULAR], 1_000 * process)),
+            quarantine.recordProven([POPULAR], 8_800),
+        ],
+        refused: [PART],
+    },
     {
         guards: "missing a prompt part because one of its requests was blamed first",
         given: quarantine => [
