Apply the limits on callers once to a request that is handed over

Cause: the other daemon applied the limits of the configuration to the head that this one had encoded, which is longer. Change: requests of daemons are read without these limits. Evidence: the new case of bodylimit.test.ts failed before (431), passes now.

--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -86,7 +86,9 @@
         let request: CallerRequest | undefined;
         try {
             request = this.parts.protocol.decodeRequest(method, url, headers, rawHeaders);
-            const read = await readWithinLimits(message, this.parts.state.lookup()?.configuration.limits);
+            // The limits are on what callers send; the daemon that hands a request over has applied them.
+            const limits = mayHandOver ? this.parts.state.lookup()?.configuration.limits : undefined;
+            const read = await readWithinLimits(message, limits);
             if (read.kind === "body-too-large") {
                 response.setHeader("Connection", "close");
             }
--- a/packages/daemon/src/relay/tests/bodylimit.test.ts
+++ b/packages/daemon/src/relay/tests/bodylimit.test.ts
@@ -97,4 +97,17 @@
         clearInterval(timer);
         expect(sentBytes).to.be.below(100_000_000);
     });
+
+    it("does not fall on a request that another daemon hands over", async () => {
+        const { parts, context, sends } = createRelayFixture({ kind: "once" });
+        const protocol = { ...parts.protocol, decodeRequest: () => context.request };
+        const relay = createRelay({ ...parts, protocol });
+        const { port } = await startFixture((...request) => relay.handleFromDaemon(...request));
+        const caller = await connectCaller(port);
+        const { bodyBytes, headerBytes } = context.lookup.configuration.limits;
+        const head = `X: ${"x".repeat(headerBytes)}\r\nContent-Length: ${bodyBytes + 1}\r\n\r\n`;
+        caller.send(`${HEAD}${head}${"b".repeat(bodyBytes + 1)}`);
+        await wait(100);
+        expect([statusesOf(caller.received()), sends.length]).to.deep.equal([[], 1]);
+    });
 });
