Count no lost connection as a crash while this daemon reaches no target

Change: a daemon that is cut off reports none. Evidence: the new case of quarantinedplain.test.ts; it was not run on the code before. What is lost before the cut is noticed counts.

--- a/packages/daemon/src/relay/promptquarantine.ts
+++ b/packages/daemon/src/relay/promptquarantine.ts
@@ -42,6 +42,8 @@
     readonly reachableDaemons: () => readonly string[];
     /** Number of all daemons, including this one. */
     readonly knownDaemons: () => number;
+    /** Whether this daemon reaches no target, so that the loss of a connection says nothing about one of them. */
+    readonly isCutOff: () => boolean;
 }
 
 /** Ranks follow the daemons that report, whose reports expire after seconds. */
@@ -74,6 +76,9 @@
             onProven: (proven, firstEventAt) =>
                 this.apply(this.decisions.recordProven(proven, this.now(), firstEventAt), LEARNED_HERE),
             onCrash: crash => {
+                if (parts.isCutOff()) {
+                    return;
+                }
                 parts.log.emit("targetCrashed", { ...crash });
                 this.apply(this.decisions.recordCrash(crash, this.now()), LEARNED_HERE);
                 this.announceUpdate();
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -28,9 +28,9 @@
 
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
-const CONNECTIONS_PER_TARGET = 40;
 /** Time for a target or a daemon to accept a connection. */
 export const CONNECT_TIMEOUT_MILLISECONDS = 400;
+const TARGET_CONNECTIONS = { connectionsPerTarget: 40, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS };
 
 /** Components that most others depend on. */
 export interface SharedParts {
@@ -78,11 +78,12 @@
     });
     const daemons = createDaemonList(settings.daemon);
     const peerLoads = createPeerLoads();
+    const reachableDaemons = (): readonly string[] => peerLoads.peers(systemClock.monotonic());
     const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
         self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
-        reachableDaemons: () => locate(peerLoads.peers(systemClock.monotonic()), daemons),
+        reachableDaemons: () => locate(reachableDaemons(), daemons),
         knownDaemons: daemons.count,
         state,
     });
@@ -90,20 +91,11 @@
         clock: systemClock,
         log: metrics.log,
         self: settings.daemon,
-        reachableDaemons: () => peerLoads.peers(systemClock.monotonic()),
+        reachableDaemons,
         knownDaemons: daemons.count,
+        isCutOff: () => reachability.isCutOff(),
     });
     const reachability = wireReachability(ports, state, metrics.log);
-    const handOverDaemons = createHandOverDaemons({
-        dataCentre: settings.dataCentre,
-        others: daemons.others,
-        reachable: () => peerLoads.peers(systemClock.monotonic()),
-        random: Math.random,
-    });
-    const connections = createTargetConnections({
-        connectionsPerTarget: CONNECTIONS_PER_TARGET,
-        connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
-    });
     const shared: SharedParts = {
         settings,
         ports,
@@ -119,8 +111,13 @@
         availability,
         promptQuarantine,
         reachability,
-        handOverDaemons,
-        connections,
+        handOverDaemons: createHandOverDaemons({
+            dataCentre: settings.dataCentre,
+            others: daemons.others,
+            reachable: reachableDaemons,
+            random: Math.random,
+        }),
+        connections: createTargetConnections(TARGET_CONNECTIONS),
     };
     return { shared, metrics };
 }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -219,6 +219,7 @@
         self: "daemon-0",
         reachableDaemons: () => [],
         knownDaemons: () => 1,
+        isCutOff: () => options.reachability?.isCutOff() === true,
     });
     const loadTracker = createLoadTracker();
     const demand = createDemandMeter();
--- a/packages/daemon/src/relay/tests/promptquarantine.test.ts
+++ b/packages/daemon/src/relay/tests/promptquarantine.test.ts
@@ -18,6 +18,7 @@
         self,
         reachableDaemons: () => reachable,
         knownDaemons: () => known,
+        isCutOff: () => false,
     });
     created.onQuarantined(part => cancelled.push(part));
     return { quarantine: created, logged, cancelled };
--- a/packages/daemon/src/relay/tests/quarantinedplain.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinedplain.test.ts
@@ -1,7 +1,14 @@
 /** What the relay of plain requests does with a request on which targets crash. */
 import { expect } from "chai";
 import { createPlainRelay } from "../plainrelay.js";
-import { createRelayFixture, type FakeSend, quarantinePart, type RelayFixture, responseHeads } from "./fixture.js";
+import {
+    createRelayFixture,
+    type FakeSend,
+    quarantinePart,
+    reachesTargets,
+    type RelayFixture,
+    responseHeads,
+} from "./fixture.js";
 
 const IDENTITY = "request-ab12";
 const reset = (): Error => Object.assign(new Error("reset"), { code: "ECONNRESET" });
@@ -61,6 +68,19 @@
         status: 502,
         crashes: 1,
     },
+    {
+        guards: "a daemon that reaches no target takes its lost connections for crashes",
+        run: () => {
+            const reachability = { ...reachesTargets, isCutOff: () => true };
+            const fixture = createRelayFixture({ kind: "once", identity: IDENTITY, reachability });
+            createPlainRelay(fixture.context, fixture.parts, () => undefined).start();
+            crash(fixture.sends[0]);
+            return fixture;
+        },
+        sends: 1,
+        status: 502,
+        crashes: 0,
+    },
     {
         guards: "a request whose caller has left crashes its target unnoticed",
         run: () => {
