Drop what a cut left behind only after a lasting one; take requests only with a configuration

Cause, read in the diff: a pause of the process lets several heads seem stalled at once, so that the daemon believed for a moment that it was cut off, and its end dropped all suspicions and idle connections; a daemon without a configuration offered to take requests; the probes could draw the same target twice. Change: the end of a cut of less than 1 s drops nothing; such a daemon takes none; probes go to two different targets. The quarantine's module is named for requests, which it serves by now.

--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -120,7 +120,7 @@
     private send(target: Target): void {
         const { context, parts } = this;
         const now = parts.clock.monotonic();
-        const observed = parts.promptQuarantine.observe(target, context.subjects);
+        const observed = parts.requestQuarantine.observe(target, context.subjects);
         const attempt: Attempt = {
             target,
             sentAt: now,
--- a/packages/daemon/src/relay/quarantinehandler.ts
+++ b/packages/daemon/src/relay/quarantinehandler.ts
@@ -4,14 +4,14 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { OperatorHandler } from "./metrics.js";
-import type { PromptQuarantine } from "./promptquarantine.js";
+import type { RequestQuarantine } from "./requestquarantine.js";
 
 const LIST_PATH = "/quarantine";
 const SUBJECT_PATH = /^\/quarantine\/((?:request-)?[\da-f]{1,32})$/i;
 
 /** Creates the handler. */
 export function createQuarantineHandler(
-    quarantine: Pick<PromptQuarantine, "quarantined" | "release">,
+    quarantine: Pick<RequestQuarantine, "quarantined" | "release">,
 ): OperatorHandler {
     return ({ method, url = "" }: IncomingMessage, response: ServerResponse) => {
         const part = SUBJECT_PATH.exec(url)?.[1]?.toLowerCase();
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -117,12 +117,12 @@
 
     /** Whether targets crash on a subject of the request, so that it is not sent again. */
     protected isQuarantined(): boolean {
-        return this.parts.promptQuarantine.check(this.context.subjects, false).kind === "refused";
+        return this.parts.requestQuarantine.check(this.context.subjects, false).kind === "refused";
     }
 
     /** Gives up if targets crash on a subject of the request; returns whether it did. */
     protected giveUpIfQuarantined(): boolean {
-        const verdict = this.parts.promptQuarantine.check(this.context.subjects, this.tried.length === 0);
+        const verdict = this.parts.requestQuarantine.check(this.context.subjects, this.tried.length === 0);
         this.trialOf = verdict.kind === "trial" ? verdict.part : undefined;
         if (verdict.kind !== "refused") {
             return false;
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
-import type { PromptQuarantine } from "./promptquarantine.js";
+import type { RequestQuarantine } from "./requestquarantine.js";
 import type { StalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
 import type { TargetAvailability } from "./targetavailability.js";
@@ -45,7 +45,7 @@
     readonly connections: TargetConnections;
     readonly loadTracker: LoadTracker;
     readonly availability: TargetAvailability;
-    readonly promptQuarantine: PromptQuarantine;
+    readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
--- a/packages/daemon/src/relay/promptquarantine.ts
+++ b/packages/daemon/src/relay/requestquarantine.ts
@@ -1,4 +1,7 @@
-/** Refuses requests with prompt parts on which targets crash, as decided by all daemons together. */
+/**
+ * Refuses requests on which targets crash, as decided by all daemons together. What is blamed is a subject: a shared part of
+ * prompts, or the content of one request.
+ */
 import {
     createPartQuarantine,
     type PartStatement,
@@ -10,15 +13,15 @@
 import type { EventLog } from "../ports/eventlog.js";
 import { createCrashObserver, type ObservedAttempt, type TargetProcess } from "./crashobserver.js";
 
-/** Quarantine of prompt parts, as the request path uses it. */
-export interface PromptQuarantine {
-    /** Decides about an attempt before it is sent. Only a first attempt may try a quarantined part again. */
-    check(promptParts: readonly string[], isFirstAttempt: boolean): PartVerdict;
+/** Quarantine of the subjects of requests, as the request path uses it. */
+export interface RequestQuarantine {
+    /** Decides about an attempt before it is sent. Only a first attempt may try a quarantined subject again. */
+    check(subjects: readonly string[], isFirstAttempt: boolean): PartVerdict;
     /** Starts to observe an attempt that is sent to a target. */
-    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt;
-    /** Parts whose requests are refused. */
+    observe(target: TargetProcess, subjects: readonly string[]): ObservedAttempt;
+    /** Subjects whose requests are refused. */
     quarantined(): readonly PartStatement[];
-    /** Accepts a part again on behalf of an operator; returns whether it was quarantined. */
+    /** Accepts a subject again on behalf of an operator; returns whether it was quarantined. */
     release(part: string): boolean;
     /** Returns what is known, for other daemons. */
     report(): QuarantineReport;
@@ -26,14 +29,14 @@
     hasUpdates(): boolean;
     /** Merges what another daemon knows. */
     merge(report: QuarantineReport, daemon: string): void;
-    /** Registers a listener for parts that become quarantined. */
+    /** Registers a listener for subjects that become quarantined. */
     onQuarantined(listener: (part: string) => void): void;
     /** Registers a listener for changes that other daemons should learn of at once. */
     onUpdate(listener: () => void): void;
 }
 
 /** Collaborators of the quarantine. */
-export interface PromptQuarantineParts {
+export interface RequestQuarantineParts {
     readonly clock: Clock;
     readonly log: EventLog;
     /** Name of this daemon. */
@@ -54,11 +57,11 @@
 const LEARNED_HERE = "request";
 
 /** Creates the quarantine. No part is quarantined at first. */
-export function createPromptQuarantine(parts: PromptQuarantineParts): PromptQuarantine {
-    return new PromptQuarantineTask(parts);
+export function createRequestQuarantine(parts: RequestQuarantineParts): RequestQuarantine {
+    return new RequestQuarantineTask(parts);
 }
 
-class PromptQuarantineTask implements PromptQuarantine {
+class RequestQuarantineTask implements RequestQuarantine {
     private readonly decisions = createPartQuarantine();
     private readonly observer;
     /** Parts whose quarantine was announced to the listeners. */
@@ -70,7 +73,7 @@
     /** Rank of this daemon for a part, and when that was computed. */
     private ranked: { readonly part: string; readonly at: number; readonly rank: number; } | undefined;
 
-    constructor(private readonly parts: PromptQuarantineParts) {
+    constructor(private readonly parts: RequestQuarantineParts) {
         this.observer = createCrashObserver({
             clock: parts.clock,
             onProven: (proven, firstEventAt) =>
@@ -91,20 +94,20 @@
         });
     }
 
-    check(promptParts: readonly string[], isFirstAttempt: boolean): PartVerdict {
-        if (promptParts.length === 0) {
+    check(subjects: readonly string[], isFirstAttempt: boolean): PartVerdict {
+        if (subjects.length === 0) {
             return { kind: "allowed" };
         }
         const mayTry = (part: string, daemons: number): boolean => isFirstAttempt && this.rankFor(part) < daemons;
-        const verdict = this.decisions.check(promptParts, mayTry, this.now());
+        const verdict = this.decisions.check(subjects, mayTry, this.now());
         if (verdict.kind === "trial") {
             this.announceUpdate();
         }
         return verdict;
     }
 
-    observe(target: TargetProcess, promptParts: readonly string[]): ObservedAttempt {
-        return this.observer.observe(target, promptParts);
+    observe(target: TargetProcess, subjects: readonly string[]): ObservedAttempt {
+        return this.observer.observe(target, subjects);
     }
 
     quarantined(): readonly PartStatement[] {
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -19,7 +19,7 @@
 import { createDemandMeters } from "./demandmeters.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
-import { createPromptQuarantine, type PromptQuarantine } from "./promptquarantine.js";
+import { createRequestQuarantine, type RequestQuarantine } from "./requestquarantine.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
 import { createTargetConnections, type TargetConnections } from "./targetconnections.js";
@@ -47,7 +47,7 @@
     readonly demandOf: (service: string) => DemandMeter;
     readonly daemons: DaemonList;
     readonly availability: TargetAvailability;
-    readonly promptQuarantine: PromptQuarantine;
+    readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly connections: TargetConnections;
     readonly handOverDaemons: HandOverDaemons;
@@ -72,7 +72,7 @@
         limitedTargets: () => availability.limitedTargets(),
         restingTargets: () => availability.restingTargets(),
         unreadableStatements: () => availability.unreadableStatements(),
-        quarantinedParts: () => promptQuarantine.quarantined().length,
+        quarantinedParts: () => requestQuarantine.quarantined().length,
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
@@ -87,7 +87,7 @@
         knownDaemons: daemons.count,
         state,
     });
-    const promptQuarantine = createPromptQuarantine({
+    const requestQuarantine = createRequestQuarantine({
         clock: systemClock,
         log: metrics.log,
         self: settings.daemon,
@@ -109,7 +109,7 @@
         demandOf: createDemandMeters(),
         daemons,
         availability,
-        promptQuarantine,
+        requestQuarantine,
         reachability,
         handOverDaemons: createHandOverDaemons({
             dataCentre: settings.dataCentre,
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -125,7 +125,7 @@
             return;
         }
         const now = parts.clock.monotonic();
-        const observed = parts.promptQuarantine.observe(target, context.subjects);
+        const observed = parts.requestQuarantine.observe(target, context.subjects);
         const attempt = createStreamAttempt(target, observed, now);
         this.attempt = attempt;
         this.tried.push(headId);
--- a/packages/daemon/src/relay/targetreachability.ts
+++ b/packages/daemon/src/relay/targetreachability.ts
@@ -14,10 +14,13 @@
     /** Whether it may be cut off, so that what it observes may say nothing about targets. */
     isDoubtful(): boolean;
     /** Registers a listener that is called when this daemon is cut off, and when it reaches targets again. */
-    onChange(listener: (isCutOff: boolean) => void): void;
+    onChange(listener: ReachabilityListener): void;
     stop(): void;
 }
 
+/** Called with whether this daemon is cut off, and how long the state that ended has lasted. */
+export type ReachabilityListener = (isCutOff: boolean, lastedMilliseconds: number) => void;
+
 /** Collaborators of the reachability. */
 export interface TargetReachabilityParts {
     readonly clock: Clock;
@@ -42,12 +45,14 @@
 
 class TargetReachabilityTask implements TargetReachability {
     private readonly belief;
-    private readonly listeners: ((isCutOff: boolean) => void)[] = [];
+    private readonly listeners: ReachabilityListener[] = [];
     private wasCutOff = false;
+    private changedAt: number;
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly parts: TargetReachabilityParts) {
         this.belief = createReachability(() => parts.targets().length);
+        this.changedAt = parts.clock.monotonic();
         this.timer = setInterval(() => this.probeIfDoubtful(), PROBE_INTERVAL_MILLISECONDS).unref();
     }
 
@@ -69,7 +74,7 @@
         return this.wasCutOff || this.belief.isDoubtful(DOUBT_MILLISECONDS, this.parts.clock.monotonic());
     }
 
-    onChange(listener: (isCutOff: boolean) => void): void {
+    onChange(listener: ReachabilityListener): void {
         this.listeners.push(listener);
     }
 
@@ -82,8 +87,9 @@
             return;
         }
         const targets = this.parts.targets();
-        Array.from({ length: PROBES_AT_ONCE }, () => targets[Math.floor(this.parts.random() * targets.length)])
-            .forEach(target => target !== undefined && this.probe(target));
+        const first = Math.floor(this.parts.random() * targets.length);
+        [...targets.slice(first), ...targets.slice(0, first)].slice(0, PROBES_AT_ONCE)
+            .forEach(target => this.probe(target));
     }
 
     private probe(target: Target): void {
@@ -95,9 +101,12 @@
     private announceChange(): void {
         const isCutOff = this.belief.isCutOff();
         if (isCutOff !== this.wasCutOff) {
+            const now = this.parts.clock.monotonic();
+            const lastedMilliseconds = Math.round(now - this.changedAt);
             this.wasCutOff = isCutOff;
-            this.parts.log.emit(isCutOff ? "targetsUnreachable" : "targetsReachable", {});
-            this.listeners.forEach(listener => listener(isCutOff));
+            this.changedAt = now;
+            this.parts.log.emit(isCutOff ? "targetsUnreachable" : "targetsReachable", { lastedMilliseconds });
+            this.listeners.forEach(listener => listener(isCutOff, lastedMilliseconds));
         }
     }
 }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -16,8 +16,8 @@
 import type { ServerResponse } from "node:http";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
-import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
+import { createRequestQuarantine, type RequestQuarantine } from "../requestquarantine.js";
 import { createStalledHeads } from "../stalledheads.js";
 import { createRelayState } from "../state.js";
 import { createTargetAvailability } from "../targetavailability.js";
@@ -145,7 +145,10 @@
 };
 
 /** Quarantines a part as if another daemon had told it. */
-export function quarantinePart(quarantine: Pick<PromptQuarantine, "merge">, fields: Partial<PartStatement> = {}): void {
+export function quarantinePart(
+    quarantine: Pick<RequestQuarantine, "merge">,
+    fields: Partial<PartStatement> = {},
+): void {
     const statement: PartStatement = {
         part: "bad",
         revision: 1,
@@ -213,7 +216,7 @@
         recordStatements(id, { rest: { kind: "resting", milliseconds: REST_MILLISECONDS } })
     );
     options.leavingTargets?.forEach(id => recordStatements(id, { leaving: true }));
-    const promptQuarantine = createPromptQuarantine({
+    const requestQuarantine = createRequestQuarantine({
         clock,
         log,
         self: "daemon-0",
@@ -251,7 +254,7 @@
             },
             loadTracker,
             availability,
-            promptQuarantine,
+            requestQuarantine,
             reachability: options.reachability ?? reachesTargets,
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             headUnusable: head => void unusableHeads.push(head),
--- a/packages/daemon/src/relay/tests/quarantinedplain.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinedplain.test.ts
@@ -39,7 +39,7 @@
 }[] = [
     {
         guards: "a quarantined request reaches a target",
-        run: () => start("repeatable", ({ parts }) => quarantinePart(parts.promptQuarantine, { part: IDENTITY })),
+        run: () => start("repeatable", ({ parts }) => quarantinePart(parts.requestQuarantine, { part: IDENTITY })),
         sends: 0,
         status: 503,
         crashes: 0,
@@ -60,7 +60,7 @@
         run: () => {
             const fixture = start("repeatable");
             fixture.sends[0]?.receiver.sent();
-            quarantinePart(fixture.parts.promptQuarantine, { part: IDENTITY });
+            quarantinePart(fixture.parts.requestQuarantine, { part: IDENTITY });
             fixture.sends[0]?.receiver.failed(reset());
             return fixture;
         },
@@ -96,7 +96,7 @@
     {
         guards: "a target that states that it has not run the request proves it sound",
         run: () => {
-            const fixture = start("once", ({ parts }) => quarantinePart(parts.promptQuarantine, { part: "other" }));
+            const fixture = start("once", ({ parts }) => quarantinePart(parts.requestQuarantine, { part: "other" }));
             fixture.sends[0]?.receiver.sent();
             fixture.sends[0]?.receiver.head(responseHeads.notRun);
             fixture.sends[0]?.receiver.ended();
--- a/packages/daemon/src/relay/tests/quarantinedrequests.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinedrequests.test.ts
@@ -26,7 +26,7 @@
     before(fixture);
     const relay = createStreamRelay(fixture.context, fixture.parts, () => undefined);
     if (!ignoresUpdates) {
-        fixture.parts.promptQuarantine.onQuarantined(part => relay.cancelIfWaiting(part));
+        fixture.parts.requestQuarantine.onQuarantined(part => relay.cancelIfWaiting(part));
     }
     relay.start();
     return { ...fixture, relay, first: fixture.sends[0] as FakeSend };
@@ -48,12 +48,12 @@
         sends: 0,
         status: 503,
         outcome: "refused: quarantined",
-        run: () => start({}, ({ parts }) => quarantinePart(parts.promptQuarantine)),
+        run: () => start({}, ({ parts }) => quarantinePart(parts.requestQuarantine)),
     },
     {
         guards: "a request with other parts is refused",
         sends: 1,
-        run: () => start({ promptParts: ["first", "other"] }, ({ parts }) => quarantinePart(parts.promptQuarantine)),
+        run: () => start({ promptParts: ["first", "other"] }, ({ parts }) => quarantinePart(parts.requestQuarantine)),
     },
     {
         guards: "a retry carries the part to the next target",
@@ -63,7 +63,7 @@
         run: () => {
             const scene = start({ ignoresUpdates: true });
             scene.first.receiver.sent();
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             scene.first.receiver.failed(errorWith("ECONNRESET"));
             return scene;
         },
@@ -75,7 +75,7 @@
         outcome: "refused: quarantined",
         run: () => {
             const scene = start({ ignoresUpdates: true });
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             scene.first.receiver.failed(errorWith("ECONNREFUSED"));
             return scene;
         },
@@ -90,7 +90,7 @@
             const scene = start();
             scene.first.receiver.sent();
             scene.first.receiver.head(responseHeads.stream);
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             return scene;
         },
     },
@@ -103,7 +103,7 @@
         run: () => {
             const scene = start();
             scene.first.receiver.sent();
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             return scene;
         },
     },
@@ -115,7 +115,7 @@
         cancelled: true,
         run: () => {
             const scene = start();
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             return scene;
         },
     },
@@ -128,7 +128,7 @@
             const scene = start();
             scene.first.receiver.sent();
             scene.first.receiver.head(responseHeads.notRun);
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             return scene;
         },
     },
@@ -142,7 +142,7 @@
             scene.first.receiver.sent();
             scene.first.receiver.head(responseHeads.stream);
             scene.first.receiver.data(event(1));
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             return scene;
         },
     },
@@ -156,7 +156,7 @@
             scene.first.receiver.sent();
             scene.first.receiver.head(responseHeads.stream);
             scene.first.receiver.data(event(1));
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             scene.relay.moveToAnotherGroup();
             return scene;
         },
@@ -171,7 +171,7 @@
             scene.first.receiver.sent();
             scene.first.receiver.head(responseHeads.stream);
             scene.first.receiver.data(event(1));
-            quarantinePart(scene.parts.promptQuarantine);
+            quarantinePart(scene.parts.requestQuarantine);
             scene.first.receiver.failed(errorWith("ECONNRESET"));
             return scene;
         },
@@ -185,9 +185,9 @@
         run: () => {
             const scene = start(
                 {},
-                ({ parts }) => quarantinePart(parts.promptQuarantine, { statedAt: performance.now() - 3_600_000 }),
+                ({ parts }) => quarantinePart(parts.requestQuarantine, { statedAt: performance.now() - 3_600_000 }),
             );
-            quarantinePart(scene.parts.promptQuarantine, { revision: 9 });
+            quarantinePart(scene.parts.requestQuarantine, { revision: 9 });
             scene.first.receiver.sent();
             scene.first.receiver.failed(errorWith("ECONNRESET"));
             return scene;
@@ -224,7 +224,7 @@
                 return demandOf(service);
             };
             Object.assign(parts, { demandOf: countDemand });
-            quarantinePart(parts.promptQuarantine);
+            quarantinePart(parts.requestQuarantine);
         });
         expect(demands).to.equal(0);
         expect(fieldsOf(scene, "streamSent")).to.equal(undefined);
--- a/packages/daemon/src/relay/tests/refusedconnection.test.ts
+++ b/packages/daemon/src/relay/tests/refusedconnection.test.ts
@@ -54,7 +54,7 @@
             const errors: unknown[] = [];
             const fixture = createRelayFixture(options);
             if (part !== undefined) {
-                quarantinePart(fixture.parts.promptQuarantine, { part });
+                quarantinePart(fixture.parts.requestQuarantine, { part });
             }
             await serve(fixture, errors);
             const first = await call();
--- a/packages/daemon/src/relay/tests/promptquarantine.test.ts
+++ b/packages/daemon/src/relay/tests/requestquarantine.test.ts
@@ -1,10 +1,10 @@
 /** Which daemon tries a quarantined part again, and what a daemon tells the others, its log and its request path. */
 import { expect } from "chai";
-import { createPromptQuarantine, type PromptQuarantine } from "../promptquarantine.js";
+import { createRequestQuarantine, type RequestQuarantine } from "../requestquarantine.js";
 import { quarantinePart } from "./fixture.js";
 
 interface Daemon {
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: RequestQuarantine;
     readonly logged: string[];
     readonly cancelled: string[];
 }
@@ -12,7 +12,7 @@
 function createDaemon(self: string, reachable: readonly string[], known: number, now: () => number): Daemon {
     const logged: string[] = [];
     const cancelled: string[] = [];
-    const created = createPromptQuarantine({
+    const created = createRequestQuarantine({
         clock: { monotonic: now, wall: () => 0 },
         log: { emit: name => void logged.push(name) },
         self,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -42,6 +42,8 @@
 /** A lost group is usually formed again within this time. */
 const GROUP_COUNT_WINDOW_MILLISECONDS = 10_000;
 const DEFAULT_PEER_PORT = 7_340;
+/** A shorter cut can be a pause of this process, which says nothing about the connections and heads. */
+const LASTING_CUT_MILLISECONDS = 1_000;
 /** Streams that are handed over keep a connection each. */
 const CONNECTIONS_PER_DAEMON = 128;
 /** Progress within this time overrides the suspicion of another daemon. */
@@ -69,7 +71,7 @@
         },
     });
     if (settings.metricsListen !== undefined) {
-        await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.promptQuarantine));
+        await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.requestQuarantine));
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     logStoreEra(ports.storeEra, log);
@@ -97,7 +99,7 @@
         connections: shared.connections,
         loadTracker,
         availability: shared.availability,
-        promptQuarantine: shared.promptQuarantine,
+        requestQuarantine: shared.requestQuarantine,
         reachability: shared.reachability,
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
@@ -116,7 +118,7 @@
         port: peerPortOf(settings),
         choose: shared.handOverDaemons.choose,
     });
-    shared.promptQuarantine.onQuarantined(part => relay.cancelWaiting(part));
+    shared.requestQuarantine.onQuarantined(part => relay.cancelWaiting(part));
     return relay;
 }
 
@@ -125,8 +127,8 @@
     { reachability, loadTracker, state, connections }: SharedParts,
     exchange: LoadExchange,
 ): void {
-    reachability.onChange(isCutOff => {
-        if (!isCutOff) {
+    reachability.onChange((isCutOff, lastedMilliseconds) => {
+        if (!isCutOff && lastedMilliseconds >= LASTING_CUT_MILLISECONDS) {
             loadTracker.targets().forEach(target => loadTracker.clear(target));
             state.targets().forEach(({ address }) => connections.renew(address));
         }
@@ -252,7 +254,7 @@
     listeners: Listeners,
     suspect: (head: string) => void,
 ): LoadExchange {
-    const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, promptQuarantine } = shared;
+    const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, requestQuarantine } = shared;
     const { reachability, handOverDaemons } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
@@ -268,10 +270,10 @@
         onLimit: limit => availability.mergeLimit(limit),
         leaving: () => availability.leaving(),
         onLeaving: (statement, daemon) => availability.mergeLeaving(statement, daemon),
-        quarantine: () => promptQuarantine.report(),
-        hasQuarantineUpdates: () => promptQuarantine.hasUpdates(),
-        onQuarantine: (report, daemon) => promptQuarantine.merge(report, daemon),
-        takesRequests: () => !reachability.isCutOff() && !listeners.isDraining(),
+        quarantine: () => requestQuarantine.report(),
+        hasQuarantineUpdates: () => requestQuarantine.hasUpdates(),
+        onQuarantine: (report, daemon) => requestQuarantine.merge(report, daemon),
+        takesRequests: () => state.lookup() !== undefined && !reachability.isCutOff() && !listeners.isDraining(),
         onTakesRequests: handOverDaemons.record,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         announcesConfiguration: () => isConfigurationWatcher(configurationReader(shared)),
@@ -288,7 +290,7 @@
         },
     });
     availability.onChange(() => exchange.broadcastKnowledge());
-    promptQuarantine.onUpdate(() => exchange.broadcastKnowledge());
+    requestQuarantine.onUpdate(() => exchange.broadcastKnowledge());
     return exchange;
 }
 
