Give the end of a request without a response one place

Cause: the plain relay, the stream relay and the hand-over each held the same giveUp, with small variations. Change: it stands in RelayTask; the stream relay adds its groups to the log of a refusal.

--- a/packages/daemon/src/relay/handover.ts
+++ b/packages/daemon/src/relay/handover.ts
@@ -4,17 +4,9 @@
  */
 import type { DaemonPresence } from "../ports/presence.js";
 import type { ResponseHead } from "../ports/relayprotocol.js";
-import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
+import { RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import {
-    breakOff,
-    NOT_RUN_STATUSES,
-    type RefusalReason,
-    writeFailure,
-    writePaced,
-    writeRefusal,
-    writeResponseHead,
-} from "./responses.js";
+import { NOT_RUN_STATUSES, writePaced, writeResponseHead } from "./responses.js";
 import type { TargetConnections, TargetExchange } from "./targetconnections.js";
 
 /** Way to the other daemons. */
@@ -143,22 +135,6 @@
         this.giveUp("cut-off", REFUSED_RETRY_AFTER_MILLISECONDS);
     }
 
-    protected giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details: EndDetails = {}): void {
-        const { response } = this.context;
-        if (response.headersSent) {
-            breakOff(response);
-            this.finish("broken-off", details);
-            return;
-        }
-        if (this.mayHaveRun) {
-            writeFailure(response, "target-failed");
-            this.finish("failed", details);
-            return;
-        }
-        writeRefusal(response, reason, retryAfterMilliseconds);
-        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, ...details });
-    }
-
     protected mayRepeat(): boolean {
         return false;
     }
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -2,7 +2,7 @@
 import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import type { ObservedAttempt } from "./crashobserver.js";
-import { type CancelReason, type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
+import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -11,7 +11,6 @@
     type RefusalReason,
     writeFailure,
     writePaced,
-    writeRefusal,
     writeResponseHead,
 } from "./responses.js";
 import { isLostConnection, type TargetExchange } from "./targetconnections.js";
@@ -337,19 +336,6 @@
         return this.isRepeatable();
     }
 
-    protected giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details: EndDetails = {}): void {
-        if (this.tryToHandOver(reason)) {
-            return;
-        }
-        if (this.mayHaveRun) {
-            writeFailure(this.context.response, reason === "quarantined" ? reason : "target-failed");
-            this.finish("failed", details);
-            return;
-        }
-        writeRefusal(this.context.response, reason, retryAfterMilliseconds);
-        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, ...details });
-    }
-
     /**
      * When the caller disconnects, a request that is not repeatable continues until its deadline, because it may be
      * running.
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,6 +1,13 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { breakOff, type RefusalReason, writeFailure, writeInternalError, writeShutdown } from "./responses.js";
+import {
+    breakOff,
+    type RefusalReason,
+    writeFailure,
+    writeInternalError,
+    writeRefusal,
+    writeShutdown,
+} from "./responses.js";
 import { isLostConnection, type TargetConnections } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
@@ -75,8 +82,30 @@
     /** Cancels the attempt in progress, if there is one. */
     protected abstract cancelAttempt(reason: CancelReason): void;
 
-    /** Ends the request without a response of a target, in a way that states the truth. */
-    protected abstract giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details?: EndDetails): void;
+    /** Returns what the log says of a refusal besides its reason. */
+    protected describeRefusal(...[]: [reason: RefusalReason]): EndDetails {
+        return {};
+    }
+
+    /** Hands the request over, or ends it without a response of a target, in a way that states the truth. */
+    protected giveUp(reason: RefusalReason, retryAfterMilliseconds: number, details: EndDetails = {}): void {
+        const { response } = this.context;
+        if (this.tryToHandOver(reason)) {
+            return;
+        }
+        if (response.headersSent) {
+            breakOff(response);
+            this.finish("broken-off", details);
+            return;
+        }
+        if (this.mayHaveRun) {
+            writeFailure(response, reason === "quarantined" ? reason : "target-failed");
+            this.finish("failed", details);
+            return;
+        }
+        writeRefusal(response, reason, retryAfterMilliseconds);
+        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, ...this.describeRefusal(reason), ...details });
+    }
 
     /** Whether the request may be run once more although a target may have run it. */
     protected abstract mayRepeat(): boolean;
@@ -99,7 +128,7 @@
     }
 
     /** Hands the request to another daemon if this one may not reach the targets; returns whether it did. */
-    protected tryToHandOver(reason: RefusalReason): boolean {
+    private tryToHandOver(reason: RefusalReason): boolean {
         if (this.isFinished || this.context.response.headersSent || !HANDED_OVER_REASONS.has(reason)) {
             return false;
         }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -3,15 +3,7 @@
 import type { StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import {
-    breakOff,
-    exceedsUnstatedLength,
-    type RefusalReason,
-    writeFailure,
-    writePaced,
-    writeRefusal,
-    writeResponseHead,
-} from "./responses.js";
+import { exceedsUnstatedLength, type RefusalReason, writePaced, writeResponseHead } from "./responses.js";
 import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
 import { describeCandidates, placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
@@ -333,28 +325,8 @@
         }
     }
 
-    protected giveUp(
-        reason: RefusalReason,
-        retryAfterMilliseconds: number,
-        details: EndDetails = {},
-    ): void {
-        const { response } = this.context;
-        if (this.tryToHandOver(reason)) {
-            return;
-        }
-        if (response.headersSent) {
-            breakOff(response);
-            this.finish("broken-off", details);
-            return;
-        }
-        if (this.mayHaveRun) {
-            writeFailure(response, reason === "quarantined" ? reason : "target-failed");
-            this.finish("failed", details);
-            return;
-        }
-        writeRefusal(response, reason, retryAfterMilliseconds);
-        const groups = reason === "quarantined" ? undefined : describeCandidates(this.context, this.parts);
-        this.finish(`refused: ${reason}`, { retryAfterMilliseconds, groups, ...details });
+    protected override describeRefusal(reason: RefusalReason): EndDetails {
+        return reason === "quarantined" ? {} : { groups: describeCandidates(this.context, this.parts) };
     }
 
     protected cancelAttempt(): void {
