Decode and index only registry entries that changed

Cause: each of 880 hosts writes its entry every 1.2 s, and only its number differs. Each daemon parsed all of them (733 a second), searched all targets for a lapsed host at the same address for each, and built all indexes anew after each read and each reported membership.

Change: an entry that differs in its number only gives the same object, which the state takes for no change; lapsed hosts have an index; the indexes by service, group and model are built when they are next used.

--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -38,7 +38,13 @@
             return;
         }
         const identity = `${target.membership.group}${NAME_SEPARATOR}${target.membership.epoch}`;
-        byIdentity.set(identity, [...byIdentity.get(identity) ?? [], target]);
+        const members = byIdentity.get(identity);
+        if (members === undefined) {
+            byIdentity.set(identity, [target]);
+        }
+        else {
+            members.push(target);
+        }
     });
     return [...byIdentity.values()].flatMap(members => {
         const membership = members[0]?.membership;
--- a/packages/daemon/src/ports/registry.ts
+++ b/packages/daemon/src/ports/registry.ts
@@ -16,6 +16,8 @@
 export interface TopicChange<Value> {
     readonly key: string;
     readonly value?: Value;
+    /** Offset of the change; absent in a page of all latest values. */
+    readonly offset?: number;
 }
 
 /** Changes in order, and the next offset to read. */
@@ -26,6 +28,12 @@
     readonly era: number;
 }
 
+/** Changes that a read from an offset returned. */
+export interface TopicRange<Value> extends TopicPage<Value> {
+    /** Offset from which it was read. */
+    readonly fromOffset: number;
+}
+
 /** A compacted topic, which retains the latest value of each key. All calls reject with a `StoreError`. */
 export interface KeyedTopic<Value> {
     readonly name: string;
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -1,17 +1,16 @@
 /** Current configuration and targets, indexed for the request path. */
 import {
-    collectGroups,
     createRouteLookup,
     type EngineGroup,
     type GroupMembership,
     isEarlierMembership,
-    isServing,
     type RelayConfiguration,
     type RouteLookup,
     type StatedProcess,
     type Target,
 } from "@damaskvale/core";
 import type { TopicChange } from "../ports/registry.js";
+import { createTargetIndexes } from "./targetindexes.js";
 
 /** Group membership of a host that was reported by its engine or another daemon, not by the registry. */
 export interface ReportedMembership {
@@ -107,8 +106,12 @@
 class RelayStateTask implements RelayState {
     private routeLookup: RouteLookup | undefined;
     private readonly targetsById = new Map<string, Target>();
-    private groupsByService = new Map<string, EngineGroup[]>();
-    private targetsByService = new Map<string, Target[]>();
+    private readonly indexes = createTargetIndexes({
+        targets: () => this.targetsById.values(),
+        services: () => this.routeLookup?.configuration.services ?? [],
+    });
+    /** Ids of the hosts whose entries lapsed. */
+    private readonly lapsedTargets = new Set<string>();
     /** Timers of the next step after the removal of an entry, by target id. */
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
     /** Targets that an older copy of the store lacks and whose entries are awaited again. */
@@ -134,19 +137,19 @@
     }
 
     servingTargets(service: string): readonly Target[] {
-        return (this.targetsByService.get(service) ?? []).filter(target => !target.draining && target.registered);
+        return this.indexes.targetsOf(service).filter(target => !target.draining && target.registered);
     }
 
     servingGroups(service: string, model: string): readonly EngineGroup[] {
-        return this.groups(service).filter(group => group.model === model && isServing(group));
+        return this.indexes.servingGroupsOf(service, model);
     }
 
     groups(service: string): readonly EngineGroup[] {
-        return this.groupsByService.get(service) ?? [];
+        return this.indexes.groupsOf(service);
     }
 
     countServingGroups(): number {
-        return [...this.groupsByService.values()].flat().filter(isServing).length;
+        return this.indexes.countServingGroups();
     }
 
     applyConfiguration(configuration: RelayConfiguration): boolean {
@@ -154,13 +157,15 @@
             return false;
         }
         this.routeLookup = createRouteLookup(configuration);
-        this.updateIndexes();
+        this.notifyListeners();
         return true;
     }
 
     applyTargets(changes: readonly TopicChange<Target>[]): void {
-        changes.forEach(change => this.change(change));
-        this.updateIndexes();
+        const applied = changes.filter(change => this.change(change));
+        if (applied.length > 0) {
+            this.notifyListeners();
+        }
     }
 
     replaceTargets(latest: readonly Target[], isRestored = false): void {
@@ -175,7 +180,7 @@
         }
         latest.map(target => isRestored ? keepNewerFields(target, this.targetsById.get(target.id)) : target)
             .forEach(target => this.change({ key: target.id, value: target }));
-        this.updateIndexes();
+        this.notifyListeners();
     }
 
     applyMembership({ host, startedAt, model, membership }: ReportedMembership): void {
@@ -187,7 +192,7 @@
         const isOlder = membership !== undefined && known !== undefined && isEarlierMembership(membership, known);
         if (target !== undefined && !isOlder) {
             this.targetsById.set(host, { ...target, membership, model: model ?? target.model });
-            this.updateIndexes();
+            this.notifyListeners();
         }
     }
 
@@ -205,7 +210,7 @@
             const draining = { ...target, draining: true };
             this.targetsById.set(id, draining);
             this.onTargetChange("draining", draining);
-            this.updateIndexes();
+            this.notifyListeners();
         }
         return true;
     }
@@ -214,7 +219,7 @@
         const target = this.targetsById.get(id);
         if (target?.registered === false) {
             this.drop(target, "forgotten");
-            this.updateIndexes();
+            this.notifyListeners();
         }
     }
 
@@ -222,10 +227,12 @@
         this.listeners.push(listener);
     }
 
-    private change({ key, value }: TopicChange<Target>): void {
+    /** Applies a change; returns whether it may have changed anything. */
+    private change({ key, value }: TopicChange<Target>): boolean {
         const target = this.targetsById.get(key);
-        if (value !== undefined && this.isFromReplacedProcess(value)) {
-            return;
+        const isUnchanged = value === target && !this.removalTimers.has(key);
+        if (isUnchanged || (value !== undefined && this.isFromReplacedProcess(value))) {
+            return false;
         }
         if (value !== undefined) {
             clearTimeout(this.removalTimers.get(key));
@@ -236,11 +243,12 @@
                 this.leavingTargets.delete(key);
             }
             this.targetsById.set(key, entry);
+            this.lapsedTargets.delete(key);
             this.notifyChange(target, entry);
             this.forgetLapsedAt(value.address);
         }
         else if (target === undefined) {
-            return;
+            return false;
         }
         else if (target.draining && !this.leavingTargets.has(key)) {
             this.drop(target, "removed");
@@ -248,6 +256,7 @@
         else if (!this.removalTimers.has(key) || this.awaitedTargets.delete(key)) {
             this.schedule(key, REGISTRATION_GRACE_MILLISECONDS, () => this.markLapsed(key));
         }
+        return true;
     }
 
     /** Waits for the entry of a target to be written again after the store came back from an older copy. */
@@ -261,7 +270,8 @@
 
     /** Drops lapsed hosts whose address now belongs to a registered target. */
     private forgetLapsedAt(address: string): void {
-        [...this.targetsById.values()].filter(target => !target.registered && target.address === address)
+        [...this.lapsedTargets].flatMap(id => this.targetsById.get(id) ?? [])
+            .filter(target => target.address === address)
             .forEach(target => this.drop(target, "forgotten"));
     }
 
@@ -283,6 +293,7 @@
 
     private drop(target: Target, kind: TargetChangeKind): void {
         this.targetsById.delete(target.id);
+        this.lapsedTargets.delete(target.id);
         this.leavingTargets.delete(target.id);
         this.droppedTargets.set(target.id, target);
         setTimeout(() => this.droppedTargets.delete(target.id), DROPPED_RETENTION_MILLISECONDS).unref();
@@ -318,10 +329,11 @@
         }
         else {
             this.targetsById.set(id, { ...target, registered: false });
+            this.lapsedTargets.add(id);
             this.onTargetChange("lapsed", target);
             this.schedule(id, LAPSED_RETENTION_MILLISECONDS, () => this.forget(id));
         }
-        this.updateIndexes();
+        this.notifyListeners();
     }
 
     /** Runs an action after a delay unless the target is registered or scheduled again before. */
@@ -334,20 +346,8 @@
         this.removalTimers.set(id, timer.unref());
     }
 
-    private updateIndexes(): void {
-        this.targetsByService = new Map();
-        this.targetsById.forEach(target => {
-            const ofService = this.targetsByService.get(target.service) ?? [];
-            ofService.push(target);
-            this.targetsByService.set(target.service, ofService);
-        });
-        this.groupsByService = new Map(
-            (this.routeLookup?.configuration.services ?? []).flatMap(({ name, engine }) =>
-                engine === undefined
-                    ? []
-                    : [[name, collectGroups(this.targetsByService.get(name) ?? [], engine.models)] as const]
-            ),
-        );
+    private notifyListeners(): void {
+        this.indexes.invalidate();
         this.listeners.forEach(listener => listener());
     }
 }
