--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,7 +13,8 @@
     legalComments: "none",
     alias: {
         "@damaskvale/core": "./packages/core/src/index.ts",
-        "@damaskvale/daemon": "./packages/daemon/src/index.ts",
+        "@damaskvale/daemon": "./scripts/bundle/daemon.mjs",
+        "undici": "./scripts/bundle/undici.mjs",
     },
     // Optional parts of bunyan that are absent here.
     external: ["dtrace-provider", "mv", "safe-json-stringify", "source-map-support"],
