Wake an idle daemon less often

Cause: timers for the log, for planning without partitions and for stalls without requests ran all the time, about 40 times a second together.

Change: the log's timer runs while lines wait; a daemon without partitions looks for some every 0.4 s; stalls are looked for every 0.3 s while no request is in progress, which still finds one within its 0.5 s.

--- a/packages/daemon/src/adapters/boundedoutput.ts
+++ b/packages/daemon/src/adapters/boundedoutput.ts
@@ -43,8 +43,13 @@
             flush();
         });
     };
-    const timer = setInterval(flush, COLLECT_MILLISECONDS);
-    timer.unref();
+    let timer: NodeJS.Timeout | undefined;
+    const flushSoon = (): void => {
+        timer ??= setTimeout(() => {
+            timer = undefined;
+            flush();
+        }, COLLECT_MILLISECONDS).unref();
+    };
     const stream = new Writable({
         write: (chunk: Buffer, ...[, done]) => {
             if (pendingBytes + chunk.length > MAXIMUM_PENDING_BYTES) {
@@ -53,6 +58,7 @@
             else {
                 pending.push(chunk);
                 pendingBytes += chunk.length;
+                flushSoon();
             }
             done();
         },
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -51,6 +51,8 @@
 }
 
 const ROUND_INTERVAL_MILLISECONDS = 100;
+/** Interval of looking for partitions while this daemon holds none. */
+const IDLE_INTERVAL_MILLISECONDS = 400;
 /** Groups may be chosen whose loads cannot all start now, as long as the rate allows them within this time. */
 const LOAD_HORIZON_SECONDS = 10;
 /** Debounce time, so that orders that finish together trigger one round. */
@@ -86,12 +88,16 @@
     }
 
     start(): void {
-        this.timer = setInterval(() => this.planRound(), ROUND_INTERVAL_MILLISECONDS);
+        const holdsPartitions = (this.parts.lease.current()?.partitions.length ?? 0) > 0;
+        this.timer = setTimeout(() => {
+            this.start();
+            this.planRound();
+        }, holdsPartitions ? ROUND_INTERVAL_MILLISECONDS : IDLE_INTERVAL_MILLISECONDS);
     }
 
     stop(): void {
         this.stopped = true;
-        clearInterval(this.timer);
+        clearTimeout(this.timer);
     }
 
     suspect(head: string): void {
--- a/packages/daemon/src/relay/stalldetector.ts
+++ b/packages/daemon/src/relay/stalldetector.ts
@@ -17,6 +17,8 @@
 }
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
+/** While no request is in progress; a request that is sent meanwhile cannot have stalled before the next check. */
+const IDLE_CHECK_INTERVAL_MILLISECONDS = 300;
 /** One pass of a full batch that reads a prompt in each step takes about 300 ms. */
 const STALL_MILLISECONDS = 500;
 /** Before its first event, a request also waits for earlier prompts and for a new connection. */
@@ -33,10 +35,18 @@
 
 /** Starts the detector. */
 export function startStallDetector(parts: StallDetectorParts): StallDetector {
-    const timer = setInterval(() => check(parts), CHECK_INTERVAL_MILLISECONDS);
+    let timer: NodeJS.Timeout;
+    const schedule = (): void => {
+        const isIdle = parts.loadTracker.targets().length === 0;
+        timer = setTimeout(() => {
+            schedule();
+            check(parts);
+        }, isIdle ? IDLE_CHECK_INTERVAL_MILLISECONDS : CHECK_INTERVAL_MILLISECONDS);
+    };
+    schedule();
     return {
         headUnusable: head => markUnusable(parts, head),
-        stop: () => clearInterval(timer),
+        stop: () => clearTimeout(timer),
     };
 }
 
