--- a/packages/core/src/placement/tests/peerreports.test.ts
+++ b/packages/core/src/placement/tests/peerreports.test.ts
@@ -1,20 +1,44 @@
 /** Reports of other daemons count only while they are recent, and suspicions only if more than one daemon has them. */
 import { expect } from "chai";
+import { createLoadSums, type LoadReport, type LoadSums } from "../loadsums.js";
 import { createLoadTracker } from "../loadtracker.js";
-import { createPeerLoads } from "../peerloads.js";
 import { createSuspicions } from "../suspicions.js";
 
-describe("loads of other daemons", () => {
-    it("are summed, replaced by newer reports, and dropped when a daemon stops reporting", () => {
-        const loads = createPeerLoads();
-        const report = (inProgress: number) => [{ target: "x", inProgress, pendingPromptTokens: 10 }];
-        loads.update("one", report(3), 0);
-        loads.update("two", report(2), 500);
-        loads.update("one", report(1), 1_000);
-        expect(loads.totalOf("x", 1_000)).to.deep.equal({ inProgress: 3, pendingPromptTokens: 20 });
-        expect(loads.totalOf("x", 2_600)).to.deep.equal({ inProgress: 1, pendingPromptTokens: 10 });
-        expect(loads.peers(2_600)).to.deep.equal(["one"]);
+describe("sums of reported loads", () => {
+    const report = (daemon: string, sequence: number, inProgress: number, startedAt = 1): LoadReport => ({
+        daemon,
+        startedAt,
+        sequence,
+        loads: [{ target: "x", inProgress, pendingPromptTokens: 10 }],
     });
+    const sumAt = (sums: LoadSums, now: number): readonly unknown[] =>
+        sums.sums(now).map(({ inProgress, pendingPromptTokens }) => [inProgress, pendingPromptTokens]);
+
+    it("are replaced by newer reports, and dropped when a daemon stops reporting", () => {
+        const sums = createLoadSums();
+        sums.update(report("one", 1, 3), 0);
+        sums.update(report("two", 1, 2), 500);
+        sums.update(report("one", 2, 1), 1_000);
+        expect(sumAt(sums, 1_000)).to.deep.equal([[3, 20]]);
+        expect(sumAt(sums, 2_600)).to.deep.equal([[1, 10]]);
+        expect(sums.included(2_600).map(({ daemon }) => daemon)).to.deep.equal(["one"]);
+        expect(sumAt(sums, 3_000)).to.deep.equal([]);
+    });
+
+    const outdated: readonly { readonly guards: string; readonly late: LoadReport; readonly sum: number; }[] = [
+        { guards: "an earlier report that overtook none", late: report("one", 4, 9), sum: 3 },
+        { guards: "the same report received twice", late: report("one", 5, 3), sum: 3 },
+        { guards: "a report of an earlier process", late: report("one", 99, 9, 0), sum: 3 },
+        { guards: "a first report of a later process taken for an old one", late: report("one", 1, 2, 2), sum: 2 },
+    ];
+    outdated.forEach(({ guards, late, sum }) =>
+        it(`guards against ${guards}`, () => {
+            const sums = createLoadSums();
+            sums.update(report("one", 5, 3), 0);
+            sums.update(late, 10);
+            expect(sumAt(sums, 20)).to.deep.equal([[sum, 10]]);
+        })
+    );
 });
 
 describe("suspicions", () => {
--- a/packages/daemon/src/peers/handoverdaemons.ts
+++ b/packages/daemon/src/peers/handoverdaemons.ts
@@ -3,8 +3,6 @@
 
 /** Daemons that take requests from this one. */
 export interface HandOverDaemons {
-    /** Records whether a daemon takes requests; one that has not said so does not. */
-    record(daemon: string, takesRequests: boolean): void;
     /** Returns a daemon that reported recently and takes requests, except those named. */
     choose(excluded: readonly string[]): DaemonPresence | undefined;
     /** Whether an address belongs to a daemon of this deployment. */
@@ -16,8 +14,8 @@
     readonly dataCentre: string;
     /** All other daemons that have announced themselves. */
     readonly others: () => readonly DaemonPresence[];
-    /** Names of the daemons that reported recently. */
-    readonly reachable: () => readonly string[];
+    /** Whether a daemon runs and takes requests. */
+    readonly takesRequests: (daemon: string) => boolean;
     /** Returns a random number in [0, 1). */
     readonly random: () => number;
 }
@@ -27,13 +25,10 @@
 
 /** Creates the choice. */
 export function createHandOverDaemons(parts: HandOverDaemonsParts): HandOverDaemons {
-    const takingRequests = new Map<string, boolean>();
     return {
-        record: (daemon, takesRequests) => void takingRequests.set(daemon, takesRequests),
         choose: excluded => {
-            const reachable = new Set(parts.reachable());
             const taking = parts.others().filter(({ daemon }) =>
-                reachable.has(daemon) && takingRequests.get(daemon) === true && !excluded.includes(daemon)
+                !excluded.includes(daemon) && parts.takesRequests(daemon)
             );
             const local = taking.filter(({ dataCentre }) => dataCentre === parts.dataCentre);
             const chosen = local.length >= LEAST_LOCAL_DAEMONS ? local : taking;
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -1,208 +1,384 @@
 /**
- * Exchange of loads and suspicions between daemons over UDP. Each message supersedes the previous one, so messages need
- * neither retransmission nor ordering, and there is no connection that could go dead unnoticed.
+ * Exchange of loads and knowledge between daemons over UDP. Each daemon reports to two collectors of its data centre, which
+ * state the sums to the daemons that report to them and to the collectors of the other data centres. Each message
+ * supersedes the previous one of its kind, so that messages need neither retransmission nor ordering, and there is no
+ * connection that could go dead unnoticed.
  */
-import type { LeavingStatement, LoadTracker, PeerLoads, QuarantineReport, StatedLimit } from "@damaskvale/core";
+import { createCollectorChooser, type LoadTracker, type StatedLoads, type Target } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
-import { broadcastRounds } from "../relay/pace.js";
+import type { TopicRange } from "../ports/registry.js";
 import type { ReportedMembership } from "../relay/state.js";
+import { createCollector } from "./collector.js";
 import type { DaemonList } from "./daemonlist.js";
 import {
-    decodeLoadMessage,
+    type CommonFields,
+    decodeExchangeMessage,
+    decodeLoads,
+    decodeMembers,
     describeLoads,
-    encodeLoadMessage,
+    encodeExchangeMessage,
+    encodeLoads,
+    type EventMessage,
+    type ExchangeMessage,
     type HeadSuspicion,
-    type LoadMessage,
-} from "./loadmessage.js";
-import { decodeQuarantine, encodeQuarantine } from "./quarantinemessage.js";
+    type ReportMessage,
+    type StatementMessage,
+} from "./exchangemessage.js";
+import { applyKnowledge, encodeKnowledge, type KnowledgeParts } from "./knowledge.js";
+import type { Roster } from "./roster.js";
+import { createSilenceDetector } from "./silence.js";
+import { createTargetPages, encodeTargetRange } from "./targetpages.js";
 
 /** Collaborators of the exchange. */
-export interface LoadExchangeParts {
+export interface LoadExchangeParts extends KnowledgeParts {
     readonly clock: Clock;
     readonly log: EventLog;
     readonly self: DaemonPresence;
+    /** Start of this process in Unix milliseconds. */
+    readonly startedAt: number;
     readonly daemons: DaemonList;
     /** UDP port on which every daemon receives. */
     readonly port: number;
     readonly loadTracker: LoadTracker;
-    readonly peerLoads: PeerLoads;
+    /** Learns the sums that collectors state. */
+    readonly statedLoads: StatedLoads;
+    /** Learns which daemons run. */
+    readonly roster: Roster;
     /** Called when another daemon suspects the head of a group. */
     readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
+    /** Called with registry changes that a collector read. */
+    readonly onTargets: (range: TopicRange<Target>) => void;
     /** Called when another daemon learned a membership from the engine itself. */
     readonly onMembership: (reported: ReportedMembership) => void;
-    /** Statements of targets about their request rate that this daemon knows. */
-    readonly limits: () => readonly StatedLimit[];
-    /** Called with each statement that another daemon knows; its time is of this daemon's monotonic clock. */
-    readonly onLimit: (limit: StatedLimit) => void;
-    /** Statements of targets that they leave, as far as this daemon knows. */
-    readonly leaving: () => readonly LeavingStatement[];
-    /** Called with each such statement that another daemon knows; its time is of this daemon's monotonic clock. */
-    readonly onLeaving: (statement: LeavingStatement, daemon: string) => void;
-    /** What this daemon knows about prompt parts on which targets crash. */
-    readonly quarantine: () => QuarantineReport;
-    /** Whether crashes or decisions about parts are so new that every message should contain them. */
-    readonly hasQuarantineUpdates: () => boolean;
-    /** Called with what another daemon knows; its times are of this daemon's monotonic clock. */
-    readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
-    /** Whether this daemon takes requests of daemons that reach no target. */
-    readonly takesRequests: () => boolean;
-    /** Called with whether another daemon does. */
-    readonly onTakesRequests: (daemon: string, takesRequests: boolean) => void;
-    /** Version of the configuration in force on this daemon, 0 if there is none. */
-    readonly configurationVersion: () => number;
     /** Whether this daemon announces a configuration that has come into force to all others at once. */
     readonly announcesConfiguration: () => boolean;
-    /** Called when another daemon has a newer configuration in force. */
-    readonly onNewerConfiguration: () => void;
 }
 
 /** A running exchange. */
 export interface LoadExchange {
-    /** Immediately reports to all daemons that a head makes no progress. */
+    /** Reports to all daemons at once that a head makes no progress. */
     suspect(suspicion: HeadSuspicion): void;
-    /** Immediately sends all daemons a membership that an engine reported. */
+    /** Sends all daemons at once a membership that an engine reported. */
     broadcastMembership(reported: ReportedMembership): void;
-    /** Immediately sends all daemons what this one knows of limits, leaving targets and quarantined parts. */
+    /** Sends all daemons at once what this one knows of limits, leaving targets and quarantined parts. */
     broadcastKnowledge(): void;
+    /** Passes registry changes that this daemon read on to those that report to it, if it is a collector. */
+    passOnTargets(range: TopicRange<Target>): void;
+    /** Place of this daemon among the collectors of its data centre, from 0; `undefined` if it is none. */
+    collectorRank(): number | undefined;
     stop(): void;
 }
 
-const BROADCAST_INTERVAL_MILLISECONDS = 150;
+/** Interval of reports, and of statements to the own data centre. */
+const ROUND_MILLISECONDS = 120;
+/** Rounds between two statements to other data centres. */
+const REMOTE_ROUNDS = 2;
 /** Interval of messages without changes, which show the other daemons that this one is alive. */
-const IDLE_BROADCAST_INTERVAL_MILLISECONDS = 900;
-/**
- * Interval at which older facts about prompt parts are sent again, for daemons that missed them. They are often larger
- * than the loads and rarely needed.
- */
-const QUARANTINE_INTERVAL_MILLISECONDS = 900;
+const IDLE_INTERVAL_MILLISECONDS = 900;
+/** Largest payload of a UDP datagram. */
+const MAXIMUM_DATAGRAM_BYTES = 65_507;
+/** Time over which events are gathered into one message. */
+const EVENT_DELAY_MILLISECONDS = 10;
 
 /** Starts the exchange. */
 export function startLoadExchange(parts: LoadExchangeParts): LoadExchange {
-    const { clock, log, self, daemons } = parts;
-    const socket: Socket = createSocket("udp4");
-    let round = 0;
-    let lastSentLoads = "";
-    let lastBroadcastAt = Number.NEGATIVE_INFINITY;
-    let quarantineSentAt = Number.NEGATIVE_INFINITY;
-    let announcedVersion = 0;
-
-    const send = (message: LoadMessage, receivers: readonly DaemonPresence[]): void => {
-        const bytes = encodeLoadMessage(message);
-        receivers.forEach(peer => socket.send(bytes, parts.port, peer.ip));
+    return new LoadExchangeTask(parts);
+}
+
+class LoadExchangeTask implements LoadExchange {
+    private readonly socket: Socket = createSocket("udp4");
+    private readonly timer: NodeJS.Timeout;
+    private readonly collector = createCollector();
+    private readonly chooser = createCollectorChooser();
+    private readonly silence = createSilenceDetector();
+    private readonly targetPages = createTargetPages();
+    private round = 0;
+    private sequence = 0;
+    private announcedVersion = 0;
+    private reportedToAllAt = Number.NEGATIVE_INFINITY;
+    /** What was sent last in messages of each kind, and when. */
+    private readonly lastSent = new Map<ExchangeMessage["kind"], { readonly content: string; readonly at: number; }>();
+    private readonly quarantineSentAt = new Map<ExchangeMessage["kind"], number>();
+    private rosterSent = { names: "", at: Number.NEGATIVE_INFINITY };
+    private pendingEvent: Pick<EventMessage, "suspects" | "memberships"> | undefined;
+    private readonly handlers: {
+        readonly [Kind in ExchangeMessage["kind"]]: (message: Extract<ExchangeMessage, { kind: Kind; }>) => void;
     };
-    const broadcast = (): void => {
-        round += 1;
-        const message = createMessage(parts, {});
-        const text = JSON.stringify(message.loads);
-        const now = clock.monotonic();
-        const hasUpdates = parts.hasQuarantineUpdates();
-        const isNewVersion = message.configurationVersion > announcedVersion && parts.announcesConfiguration();
-        if (
-            !hasUpdates && !isNewVersion && text === lastSentLoads
-            && now - lastBroadcastAt < IDLE_BROADCAST_INTERVAL_MILLISECONDS
-        ) {
+
+    constructor(private readonly parts: LoadExchangeParts) {
+        const { log, self, port } = parts;
+        this.handlers = {
+            report: message => this.receiveReport(message),
+            statement: message => this.receiveStatement(message),
+            dataCentre: ({ daemon, dataCentre, sums, members }) =>
+                this.collector.receiveStatement(
+                    { dataCentre, collector: daemon, sums: decodeLoads(sums), members },
+                    this.now(),
+                ),
+            targets: ({ range }) => parts.onTargets(range),
+            event: ({ daemon, takesRequests, suspects, memberships }) => {
+                this.collector.recordTakesRequests(daemon, takesRequests);
+                parts.roster.record(daemon, takesRequests, this.now());
+                suspects.forEach(suspicion => parts.onSuspicion(suspicion, daemon));
+                memberships.forEach(parts.onMembership);
+            },
+        };
+        this.socket.on("message", bytes => this.receive(bytes));
+        this.socket.on("error", error => log.emit("taskFailed", { task: "load exchange", error }));
+        this.socket.bind(port, self.ip);
+        this.timer = setInterval(() => this.runRound(), ROUND_MILLISECONDS);
+    }
+
+    suspect(suspicion: HeadSuspicion): void {
+        this.scheduleEvent({ suspects: [suspicion], memberships: [] });
+    }
+
+    broadcastMembership(reported: ReportedMembership): void {
+        this.scheduleEvent({ suspects: [], memberships: [reported] });
+    }
+
+    broadcastKnowledge(): void {
+        this.scheduleEvent({ suspects: [], memberships: [] });
+    }
+
+    passOnTargets(range: TopicRange<Target>): void {
+        const ranges = this.targetPages.split(range, this.now());
+        if (this.collectorRank() === undefined) {
+            return;
+        }
+        const members = this.otherMembers();
+        ranges.forEach(part =>
+            this.send({
+                kind: "targets",
+                daemon: this.parts.self.daemon,
+                range: encodeTargetRange(part),
+            }, members)
+        );
+    }
+
+    collectorRank(): number | undefined {
+        const rank = this.collectors().indexOf(this.parts.self.daemon);
+        return rank < 0 ? undefined : rank;
+    }
+
+    stop(): void {
+        clearInterval(this.timer);
+        this.socket.close();
+    }
+
+    private now(): number {
+        return this.parts.clock.monotonic();
+    }
+
+    /** Returns the collectors of this data centre in order, as this daemon sees them. */
+    private collectors(): readonly string[] {
+        const { self, daemons } = this.parts;
+        const now = this.now();
+        return this.chooser.choose(self.dataCentre, daemons.all(), daemon => this.silence.isSilent(daemon, now));
+    }
+
+    /** Returns the daemons that report to this one. */
+    private otherMembers(): string[] {
+        return this.collector.members(this.now()).map(([daemon]) => daemon)
+            .filter(daemon => daemon !== this.parts.self.daemon);
+    }
+
+    private runRound(): void {
+        this.round += 1;
+        const { self, announcesConfiguration, configurationVersion } = this.parts;
+        const collectors = this.collectors();
+        this.sendReport(collectors);
+        this.sendStatement(collectors[0] === self.daemon);
+        if (this.round % REMOTE_ROUNDS === 0 && collectors[0] === self.daemon) {
+            this.sendToDataCentres();
+        }
+        if (configurationVersion() > this.announcedVersion && announcesConfiguration()) {
+            this.broadcastKnowledge();
+        }
+        this.announcedVersion = configurationVersion();
+    }
+
+    private sendReport(collectors: readonly string[]): void {
+        const { self, startedAt, loadTracker, statedLoads, takesRequests } = this.parts;
+        const loads = describeLoads(loadTracker);
+        if (!this.isDue("report", JSON.stringify([loads, collectors, takesRequests()]))) {
+            return;
+        }
+        this.sequence += 1;
+        const { sequence } = this;
+        statedLoads.recordSent(sequence, loads);
+        const report: ReportMessage = {
+            kind: "report",
+            ...this.commonFields("report"),
+            startedAt,
+            sequence,
+            loads: encodeLoads(loads),
+        };
+        if (collectors.includes(self.daemon)) {
+            this.receiveReport(report);
+        }
+        const others = collectors.filter(collector => collector !== self.daemon);
+        others.forEach(collector => this.silence.expect(collector, this.now()));
+        const isForAll = this.parts.hasQuarantineUpdates()
+            || this.now() - this.reportedToAllAt >= IDLE_INTERVAL_MILLISECONDS;
+        if (isForAll) {
+            this.reportedToAllAt = this.now();
+        }
+        // The second collector only has to know who reports, to take over.
+        this.send(report, isForAll ? others : others.filter(collector => collector === collectors[0]));
+    }
+
+    /** States the sums to the daemons that report to this one, if there are any; rarely if it is not the first collector. */
+    private sendStatement(isFirst: boolean): void {
+        const now = this.now();
+        const members = this.collector.members(now);
+        if (members.length === 0) {
+            return;
+        }
+        const sums = encodeLoads(this.collector.allSums(now));
+        const roster = this.collector.roster(now);
+        const names = JSON.stringify(roster);
+        const sendsRoster = names !== this.rosterSent.names || now - this.rosterSent.at >= IDLE_INTERVAL_MILLISECONDS;
+        if (!this.isDue("statement", isFirst ? JSON.stringify(sums) : "") && !sendsRoster) {
+            return;
+        }
+        if (sendsRoster) {
+            this.rosterSent = { names, at: now };
+        }
+        const statement: StatementMessage = {
+            kind: "statement",
+            ...this.commonFields("statement"),
+            sums,
+            members: [...members],
+            ageMilliseconds: this.collector.ageMilliseconds(now),
+            roster: sendsRoster ? roster : undefined,
+        };
+        this.receiveStatement(statement);
+        this.send(statement, this.otherMembers());
+    }
+
+    /** States the sums of this data centre to the collectors of the others. */
+    private sendToDataCentres(): void {
+        const now = this.now();
+        const { self, daemons, roster } = this.parts;
+        const sums = encodeLoads(this.collector.localSums(now));
+        const members = this.collector.members(now);
+        const names = members.map(([daemon, startedAt]) => [daemon, startedAt]);
+        if (!this.isDue("dataCentre", JSON.stringify([sums, names]))) {
             return;
         }
-        const isLocal = (peer: DaemonPresence): boolean => peer.dataCentre === self.dataCentre;
-        const { local: localRounds, remote: remoteRounds } = broadcastRounds(daemons.count());
-        const peers = daemons.others();
-        const includesRemote = isNewVersion || round % remoteRounds === 0;
-        if (includesRemote) {
-            lastSentLoads = text;
-            lastBroadcastAt = now;
-            announcedVersion = message.configurationVersion;
-        }
-        if (includesRemote || round % localRounds === 0) {
-            const sendsQuarantine = hasUpdates
-                || includesRemote && now - quarantineSentAt >= QUARANTINE_INTERVAL_MILLISECONDS;
-            if (sendsQuarantine && includesRemote) {
-                quarantineSentAt = now;
-            }
-            send(
-                sendsQuarantine ? addQuarantine(parts, message) : message,
-                includesRemote ? peers : peers.filter(isLocal),
+        const running = new Set(roster.daemons(now));
+        const dataCentres = new Set(daemons.others().map(({ dataCentre }) => dataCentre));
+        const receivers = [...dataCentres].filter(dataCentre => dataCentre !== self.dataCentre).flatMap(dataCentre => {
+            const isKnown = daemons.others().some(other =>
+                other.dataCentre === dataCentre && running.has(other.daemon)
             );
+            return this.chooser.choose(dataCentre, daemons.all(), daemon => isKnown && !running.has(daemon));
+        });
+        this.send({
+            kind: "dataCentre",
+            ...this.commonFields("dataCentre"),
+            dataCentre: self.dataCentre,
+            sums,
+            members: [...members],
+        }, receivers);
+    }
+
+    /** Returns whether a message is to be sent now, because of its content or the time since the last one. */
+    private isDue(kind: ExchangeMessage["kind"], content: string): boolean {
+        const now = this.now();
+        const last = this.lastSent.get(kind);
+        const isDue = last === undefined || last.content !== content || this.parts.hasQuarantineUpdates()
+            || now - last.at >= IDLE_INTERVAL_MILLISECONDS;
+        if (isDue) {
+            this.lastSent.set(kind, { content, at: now });
         }
-    };
-    const receive = (bytes: Buffer): void => {
-        const decoded = decodeLoadMessage(bytes);
-        if (decoded.kind === "malformed") {
-            log.emit("peerMessageRefused", { reason: decoded.reason });
+        return isDue;
+    }
+
+    /** Older facts about prompt parts are sent again from time to time, for daemons that missed them. */
+    private commonFields(kind: ExchangeMessage["kind"]): CommonFields {
+        const now = this.now();
+        const sentAt = this.quarantineSentAt.get(kind) ?? Number.NEGATIVE_INFINITY;
+        const includesQuarantine = kind === "event" || this.parts.hasQuarantineUpdates()
+            || now - sentAt >= IDLE_INTERVAL_MILLISECONDS;
+        if (includesQuarantine) {
+            this.quarantineSentAt.set(kind, now);
+        }
+        return encodeKnowledge(this.parts.self.daemon, this.parts, now, includesQuarantine);
+    }
+
+    private scheduleEvent({ suspects, memberships }: Pick<EventMessage, "suspects" | "memberships">): void {
+        if (this.pendingEvent !== undefined) {
+            this.pendingEvent.suspects.push(...suspects);
+            this.pendingEvent.memberships.push(...memberships);
             return;
         }
-        applyMessage(parts, decoded.message);
-    };
+        this.pendingEvent = { suspects: [...suspects], memberships: [...memberships] };
+        setTimeout(() => this.sendEvent(), EVENT_DELAY_MILLISECONDS).unref();
+    }
 
-    socket.on("message", receive);
-    socket.on("error", error => log.emit("taskFailed", { task: "load exchange", error }));
-    socket.bind(parts.port, self.ip);
-    const timer = setInterval(broadcast, BROADCAST_INTERVAL_MILLISECONDS);
-    return {
-        suspect: suspicion => send(createMessage(parts, { suspects: [suspicion] }), daemons.others()),
-        broadcastMembership: reported => send(createMessage(parts, { memberships: [reported] }), daemons.others()),
-        broadcastKnowledge: () => send(addQuarantine(parts, createMessage(parts, {})), daemons.others()),
-        stop: () => {
-            clearInterval(timer);
-            socket.close();
-        },
-    };
-}
+    private sendEvent(): void {
+        const event = this.pendingEvent;
+        this.pendingEvent = undefined;
+        if (event !== undefined) {
+            const receivers = this.parts.daemons.others().map(({ daemon }) => daemon);
+            this.send({ kind: "event", ...this.commonFields("event"), ...event }, receivers);
+        }
+    }
 
-function createMessage(
-    { clock, self, loadTracker, configurationVersion, limits, leaving, takesRequests }: LoadExchangeParts,
-    updates: Partial<Pick<LoadMessage, "suspects" | "memberships">>,
-): LoadMessage {
-    const now = clock.monotonic();
-    return {
-        daemon: self.daemon,
-        configurationVersion: configurationVersion(),
-        loads: describeLoads(loadTracker),
-        suspects: [],
-        memberships: [],
-        limits: limits().map(limit => withAge(limit, now)),
-        leaving: leaving().map(statement => withAge(statement, now)),
-        takesRequests: takesRequests(),
-        ...updates,
-    };
-}
+    private send(message: ExchangeMessage, receivers: readonly string[]): void {
+        const { daemons, port } = this.parts;
+        const addresses = receivers.flatMap(daemon => daemons.addressOf(daemon) ?? []);
+        if (addresses.length > 0) {
+            const bytes = encodeDatagram(message);
+            addresses.forEach(address => this.socket.send(bytes, port, address));
+        }
+    }
 
-/** Replaces the time of a statement by its age, because the clocks of daemons differ. */
-function withAge<Statement extends LeavingStatement>(
-    { statedAt, ...statement }: Statement,
-    now: number,
-): Omit<Statement, "statedAt"> & { readonly ageMilliseconds: number; } {
-    return { ...statement, ageMilliseconds: Math.max(0, now - statedAt) };
-}
+    private receive(bytes: Buffer): void {
+        const decoded = decodeExchangeMessage(bytes);
+        if (decoded.kind === "malformed") {
+            this.parts.log.emit("peerMessageRefused", { reason: decoded.reason, bytes: bytes.length });
+            return;
+        }
+        const { message } = decoded;
+        this.silence.recordHeard(message.daemon, this.now());
+        this.handle(message.kind, message);
+        if (message.kind !== "targets") {
+            applyKnowledge(message, this.parts, this.now());
+        }
+    }
 
-function addQuarantine({ clock, quarantine }: LoadExchangeParts, message: LoadMessage): LoadMessage {
-    return { ...message, quarantine: encodeQuarantine(quarantine(), clock.monotonic()) };
-}
+    private handle<Kind extends ExchangeMessage["kind"]>(
+        kind: Kind,
+        message: Extract<ExchangeMessage, { kind: Kind; }>,
+    ): void {
+        this.handlers[kind](message);
+    }
 
-function applyMessage(parts: LoadExchangeParts, message: LoadMessage): void {
-    const { daemon, configurationVersion, suspects, memberships } = message;
-    const now = parts.clock.monotonic();
-    const loads = message.loads.map(([target, inProgress, pendingPromptTokens]) => ({
-        target,
-        inProgress,
-        pendingPromptTokens,
-    }));
-    parts.peerLoads.update(daemon, loads, now);
-    parts.onTakesRequests(daemon, message.takesRequests);
-    message.limits.forEach(({ ageMilliseconds, ...limit }) =>
-        parts.onLimit({ ...limit, statedAt: now - ageMilliseconds })
-    );
-    message.leaving.forEach(({ ageMilliseconds, ...process }) =>
-        parts.onLeaving({ ...process, statedAt: now - ageMilliseconds }, daemon)
-    );
-    if (message.quarantine !== undefined) {
-        parts.onQuarantine(decodeQuarantine(message.quarantine, now), daemon);
-    }
-    suspects.forEach(suspicion => parts.onSuspicion(suspicion, daemon));
-    memberships.forEach(parts.onMembership);
-    if (configurationVersion > parts.configurationVersion()) {
-        parts.onNewerConfiguration();
+    private receiveReport({ daemon, startedAt, sequence, takesRequests, loads }: ReportMessage): void {
+        const report = { daemon, startedAt, sequence, loads: decodeLoads(loads) };
+        this.collector.receiveReport(report, takesRequests, this.now());
     }
+
+    private receiveStatement({ daemon, sums, members, ageMilliseconds, roster }: StatementMessage): void {
+        const now = this.now();
+        const included = decodeMembers(members);
+        this.parts.statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
+        if (roster !== undefined) {
+            this.parts.roster.merge(daemon, roster, now);
+        }
+    }
+}
+
+/** Encodes a message; without the quarantined parts, which events tell as well, if it does not fit into a datagram with them. */
+function encodeDatagram(message: ExchangeMessage): Buffer {
+    const bytes = encodeExchangeMessage(message);
+    return bytes.length <= MAXIMUM_DATAGRAM_BYTES || message.kind === "targets"
+        ? bytes
+        : encodeExchangeMessage({ ...message, quarantine: undefined });
 }
--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -23,7 +23,9 @@
 const MAXIMUM_RETRY_MILLISECONDS = 3_000;
 /** Time over which the daemons spread their announcements after the store came back from an older copy. */
 const ANNOUNCE_SPREAD_MILLISECONDS = 500;
-const FOLLOW_PAUSE_MILLISECONDS = 100;
+/** Each announcement ends the waiting reads of all daemons, so that a large fleet reads several of them together. */
+const LEAST_FOLLOW_PAUSE_MILLISECONDS = 100;
+const FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON = 10;
 /** Daemons rarely start or stop, and learning of it late does no harm. */
 const FOLLOW_WAIT_MILLISECONDS = 15_000;
 
@@ -68,7 +70,8 @@
         random,
         currentEra: () => storeEra.current(),
         waitMilliseconds: () => FOLLOW_WAIT_MILLISECONDS,
-        pauseMilliseconds: () => FOLLOW_PAUSE_MILLISECONDS,
+        pauseMilliseconds: () =>
+            Math.max(LEAST_FOLLOW_PAUSE_MILLISECONDS, peers.size * FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON),
         replace: (changes, isRestored) => {
             // Daemons that an older copy of the store lacks announce themselves again.
             if (!isRestored) {
--- a/packages/daemon/src/peers/tests/handoverdaemons.test.ts
+++ b/packages/daemon/src/peers/tests/handoverdaemons.test.ts
@@ -39,12 +39,9 @@
                 const daemons = createHandOverDaemons({
                     dataCentre: "a",
                     others: () => others,
-                    reachable: () => reachable,
+                    takesRequests: name => reachable.includes(name) && ![...silent, ...cutOff].includes(name),
                     random: () => draw,
                 });
-                names.filter(name => !silent.includes(name)).forEach(name =>
-                    daemons.record(name, !cutOff.includes(name))
-                );
                 return daemons.choose(excluded)?.daemon;
             });
             expect([...new Set(seen.flatMap(name => name ?? []))]).to.deep.equal(chosen);
@@ -55,7 +52,7 @@
         const daemons = createHandOverDaemons({
             dataCentre: "a",
             others: () => others,
-            reachable: () => [],
+            takesRequests: () => false,
             random: () => 0,
         });
         expect(["10.0.0.1", "10.9.9.9"].map(daemons.isDaemonAddress)).to.deep.equal([true, false]);
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -1,13 +1,31 @@
 /** What one daemon knows of quarantined parts reaches the others at once, and later also those that missed it. */
-import { createLoadTracker, createPeerLoads, type LeavingStatement, type QuarantineReport } from "@damaskvale/core";
+import {
+    createLoadTracker,
+    createStatedLoads,
+    type LeavingStatement,
+    type LoadTracker,
+    type QuarantineReport,
+    type StatedLoads,
+    type Target,
+} from "@damaskvale/core";
 import { expect } from "chai";
 import { createSocket, type Socket } from "node:dgram";
 import type { AddressInfo } from "node:net";
+import type { TopicRange } from "../../ports/registry.js";
 import { createDaemonList } from "../daemonlist.js";
+import {
+    decodeExchangeMessage,
+    encodeExchangeMessage,
+    type EventMessage,
+    type KnowledgeMessage,
+    type ReportMessage,
+    type TargetsMessage,
+} from "../exchangemessage.js";
 import { type LoadExchange, startLoadExchange } from "../loadexchange.js";
-import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from "../loadmessage.js";
 import { encodeQuarantine } from "../quarantinemessage.js";
+import { createRoster, type Roster } from "../roster.js";
 
+const STARTED_AT = 7;
 const LEAVING_AGE_MILLISECONDS = 500;
 const SELF = { daemon: "d0", ip: "127.0.0.71", dataCentre: "x" };
 const OTHER = { daemon: "d1", ip: "127.0.0.72", dataCentre: "x" };
@@ -23,40 +41,56 @@
     let hasUpdates = false;
     let configurationVersion = 0;
     let announces = false;
-    const received: LoadMessage[] = [];
+    const received: KnowledgeMessage[] = [];
+    const targets: TargetsMessage[] = [];
+    let loadTracker: LoadTracker;
+    let statedLoads: StatedLoads;
+    let roster: Roster;
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
+    const offered: TopicRange<Target>[] = [];
     const leaving: { readonly statement: LeavingStatement; readonly daemon: string; }[] = [];
 
-    const takesRequests = new Map<string, boolean>();
-
     beforeEach(async () => {
         received.length = 0;
         merged.length = 0;
         leaving.length = 0;
+        malformed.length = 0;
+        targets.length = 0;
+        offered.length = 0;
         hasUpdates = false;
         configurationVersion = 0;
         announces = false;
         socket = createSocket("udp4");
         await new Promise<void>(resolve => socket.bind(0, OTHER.ip, resolve));
         socket.on("message", bytes => {
-            const decoded = decodeLoadMessage(bytes);
-            if (decoded.kind === "message") {
-                received.push(decoded.message);
+            const decoded = decodeExchangeMessage(bytes);
+            const message = decoded.kind === "message" ? decoded.message : undefined;
+            if (message?.kind === "targets") {
+                targets.push(message);
+            }
+            else if (message !== undefined) {
+                received.push(message);
             }
         });
-        const daemons = createDaemonList(SELF.daemon);
+        const daemons = createDaemonList(SELF);
         const statedAt = performance.now() - LEAVING_AGE_MILLISECONDS;
         daemons.replace([SELF, OTHER]);
+        loadTracker = createLoadTracker();
+        statedLoads = createStatedLoads({ daemon: SELF.daemon, startedAt: STARTED_AT });
+        roster = createRoster();
         exchange = startLoadExchange({
             clock: { monotonic: () => performance.now(), wall: () => 0 },
             log: { emit: (...[, fields]) => void malformed.push(fields) },
             self: SELF,
             daemons,
             port: (socket.address() as AddressInfo).port,
-            loadTracker: createLoadTracker(),
-            peerLoads: createPeerLoads(),
+            startedAt: STARTED_AT,
+            loadTracker,
+            statedLoads,
+            roster,
             onSuspicion: () => undefined,
+            onTargets: range => void offered.push(range),
             onMembership: () => undefined,
             limits: () => [],
             onLimit: () => undefined,
@@ -66,7 +100,6 @@
             hasQuarantineUpdates: () => hasUpdates,
             onQuarantine: (told, daemon) => void merged.push({ report: told, daemon }),
             takesRequests: () => true,
-            onTakesRequests: (daemon, takes) => void takesRequests.set(daemon, takes),
             configurationVersion: () => configurationVersion,
             announcesConfiguration: () => announces,
             onNewerConfiguration: () => undefined,
@@ -109,8 +142,8 @@
         expect(told[0]).to.include({ target: "t", startedAt: 1 });
         expect(told[0]?.ageMilliseconds).to.be.within(LEAVING_AGE_MILLISECONDS, LEAVING_AGE_MILLISECONDS + 50);
         const { port } = socket.address() as AddressInfo;
-        const message = { ...(received[0] as LoadMessage), daemon: OTHER.daemon, quarantine: undefined };
-        socket.send(encodeLoadMessage(message), port, SELF.ip);
+        const message = { ...(received[0] as EventMessage), daemon: OTHER.daemon, quarantine: undefined };
+        socket.send(encodeExchangeMessage(message), port, SELF.ip);
         await receiveFor(50);
         expect(leaving.map(({ statement: { target, startedAt }, daemon }) => [target, startedAt, daemon]))
             .to.deep.equal([["t", 1, OTHER.daemon]]);
@@ -127,22 +160,106 @@
 
     it("merges what another daemon tells, and reads messages of earlier versions", async () => {
         const { port } = socket.address() as AddressInfo;
-        const message: Omit<LoadMessage, "takesRequests"> = {
+        const message = {
             daemon: OTHER.daemon,
             configurationVersion: 0,
             loads: [],
             suspects: [],
             memberships: [],
-            limits: [],
-            leaving: [],
         };
         const quarantine = encodeQuarantine({ ...report, crashes: [], proven: [{ part: "a", at: 0 }] }, 100);
         [message, { ...message, quarantine }].forEach(sent =>
-            socket.send(encodeLoadMessage(sent as LoadMessage), port, SELF.ip)
+            socket.send(encodeExchangeMessage(sent as never), port, SELF.ip)
         );
         await receiveFor(50);
         expect(merged.map(({ daemon, report: { proven } }) => [daemon, proven[0]?.part])).to.deep.equal([["d1", "a"]]);
         expect(malformed).to.deep.equal([]);
-        expect([...takesRequests]).to.deep.equal([[OTHER.daemon, false]]);
+        expect(roster.takesRequests(OTHER.daemon, performance.now())).to.equal(false);
+    });
+
+    const reportOfOther = (sequence: number, inProgress: number): ReportMessage => ({
+        kind: "report",
+        daemon: OTHER.daemon,
+        configurationVersion: 0,
+        limits: [],
+        leaving: [],
+        startedAt: 1,
+        sequence,
+        takesRequests: true,
+        loads: [["t", inProgress, 50]],
+    });
+    const sendReport = (sequence: number, inProgress: number): void => {
+        const { port } = socket.address() as AddressInfo;
+        socket.send(encodeExchangeMessage(reportOfOther(sequence, inProgress)), port, SELF.ip);
+    };
+
+    it("states the sum of all newest reports to those that report, and counts each daemon once", async () => {
+        loadTracker.sent("t", { promptTokens: 10, stream: true }, performance.now());
+        sendReport(2, 3);
+        sendReport(1, 9);
+        while (statedLoads.totalOf("t", performance.now()).inProgress === 0) {
+            await receiveFor(5);
+        }
+        expect(statedLoads.ageMilliseconds(performance.now())).to.be.below(250);
+        await receiveFor(300);
+        const statements = received.flatMap(message => message.kind === "statement" ? [message] : []);
+        expect(statements.at(-1)?.sums).to.deep.equal([["t", 4, 60]]);
+        expect(statements.at(-1)?.members.map(([daemon, , sequence]) => [daemon, sequence])).to.deep.include(["d1", 2]);
+        expect(statedLoads.totalOf("t", performance.now())).to.deep.equal({ inProgress: 3, pendingPromptTokens: 50 });
+        expect(roster.takesRequests(OTHER.daemon, performance.now())).to.equal(true);
+    });
+
+    it("believes at once what a daemon says of itself, before the next statement of a collector", async () => {
+        sendReport(1, 0);
+        await receiveFor(300);
+        const takes = (): boolean => roster.takesRequests(OTHER.daemon, performance.now());
+        expect(takes()).to.equal(true);
+        const { port } = socket.address() as AddressInfo;
+        const { daemon, configurationVersion, limits, leaving } = reportOfOther(2, 0);
+        const common = { daemon, configurationVersion, limits, leaving, takesRequests: false };
+        const event: EventMessage = { kind: "event", ...common, suspects: [], memberships: [] };
+        socket.send(encodeExchangeMessage(event), port, SELF.ip);
+        await receiveFor(20);
+        expect(takes()).to.equal(false);
+        await receiveFor(300);
+        expect(takes()).to.equal(false);
+    });
+
+    it("passes registry changes on to those that report, and entries without change only once", async () => {
+        sendReport(1, 0);
+        await receiveFor(50);
+        const value: Target = {
+            id: "t",
+            service: "pool",
+            address: "10.0.0.1:80",
+            dataCentre: "x",
+            draining: false,
+            registered: true,
+            slots: 9,
+            stagedModels: ["m"],
+            busy: false,
+            orderSequence: 0,
+        };
+        exchange.passOnTargets({ fromOffset: 5, nextOffset: 7, era: 1, changes: [{ key: "t", value }, { key: "u" }] });
+        exchange.passOnTargets({ fromOffset: 7, nextOffset: 8, era: 1, changes: [{ key: "t", value }] });
+        await receiveFor(50);
+        expect(targets.map(({ range: { fromOffset, nextOffset, changes } }) => [
+            fromOffset,
+            nextOffset,
+            changes.map(({ key }) => key),
+        ])).to.deep.equal([[5, 7, ["t", "u"]], [7, 8, []]]);
+        const { port } = socket.address() as AddressInfo;
+        socket.send(encodeExchangeMessage({ ...(targets[0] as TargetsMessage), daemon: OTHER.daemon }), port, SELF.ip);
+        await receiveFor(50);
+        expect(offered.map(({ changes }) => changes[0]?.value)).to.deep.equal([value]);
+    });
+
+    it("refuses a report with values that are no loads as a whole", async () => {
+        const { port } = socket.address() as AddressInfo;
+        const values = [-1, Number.NaN, Number.POSITIVE_INFINITY, "3"];
+        values.forEach(value => socket.send(encodeExchangeMessage(reportOfOther(2, value as number)), port, SELF.ip));
+        await receiveFor(200);
+        expect(malformed).to.have.length(values.length);
+        expect(statedLoads.totalOf("t", performance.now()).inProgress).to.equal(0);
     });
 });
--- a/packages/daemon/src/peers/tests/quarantinemessage.test.ts
+++ b/packages/daemon/src/peers/tests/quarantinemessage.test.ts
@@ -1,13 +1,13 @@
 /** What daemons tell each other of quarantined parts survives the message, other clocks and earlier versions. */
 import { createPartQuarantine, type QuarantineReport } from "@damaskvale/core";
 import { expect } from "chai";
-import { decodeLoadMessage, encodeLoadMessage, type LoadMessage } from "../loadmessage.js";
+import { decodeExchangeMessage, encodeExchangeMessage, type KnowledgeMessage } from "../exchangemessage.js";
 import { decodeQuarantine, encodeQuarantine } from "../quarantinemessage.js";
 
-const message: LoadMessage = {
+const message: KnowledgeMessage = {
     daemon: "d0",
     configurationVersion: 1,
-    loads: [],
+    kind: "event",
     leaving: [],
     takesRequests: true,
     suspects: [],
@@ -36,12 +36,12 @@
 /** Largest payload of a UDP datagram. */
 const DATAGRAM_BYTES = 65_507;
 
-function transmit(sent: LoadMessage): LoadMessage {
-    const decoded = decodeLoadMessage(encodeLoadMessage(sent));
+function transmit(sent: KnowledgeMessage): KnowledgeMessage {
+    const decoded = decodeExchangeMessage(encodeExchangeMessage(sent));
     if (decoded.kind === "malformed") {
         throw new Error(decoded.reason);
     }
-    return decoded.message;
+    return decoded.message as KnowledgeMessage;
 }
 
 describe("the message about quarantined parts", () => {
@@ -76,8 +76,8 @@
     ];
     malformed.forEach(({ name, quarantine }) =>
         it(`is refused if it is ${name}`, () => {
-            const bytes = encodeLoadMessage({ ...message, quarantine } as LoadMessage);
-            expect(decodeLoadMessage(bytes).kind).to.equal("malformed");
+            const bytes = encodeExchangeMessage({ ...message, quarantine } as KnowledgeMessage);
+            expect(decodeExchangeMessage(bytes).kind).to.equal("malformed");
         })
     );
 
@@ -97,6 +97,8 @@
         );
         const encoded = encodeQuarantine(quarantine.report(70_000), 70_000);
         expect(encoded).to.not.equal(undefined);
-        expect(encodeLoadMessage({ ...message, loads, quarantine: encoded }).length).to.be.below(DATAGRAM_BYTES);
+        const fields = { startedAt: 1, sequence: 1, loads, quarantine: encoded };
+        const largest: KnowledgeMessage = { ...message, ...fields, kind: "report" };
+        expect(encodeExchangeMessage(largest).length).to.be.below(DATAGRAM_BYTES);
     });
 });
--- a/packages/daemon/src/ports/presence.ts
+++ b/packages/daemon/src/ports/presence.ts
@@ -7,6 +7,8 @@
     /** IP address on which the daemon receives messages of other daemons. */
     readonly ip: string;
     readonly dataCentre: string;
+    /** Capacity of the host's network link in Mbit/s, if it is known. */
+    readonly linkMegabits?: number;
 }
 
 /** Records of the daemons by name. Calls reject with a `StoreError`. */
--- a/packages/daemon/src/relay/configurationwait.ts
+++ b/packages/daemon/src/relay/configurationwait.ts
@@ -13,8 +13,8 @@
 
 /** Wait of a daemon that others report to. */
 const LONG_WAIT_MILLISECONDS = 8_000;
-/** Wait of a watcher. */
-const WATCHER_WAIT_MILLISECONDS = 500;
+/** Wait of a watcher, as a share of the time within which a configuration must be in force. */
+const WATCHER_WAIT_SHARE = 0.25;
 /**
  * Without other daemons, a dead connection is detected only when the read times out. The wait is therefore shorter by this
  * than the time within which a configuration must be in force; the reserve covers the overrun of the read, the delay before
@@ -36,6 +36,6 @@
         return aloneMilliseconds;
     }
     return isConfigurationWatcher(reader)
-        ? Math.min(aloneMilliseconds, WATCHER_WAIT_MILLISECONDS)
+        ? Math.min(aloneMilliseconds, configurationMilliseconds * WATCHER_WAIT_SHARE)
         : LONG_WAIT_MILLISECONDS;
 }
--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -12,6 +12,8 @@
     readonly daemon: string;
     readonly dataCentre: string;
     readonly ip: string;
+    /** Capacity of this host's network link in Mbit/s, if it is known. */
+    readonly linkMegabits?: number;
     /** First and last port of the range for messages between daemons. */
     readonly internalPorts: readonly number[];
     readonly callerListen: string;
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -1,11 +1,11 @@
 /** Components of the daemon on a platform that most others depend on. */
 import {
     createLoadTracker,
-    createPeerLoads,
+    createStatedLoads,
     type DaemonLocation,
     type DemandMeter,
     type LoadTracker,
-    type PeerLoads,
+    type StatedLoads,
     type Target,
 } from "@damaskvale/core";
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
@@ -13,8 +13,10 @@
 import { systemClock } from "../adapters/clock.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
+import { createRoster, type Roster } from "../peers/roster.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
+import type { DaemonPresence } from "../ports/presence.js";
 import { createServiceRetryBudgets, type ServiceRetryBudgets } from "./budgets.js";
 import { createDemandMeters } from "./demandmeters.js";
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
@@ -33,7 +35,7 @@
 const TARGET_CONNECTIONS = { connectionsPerTarget: 40, connectTimeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS };
 
 /** Components that most others depend on. */
-export interface SharedParts {
+export interface SharedParts extends DaemonParts {
     readonly settings: RelaySettings;
     readonly ports: PlatformPorts;
     readonly clock: Clock;
@@ -42,14 +44,23 @@
     readonly random: () => number;
     readonly state: RelayState;
     readonly loadTracker: LoadTracker;
-    readonly peerLoads: PeerLoads;
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
-    readonly daemons: DaemonList;
     readonly availability: TargetAvailability;
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly connections: TargetConnections;
+}
+
+/** What is known of the other daemons. */
+export interface DaemonParts {
+    readonly daemons: DaemonList;
+    /** Start of this process in Unix milliseconds. */
+    readonly startedAt: number;
+    readonly statedLoads: StatedLoads;
+    readonly roster: Roster;
+    /** Names of the other daemons that run, as far as this one hears of them. */
+    readonly otherDaemons: () => readonly string[];
     readonly handOverDaemons: HandOverDaemons;
 }
 
@@ -76,14 +87,13 @@
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
-    const daemons = createDaemonList(settings.daemon);
-    const peerLoads = createPeerLoads();
-    const reachableDaemons = (): readonly string[] => peerLoads.peers(systemClock.monotonic());
+    const daemonParts = createDaemonParts(settings);
+    const { daemons, otherDaemons } = daemonParts;
     const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
         self: { daemon: settings.daemon, dataCentre: settings.dataCentre },
-        reachableDaemons: () => locate(reachableDaemons(), daemons),
+        reachableDaemons: () => locate(otherDaemons(), daemons),
         knownDaemons: daemons.count,
         state,
     });
@@ -91,12 +101,13 @@
         clock: systemClock,
         log: metrics.log,
         self: settings.daemon,
-        reachableDaemons,
+        reachableDaemons: otherDaemons,
         knownDaemons: daemons.count,
         isCutOff: () => reachability.isCutOff(),
     });
     const reachability = wireReachability(ports, state, metrics.log);
     const shared: SharedParts = {
+        ...daemonParts,
         settings,
         ports,
         clock: systemClock,
@@ -104,22 +115,39 @@
         random: Math.random,
         state,
         loadTracker: createLoadTracker(),
-        peerLoads,
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
-        daemons,
         availability,
         requestQuarantine,
         reachability,
+        connections: createTargetConnections(TARGET_CONNECTIONS),
+    };
+    return { shared, metrics };
+}
+
+function createDaemonParts(settings: RelaySettings): DaemonParts {
+    const { daemon, dataCentre } = settings;
+    const startedAt = systemClock.wall();
+    const daemons = createDaemonList(presenceOf(settings));
+    const roster = createRoster();
+    return {
+        daemons,
+        startedAt,
+        statedLoads: createStatedLoads({ daemon, startedAt }),
+        roster,
+        otherDaemons: () => roster.daemons(systemClock.monotonic()).filter(name => name !== daemon),
         handOverDaemons: createHandOverDaemons({
-            dataCentre: settings.dataCentre,
+            dataCentre,
             others: daemons.others,
-            reachable: reachableDaemons,
+            takesRequests: name => roster.takesRequests(name, systemClock.monotonic()),
             random: Math.random,
         }),
-        connections: createTargetConnections(TARGET_CONNECTIONS),
     };
-    return { shared, metrics };
+}
+
+/** Returns how this daemon announces itself to the others. */
+export function presenceOf({ daemon, ip, dataCentre, linkMegabits }: RelaySettings): DaemonPresence {
+    return { daemon, ip, dataCentre, linkMegabits };
 }
 
 /** Adds the data centres of daemons, as far as they are known. */
--- a/packages/daemon/src/relay/tests/pace.test.ts
+++ b/packages/daemon/src/relay/tests/pace.test.ts
@@ -1,6 +1,6 @@
-/** In a large fleet, daemons read and broadcast less often, so that they do not overload the store and the network. */
+/** In a large fleet, daemons read the registry less often, so that they do not overload the store. */
 import { expect } from "chai";
-import { broadcastRounds, registryReadDelayMilliseconds } from "../pace.js";
+import { ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "../pace.js";
 
 describe("intervals of a daemon", () => {
     const pauses: readonly [string, number, number, number][] = [
@@ -15,15 +15,26 @@
         })
     );
 
-    const rounds: readonly [number, { local: number; remote: number; }][] = [
-        [1, { local: 1, remote: 2 }],
-        [9, { local: 1, remote: 2 }],
-        [76, { local: 2, remote: 5 }],
-        [410, { local: 9, remote: 26 }],
+    const patience: readonly {
+        readonly name: string;
+        readonly rank?: number;
+        readonly range: readonly [number, number];
+    }[] = [
+        { name: "the first collector", rank: 0, range: [700, 700] },
+        { name: "the second collector, after the first one", rank: 1, range: [1_000, 1_000] },
+        { name: "the others, after both and spread", range: [1_600, 1_900] },
     ];
-    rounds.forEach(([daemons, expected]) =>
-        it(`broadcasts to ${daemons} daemons every ${expected.local} (local) and ${expected.remote} (remote) rounds`, () => {
-            expect(broadcastRounds(daemons)).to.deep.equal(expected);
+    patience.forEach(({ name, rank, range: [least, most] }) =>
+        it(`without changes of others, reads are made by ${name}`, () => {
+            const delays = [0, 0.999].map(draw => ownReadDelayMilliseconds(rank, 2_000, () => draw));
+            expect(delays[0]).to.equal(least);
+            expect(delays[1]).to.be.within(least, most);
         })
     );
+
+    it("leaves time for the notice of a draining target when both collectors are lost", () => {
+        [2_000, 3_000, 4_000].forEach(notice =>
+            expect(ownReadDelayMilliseconds(undefined, notice, () => 1) + 100).to.be.below(notice)
+        );
+    });
 });
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -3,15 +3,17 @@
     createSlidingMaximum,
     createSuspicions,
     eraOf,
+    type GroupMembership,
+    isPartitionCandidate,
     type RelayConfiguration,
+    type Target,
     type TargetLoad,
 } from "@damaskvale/core";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
 import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
 import { startPresence } from "../peers/presence.js";
-import type { DaemonPresence } from "../ports/presence.js";
 import type { TopicChange } from "../ports/registry.js";
-import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
+import { type FedTopicFollower, followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import {
     type ConfigurationReader,
@@ -19,11 +21,17 @@
     isConfigurationWatcher,
 } from "./configurationwait.js";
 import { type Listeners, startListeners } from "./lifecycle.js";
-import { registryReadDelayMilliseconds } from "./pace.js";
+import { collectorReadDelayMilliseconds, ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "./pace.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
-import { CONNECT_TIMEOUT_MILLISECONDS, createSharedParts, locate, type SharedParts } from "./sharedparts.js";
+import {
+    CONNECT_TIMEOUT_MILLISECONDS,
+    createSharedParts,
+    locate,
+    presenceOf,
+    type SharedParts,
+} from "./sharedparts.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
@@ -75,9 +83,9 @@
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     logStoreEra(ports.storeEra, log);
-    const configuration = followStore(shared);
+    const followers = followStore(shared);
     const listeners = await listening;
-    const { planner, lease, stallDetector } = wirePlanning(shared, relay, configuration, listeners);
+    const { planner, lease, stallDetector } = wirePlanning(shared, relay, followers, listeners);
     process.once("SIGTERM", () => {
         planner.stop();
         Promise.all([listeners.shutDown(), lease.stop()])
@@ -90,7 +98,7 @@
 }
 
 function wireRelay(shared: SharedParts, headUnusable: (head: string) => void): Relay {
-    const { settings, ports, clock, log, random, state, loadTracker, peerLoads, budgets, demandOf } = shared;
+    const { settings, ports, clock, log, random, state, loadTracker, statedLoads, budgets, demandOf } = shared;
     const relay = createRelay({
         clock,
         log,
@@ -104,7 +112,7 @@
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
         dataCentre: settings.dataCentre,
-        peerLoadOf: target => peerLoads.totalOf(target, clock.monotonic()),
+        peerLoadOf: target => statedLoads.totalOf(target, clock.monotonic()),
         recentGroupCounts: createSlidingMaximum(GROUP_COUNT_WINDOW_MILLISECONDS),
         demandOf,
         budgetOf: budgets.of,
@@ -142,17 +150,26 @@
 }
 
 /** Returns the delay between two registry reads in milliseconds. */
-function registryReadDelay({ daemons, settings }: SharedParts): number {
-    return registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
+function registryReadDelay({ daemons, settings }: SharedParts, isCollector: boolean): number {
+    return isCollector
+        ? collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds)
+        : registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
 }
 
 /** Returns the position of this daemon among the readers of the configuration. */
-function configurationReader({ settings, clock, peerLoads, daemons }: SharedParts): ConfigurationReader {
-    return { self: selfOf(settings), peers: locate(peerLoads.peers(clock.monotonic()), daemons) };
+function configurationReader(shared: SharedParts): ConfigurationReader {
+    return { self: presenceOf(shared.settings), peers: locate(shared.otherDaemons(), shared.daemons) };
+}
+
+interface StoreFollowers {
+    readonly configuration: TopicFollower;
+    readonly targets: FedTopicFollower<Target>;
+    /** Lets the exchange pass on what the follower of the targets reads. */
+    readonly connect: (exchange: LoadExchange) => void;
 }
 
-/** Follows the configuration and the targets; returns the follower of the configuration. */
-function followStore(shared: SharedParts): TopicFollower {
+/** Follows the configuration and the targets. */
+function followStore(shared: SharedParts): StoreFollowers {
     const { settings, ports, log, random, state } = shared;
     const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
         changes.forEach(({ value }) => {
@@ -171,26 +188,34 @@
         replace: applyConfigurations,
         apply: applyConfigurations,
     });
+    let exchange: LoadExchange | undefined;
     const targets = followTopic({
         topic: ports.targets(log),
         log,
         random,
         currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () => TARGETS_LONG_POLL_MILLISECONDS,
-        pauseMilliseconds: () => registryReadDelay(shared),
+        pauseMilliseconds: () => registryReadDelay(shared, exchange?.collectorRank() !== undefined),
         // The long poll for the configuration uses the same network, so its connection is probably dead as well.
         onLost: () => configuration.refresh(0),
         replace: (changes, isRestored) => state.replaceTargets(changes.flatMap(({ value }) => value ?? []), isRestored),
         apply: changes => state.applyTargets(changes),
+        onRead: range => exchange?.passOnTargets(range),
     });
     refreshAfterRestore(ports.storeEra, [configuration, targets]);
-    return configuration;
+    return {
+        configuration,
+        targets,
+        connect: started => {
+            exchange = started;
+        },
+    };
 }
 
 function wirePlanning(
     shared: SharedParts,
     relay: Relay,
-    configuration: TopicFollower,
+    followers: StoreFollowers,
     listeners: Listeners,
 ): { readonly planner: EnginePlanner; readonly lease: PartitionLease; readonly stallDetector: StallDetector; } {
     const { settings, ports, clock, log, random, state, loadTracker, budgets, daemons } = shared;
@@ -200,9 +225,12 @@
         log,
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
+        isCandidate: () =>
+            isPartitionCandidate(settings.daemon, shared.otherDaemons(), ports.partitions.partitionCount),
         isOfCurrentEra: fencingToken => eraOf(fencingToken) >= ports.storeEra.current(),
     });
-    const exchange = wireExchange(shared, configuration, listeners, head => planner.suspect(head));
+    const exchange = wireExchange(shared, followers, listeners, head => planner.suspect(head));
+    followers.connect(exchange);
     followReachability(shared, exchange);
     const planner = startEnginePlanner({
         clock,
@@ -213,15 +241,18 @@
         engines: ports.engines(log),
         trafficSeen: budgets.hasRequests,
         demandOf: shared.demandOf,
-        registryDelayMilliseconds: () => registryReadDelay(shared),
+        registryDelayMilliseconds: () => collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds),
         onMembership: reported => {
+            const concernsCallers = isHead(reported.membership) || isHead(state.targetById(reported.host)?.membership);
             state.applyMembership(reported);
-            exchange.broadcastMembership(reported);
+            if (concernsCallers) {
+                exchange.broadcastMembership(reported);
+            }
         },
     });
     const presence = startPresence({
         topic: ports.presence(log),
-        self: selfOf(settings),
+        self: presenceOf(settings),
         log,
         random,
         storeEra: ports.storeEra,
@@ -250,22 +281,29 @@
 /** Starts the exchange with the other daemons; `suspect` is called for each head that another daemon suspects. */
 function wireExchange(
     shared: SharedParts,
-    configuration: TopicFollower,
+    { configuration, targets }: StoreFollowers,
     listeners: Listeners,
     suspect: (head: string) => void,
 ): LoadExchange {
-    const { settings, clock, log, state, loadTracker, peerLoads, daemons, availability, requestQuarantine } = shared;
-    const { reachability, handOverDaemons } = shared;
+    const { settings, clock, log, state, loadTracker, startedAt, statedLoads, roster, daemons } = shared;
+    const { availability, requestQuarantine, reachability, random } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
         log,
-        self: selfOf(settings),
+        self: presenceOf(settings),
         daemons,
         port: peerPortOf(settings),
+        startedAt,
         loadTracker,
-        peerLoads,
+        statedLoads,
+        roster,
         onMembership: reported => state.applyMembership(reported),
+        onTargets: range => {
+            const { drainNoticeMilliseconds } = settings;
+            const delay = ownReadDelayMilliseconds(exchange.collectorRank(), drainNoticeMilliseconds, random);
+            targets.offer(range, delay);
+        },
         limits: () => availability.limits(),
         onLimit: limit => availability.mergeLimit(limit),
         leaving: () => availability.leaving(),
@@ -274,7 +312,6 @@
         hasQuarantineUpdates: () => requestQuarantine.hasUpdates(),
         onQuarantine: (report, daemon) => requestQuarantine.merge(report, daemon),
         takesRequests: () => state.lookup() !== undefined && !reachability.isCutOff() && !listeners.isDraining(),
-        onTakesRequests: handOverDaemons.record,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         announcesConfiguration: () => isConfigurationWatcher(configurationReader(shared)),
         onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
@@ -294,8 +331,9 @@
     return exchange;
 }
 
-function selfOf({ daemon, ip, dataCentre }: RelaySettings): DaemonPresence {
-    return { daemon, ip, dataCentre };
+/** Returns whether callers' requests are sent to the host, so that the other daemons must know of it at once. */
+function isHead(membership: GroupMembership | undefined): boolean {
+    return membership?.rank === 0;
 }
 
 /** Returns the current group of a host, if it is known. */
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -1,6 +1,6 @@
 /** Follows a topic of the store: reads the newest value of each key once, then every change. */
 import type { EventLog } from "../ports/eventlog.js";
-import { type KeyedTopic, StoreError, type TopicChange, type TopicPage } from "../ports/registry.js";
+import { type KeyedTopic, StoreError, type TopicChange, type TopicPage, type TopicRange } from "../ports/registry.js";
 import { sleep } from "./sleep.js";
 
 /** Options of a topic follower. */
@@ -23,6 +23,8 @@
     readonly pauseMilliseconds: () => number;
     /** Called when the store stops answering. */
     readonly onLost?: () => void;
+    /** Called with what a read of changes returned, also if there were none. */
+    readonly onRead?: (range: TopicRange<Value>) => void;
 }
 
 /** A running follower. */
@@ -35,18 +37,27 @@
     stop(): void;
 }
 
+/** A running follower that also takes what another reader of the topic read. */
+export interface FedTopicFollower<Value> extends TopicFollower {
+    /**
+     * Applies a range that was read elsewhere if it continues what is known, and makes no read of its own for a time. After a
+     * gap, or in another era of the store, it reads at once.
+     */
+    offer(range: TopicRange<Value>, pauseMilliseconds: number): void;
+}
+
 const RETRY_MILLISECONDS = 200;
 /** Time over which the daemons spread their reads of all values after the store came back from an older copy. */
 const RESTORE_SPREAD_MILLISECONDS = 300;
 
 /** Starts to follow a topic. */
-export function followTopic<Value>(options: FollowOptions<Value>): TopicFollower {
+export function followTopic<Value>(options: FollowOptions<Value>): FedTopicFollower<Value> {
     const follower = new TopicFollowerTask(options);
     follower.start();
     return follower;
 }
 
-class TopicFollowerTask<Value> implements TopicFollower {
+class TopicFollowerTask<Value> implements FedTopicFollower<Value> {
     private isStopped = false;
     private isLost = false;
     private position: { readonly offset: number; readonly era: number; } | undefined;
@@ -54,6 +65,10 @@
     /** Controller of the waiting read, if there is one. */
     private waitingRead: AbortController | undefined;
     private isRefreshing = false;
+    /** Runs while ranges are offered in time. */
+    private offeredTimer: NodeJS.Timeout | undefined;
+    /** Ends the pause of the own reads. */
+    private resumeReads: (() => void) | undefined;
 
     constructor(private readonly options: FollowOptions<Value>) {}
 
@@ -62,7 +77,29 @@
         this.run().catch((error: unknown) => log.emit("taskFailed", { task: `follow ${topic.name}`, error }));
     }
 
+    offer(range: TopicRange<Value>, pauseMilliseconds: number): void {
+        const { position } = this;
+        if (position === undefined || range.era < position.era) {
+            return;
+        }
+        if (range.era > position.era || range.fromOffset > position.offset) {
+            this.endPause();
+            this.refresh(0);
+            return;
+        }
+        if (range.nextOffset > position.offset) {
+            this.moveTo(range);
+            this.options.apply(range.changes);
+        }
+        this.pauseReads(pauseMilliseconds);
+    }
+
     refresh(graceMilliseconds: number): void {
+        if (this.offeredTimer !== undefined) {
+            this.isRefreshing = true;
+            this.endPause();
+            return;
+        }
         const read = this.waitingRead;
         setTimeout(() => {
             if (read !== undefined && this.waitingRead === read && !read.signal.aborted) {
@@ -76,8 +113,30 @@
         this.isStopped = true;
     }
 
+    /** Starts or prolongs the time without own reads. */
+    private pauseReads(milliseconds: number): void {
+        clearTimeout(this.offeredTimer);
+        this.offeredTimer = setTimeout(() => this.endPause(), milliseconds).unref();
+    }
+
+    private endPause(): void {
+        clearTimeout(this.offeredTimer);
+        this.offeredTimer = undefined;
+        this.resumeReads?.();
+        this.resumeReads = undefined;
+    }
+
+    private async waitWhilePaused(): Promise<void> {
+        if (this.offeredTimer !== undefined) {
+            await new Promise<void>(resolve => {
+                this.resumeReads = resolve;
+            });
+        }
+    }
+
     private async run(): Promise<void> {
         while (!this.isStopped) {
+            await this.waitWhilePaused();
             try {
                 await this.readOnce();
                 this.waitingRead = undefined;
@@ -101,7 +160,7 @@
     }
 
     private async readChanges(position: { readonly offset: number; readonly era: number; }): Promise<void> {
-        const { topic, log, random, apply } = this.options;
+        const { topic, log, random, apply, onRead } = this.options;
         const isImmediate = this.isLost || this.isRefreshing || position.era !== this.options.currentEra();
         const wait = isImmediate ? 0 : this.options.waitMilliseconds();
         this.waitingRead = wait > 0 ? new AbortController() : undefined;
@@ -118,10 +177,15 @@
             await sleep(random() * RESTORE_SPREAD_MILLISECONDS);
             return;
         }
-        this.moveTo(page);
-        if (page.changes.length > 0) {
-            apply(page.changes);
+        // A range that was offered meanwhile may have gone further already.
+        const isCurrent = this.position === undefined || page.nextOffset >= this.position.offset;
+        if (isCurrent) {
+            this.moveTo(page);
+            if (page.changes.length > 0) {
+                apply(page.changes);
+            }
         }
+        onRead?.({ ...page, fromOffset: position.offset });
     }
 
     private moveTo({ nextOffset, era }: TopicPage<Value>): void {
--- a/packages/daemon/src/tasks/partitionlease.ts
+++ b/packages/daemon/src/tasks/partitionlease.ts
@@ -27,6 +27,11 @@
     readonly extensionMilliseconds: number;
     /** Returns whether the store gave a token out in its current era. A lease of an earlier era is not used. */
     readonly isOfCurrentEra: (fencingToken: number) => boolean;
+    /**
+     * Whether this daemon should share the partitions. One that should not, and holds none, stops to renew, so that a large
+     * fleet makes few calls.
+     */
+    readonly isCandidate: () => boolean;
 }
 
 /** Renewals within one lease, so that a single lost answer does not end it. */
@@ -61,11 +66,12 @@
         validUntil = sentAt + leaseMilliseconds - LEASE_MARGIN_MILLISECONDS;
         return changed;
     };
+    const isNeeded = (): boolean => options.isCandidate() || (share?.partitions.length ?? 0) > 0;
     const run = async (): Promise<void> => {
         while (!stopped) {
             let changed = false;
             try {
-                changed = await renewOnce();
+                changed = isNeeded() && await renewOnce();
             }
             catch (error) {
                 // Any other error is a fault of this program; the lease is renewed further nonetheless.
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -1,14 +1,14 @@
 /** Guards against followers that miss a change or hang on a store that does not answer. */
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { StoreError, type TopicPage } from "../../ports/registry.js";
-import { followTopic, type TopicFollower } from "../followtopic.js";
+import { StoreError, type TopicPage, type TopicRange } from "../../ports/registry.js";
+import { type FedTopicFollower, followTopic } from "../followtopic.js";
 
 type Answer = TopicPage<string> | "removed" | "lost" | "silent";
 
 describe("topic follower", () => {
     let clock: FakeClock;
-    let follower: TopicFollower;
+    let follower: FedTopicFollower<string>;
     let calls: string[];
     let seen: string[];
     let currentEra: number;
@@ -157,4 +157,66 @@
             expect(seen).to.deep.equal(["all a=2", "restored a=1"]);
         });
     });
+
+    describe("that is offered what another daemon read", () => {
+        const PAUSE_MILLISECONDS = 1_000;
+        const range = (fromOffset: number, nextOffset: number, value: string, era = 1): TopicRange<string> => ({
+            fromOffset,
+            nextOffset,
+            era,
+            changes: [{ key: "a", value }],
+        });
+        const begin = async (): Promise<void> => {
+            start([
+                { changes: [], nextOffset: 5, era: 1 },
+                { changes: [{ key: "a", value: "own" }], nextOffset: 6, era: 1 },
+            ]);
+            await clock.tickAsync(5);
+            calls.length = 0;
+        };
+
+        it("applies it and makes no read until nothing more is offered", async () => {
+            await begin();
+            follower.offer(range(5, 8, "1"), PAUSE_MILLISECONDS);
+            await clock.tickAsync(900);
+            follower.offer(range(8, 9, "2"), PAUSE_MILLISECONDS);
+            await clock.tickAsync(900);
+            expect(calls).to.deep.equal([]);
+            await clock.tickAsync(200);
+            expect(calls[0]).to.equal("after 9 wait 2500");
+            expect(seen.slice(1, 3)).to.deep.equal(["a=1", "a=2"]);
+        });
+
+        it("reads at once after a gap, which a lost message leaves", async () => {
+            await begin();
+            follower.offer(range(5, 8, "1"), PAUSE_MILLISECONDS);
+            await clock.tickAsync(100);
+            follower.offer(range(9, 10, "2"), PAUSE_MILLISECONDS);
+            await clock.tickAsync(20);
+            expect(calls[0]).to.equal("after 8 wait 2500");
+            expect(seen).to.not.include("a=2");
+        });
+
+        const ignored: readonly { readonly guards: string; readonly offered: TopicRange<string>; }[] = [
+            { guards: "going back to what is known already", offered: range(3, 5, "old") },
+            { guards: "the offsets of an earlier era", offered: range(5, 9, "old", 0) },
+            { guards: "the offsets of an era that it has not read in", offered: range(5, 9, "new", 2) },
+        ];
+        ignored.forEach(({ guards, offered }) =>
+            it(`guards against ${guards}`, async () => {
+                await begin();
+                follower.offer(offered, PAUSE_MILLISECONDS);
+                expect(seen).to.deep.equal(["all "]);
+            })
+        );
+
+        it("reads when it is refreshed", async () => {
+            await begin();
+            follower.offer(range(5, 8, "1"), PAUSE_MILLISECONDS);
+            await clock.tickAsync(100);
+            follower.refresh(0);
+            await clock.tickAsync(5);
+            expect(calls).to.deep.equal(["after 8 wait 0"]);
+        });
+    });
 });
--- a/packages/daemon/src/tasks/tests/partitionlease.test.ts
+++ b/packages/daemon/src/tasks/tests/partitionlease.test.ts
@@ -18,11 +18,13 @@
     let delays: number[];
     let lease: PartitionLease;
     let currentEra: number;
+    let isCandidate: boolean;
 
     const start = (extensionMilliseconds: number): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout", "performance"] });
         tokens = [];
         currentEra = 0;
+        isCandidate = true;
         events = [];
         delays = [];
         lease = startPartitionLease({
@@ -46,6 +48,7 @@
             log: { emit: name => void events.push(name) },
             leaseMilliseconds: 2_500,
             extensionMilliseconds,
+            isCandidate: () => isCandidate,
             isOfCurrentEra: token => token >= fencingTokenOf(currentEra, 0),
         });
     };
@@ -129,4 +132,28 @@
         await clock.tickAsync(700);
         expect([late, lease.current()?.partitions]).to.deep.equal([undefined, [2]]);
     });
+
+    const renewals: readonly { readonly guards: string; readonly partitions: number[]; readonly expected: number; }[] =
+        [
+            { guards: "calls of a daemon of a large fleet that holds nothing", partitions: [], expected: 0 },
+            {
+                guards: "partitions that their holder drops when others are to share them",
+                partitions: [1],
+                expected: 4,
+            },
+        ];
+    renewals.forEach(({ guards, partitions, expected }) =>
+        it(`guards against ${guards}`, async () => {
+            answers = [{ fencingToken: 4, partitions }];
+            start(0);
+            await clock.tickAsync(1_000);
+            isCandidate = false;
+            tokens = [];
+            await clock.tickAsync(2_500);
+            expect(tokens).to.have.length(expected);
+            isCandidate = true;
+            await clock.tickAsync(700);
+            expect(lease.current()?.partitions).to.deep.equal(partitions);
+        })
+    );
 });
--- a/packages/proofs/src/fuzz/eras/daemon.ts
+++ b/packages/proofs/src/fuzz/eras/daemon.ts
@@ -98,6 +98,7 @@
             log,
             leaseMilliseconds: LEASE_MILLISECONDS,
             extensionMilliseconds: LEASE_EXTENSION_MILLISECONDS,
+            isCandidate: () => true,
             isOfCurrentEra: token => eraOf(token) >= this.era.current(),
         });
         this.followers = [this.followConfigurations(log), this.followTargets(log), this.startPresence(log)];
