--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -1,11 +1,12 @@
 /** Listeners with a relay of the test, and callers that speak to them over real sockets. */
 import type { RelayConfiguration } from "@damaskvale/core";
 import { stat } from "node:fs";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { Worker } from "node:worker_threads";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
 import { createRelayState, type RelayState } from "../state.js";
+import { freePort } from "./ports.js";
 
 type Limits = RelayConfiguration["limits"];
 
@@ -46,15 +47,6 @@
     );
 }
 
-/** Returns a port that nothing listens on. */
-export async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 /** Starts listeners; a function stands for a relay that has nothing else to do. */
 export async function startFixture(
     given: Relay | Relay["handle"],
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -1,9 +1,10 @@
 /** A shutdown answers each request that the daemon has begun to read, and reads none once it has left the rotation. */
 import { expect } from "chai";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
 import { createRelayState } from "../state.js";
+import { freePort } from "./ports.js";
 
 const LEFT_ROTATION_MILLISECONDS = 3_000;
 const SHUTDOWN_MILLISECONDS = 8_000;
@@ -16,14 +17,6 @@
     readonly closed: Promise<void>;
 }
 
-async function freePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 /** Starts listeners whose relay answers as the test tells it, and connects a caller. */
 async function start(handle: Relay["handle"]): Promise<Fixture> {
     const callerPort = await freePort();
