--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -5,6 +5,9 @@
 import { quarantineSchema } from "./quarantinemessage.js";
 import { targetRangeSchema } from "./targetpages.js";
 
+/** Largest payload of a UDP datagram. */
+const MAXIMUM_DATAGRAM_BYTES = 65_507;
+
 /** Suspicion that the head of one group has failed. It does not apply to other groups of the same host. */
 export interface HeadSuspicion {
     readonly head: string;
@@ -139,6 +142,17 @@
     return pack(message);
 }
 
+/**
+ * Encodes a message for one datagram. If it does not fit with the quarantined parts, which events tell as well, it is encoded
+ * without them.
+ */
+export function encodeDatagram(message: ExchangeMessage): Buffer {
+    const bytes = encodeExchangeMessage(message);
+    return bytes.length <= MAXIMUM_DATAGRAM_BYTES || message.kind === "targets"
+        ? bytes
+        : encodeExchangeMessage({ ...message, quarantine: undefined });
+}
+
 /** Decodes a message. */
 export function decodeExchangeMessage(bytes: Buffer): DecodedExchangeMessage {
     const parsed = messageSchema.safeParse(safeUnpack(bytes));
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -19,7 +19,7 @@
     decodeLoads,
     decodeMembers,
     describeLoads,
-    encodeExchangeMessage,
+    encodeDatagram,
     encodeLoads,
     type EventMessage,
     type ExchangeMessage,
@@ -29,6 +29,7 @@
 } from "./exchangemessage.js";
 import { applyKnowledge, encodeKnowledge, type KnowledgeParts } from "./knowledge.js";
 import type { Roster } from "./roster.js";
+import { createSendSchedule, IDLE_INTERVAL_MILLISECONDS } from "./sendschedule.js";
 import { createSilenceDetector } from "./silence.js";
 import { createTargetPages, encodeTargetRange } from "./targetpages.js";
 
@@ -76,10 +77,6 @@
 const ROUND_MILLISECONDS = 120;
 /** Rounds between two statements to other data centres. */
 const REMOTE_ROUNDS = 2;
-/** Interval of messages without changes, which show the other daemons that this one is alive. */
-const IDLE_INTERVAL_MILLISECONDS = 900;
-/** Largest payload of a UDP datagram. */
-const MAXIMUM_DATAGRAM_BYTES = 65_507;
 /** Time over which events are gathered into one message. */
 const EVENT_DELAY_MILLISECONDS = 10;
 
@@ -99,9 +96,7 @@
     private sequence = 0;
     private announcedVersion = 0;
     private reportedToAllAt = Number.NEGATIVE_INFINITY;
-    /** What was sent last in messages of each kind, and when. */
-    private readonly lastSent = new Map<ExchangeMessage["kind"], { readonly content: string; readonly at: number; }>();
-    private readonly quarantineSentAt = new Map<ExchangeMessage["kind"], number>();
+    private readonly schedule = createSendSchedule();
     private rosterSent = { names: "", at: Number.NEGATIVE_INFINITY };
     private pendingEvent: Pick<EventMessage, "suspects" | "memberships"> | undefined;
     private readonly handlers: {
@@ -207,8 +202,7 @@
         if (!this.isDue("report", JSON.stringify([loads, collectors, takesRequests()]))) {
             return;
         }
-        this.sequence += 1;
-        const { sequence } = this;
+        const sequence = this.sequence += 1;
         statedLoads.recordSent(sequence, loads);
         const report: ReportMessage = {
             kind: "report",
@@ -287,28 +281,14 @@
         }, receivers);
     }
 
-    /** Returns whether a message is to be sent now, because of its content or the time since the last one. */
     private isDue(kind: ExchangeMessage["kind"], content: string): boolean {
-        const now = this.now();
-        const last = this.lastSent.get(kind);
-        const isDue = last === undefined || last.content !== content || this.parts.hasQuarantineUpdates()
-            || now - last.at >= IDLE_INTERVAL_MILLISECONDS;
-        if (isDue) {
-            this.lastSent.set(kind, { content, at: now });
-        }
-        return isDue;
+        return this.schedule.isDue(kind, content, this.parts.hasQuarantineUpdates(), this.now());
     }
 
-    /** Older facts about prompt parts are sent again from time to time, for daemons that missed them. */
     private commonFields(kind: ExchangeMessage["kind"]): CommonFields {
-        const now = this.now();
-        const sentAt = this.quarantineSentAt.get(kind) ?? Number.NEGATIVE_INFINITY;
-        const includesQuarantine = kind === "event" || this.parts.hasQuarantineUpdates()
-            || now - sentAt >= IDLE_INTERVAL_MILLISECONDS;
-        if (includesQuarantine) {
-            this.quarantineSentAt.set(kind, now);
-        }
-        return encodeKnowledge(this.parts.self.daemon, this.parts, now, includesQuarantine);
+        const includesQuarantine = kind === "event"
+            || this.schedule.repeatsQuarantine(kind, this.parts.hasQuarantineUpdates(), this.now());
+        return encodeKnowledge(this.parts.self.daemon, this.parts, this.now(), includesQuarantine);
     }
 
     private scheduleEvent({ suspects, memberships }: Pick<EventMessage, "suspects" | "memberships">): void {
@@ -347,19 +327,13 @@
         }
         const { message } = decoded;
         this.silence.recordHeard(message.daemon, this.now());
-        this.handle(message.kind, message);
+        const handle = this.handlers[message.kind] as (received: ExchangeMessage) => void;
+        handle(message);
         if (message.kind !== "targets") {
             applyKnowledge(message, this.parts, this.now());
         }
     }
 
-    private handle<Kind extends ExchangeMessage["kind"]>(
-        kind: Kind,
-        message: Extract<ExchangeMessage, { kind: Kind; }>,
-    ): void {
-        this.handlers[kind](message);
-    }
-
     private receiveReport({ daemon, startedAt, sequence, takesRequests, loads }: ReportMessage): void {
         const report = { daemon, startedAt, sequence, loads: decodeLoads(loads) };
         this.collector.receiveReport(report, takesRequests, this.now());
@@ -374,11 +348,3 @@
         }
     }
 }
-
-/** Encodes a message; without the quarantined parts, which events tell as well, if it does not fit into a datagram with them. */
-function encodeDatagram(message: ExchangeMessage): Buffer {
-    const bytes = encodeExchangeMessage(message);
-    return bytes.length <= MAXIMUM_DATAGRAM_BYTES || message.kind === "targets"
-        ? bytes
-        : encodeExchangeMessage({ ...message, quarantine: undefined });
-}
