Pass a registry entry on again after another collector passed on a change of it

Cause: of two collectors that read by themselves, one had passed on that a target drains, which the other one did not read but was sent. When the target was ready again, the second one took the entry for the one that it had passed on last, and left it out: the daemons that report to it never learned of it. Traced with the process test beside load: the two collectors served, the six others refused for 15 s.

Change: a change that another daemon passed on makes the next entry of that target news. The unit test's new lines fail without it by construction; they were written with the change.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -113,7 +113,10 @@
                     { dataCentre, collector: daemon, sums: decodeLoads(sums), members },
                     this.now(),
                 ),
-            targets: ({ range }) => parts.onTargets(range),
+            targets: ({ range }) => {
+                range.changes.forEach(({ key }) => this.targetPages.recordReceived(key));
+                parts.onTargets(range);
+            },
             event: ({ daemon, takesRequests, suspects, memberships }) => {
                 this.collector.recordTakesRequests(daemon, takesRequests);
                 parts.roster.record(daemon, takesRequests, this.now());
--- a/packages/daemon/src/peers/targetpages.ts
+++ b/packages/daemon/src/peers/targetpages.ts
@@ -57,6 +57,8 @@
 export interface TargetPages {
     /** Returns the ranges to send, each small enough for one datagram. `now` is in monotonic milliseconds. */
     split(range: TopicRange<Target>, now: number): TopicRange<Target>[];
+    /** Records that another daemon passed a change on, so that what this one reads next for its key is no repetition. */
+    recordReceived(key: string): void;
 }
 
 /** Changes in one message; an entry takes up to some 350 bytes. */
@@ -80,6 +82,7 @@
         return !isUnchanged;
     };
     return {
+        recordReceived: key => void sent.delete(key),
         split: (range, now) => cutIntoRanges(range, range.changes.filter(change => isNews(change, now))),
     };
 }
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -252,6 +252,10 @@
         socket.send(encodeExchangeMessage({ ...(targets[0] as TargetsMessage), daemon: OTHER.daemon }), port, SELF.ip);
         await receiveFor(50);
         expect(offered.map(({ changes }) => changes[0]?.value)).to.deep.equal([value]);
+        // Another collector passed on a change of the target that this one did not read.
+        exchange.passOnTargets({ fromOffset: 8, nextOffset: 9, era: 1, changes: [{ key: "t", value }] });
+        await receiveFor(50);
+        expect(targets.at(-1)?.range.changes.map(({ key }) => key)).to.deep.equal(["t"]);
     });
 
     it("refuses a report with values that are no loads as a whole", async () => {
