--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./engines/reassignment.js";
 export * from "./engines/starvation.js";
 export * from "./engines/types.js";
+export * from "./group.js";
 export * from "./groups/confirm.js";
 export * from "./groups/constants.js";
 export * from "./groups/firstfit.js";
--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -3,7 +3,7 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
 import { quarantineSchema } from "./quarantinemessage.js";
-import { targetRangeSchema } from "./targetpages.js";
+import { membershipSchema, targetRangeSchema } from "./targetpages.js";
 
 /** Largest payload of a UDP datagram. */
 const MAXIMUM_DATAGRAM_BYTES = 65_507;
@@ -81,12 +81,7 @@
         host: z.string(),
         startedAt: z.number().optional(),
         model: z.string().optional(),
-        membership: z.object({
-            group: z.string(),
-            epoch: z.number(),
-            rank: z.number(),
-            state: z.enum(["joining", "ready", "open", "closing", "broken"]),
-        }).optional(),
+        membership: membershipSchema.optional(),
     })),
 });
 
--- a/packages/daemon/src/peers/targetpages.ts
+++ b/packages/daemon/src/peers/targetpages.ts
@@ -6,6 +6,14 @@
 import { z } from "zod";
 import type { TopicChange, TopicRange } from "../ports/registry.js";
 
+/** Schema of the membership of a host in a group. */
+export const membershipSchema = z.object({
+    group: z.string(),
+    epoch: z.number(),
+    rank: z.number(),
+    state: z.enum(["joining", "ready", "open", "closing", "broken"]),
+});
+
 const targetSchema = z.object({
     id: z.string(),
     service: z.string(),
@@ -20,12 +28,7 @@
     model: z.string().optional(),
     busy: z.boolean(),
     orderSequence: z.number(),
-    membership: z.object({
-        group: z.string(),
-        epoch: z.number(),
-        rank: z.number(),
-        state: z.enum(["joining", "ready", "open", "closing", "broken"]),
-    }).optional(),
+    membership: membershipSchema.optional(),
 });
 
 /** Schema of a range of registry changes. */
--- a/packages/daemon/src/relay/targetindexes.ts
+++ b/packages/daemon/src/relay/targetindexes.ts
@@ -1,5 +1,5 @@
 /** Targets by service and their groups. They are computed when they are first asked for after a change. */
-import { collectGroups, type EngineGroup, isServing, type Service, type Target } from "@damaskvale/core";
+import { collectGroups, type EngineGroup, groupBy, isServing, type Service, type Target } from "@damaskvale/core";
 
 /** Indexes of the known targets. */
 export interface TargetIndexes {
@@ -63,18 +63,3 @@
     const known = groups.filter(group => group.model !== undefined && isServing(group));
     return groupBy(known, ({ model = "" }) => model);
 }
-
-function groupBy<Value>(values: readonly Value[], keyOf: (value: Value) => string): Map<string, Value[]> {
-    const groups = new Map<string, Value[]>();
-    values.forEach(value => {
-        const key = keyOf(value);
-        const group = groups.get(key);
-        if (group === undefined) {
-            groups.set(key, [value]);
-        }
-        else {
-            group.push(value);
-        }
-    });
-    return groups;
-}
