--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -24,6 +24,7 @@
 import { createRequestQuarantine, type RequestQuarantine } from "./requestquarantine.js";
 import { createRelayState, type RelayState } from "./state.js";
 import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
+import { createTargetChangeLog } from "./targetchangelog.js";
 import { createTargetConnections, type TargetConnections } from "./targetconnections.js";
 import { probeTarget } from "./targetprobe.js";
 import { startTargetReachability, type TargetReachability } from "./targetreachability.js";
@@ -72,9 +73,7 @@
 ): { readonly shared: SharedParts; readonly metrics: DaemonMetrics; } {
     const output = createBoundedOutput(STANDARD_OUTPUT);
     const bunyanLog = createLog(settings, output);
-    const state = createRelayState((kind, { id, service, address, startedAt, domain }) =>
-        metrics.log.emit("targetsChanged", { kind, target: id, service, address, startedAt, domain })
-    );
+    const state = createRelayState(createTargetChangeLog(() => metrics.log));
     const metrics = createDaemonMetrics(bunyanLog, {
         requestsInProgress,
         linesDropped: output.dropped,
