Make fewer calls and messages while a fleet starts

Cause: of 195 daemons that start together each took itself for a candidate and joined the planners' group, so that its generation rose to 197 in half a second. Each head that joined or became ready was sent to all daemons, although only serving heads concern callers.

--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -3,8 +3,6 @@
     createSlidingMaximum,
     createSuspicions,
     eraOf,
-    type GroupMembership,
-    isPartitionCandidate,
     type RelayConfiguration,
     type Target,
     type TargetLoad,
@@ -21,7 +19,9 @@
     isConfigurationWatcher,
 } from "./configurationwait.js";
 import { type Listeners, startListeners } from "./lifecycle.js";
+import { createMembershipNotice } from "./membershipnotice.js";
 import { collectorReadDelayMilliseconds, ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "./pace.js";
+import { createPartitionCandidate } from "./partitioncandidate.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
@@ -225,8 +225,13 @@
         log,
         leaseMilliseconds: LEASE_MILLISECONDS,
         extensionMilliseconds: settings.enginesEnforceFencing ? LEASE_EXTENSION_MILLISECONDS : 0,
-        isCandidate: () =>
-            isPartitionCandidate(settings.daemon, shared.otherDaemons(), ports.partitions.partitionCount),
+        isCandidate: createPartitionCandidate({
+            clock,
+            daemon: settings.daemon,
+            partitionCount: ports.partitions.partitionCount,
+            running: shared.otherDaemons,
+            announced: () => daemons.others().map(({ daemon }) => daemon),
+        }),
         isOfCurrentEra: fencingToken => eraOf(fencingToken) >= ports.storeEra.current(),
     });
     const exchange = wireExchange(shared, followers, listeners, head => planner.suspect(head));
@@ -242,13 +247,7 @@
         trafficSeen: budgets.hasRequests,
         demandOf: shared.demandOf,
         registryDelayMilliseconds: () => collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds),
-        onMembership: reported => {
-            const concernsCallers = isHead(reported.membership) || isHead(state.targetById(reported.host)?.membership);
-            state.applyMembership(reported);
-            if (concernsCallers) {
-                exchange.broadcastMembership(reported);
-            }
-        },
+        onMembership: createMembershipNotice(state, exchange.broadcastMembership.bind(exchange)),
     });
     const presence = startPresence({
         topic: ports.presence(log),
@@ -331,11 +330,6 @@
     return exchange;
 }
 
-/** Returns whether callers' requests are sent to the host, so that the other daemons must know of it at once. */
-function isHead(membership: GroupMembership | undefined): boolean {
-    return membership?.rank === 0;
-}
-
 /** Returns the current group of a host, if it is known. */
 function groupOf(state: RelayState, host: string): string | undefined {
     return state.targetById(host)?.membership?.group;
