Let daemons that hear a collector rest from reads of the configuration and of the daemons

Cause: each daemon kept two waiting reads open. At 195 daemons these were some 37 calls a second without any change, and each announcement of a daemon that starts made all others read.

Change: a daemon that hears its first collector rests from these reads, as long as it hears it, and reads what messages tell it of: a version newer than the one in force, or an unknown daemon. Messages name the newest version known, so that a collector that the store turns away still passes it on.

--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -24,6 +24,7 @@
 /** What most messages contain: the sender, and what it knows from any source. */
 const commonFields = {
     daemon: z.string(),
+    /** Newest version that the daemon knows of. One that cannot read it still lets others know of it. */
     configurationVersion: z.number(),
     /** Whether the daemon takes requests of daemons that reach no target. */
     takesRequests: z.boolean().default(false),
--- a/packages/daemon/src/peers/knowledge.ts
+++ b/packages/daemon/src/peers/knowledge.ts
@@ -21,8 +21,10 @@
     readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
-    /** Called when another daemon has a newer configuration in force. */
-    readonly onNewerConfiguration: () => void;
+    /** Newest version that this daemon knows of, also if it has not read it yet. */
+    readonly newestConfiguration: () => number;
+    /** Called when another daemon knows of a version that is newer than the one in force. */
+    readonly onNewerConfiguration: (version: number) => void;
     /** Whether this daemon takes requests of daemons that reach no target. */
     readonly takesRequests: () => boolean;
 }
@@ -36,7 +38,7 @@
 ): CommonFields {
     return {
         daemon,
-        configurationVersion: parts.configurationVersion(),
+        configurationVersion: parts.newestConfiguration(),
         takesRequests: parts.takesRequests(),
         limits: parts.limits().map(limit => withAge(limit, now)),
         leaving: parts.leaving().map(statement => withAge(statement, now)),
@@ -55,7 +57,7 @@
         parts.onQuarantine(decodeQuarantine(quarantine, now), daemon);
     }
     if (configurationVersion > parts.configurationVersion()) {
-        parts.onNewerConfiguration();
+        parts.onNewerConfiguration(configurationVersion);
     }
 }
 
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -4,15 +4,11 @@
  * supersedes the previous one of its kind, so that messages need neither retransmission nor ordering, and there is no
  * connection that could go dead unnoticed.
  */
-import { createCollectorChooser, type LoadTracker, type StatedLoads, type Target } from "@damaskvale/core";
+import { createCollectorChooser, type Target } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
-import type { Clock } from "../ports/clock.js";
-import type { EventLog } from "../ports/eventlog.js";
-import type { DaemonPresence } from "../ports/presence.js";
 import type { TopicRange } from "../ports/registry.js";
 import type { ReportedMembership } from "../relay/state.js";
 import { createCollector } from "./collector.js";
-import type { DaemonList } from "./daemonlist.js";
 import {
     type CommonFields,
     decodeExchangeMessage,
@@ -27,52 +23,12 @@
     type ReportMessage,
     type StatementMessage,
 } from "./exchangemessage.js";
-import { applyKnowledge, encodeKnowledge, type KnowledgeParts } from "./knowledge.js";
-import type { Roster } from "./roster.js";
+import { applyKnowledge, encodeKnowledge } from "./knowledge.js";
+import type { LoadExchange, LoadExchangeParts } from "./loadexchangeparts.js";
 import { createSendSchedule, IDLE_INTERVAL_MILLISECONDS } from "./sendschedule.js";
 import { createSilenceDetector } from "./silence.js";
 import { createTargetPages, encodeTargetRange } from "./targetpages.js";
 
-/** Collaborators of the exchange. */
-export interface LoadExchangeParts extends KnowledgeParts {
-    readonly clock: Clock;
-    readonly log: EventLog;
-    readonly self: DaemonPresence;
-    /** Start of this process in Unix milliseconds. */
-    readonly startedAt: number;
-    readonly daemons: DaemonList;
-    /** UDP port on which every daemon receives. */
-    readonly port: number;
-    readonly loadTracker: LoadTracker;
-    /** Learns the sums that collectors state. */
-    readonly statedLoads: StatedLoads;
-    /** Learns which daemons run. */
-    readonly roster: Roster;
-    /** Called when another daemon suspects the head of a group. */
-    readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
-    /** Called with registry changes that a collector read. */
-    readonly onTargets: (range: TopicRange<Target>) => void;
-    /** Called when another daemon learned a membership from the engine itself. */
-    readonly onMembership: (reported: ReportedMembership) => void;
-    /** Whether this daemon announces a configuration that has come into force to all others at once. */
-    readonly announcesConfiguration: () => boolean;
-}
-
-/** A running exchange. */
-export interface LoadExchange {
-    /** Reports to all daemons at once that a head makes no progress. */
-    suspect(suspicion: HeadSuspicion): void;
-    /** Sends all daemons at once a membership that an engine reported. */
-    broadcastMembership(reported: ReportedMembership): void;
-    /** Sends all daemons at once what this one knows of limits, leaving targets and quarantined parts. */
-    broadcastKnowledge(): void;
-    /** Passes registry changes that this daemon read on to those that report to it, if it is a collector. */
-    passOnTargets(range: TopicRange<Target>): void;
-    /** Place of this daemon among the collectors of its data centre, from 0; `undefined` if it is none. */
-    collectorRank(): number | undefined;
-    stop(): void;
-}
-
 /** Interval of reports, and of statements to the own data centre. */
 const ROUND_MILLISECONDS = 120;
 /** Rounds between two statements to other data centres. */
@@ -343,11 +299,18 @@
     }
 
     private receiveStatement({ daemon, sums, members, ageMilliseconds, roster }: StatementMessage): void {
+        const { statedLoads, daemons, self, onCollectorHeard, onUnknownDaemon } = this.parts;
         const now = this.now();
         const included = decodeMembers(members);
-        this.parts.statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
+        statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
         if (roster !== undefined) {
             this.parts.roster.merge(daemon, roster, now);
+            if (roster.some(([name]) => daemons.addressOf(name) === undefined)) {
+                onUnknownDaemon();
+            }
+        }
+        if (daemon !== self.daemon && daemon === this.collectors()[0]) {
+            onCollectorHeard();
         }
     }
 }
--- /dev/null
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -0,0 +1,55 @@
+/** The exchange between daemons as the rest of the daemon sees it, and its collaborators. */
+import type { LoadTracker, StatedLoads, Target } from "@damaskvale/core";
+import type { Clock } from "../ports/clock.js";
+import type { EventLog } from "../ports/eventlog.js";
+import type { DaemonPresence } from "../ports/presence.js";
+import type { TopicRange } from "../ports/registry.js";
+import type { ReportedMembership } from "../relay/state.js";
+import type { DaemonList } from "./daemonlist.js";
+import type { HeadSuspicion } from "./exchangemessage.js";
+import type { KnowledgeParts } from "./knowledge.js";
+import type { Roster } from "./roster.js";
+
+/** Collaborators of the exchange. */
+export interface LoadExchangeParts extends KnowledgeParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly self: DaemonPresence;
+    /** Start of this process in Unix milliseconds. */
+    readonly startedAt: number;
+    readonly daemons: DaemonList;
+    /** UDP port on which every daemon receives. */
+    readonly port: number;
+    readonly loadTracker: LoadTracker;
+    /** Learns the sums that collectors state. */
+    readonly statedLoads: StatedLoads;
+    /** Learns which daemons run. */
+    readonly roster: Roster;
+    /** Called when another daemon suspects the head of a group. */
+    readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
+    /** Called with registry changes that a collector read. */
+    readonly onTargets: (range: TopicRange<Target>) => void;
+    /** Called when another daemon learned a membership from the engine itself. */
+    readonly onMembership: (reported: ReportedMembership) => void;
+    /** Called when this daemon hears the collector to which it reports, which lets it know of what changes. */
+    readonly onCollectorHeard: () => void;
+    /** Called when a collector names a daemon that is not known. */
+    readonly onUnknownDaemon: () => void;
+    /** Whether this daemon announces a configuration that has come into force to all others at once. */
+    readonly announcesConfiguration: () => boolean;
+}
+
+/** A running exchange. */
+export interface LoadExchange {
+    /** Reports to all daemons at once that a head makes no progress. */
+    suspect(suspicion: HeadSuspicion): void;
+    /** Sends all daemons at once a membership that an engine reported. */
+    broadcastMembership(reported: ReportedMembership): void;
+    /** Sends all daemons at once what this one knows of limits, leaving targets and quarantined parts. */
+    broadcastKnowledge(): void;
+    /** Passes registry changes that this daemon read on to those that report to it, if it is a collector. */
+    passOnTargets(range: TopicRange<Target>): void;
+    /** Place of this daemon among the collectors of its data centre, from 0; `undefined` if it is none. */
+    collectorRank(): number | undefined;
+    stop(): void;
+}
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -12,16 +12,18 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { AddressInfo } from "node:net";
 import type { TopicRange } from "../../ports/registry.js";
-import { createDaemonList } from "../daemonlist.js";
+import { createDaemonList, type DaemonList } from "../daemonlist.js";
 import {
     decodeExchangeMessage,
     encodeExchangeMessage,
     type EventMessage,
     type KnowledgeMessage,
     type ReportMessage,
+    type StatementMessage,
     type TargetsMessage,
 } from "../exchangemessage.js";
-import { type LoadExchange, startLoadExchange } from "../loadexchange.js";
+import { startLoadExchange } from "../loadexchange.js";
+import type { LoadExchange } from "../loadexchangeparts.js";
 import { encodeQuarantine } from "../quarantinemessage.js";
 import { createRoster, type Roster } from "../roster.js";
 
@@ -40,15 +42,18 @@
     let exchange: LoadExchange;
     let hasUpdates = false;
     let configurationVersion = 0;
+    let newestConfiguration = 0;
     let announces = false;
     const received: KnowledgeMessage[] = [];
     const targets: TargetsMessage[] = [];
     let loadTracker: LoadTracker;
     let statedLoads: StatedLoads;
     let roster: Roster;
+    let daemons: DaemonList;
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
     const offered: TopicRange<Target>[] = [];
+    const heard: string[] = [];
     const leaving: { readonly statement: LeavingStatement; readonly daemon: string; }[] = [];
 
     beforeEach(async () => {
@@ -58,8 +63,10 @@
         malformed.length = 0;
         targets.length = 0;
         offered.length = 0;
+        heard.length = 0;
         hasUpdates = false;
         configurationVersion = 0;
+        newestConfiguration = 0;
         announces = false;
         socket = createSocket("udp4");
         await new Promise<void>(resolve => socket.bind(0, OTHER.ip, resolve));
@@ -73,7 +80,7 @@
                 received.push(message);
             }
         });
-        const daemons = createDaemonList(SELF);
+        daemons = createDaemonList(SELF);
         const statedAt = performance.now() - LEAVING_AGE_MILLISECONDS;
         daemons.replace([SELF, OTHER]);
         loadTracker = createLoadTracker();
@@ -102,7 +109,10 @@
             takesRequests: () => true,
             configurationVersion: () => configurationVersion,
             announcesConfiguration: () => announces,
+            newestConfiguration: () => Math.max(configurationVersion, newestConfiguration),
             onNewerConfiguration: () => undefined,
+            onCollectorHeard: () => void heard.push("collector"),
+            onUnknownDaemon: () => void heard.push("unknown"),
         });
     });
     afterEach(() => {
@@ -258,6 +268,43 @@
         expect(targets.at(-1)?.range.changes.map(({ key }) => key)).to.deep.equal(["t"]);
     });
 
+    const statements: readonly {
+        readonly name: string;
+        readonly linkOfSender: number;
+        readonly named: string;
+        readonly heard: readonly string[];
+    }[] = [
+        { name: "the collector to which it reports", linkOfSender: 200, named: SELF.daemon, heard: ["collector"] },
+        { name: "another collector", linkOfSender: 0, named: SELF.daemon, heard: [] },
+        { name: "a collector that names an unknown daemon", linkOfSender: 0, named: "d9", heard: ["unknown"] },
+    ];
+    statements.forEach(({ name, linkOfSender, named, heard: expected }) =>
+        it(`learns from a statement whether it comes from ${name}`, async () => {
+            daemons.replace([SELF, { ...OTHER, linkMegabits: linkOfSender }]);
+            const { daemon, configurationVersion, limits, leaving: known } = reportOfOther(1, 0);
+            const statement: StatementMessage = {
+                kind: "statement",
+                ...{ daemon, configurationVersion, limits, leaving: known, takesRequests: true },
+                sums: [],
+                members: [],
+                ageMilliseconds: 0,
+                roster: [[named, true]],
+            };
+            const { port } = socket.address() as AddressInfo;
+            socket.send(encodeExchangeMessage(statement), port, SELF.ip);
+            await receiveFor(100);
+            expect(heard).to.deep.equal(expected);
+        })
+    );
+
+    it("lets others know of a newer configuration that it has not read", async () => {
+        configurationVersion = 0;
+        newestConfiguration = 9;
+        exchange.broadcastKnowledge();
+        await receiveFor(50);
+        expect(received.at(-1)?.configurationVersion).to.equal(9);
+    });
+
     it("refuses a report with values that are no loads as a whole", async () => {
         const { port } = socket.address() as AddressInfo;
         const values = [-1, Number.NaN, Number.POSITIVE_INFINITY, "3"];
--- /dev/null
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -0,0 +1,135 @@
+/**
+ * Follows what the store holds: the configuration, the targets and the daemons. Daemons of a data centre share the reads: those
+ * that hear a collector learn of changes from it, and read only what it tells them of.
+ */
+import type { RelayConfiguration, Target } from "@damaskvale/core";
+import type { LoadExchange } from "../peers/loadexchangeparts.js";
+import { startPresence } from "../peers/presence.js";
+import type { TopicChange, TopicRange } from "../ports/registry.js";
+import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
+import {
+    type ConfigurationReader,
+    configurationWaitMilliseconds,
+    isConfigurationWatcher,
+} from "./configurationwait.js";
+import { collectorReadDelayMilliseconds, ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "./pace.js";
+import { locate, presenceOf, type SharedParts } from "./sharedparts.js";
+import { refreshAfterRestore } from "./storerestore.js";
+
+/** Hosts write to the registry all the time, so a read rarely waits; a short timeout detects a dead connection early. */
+const TARGETS_LONG_POLL_MILLISECONDS = 900;
+/** Versions published within this time are read as one batch. */
+const CONFIGURATION_READ_DELAY_MILLISECONDS = 200;
+/** Other daemons may announce a configuration that is still in transit to this one over a slower link. */
+const ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS = 400;
+/** Longer than two statements of a collector without changes, so that a single lost one does not end the rest. */
+const REST_MILLISECONDS = 2_000;
+/** A name that stays unknown is looked up at most this often. */
+const UNKNOWN_DAEMON_INTERVAL_MILLISECONDS = 2_000;
+
+/** Followers of the store's topics. */
+export interface StoreFollowers {
+    /** Lets the exchange pass on what this daemon reads of the targets. */
+    readonly connect: (exchange: LoadExchange) => void;
+    /** Applies changes of targets that a collector read. */
+    readonly offerTargets: (range: TopicRange<Target>) => void;
+    /** Newest version of the configuration that this daemon knows of, 0 if it knows none. */
+    readonly newestConfiguration: () => number;
+    /** Reads a version of which another daemon knows. */
+    readonly readNewerConfiguration: (version: number) => void;
+    /** Makes no reads of configurations and daemons for a time, because the collector that is heard tells of changes. */
+    readonly rest: () => void;
+    /** Reads the daemons anew, because one that is not known was named. */
+    readonly readUnknownDaemons: () => void;
+}
+
+/** Returns the position of this daemon among the readers of the configuration. */
+export function configurationReader(shared: SharedParts): ConfigurationReader {
+    return { self: presenceOf(shared.settings), peers: locate(shared.otherDaemons(), shared.daemons) };
+}
+
+/** Starts to follow all topics. */
+export function startStoreFollowers(shared: SharedParts): StoreFollowers {
+    const { settings, ports, clock, log, random, state, daemons } = shared;
+    let exchange: LoadExchange | undefined;
+    let newestKnown = 0;
+    let unknownReadAt = Number.NEGATIVE_INFINITY;
+    const configuration = followConfiguration(shared);
+    const presence = startPresence({
+        topic: ports.presence(log),
+        self: presenceOf(settings),
+        log,
+        random,
+        storeEra: ports.storeEra,
+        setPeers: daemons.replace,
+    });
+    const targets = followTopic({
+        topic: ports.targets(log),
+        log,
+        random,
+        currentEra: () => ports.storeEra.current(),
+        waitMilliseconds: () => TARGETS_LONG_POLL_MILLISECONDS,
+        pauseMilliseconds: () => registryReadDelay(shared, exchange?.collectorRank() !== undefined),
+        // The long poll for the configuration uses the same network, so its connection is probably dead as well.
+        onLost: () => configuration.refresh(0),
+        replace: (changes, isRestored) => state.replaceTargets(changes.flatMap(({ value }) => value ?? []), isRestored),
+        apply: changes => state.applyTargets(changes),
+        onRead: range => exchange?.passOnTargets(range),
+    });
+    refreshAfterRestore(ports.storeEra, [configuration, targets, presence]);
+    return {
+        connect: started => {
+            exchange = started;
+        },
+        offerTargets: range => {
+            const rank = exchange?.collectorRank();
+            targets.offer(range, ownReadDelayMilliseconds(rank, settings.drainNoticeMilliseconds, random));
+        },
+        newestConfiguration: () => Math.max(newestKnown, state.lookup()?.configuration.version ?? 0),
+        readNewerConfiguration: version => {
+            newestKnown = Math.max(newestKnown, version);
+            configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS);
+        },
+        rest: () => {
+            presence.rest(REST_MILLISECONDS);
+            if (!isConfigurationWatcher(configurationReader(shared))) {
+                configuration.rest(REST_MILLISECONDS);
+            }
+        },
+        readUnknownDaemons: () => {
+            const now = clock.monotonic();
+            if (now - unknownReadAt >= UNKNOWN_DAEMON_INTERVAL_MILLISECONDS) {
+                unknownReadAt = now;
+                presence.refresh(0);
+            }
+        },
+    };
+}
+
+function followConfiguration(shared: SharedParts): TopicFollower {
+    const { settings, ports, log, random, state } = shared;
+    const apply = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
+        changes.forEach(({ value }) => {
+            if (value !== undefined && state.applyConfiguration(value)) {
+                log.emit("configurationApplied", { configurationVersion: value.version });
+            }
+        });
+    return followTopic({
+        topic: ports.configuration(log),
+        log,
+        random,
+        currentEra: () => ports.storeEra.current(),
+        waitMilliseconds: () =>
+            configurationWaitMilliseconds(configurationReader(shared), settings.configurationMilliseconds),
+        pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
+        replace: apply,
+        apply,
+    });
+}
+
+/** Returns the delay between two registry reads in milliseconds. */
+function registryReadDelay({ daemons, settings }: SharedParts, isCollector: boolean): number {
+    return isCollector
+        ? collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds)
+        : registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
+}
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,52 +1,28 @@
 /** Composition root of the daemon on a platform: connects the relay, the topic followers and the engine planner. */
-import {
-    createSlidingMaximum,
-    createSuspicions,
-    eraOf,
-    type RelayConfiguration,
-    type Target,
-    type TargetLoad,
-} from "@damaskvale/core";
+import { createSlidingMaximum, createSuspicions, eraOf, type TargetLoad } from "@damaskvale/core";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
-import { type LoadExchange, startLoadExchange } from "../peers/loadexchange.js";
-import { startPresence } from "../peers/presence.js";
-import type { TopicChange } from "../ports/registry.js";
-import { type FedTopicFollower, followTopic, type TopicFollower } from "../tasks/followtopic.js";
+import { startLoadExchange } from "../peers/loadexchange.js";
+import type { LoadExchange } from "../peers/loadexchangeparts.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
-import {
-    type ConfigurationReader,
-    configurationWaitMilliseconds,
-    isConfigurationWatcher,
-} from "./configurationwait.js";
+import { isConfigurationWatcher } from "./configurationwait.js";
 import { type Listeners, startListeners } from "./lifecycle.js";
 import { createMembershipNotice } from "./membershipnotice.js";
-import { collectorReadDelayMilliseconds, ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "./pace.js";
+import { collectorReadDelayMilliseconds } from "./pace.js";
 import { createPartitionCandidate } from "./partitioncandidate.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
-import {
-    CONNECT_TIMEOUT_MILLISECONDS,
-    createSharedParts,
-    locate,
-    presenceOf,
-    type SharedParts,
-} from "./sharedparts.js";
+import { CONNECT_TIMEOUT_MILLISECONDS, createSharedParts, presenceOf, type SharedParts } from "./sharedparts.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
-import { logStoreEra, refreshAfterRestore } from "./storerestore.js";
+import { configurationReader, startStoreFollowers, type StoreFollowers } from "./storefollowers.js";
+import { logStoreEra } from "./storerestore.js";
 import { createTargetConnections } from "./targetconnections.js";
 
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon keeps planning while the store is unreachable, if engines refuse orders of previous owners. */
 const LEASE_EXTENSION_MILLISECONDS = 20_000;
-/** Hosts write to the registry all the time, so a read rarely waits; a short timeout detects a dead connection early. */
-const TARGETS_LONG_POLL_MILLISECONDS = 900;
-/** Versions published within this time are read as one batch. */
-const CONFIGURATION_READ_DELAY_MILLISECONDS = 200;
-/** Other daemons may announce a configuration that is still in transit to this one over a slower link. */
-const ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS = 400;
 /** A lost group is usually formed again within this time. */
 const GROUP_COUNT_WINDOW_MILLISECONDS = 10_000;
 const DEFAULT_PEER_PORT = 7_340;
@@ -83,7 +59,7 @@
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     logStoreEra(ports.storeEra, log);
-    const followers = followStore(shared);
+    const followers = startStoreFollowers(shared);
     const listeners = await listening;
     const { planner, lease, stallDetector } = wirePlanning(shared, relay, followers, listeners);
     process.once("SIGTERM", () => {
@@ -149,76 +125,13 @@
     return internalPorts[0] ?? DEFAULT_PEER_PORT;
 }
 
-/** Returns the delay between two registry reads in milliseconds. */
-function registryReadDelay({ daemons, settings }: SharedParts, isCollector: boolean): number {
-    return isCollector
-        ? collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds)
-        : registryReadDelayMilliseconds(daemons.count(), settings.drainNoticeMilliseconds);
-}
-
-/** Returns the position of this daemon among the readers of the configuration. */
-function configurationReader(shared: SharedParts): ConfigurationReader {
-    return { self: presenceOf(shared.settings), peers: locate(shared.otherDaemons(), shared.daemons) };
-}
-
-interface StoreFollowers {
-    readonly configuration: TopicFollower;
-    readonly targets: FedTopicFollower<Target>;
-    /** Lets the exchange pass on what the follower of the targets reads. */
-    readonly connect: (exchange: LoadExchange) => void;
-}
-
-/** Follows the configuration and the targets. */
-function followStore(shared: SharedParts): StoreFollowers {
-    const { settings, ports, log, random, state } = shared;
-    const applyConfigurations = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
-        changes.forEach(({ value }) => {
-            if (value !== undefined && state.applyConfiguration(value)) {
-                log.emit("configurationApplied", { configurationVersion: value.version });
-            }
-        });
-    const configuration = followTopic({
-        topic: ports.configuration(log),
-        log,
-        random,
-        currentEra: () => ports.storeEra.current(),
-        waitMilliseconds: () =>
-            configurationWaitMilliseconds(configurationReader(shared), settings.configurationMilliseconds),
-        pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
-        replace: applyConfigurations,
-        apply: applyConfigurations,
-    });
-    let exchange: LoadExchange | undefined;
-    const targets = followTopic({
-        topic: ports.targets(log),
-        log,
-        random,
-        currentEra: () => ports.storeEra.current(),
-        waitMilliseconds: () => TARGETS_LONG_POLL_MILLISECONDS,
-        pauseMilliseconds: () => registryReadDelay(shared, exchange?.collectorRank() !== undefined),
-        // The long poll for the configuration uses the same network, so its connection is probably dead as well.
-        onLost: () => configuration.refresh(0),
-        replace: (changes, isRestored) => state.replaceTargets(changes.flatMap(({ value }) => value ?? []), isRestored),
-        apply: changes => state.applyTargets(changes),
-        onRead: range => exchange?.passOnTargets(range),
-    });
-    refreshAfterRestore(ports.storeEra, [configuration, targets]);
-    return {
-        configuration,
-        targets,
-        connect: started => {
-            exchange = started;
-        },
-    };
-}
-
 function wirePlanning(
     shared: SharedParts,
     relay: Relay,
     followers: StoreFollowers,
     listeners: Listeners,
 ): { readonly planner: EnginePlanner; readonly lease: PartitionLease; readonly stallDetector: StallDetector; } {
-    const { settings, ports, clock, log, random, state, loadTracker, budgets, daemons } = shared;
+    const { settings, ports, clock, log, state, loadTracker, budgets, daemons } = shared;
     const lease = startPartitionLease({
         group: ports.partitions,
         clock,
@@ -249,15 +162,6 @@
         registryDelayMilliseconds: () => collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds),
         onMembership: createMembershipNotice(state, exchange.broadcastMembership.bind(exchange)),
     });
-    const presence = startPresence({
-        topic: ports.presence(log),
-        self: presenceOf(settings),
-        log,
-        random,
-        storeEra: ports.storeEra,
-        setPeers: daemons.replace,
-    });
-    refreshAfterRestore(ports.storeEra, [presence]);
     ports.storeEra.onRisen(() => lease.invalidate("The platform's store came back from an older copy."));
     const stallDetector = startStallDetector({
         clock,
@@ -280,12 +184,12 @@
 /** Starts the exchange with the other daemons; `suspect` is called for each head that another daemon suspects. */
 function wireExchange(
     shared: SharedParts,
-    { configuration, targets }: StoreFollowers,
+    followers: StoreFollowers,
     listeners: Listeners,
     suspect: (head: string) => void,
 ): LoadExchange {
     const { settings, clock, log, state, loadTracker, startedAt, statedLoads, roster, daemons } = shared;
-    const { availability, requestQuarantine, reachability, random } = shared;
+    const { availability, requestQuarantine, reachability } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
@@ -298,11 +202,7 @@
         statedLoads,
         roster,
         onMembership: reported => state.applyMembership(reported),
-        onTargets: range => {
-            const { drainNoticeMilliseconds } = settings;
-            const delay = ownReadDelayMilliseconds(exchange.collectorRank(), drainNoticeMilliseconds, random);
-            targets.offer(range, delay);
-        },
+        onTargets: followers.offerTargets,
         limits: () => availability.limits(),
         onLimit: limit => availability.mergeLimit(limit),
         leaving: () => availability.leaving(),
@@ -313,7 +213,10 @@
         takesRequests: () => state.lookup() !== undefined && !reachability.isCutOff() && !listeners.isDraining(),
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
         announcesConfiguration: () => isConfigurationWatcher(configurationReader(shared)),
-        onNewerConfiguration: () => configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS),
+        newestConfiguration: followers.newestConfiguration,
+        onNewerConfiguration: followers.readNewerConfiguration,
+        onCollectorHeard: followers.rest,
+        onUnknownDaemon: followers.readUnknownDaemons,
         onSuspicion: ({ head, group }, daemon) => {
             if (groupOf(state, head) !== group) {
                 return;
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -34,6 +34,11 @@
      * first gets `graceMilliseconds` to complete, because its answer may be in flight.
      */
     refresh(graceMilliseconds: number): void;
+    /**
+     * Makes no read of its own for a time, because another daemon would tell of a change. A read that waits goes on, and
+     * `refresh` ends the time.
+     */
+    rest(milliseconds: number): void;
     stop(): void;
 }
 
@@ -65,8 +70,10 @@
     /** Controller of the waiting read, if there is one. */
     private waitingRead: AbortController | undefined;
     private isRefreshing = false;
-    /** Runs while ranges are offered in time. */
+    /** Runs while ranges are offered in time, or while this follower rests. */
     private offeredTimer: NodeJS.Timeout | undefined;
+    /** Length of the pause that runs. */
+    private pauseMilliseconds = 0;
     /** Ends the pause of the own reads. */
     private resumeReads: (() => void) | undefined;
 
@@ -109,13 +116,24 @@
         }, graceMilliseconds).unref();
     }
 
+    rest(milliseconds: number): void {
+        if (this.position !== undefined && !this.isRefreshing) {
+            this.pauseReads(milliseconds);
+        }
+    }
+
     stop(): void {
         this.isStopped = true;
     }
 
     /** Starts or prolongs the time without own reads. */
     private pauseReads(milliseconds: number): void {
+        if (this.offeredTimer !== undefined && milliseconds === this.pauseMilliseconds) {
+            this.offeredTimer.refresh();
+            return;
+        }
         clearTimeout(this.offeredTimer);
+        this.pauseMilliseconds = milliseconds;
         this.offeredTimer = setTimeout(() => this.endPause(), milliseconds).unref();
     }
 
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -219,4 +219,35 @@
             expect(calls).to.deep.equal(["after 8 wait 0"]);
         });
     });
+
+    describe("that rests while another daemon would tell of a change", () => {
+        const begin = async (): Promise<void> => {
+            start([
+                { changes: [], nextOffset: 5, era: 1 },
+                { changes: [{ key: "a", value: "1" }], nextOffset: 6, era: 1 },
+            ]);
+            await clock.tickAsync(5);
+            follower.rest(1_000);
+            await clock.tickAsync(900);
+        };
+
+        it("makes no read until that time ends", async () => {
+            await begin();
+            expect(calls).to.deep.equal(["newest"]);
+            follower.rest(1_000);
+            await clock.tickAsync(900);
+            expect(calls).to.deep.equal(["newest"]);
+            await clock.tickAsync(200);
+            expect(calls[1]).to.equal("after 5 wait 2500");
+        });
+
+        it("reads at once when it is refreshed, and a further rest does not stop this read", async () => {
+            await begin();
+            follower.refresh(400);
+            follower.rest(1_000);
+            await clock.tickAsync(5);
+            expect(calls).to.deep.equal(["newest", "after 5 wait 0"]);
+            expect(seen.at(-1)).to.equal("a=1");
+        });
+    });
 });
