Send news of quarantined parts through the collectors in large fleets

Suspected, not shown in a log of that daemon yet: each lost connection made its daemon send all 84 others an event with up to 32 crashes and 128 proofs, and every message of all daemons contained them for 4 s.

Change: in fleets of more than 12 daemons such news goes with reports and statements, at an interval that bounds what a collector gets to some 70 messages a second. Small fleets as before.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -27,7 +27,7 @@
 } from "./exchangemessage.js";
 import { applyKnowledge, encodeKnowledge } from "./knowledge.js";
 import type { LoadExchange, LoadExchangeParts } from "./loadexchangeparts.js";
-import { createSendSchedule, IDLE_INTERVAL_MILLISECONDS } from "./sendschedule.js";
+import { createSendSchedule, IDLE_INTERVAL_MILLISECONDS, MOST_DAEMONS_AT_ONCE } from "./sendschedule.js";
 import { createSilenceDetector } from "./silence.js";
 import { createTargetPages, encodeTargetRange } from "./targetpages.js";
 
@@ -101,6 +101,12 @@
         this.scheduleEvent({ suspects: [], memberships: [] });
     }
 
+    broadcastQuarantine(): void {
+        if (this.isSmallFleet()) {
+            this.broadcastKnowledge();
+        }
+    }
+
     passOnTargets(range: TopicRange<Target>): void {
         const ranges = this.targetPages.split(range, this.now());
         if (this.collectorRank() === undefined) {
@@ -185,8 +191,8 @@
         }
         const others = collectors.filter(collector => collector !== self.daemon);
         others.forEach(collector => this.silence.expect(collector, this.now()));
-        const isForAll = this.parts.hasQuarantineUpdates()
-            || this.now() - this.reportedToAllAt >= IDLE_INTERVAL_MILLISECONDS;
+        const hasNews = this.parts.hasQuarantineUpdates() && report.quarantine !== undefined;
+        const isForAll = hasNews || this.now() - this.reportedToAllAt >= IDLE_INTERVAL_MILLISECONDS;
         if (isForAll) {
             this.reportedToAllAt = this.now();
         }
@@ -251,13 +257,23 @@
     }
 
     private isDue(kind: ExchangeMessage["kind"], content: string): boolean {
-        return this.schedule.isDue(kind, content, this.parts.hasQuarantineUpdates(), this.now());
+        const isUrgent = this.isSmallFleet() && this.parts.hasQuarantineUpdates();
+        return this.schedule.isDue(kind, content, isUrgent, this.now());
     }
 
     private commonFields(kind: ExchangeMessage["kind"]): CommonFields {
+        const { self, daemons, hasQuarantineUpdates } = this.parts;
+        const now = this.now();
+        const local = daemons.all().filter(({ dataCentre }) => dataCentre === self.dataCentre).length;
         const includesQuarantine = kind === "event"
-            || this.schedule.repeatsQuarantine(kind, this.parts.hasQuarantineUpdates(), this.now());
-        return encodeKnowledge(this.parts.self.daemon, this.parts, this.now(), includesQuarantine);
+            ? this.isSmallFleet()
+            : this.schedule.repeatsQuarantine(kind, hasQuarantineUpdates(), local, now);
+        return encodeKnowledge(self.daemon, this.parts, now, includesQuarantine);
+    }
+
+    /** Returns whether each daemon can tell all others at once what is new about quarantined parts. */
+    private isSmallFleet(): boolean {
+        return this.parts.daemons.count() <= MOST_DAEMONS_AT_ONCE;
     }
 
     private scheduleEvent({ suspects, memberships }: Pick<EventMessage, "suspects" | "memberships">): void {
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -48,8 +48,13 @@
     suspect(suspicion: HeadSuspicion): void;
     /** Sends all daemons at once a membership that an engine reported. */
     broadcastMembership(reported: ReportedMembership): void;
-    /** Sends all daemons at once what this one knows of limits, leaving targets and quarantined parts. */
+    /** Sends all daemons at once what this one knows of limits and leaving targets. */
     broadcastKnowledge(): void;
+    /**
+     * Sends all daemons of a small fleet at once what is new about quarantined parts. In a larger one it goes to the
+     * collectors with the next report, because the events of all daemons would take the processors of the others.
+     */
+    broadcastQuarantine(): void;
     /** Passes registry changes that this daemon read on to those that report to it, if it is a collector. */
     passOnTargets(range: TopicRange<Target>): void;
     /** Passes versions of the configuration on to those that report to this daemon, if it is the first collector. */
--- a/packages/daemon/src/peers/sendschedule.ts
+++ b/packages/daemon/src/peers/sendschedule.ts
@@ -5,13 +5,21 @@
 export interface SendSchedule {
     /** Returns whether a message is to be sent now, by its content and the time since the last one; it then counts as sent. */
     isDue(kind: ExchangeMessage["kind"], content: string, hasNews: boolean, now: number): boolean;
-    /** Returns whether a message should contain the older facts about prompt parts; they then count as sent. */
-    repeatsQuarantine(kind: ExchangeMessage["kind"], hasNews: boolean, now: number): boolean;
+    /**
+     * Returns whether a message should contain what is known about quarantined parts; it then counts as sent. `daemons` is
+     * the number of those whose messages meet at one of them, so that these take a bounded part of its processor.
+     */
+    repeatsQuarantine(kind: ExchangeMessage["kind"], hasNews: boolean, daemons: number, now: number): boolean;
 }
 
 /** Interval of messages without changes, which show the other daemons that this one is alive. */
 export const IDLE_INTERVAL_MILLISECONDS = 900;
 
+/** A fleet, or a data centre, of at most so many daemons sends each other what is new about quarantined parts at once. */
+export const MOST_DAEMONS_AT_ONCE = 12;
+/** Interval of messages with quarantined parts for each daemon of a larger one. Such a message takes some milliseconds to read. */
+const QUARANTINE_MILLISECONDS_PER_DAEMON = 15;
+
 /** Creates a schedule by which nothing has been sent. */
 export function createSendSchedule(): SendSchedule {
     const lastSent = new Map<ExchangeMessage["kind"], { readonly content: string; readonly at: number; }>();
@@ -25,9 +33,11 @@
             }
             return isDue;
         },
-        repeatsQuarantine: (kind, hasNews, now) => {
+        repeatsQuarantine: (kind, hasNews, daemons, now) => {
             const sentAt = quarantineSentAt.get(kind) ?? Number.NEGATIVE_INFINITY;
-            const repeats = hasNews || now - sentAt >= IDLE_INTERVAL_MILLISECONDS;
+            const newsInterval = daemons <= MOST_DAEMONS_AT_ONCE ? 0 : daemons * QUARANTINE_MILLISECONDS_PER_DAEMON;
+            const interval = hasNews ? Math.min(newsInterval, IDLE_INTERVAL_MILLISECONDS) : IDLE_INTERVAL_MILLISECONDS;
+            const repeats = now - sentAt >= interval;
             if (repeats) {
                 quarantineSentAt.set(kind, now);
             }
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -154,6 +154,21 @@
         expect(received[0]?.quarantine?.crashes[0]?.target).to.equal("t");
     });
 
+    [2, 13].forEach(count =>
+        it(`sends ${count === 2 ? "all daemons" : "no daemon"} of ${count} news of quarantined parts at once`, async () => {
+            const others = Array.from({ length: count - 2 }, (...[, index]) => ({
+                ...{ daemon: `e${index}`, ip: "127.0.0.99", dataCentre: "y" },
+            }));
+            daemons.replace([SELF, OTHER, ...others]);
+            await receiveFor(300);
+            received.length = 0;
+            exchange.broadcastQuarantine();
+            await receiveFor(50);
+            const events = received.filter(({ kind }) => kind === "event");
+            expect(events.length).to.equal(count === 2 ? 1 : 0);
+        })
+    );
+
     it("tells and takes over at once which targets leave, by the age of their statements", async () => {
         exchange.broadcastKnowledge();
         await receiveFor(50);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -230,7 +230,7 @@
         },
     });
     availability.onChange(() => exchange.broadcastKnowledge());
-    requestQuarantine.onUpdate(() => exchange.broadcastKnowledge());
+    requestQuarantine.onUpdate(() => exchange.broadcastQuarantine());
     return exchange;
 }
 
