--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,10 @@
 /** Bundles the daemon's entry on the platform into one file, so that a process starts fast and needs no modules. */
 import { build } from "esbuild";
 
-/** Optional parts of bunyan. It does without them, and one of them loads many modules of its own. */
-const OPTIONAL_PARTS = /^(dtrace-provider|mv|safe-json-stringify|source-map-support)$/;
+/** Optional parts of bunyan, msgpackr and undici. These do without them, and each start saves loading them. */
+const OPTIONAL_PARTS = /^(dtrace-provider|mv|safe-json-stringify|source-map-support|msgpackr-extract|node:http2)$/;
 
-/** Makes the optional parts of bunyan absent, also where they are installed. */
+/** Makes optional parts absent, also where they are installed. */
 const withoutOptionalParts = {
     name: "without optional parts",
     setup: ({ onResolve, onLoad }) => {
