Ask a store that turns a daemon away less and less often

Change: the delay doubles up to a second, less a random half. The test fails before: 90 reads in 9 s of refusals, 22 are its bound by the longest delay.

--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -1,7 +1,7 @@
 /** Follows a topic of the store: reads the newest value of each key once, then every change. */
 import type { EventLog } from "../ports/eventlog.js";
 import { type KeyedTopic, StoreError, type TopicChange, type TopicPage, type TopicRange } from "../ports/registry.js";
-import { sleep } from "./sleep.js";
+import { jitteredDelay, sleep } from "./sleep.js";
 
 /** Options of a topic follower. */
 export interface FollowOptions<Value> {
@@ -51,7 +51,10 @@
     offer(range: TopicRange<Value>, pauseMilliseconds: number): void;
 }
 
+/** Delay of the first retry; it doubles with each failure, up to the maximum. */
 const RETRY_MILLISECONDS = 200;
+/** Each call counts against the limits of the store, also one that it turns away. */
+const MAXIMUM_RETRY_MILLISECONDS = 1_000;
 /** Time over which the daemons spread their reads of all values after the store came back from an older copy. */
 const RESTORE_SPREAD_MILLISECONDS = 300;
 
@@ -64,7 +67,8 @@
 
 class TopicFollowerTask<Value> implements FedTopicFollower<Value> {
     private isStopped = false;
-    private isLost = false;
+    /** Failed reads since the last one that was answered. */
+    private failures = 0;
     private position: { readonly offset: number; readonly era: number; } | undefined;
     private lastEra: number | undefined;
     /** Controller of the waiting read, if there is one. */
@@ -194,7 +198,7 @@
 
     private async readChanges(position: { readonly offset: number; readonly era: number; }): Promise<void> {
         const { topic, log, random, apply, onRead } = this.options;
-        const isImmediate = this.isLost || this.isRefreshing || position.era !== this.options.currentEra();
+        const isImmediate = this.failures > 0 || this.isRefreshing || position.era !== this.options.currentEra();
         const wait = isImmediate ? 0 : this.options.waitMilliseconds();
         this.waitingRead = wait > 0 ? new AbortController() : undefined;
         const page = await topic.readFrom(position.offset, wait, this.waitingRead?.signal);
@@ -227,8 +231,8 @@
     }
 
     private markRegained(): void {
-        if (this.isLost) {
-            this.isLost = false;
+        if (this.failures > 0) {
+            this.failures = 0;
             const { topic, log } = this.options;
             log.emit("storeRegained", { topic: topic.name, offset: this.position?.offset });
         }
@@ -245,12 +249,13 @@
             return;
         }
         const { topic, log, onLost, random } = this.options;
-        if (!this.isLost) {
-            this.isLost = true;
+        if (this.failures === 0) {
             onLost?.();
             const offset = this.position?.offset;
             log.emit("storeLost", { topic: topic.name, offset, kind: error.kind, reason: error.message });
         }
-        await sleep(RETRY_MILLISECONDS * (0.5 + random()));
+        const delay = jitteredDelay(this.failures, RETRY_MILLISECONDS, MAXIMUM_RETRY_MILLISECONDS, random());
+        this.failures += 1;
+        await sleep(delay);
     }
 }
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -94,6 +94,16 @@
         ]);
     });
 
+    it("asks a store that turns it away less and less often, and is back within a second", async () => {
+        const refusals = Array.from({ length: 100 }, (): Answer => "lost");
+        start([{ changes: [], nextOffset: 5, era: 1 }, ...refusals]);
+        await clock.tickAsync(9_000);
+        const reads = calls.length;
+        expect(reads).to.be.at.most(1 + 9 / 0.5 + 3);
+        await clock.tickAsync(1_000);
+        expect(calls.length).to.be.above(reads);
+    });
+
     it("replaces a read that waits on a silent connection when it is refreshed", async () => {
         start([{ changes: [], nextOffset: 5, era: 1 }]);
         await clock.tickAsync(100);
