--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -35,6 +35,7 @@
 export * from "./placement/loadsums.js";
 export * from "./placement/loadtracker.js";
 export * from "./placement/place.js";
+export * from "./placement/plaintarget.js";
 export * from "./placement/reachability.js";
 export * from "./placement/requestpacer.js";
 export * from "./placement/slidingmaximum.js";
--- /dev/null
+++ b/packages/core/src/placement/plaintarget.ts
@@ -0,0 +1,31 @@
+/** Chooses the plain target of a request, by the requests in progress that this daemon knows and by data centre. */
+
+/** A target that may be chosen. */
+export interface PlainTargetCandidate {
+    readonly id: string;
+    readonly dataCentre: string;
+    /** Requests of this daemon in progress at the target. */
+    readonly inProgress: number;
+    /** Time until the target takes a request of this daemon, in milliseconds. */
+    readonly waitMilliseconds: number;
+}
+
+/** Additional cost of a target in another data centre, in requests in progress. */
+const REMOTE_COST = 1.5;
+
+/**
+ * Returns the id of the candidate with the least load that takes a request now, or `undefined` if none does. `random` returns
+ * a number from 0 to below 1, which decides between equal ones, so that daemons do not all choose the same target.
+ */
+export function choosePlainTarget(
+    candidates: readonly PlainTargetCandidate[],
+    dataCentre: string,
+    random: () => number,
+): string | undefined {
+    return candidates.filter(({ waitMilliseconds }) => waitMilliseconds === 0)
+        .map(candidate => {
+            const remoteCost = candidate.dataCentre === dataCentre ? 0 : REMOTE_COST;
+            return { id: candidate.id, cost: candidate.inProgress + remoteCost + random() };
+        })
+        .sort((left, right) => left.cost - right.cost)[0]?.id;
+}
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -24,6 +24,7 @@
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
 import { createReassignments, type Reassignments } from "./reassignments.js";
+import { createServingNotice, type ServingNotice } from "./servingnotice.js";
 
 /** Collaborators of the planner. */
 export interface EnginePlannerParts {
@@ -76,8 +77,7 @@
     private readonly loggedChoices = new Map<string, string>();
     private readonly reassignments: Reassignments;
     private highestEpoch = 0;
-    /** Groups whose heads were announced to the other daemons as serving. */
-    private announcedServing: ReadonlySet<string> = new Set();
+    private readonly servingNotice: ServingNotice;
     private scheduled = false;
     private stopped = false;
     private timer: NodeJS.Timeout | undefined;
@@ -85,6 +85,7 @@
     constructor(private readonly parts: EnginePlannerParts) {
         const describe = (target: Target): EngineHost => this.records.describe(target, parts.clock.monotonic());
         this.reassignments = createReassignments({ ...parts, describe });
+        this.servingNotice = createServingNotice(parts.onMembership);
     }
 
     start(): void {
@@ -111,30 +112,6 @@
             .forEach(member => this.records.recordSuspicion(member, now));
     }
 
-    /**
-     * Announces heads of the own domains of all services that started serving since the last round; other daemons would
-     * see them only in their next read.
-     */
-    private announceServing(assignment: PartitionAssignment): void {
-        const { state, onMembership } = this.parts;
-        const serving = this.engineServices().flatMap(({ service }) => {
-            const domains = this.ownDomainsOf(service, assignment);
-            return state.targets().filter(target =>
-                target.service === service.name && target.membership?.state === "open"
-                && target.domain !== undefined && domains.includes(target.domain)
-            );
-        });
-        serving.filter(target => !this.announcedServing.has(target.membership?.group ?? "")).forEach(target =>
-            onMembership({
-                host: target.id,
-                startedAt: target.startedAt,
-                model: target.model,
-                membership: target.membership,
-            })
-        );
-        this.announcedServing = new Set(serving.map(target => target.membership?.group ?? ""));
-    }
-
     private planRound(): void {
         const { state, lease } = this.parts;
         const assignment = lease.current();
@@ -147,7 +124,10 @@
             const reassignments = this.reassignments.update(service, engine, domains);
             domains.forEach(domain => this.planDomain(domain, service, engine, assignment, reassignments.get(domain)));
         });
-        this.announceServing(assignment);
+        const isOwn = ({ service, domain }: Target): boolean =>
+            domain !== undefined && this.ownsDomain(domain, assignment)
+            && this.engineServices().some(({ service: { name } }) => name === service);
+        this.servingNotice.announce(state.targets().filter(isOwn));
     }
 
     private engineServices(): { readonly service: Service; readonly engine: EngineProfile; }[] {
@@ -156,9 +136,12 @@
         );
     }
 
-    private ownDomainsOf({ name }: Service, { partitions }: PartitionAssignment): string[] {
-        const { state, partitionCount } = this.parts;
-        return domainsOf(state, name).filter(domain => partitions.includes(partitionOf(domain, partitionCount)));
+    private ownDomainsOf({ name }: Service, assignment: PartitionAssignment): string[] {
+        return domainsOf(this.parts.state, name).filter(domain => this.ownsDomain(domain, assignment));
+    }
+
+    private ownsDomain(domain: string, { partitions }: PartitionAssignment): boolean {
+        return partitions.includes(partitionOf(domain, this.parts.partitionCount));
     }
 
     private planDomain(
@@ -302,7 +285,7 @@
         ) {
             const { model, membership } = answer;
             if (membership?.state === "open") {
-                this.announcedServing = new Set([...this.announcedServing, membership.group]);
+                this.servingNotice.recordAnnounced(membership.group);
             }
             this.parts.onMembership({ host: target.id, startedAt: target.startedAt, model, membership });
         }
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,5 +1,5 @@
 /** Relays a request to a plain target and returns the complete response. */
-import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
+import { choosePlainTarget, limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import type { ObservedAttempt } from "./crashobserver.js";
 import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
@@ -22,8 +22,6 @@
 const NO_TARGET_RETRY_AFTER_MILLISECONDS = 1_000;
 /** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
 const KEPT_BODY_BYTES = 262_144;
-/** Additional cost of a target in another data centre, in requests in progress. */
-const REMOTE_COST = 1.5;
 
 interface Attempt {
     readonly target: Target;
@@ -106,14 +104,16 @@
 
     /** Returns the least loaded target that has not been tried and takes a request now. */
     private chooseTarget(): Target | undefined {
-        const cost = (target: Target): number =>
-            (this.parts.loadTracker.get(target.id)?.inProgress ?? 0)
-            + (target.dataCentre === this.parts.dataCentre ? 0 : REMOTE_COST)
-            + this.parts.random();
-        return this.untriedTargets()
-            .filter(target => this.parts.availability.waitMilliseconds(target) === 0)
-            .map(target => ({ target, cost: cost(target) }))
-            .sort((left, right) => left.cost - right.cost)[0]?.target;
+        const untried = this.untriedTargets();
+        const { parts } = this;
+        const candidates = untried.map(target => ({
+            id: target.id,
+            dataCentre: target.dataCentre,
+            inProgress: parts.loadTracker.get(target.id)?.inProgress ?? 0,
+            waitMilliseconds: parts.availability.waitMilliseconds(target),
+        }));
+        const chosen = choosePlainTarget(candidates, parts.dataCentre, parts.random);
+        return untried.find(({ id }) => id === chosen);
     }
 
     private send(target: Target): void {
