Let daemons of a small fleet follow the announcements themselves, and look each unknown name up at once

Daemons that rest from reading announcements learned late that one that had just started is the first collector; they got no changes and read the registry by themselves for a second. A second unknown name within 2 s was not looked up at all.

--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -325,14 +325,15 @@
     }
 
     private receiveStatement({ daemon, sums, members, ageMilliseconds, roster }: StatementMessage): void {
-        const { statedLoads, daemons, self, onCollectorHeard, onUnknownDaemon } = this.parts;
+        const { statedLoads, daemons, self, onCollectorHeard, onUnknownDaemons } = this.parts;
         const now = this.now();
         const included = decodeMembers(members);
         statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
         if (roster !== undefined) {
             this.parts.roster.merge(daemon, roster, now);
-            if (roster.some(([name]) => daemons.addressOf(name) === undefined)) {
-                onUnknownDaemon();
+            const unknown = roster.map(([name]) => name).filter(name => daemons.addressOf(name) === undefined);
+            if (unknown.length > 0) {
+                onUnknownDaemons(unknown);
             }
         }
         if (daemon !== self.daemon && daemon === this.collectors()[0]) {
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -36,8 +36,8 @@
     readonly onMembership: (reported: ReportedMembership) => void;
     /** Called when this daemon hears the collector to which it reports, which lets it know of what changes. */
     readonly onCollectorHeard: () => void;
-    /** Called when a collector names a daemon that is not known. */
-    readonly onUnknownDaemon: () => void;
+    /** Called with the daemons that a collector names and that are not known. */
+    readonly onUnknownDaemons: (names: readonly string[]) => void;
     /** Whether this daemon announces a configuration that has come into force to all others at once. */
     readonly announcesConfiguration: () => boolean;
 }
--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -24,7 +24,7 @@
 /** Time over which the daemons spread their announcements after the store came back from an older copy. */
 const ANNOUNCE_SPREAD_MILLISECONDS = 500;
 /** Each announcement ends the waiting reads of all daemons, so that a large fleet reads several of them together. */
-const LEAST_FOLLOW_PAUSE_MILLISECONDS = 500;
+const LEAST_FOLLOW_PAUSE_MILLISECONDS = 100;
 const FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON = 10;
 /** Daemons rarely start or stop, and learning of it late does no harm. */
 const FOLLOW_WAIT_MILLISECONDS = 15_000;
--- a/packages/daemon/src/peers/sendschedule.ts
+++ b/packages/daemon/src/peers/sendschedule.ts
@@ -15,7 +15,7 @@
 /** Interval of messages without changes, which show the other daemons that this one is alive. */
 export const IDLE_INTERVAL_MILLISECONDS = 900;
 
-/** A fleet, or a data centre, of at most so many daemons sends each other what is new about quarantined parts at once. */
+/** Daemons of a fleet, or a data centre, in which each one can tell all others at once what is new, and read for itself. */
 export const MOST_DAEMONS_AT_ONCE = 12;
 /** Interval of messages with quarantined parts for each daemon of a larger one. Such a message takes some milliseconds to read. */
 const QUARANTINE_MILLISECONDS_PER_DAEMON = 15;
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -122,7 +122,7 @@
             newestConfiguration: () => Math.max(configurationVersion, newestConfiguration),
             onNewerConfiguration: () => undefined,
             onCollectorHeard: () => void heard.push("collector"),
-            onUnknownDaemon: () => void heard.push("unknown"),
+            onUnknownDaemons: names => void heard.push(...names.map(name => `unknown ${name}`)),
         });
     });
     afterEach(() => {
@@ -301,7 +301,7 @@
     }[] = [
         { name: "the collector to which it reports", linkOfSender: 200, named: SELF.daemon, heard: ["collector"] },
         { name: "another collector", linkOfSender: 0, named: SELF.daemon, heard: [] },
-        { name: "a collector that names an unknown daemon", linkOfSender: 0, named: "d9", heard: ["unknown"] },
+        { name: "a collector that names an unknown daemon", linkOfSender: 0, named: "d9", heard: ["unknown d9"] },
     ];
     statements.forEach(({ name, linkOfSender, named, heard: expected }) =>
         it(`learns from a statement whether it comes from ${name}`, async () => {
--- a/packages/daemon/src/relay/storefollowers.ts
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -6,6 +6,8 @@
 import { type ConfigurationRangeMessage, decodeConfigurationRange } from "../peers/configurationmessage.js";
 import type { LoadExchange } from "../peers/loadexchangeparts.js";
 import { startPresence } from "../peers/presence.js";
+import { MOST_DAEMONS_AT_ONCE } from "../peers/sendschedule.js";
+import { createUnknownDaemons } from "../peers/unknowndaemons.js";
 import type { ConfigurationTopic, TopicChange, TopicRange } from "../ports/registry.js";
 import { type FedTopicFollower, followTopic } from "../tasks/followtopic.js";
 import {
@@ -25,8 +27,6 @@
 const ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS = 400;
 /** Longer than two statements of a collector without changes, so that a single lost one does not end the rest. */
 const REST_MILLISECONDS = 2_000;
-/** A name that stays unknown is looked up at most this often. */
-const UNKNOWN_DAEMON_INTERVAL_MILLISECONDS = 2_000;
 
 /** Followers of the store's topics. */
 export interface StoreFollowers {
@@ -42,8 +42,8 @@
     readonly readNewerConfiguration: (version: number) => void;
     /** Makes no reads of configurations and daemons for a time, because the collector that is heard tells of changes. */
     readonly rest: () => void;
-    /** Reads the daemons anew, because one that is not known was named. */
-    readonly readUnknownDaemons: () => void;
+    /** Reads the daemons anew, because these were named and are not known. */
+    readonly readUnknownDaemons: (names: readonly string[]) => void;
 }
 
 /** Returns the position of this daemon among the readers of the configuration. */
@@ -56,7 +56,7 @@
     const { settings, ports, clock, log, random, state, daemons } = shared;
     let exchange: LoadExchange | undefined;
     let newestKnown = 0;
-    let unknownReadAt = Number.NEGATIVE_INFINITY;
+    const unknownDaemons = createUnknownDaemons();
     const configurationTopic = ports.configuration(log);
     const configuration = followConfiguration(
         shared,
@@ -108,15 +108,16 @@
             configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS);
         },
         rest: () => {
-            presence.rest(REST_MILLISECONDS);
+            // In a small fleet these reads are few, and all daemons agree on a new first collector at once.
+            if (daemons.count() > MOST_DAEMONS_AT_ONCE) {
+                presence.rest(REST_MILLISECONDS);
+            }
             if (!isConfigurationWatcher(configurationReader(shared))) {
                 configuration.rest(REST_MILLISECONDS);
             }
         },
-        readUnknownDaemons: () => {
-            const now = clock.monotonic();
-            if (now - unknownReadAt >= UNKNOWN_DAEMON_INTERVAL_MILLISECONDS) {
-                unknownReadAt = now;
+        readUnknownDaemons: names => {
+            if (unknownDaemons.shouldRead(names, clock.monotonic())) {
                 presence.refresh(0);
             }
         },
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -217,7 +217,7 @@
         newestConfiguration: followers.newestConfiguration,
         onNewerConfiguration: followers.readNewerConfiguration,
         onCollectorHeard: followers.rest,
-        onUnknownDaemon: followers.readUnknownDaemons,
+        onUnknownDaemons: followers.readUnknownDaemons,
         onSuspicion: ({ head, group }, daemon) => {
             if (groupOf(state, head) !== group) {
                 return;
