Hash each domain once a round of the planner again, and compute known names once

The domains of each service are now computed once a round, for planning and for the notice; before the split they were computed twice. The choice of partition candidates asked twice who runs; the unknown names were searched twice.

No change of behaviour.

--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -119,15 +119,22 @@
             return;
         }
         this.records.retain(new Set(state.targets().map(target => target.id)));
-        this.engineServices().forEach(({ service, engine }) => {
-            const domains = this.ownDomainsOf(service, assignment);
+        const owned = this.engineServices().map(({ service, engine }) => ({
+            service,
+            engine,
+            domains: this.ownDomainsOf(service, assignment),
+        }));
+        owned.forEach(({ service, engine, domains }) => {
             const reassignments = this.reassignments.update(service, engine, domains);
             domains.forEach(domain => this.planDomain(domain, service, engine, assignment, reassignments.get(domain)));
         });
-        const isOwn = ({ service, domain }: Target): boolean =>
-            domain !== undefined && this.ownsDomain(domain, assignment)
-            && this.engineServices().some(({ service: { name } }) => name === service);
-        this.servingNotice.announce(state.targets().filter(isOwn));
+        this.servingNotice.announce(
+            owned.flatMap(({ service, domains }) =>
+                state.targets().filter(target =>
+                    target.service === service.name && target.domain !== undefined && domains.includes(target.domain)
+                )
+            ),
+        );
     }
 
     private engineServices(): { readonly service: Service; readonly engine: EngineProfile; }[] {
@@ -136,12 +143,9 @@
         );
     }
 
-    private ownDomainsOf({ name }: Service, assignment: PartitionAssignment): string[] {
-        return domainsOf(this.parts.state, name).filter(domain => this.ownsDomain(domain, assignment));
-    }
-
-    private ownsDomain(domain: string, { partitions }: PartitionAssignment): boolean {
-        return partitions.includes(partitionOf(domain, this.parts.partitionCount));
+    private ownDomainsOf({ name }: Service, { partitions }: PartitionAssignment): string[] {
+        const { state, partitionCount } = this.parts;
+        return domainsOf(state, name).filter(domain => partitions.includes(partitionOf(domain, partitionCount)));
     }
 
     private planDomain(
--- a/packages/daemon/src/peers/unknowndaemons.ts
+++ b/packages/daemon/src/peers/unknowndaemons.ts
@@ -16,9 +16,9 @@
         shouldRead: (names, now) => {
             [...lookedUpAt].filter(([, at]) => now - at >= RETRY_MILLISECONDS)
                 .forEach(([name]) => lookedUpAt.delete(name));
-            const isNew = names.some(name => !lookedUpAt.has(name));
-            names.filter(name => !lookedUpAt.has(name)).forEach(name => lookedUpAt.set(name, now));
-            return isNew;
+            const fresh = names.filter(name => !lookedUpAt.has(name));
+            fresh.forEach(name => lookedUpAt.set(name, now));
+            return fresh.length > 0;
         },
     };
 }
--- a/packages/daemon/src/relay/partitioncandidate.ts
+++ b/packages/daemon/src/relay/partitioncandidate.ts
@@ -21,7 +21,8 @@
     const { clock, daemon, partitionCount, running, announced } = parts;
     const startedAt = clock.monotonic();
     return () => {
-        const others = running().length > 0 ? running() : announced();
+        const known = running();
+        const others = known.length > 0 ? known : announced();
         const hasSettled = clock.monotonic() - startedAt >= ANNOUNCEMENT_MILLISECONDS;
         return hasSettled && isPartitionCandidate(daemon, others, partitionCount);
     };
--- a/packages/daemon/src/relay/storefollowers.ts
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -30,7 +30,7 @@
 
 /** Followers of the store's topics. */
 export interface StoreFollowers {
-    /** Lets the exchange pass on what this daemon reads of the targets. */
+    /** Lets the exchange pass on what this daemon reads of the targets and the configuration. */
     readonly connect: (exchange: LoadExchange) => void;
     /** Applies changes of targets that a collector read. */
     readonly offerTargets: (range: TopicRange<Target>) => void;
