--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -262,13 +262,14 @@
     }
 
     private commonFields(kind: ExchangeMessage["kind"]): CommonFields {
+        const includesQuarantine = kind === "event" ? this.isSmallFleet() : this.repeatsQuarantine(kind);
+        return encodeKnowledge(this.parts.self.daemon, this.parts, this.now(), includesQuarantine);
+    }
+
+    private repeatsQuarantine(kind: ExchangeMessage["kind"]): boolean {
         const { self, daemons, hasQuarantineUpdates } = this.parts;
-        const now = this.now();
         const local = daemons.all().filter(({ dataCentre }) => dataCentre === self.dataCentre).length;
-        const includesQuarantine = kind === "event"
-            ? this.isSmallFleet()
-            : this.schedule.repeatsQuarantine(kind, hasQuarantineUpdates(), local, now);
-        return encodeKnowledge(self.daemon, this.parts, now, includesQuarantine);
+        return this.schedule.repeatsQuarantine(kind, hasQuarantineUpdates(), local, this.now());
     }
 
     /** Returns whether each daemon can tell all others at once what is new about quarantined parts. */
