--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -1,12 +1,12 @@
 /** Listeners with a relay of the test, and callers that speak to them over real sockets. */
 import type { RelayConfiguration } from "@damaskvale/core";
+import { freePort } from "@damaskvale/stand-ins";
 import { stat } from "node:fs";
 import { connect, type Socket } from "node:net";
 import { Worker } from "node:worker_threads";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
 import { createRelayState, type RelayState } from "../state.js";
-import { freePort } from "./ports.js";
 
 type Limits = RelayConfiguration["limits"];
 
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -1,10 +1,10 @@
 /** A shutdown answers each request that the daemon has begun to read, and reads none once it has left the rotation. */
+import { freePort } from "@damaskvale/stand-ins";
 import { expect } from "chai";
 import { connect, type Socket } from "node:net";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
 import { createRelayState } from "../state.js";
-import { freePort } from "./ports.js";
 
 const LEFT_ROTATION_MILLISECONDS = 3_000;
 const SHUTDOWN_MILLISECONDS = 8_000;
--- a/packages/proofs/src/cluster/cluster.ts
+++ b/packages/proofs/src/cluster/cluster.ts
@@ -1,8 +1,8 @@
 /** Test cluster of real processes: platform, engines, services and daemons, started from one specification. */
+import { freePorts } from "@damaskvale/stand-ins";
 import { type Child, type ChildSpec, startChild } from "./children.js";
 import { expectOk, fetchJson } from "./control.js";
 import { type Control, createControl } from "./control.js";
-import { freePorts } from "./ports.js";
 import { type Relay, startRelay } from "./relay.js";
 import { waitFor } from "./wait.js";
 
--- a/packages/proofs/src/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from "./cluster/ports.js";
