--- /dev/null
+++ b/packages/daemon/src/relay/plainattempt.ts
@@ -0,0 +1,36 @@
+/** State of one attempt to get a response from a plain target. */
+import type { Target } from "@damaskvale/core";
+import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
+import type { ObservedAttempt } from "./crashobserver.js";
+import type { TargetExchange } from "./targetconnections.js";
+
+/** One attempt at a plain target. */
+export interface PlainAttempt {
+    readonly target: Target;
+    readonly sentAt: number;
+    readonly observed: ObservedAttempt;
+    exchange?: TargetExchange;
+    /** Whether bytes of the request were written to the target. */
+    sent: boolean;
+    head?: ResponseHead;
+    decoded?: DecodedResponse;
+    readonly chunks: Buffer[];
+    /** Number of bytes of the body that have arrived. */
+    bodyBytes: number;
+    /** Whether the response is passed on as it arrives, because its body is too large to be kept. */
+    isPassedOn: boolean;
+}
+
+/** Creates the state of an attempt that is sent at the monotonic time `sentAt`. */
+export function createPlainAttempt(target: Target, observed: ObservedAttempt, sentAt: number): PlainAttempt {
+    return { target, sentAt, observed, sent: false, chunks: [], bodyBytes: 0, isPassedOn: false };
+}
+
+/** Concludes from the end of a response. One that says that the request has not run proves nothing. */
+export function concludeObservation({ observed, decoded }: PlainAttempt): void {
+    if (decoded === undefined || decoded.notRun) {
+        observed.dropped();
+        return;
+    }
+    observed.completed();
+}
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,7 +1,7 @@
 /** Relays a request to a plain target and returns the complete response. */
 import { choosePlainTarget, limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
-import type { ObservedAttempt } from "./crashobserver.js";
+import { concludeObservation, createPlainAttempt, type PlainAttempt } from "./plainattempt.js";
 import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
@@ -13,7 +13,7 @@
     writePaced,
     writeResponseHead,
 } from "./responses.js";
-import { isLostConnection, type TargetExchange } from "./targetconnections.js";
+import { isLostConnection } from "./targetconnections.js";
 import { startTimer } from "./timers.js";
 
 /** `Retry-After` of a request that every target refused. */
@@ -23,22 +23,6 @@
 /** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
 const KEPT_BODY_BYTES = 262_144;
 
-interface Attempt {
-    readonly target: Target;
-    readonly sentAt: number;
-    readonly observed: ObservedAttempt;
-    exchange?: TargetExchange;
-    /** Whether bytes of the request were written to the target. */
-    sent: boolean;
-    head?: ResponseHead;
-    decoded?: DecodedResponse;
-    readonly chunks: Buffer[];
-    /** Number of bytes of the body that have arrived. */
-    bodyBytes: number;
-    /** Whether the response is passed on as it arrives, because its body is too large to be kept. */
-    isPassedOn: boolean;
-}
-
 /** A request in progress. */
 export interface PlainRelay extends StoppableRelay {
     /** Sends the request, or refuses it before this returns. */
@@ -51,7 +35,7 @@
 }
 
 class PlainRelayTask extends RelayTask implements PlainRelay {
-    private attempt: Attempt | undefined;
+    private attempt: PlainAttempt | undefined;
     /** Whether the budget has given the next attempt already. */
     private isRetryWithdrawn = false;
 
@@ -120,15 +104,7 @@
         const { context, parts } = this;
         const now = parts.clock.monotonic();
         const observed = parts.requestQuarantine.observe(target, context.subjects);
-        const attempt: Attempt = {
-            target,
-            sentAt: now,
-            observed,
-            sent: false,
-            chunks: [],
-            bodyBytes: 0,
-            isPassedOn: false,
-        };
+        const attempt = createPlainAttempt(target, observed, now);
         this.attempt = attempt;
         this.tried.push(target.id);
         this.sends += 1;
@@ -162,7 +138,7 @@
         );
     }
 
-    private receiveHead(attempt: Attempt, head: ResponseHead): void {
+    private receiveHead(attempt: PlainAttempt, head: ResponseHead): void {
         this.parts.reachability.recordReached();
         attempt.head = head;
         attempt.decoded = this.parts.protocol.decodeResponse(head);
@@ -179,7 +155,7 @@
         }
     }
 
-    private receiveData(attempt: Attempt, chunk: Buffer): void {
+    private receiveData(attempt: PlainAttempt, chunk: Buffer): void {
         attempt.bodyBytes += chunk.length;
         if (this.isFinished) {
             return;
@@ -198,7 +174,7 @@
      * Decides on a body that is too large to be kept. Without a stated length it may be endless, so that another target is
      * tried first. Otherwise it is passed on as it arrives.
      */
-    private receiveLargeBody(attempt: Attempt): void {
+    private receiveLargeBody(attempt: PlainAttempt): void {
         const { head, decoded } = attempt;
         if (head === undefined || decoded === undefined) {
             return;
@@ -221,7 +197,7 @@
         this.passOn(attempt, Buffer.concat(attempt.chunks.splice(0)));
     }
 
-    private passOn(attempt: Attempt, bytes: Buffer): void {
+    private passOn(attempt: PlainAttempt, bytes: Buffer): void {
         if (exceedsUnstatedLength(attempt.head, attempt.bodyBytes)) {
             attempt.exchange?.cancel();
             this.attemptFailed(attempt, "body-too-long");
@@ -230,7 +206,7 @@
         writePaced(this.context.response, bytes, attempt.exchange);
     }
 
-    private receiveEnd(attempt: Attempt): void {
+    private receiveEnd(attempt: PlainAttempt): void {
         const { head, decoded } = attempt;
         concludeObservation(attempt);
         if (this.isFinished) {
@@ -290,7 +266,7 @@
             && this.chooseTarget() !== undefined;
     }
 
-    private receiveFailure(attempt: Attempt, error: Error): void {
+    private receiveFailure(attempt: PlainAttempt, error: Error): void {
         this.recordConnectionFailure(attempt.target.id, attempt.sent, error);
         if (isLostConnection(error)) {
             attempt.observed.connectionLost();
@@ -298,7 +274,7 @@
         this.attemptFailed(attempt, error.message);
     }
 
-    private attemptFailed(attempt: Attempt, reason: string): void {
+    private attemptFailed(attempt: PlainAttempt, reason: string): void {
         attempt.observed.dropped();
         if (this.isFinished || this.attempt !== attempt) {
             return;
@@ -316,7 +292,7 @@
         this.sendOrGiveUp("not-run", REFUSED_RETRY_AFTER_MILLISECONDS);
     }
 
-    private logFailure(attempt: Attempt, reason: string): void {
+    private logFailure(attempt: PlainAttempt, reason: string): void {
         this.parts.log.emit("attemptFailed", {
             ...requestLogFields(this.context),
             target: attempt.target.id,
@@ -325,7 +301,7 @@
         });
     }
 
-    private release(attempt: Attempt): void {
+    private release(attempt: PlainAttempt): void {
         if (this.attempt === attempt) {
             this.attempt = undefined;
             this.parts.loadTracker.ended(attempt.target.id, 0, false);
@@ -358,12 +334,3 @@
         }, this.context.deadlineAt - this.parts.clock.monotonic()).unref();
     }
 }
-
-/** Concludes from the end of a response. One that says that the request has not run proves nothing. */
-function concludeObservation({ observed, decoded }: Attempt): void {
-    if (decoded === undefined || decoded.notRun) {
-        observed.dropped();
-        return;
-    }
-    observed.completed();
-}
