Find slow groups by the pauses of their streams, send them few requests, and name them

One daemon of 195 sends a group a request every 25 to 35 s, so that its own observations say nothing.

Change: a decision module sums observed over expected pauses as logarithms that fade; daemons report them with their loads, collectors state the slow targets. The weight in placing is divided by the third power of the slowness. Events 348 and 349, a gauge and GET /slow-targets name them. A daemon to which most targets look slow blames none of them.

Not built: plain targets, moving streams, forming groups anew.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,6 +44,7 @@
 export * from "./placement/targetlimits.js";
 export type * from "./placement/targetprocess.js";
 export * from "./placement/targetrests.js";
+export * from "./placement/targetspeeds.js";
 export * from "./quarantine/blame.js";
 export * from "./quarantine/quarantine.js";
 export { nextTrialAt } from "./quarantine/statements.js";
--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -14,6 +14,8 @@
     readonly suspected: boolean;
     /** Time until the head takes a request of this daemon, by the rate and the rest that it states, in milliseconds. */
     readonly waitMilliseconds: number;
+    /** How many times as long as expected its streams take, as daemons observed lately; 1 if nothing says so. */
+    readonly slowness: number;
 }
 
 /** Input of the placement of one request. */
@@ -32,9 +34,18 @@
     readonly random: () => number;
 }
 
-/** The chosen head with the expected time until the first event, or the reason for a refusal with the time to retry. */
+/** The chosen head with what is expected of it. */
+export interface PlacedRequest {
+    readonly kind: "placed";
+    readonly head: string;
+    readonly firstEventMilliseconds: number;
+    /** Time of a pass, which sends an event to each stream, if the group is not slow. */
+    readonly passMilliseconds: number;
+}
+
+/** The chosen head, or the reason for a refusal with the time to retry. */
 export type Placement =
-    | { readonly kind: "placed"; readonly head: string; readonly firstEventMilliseconds: number; }
+    | PlacedRequest
     | {
         readonly kind: "refused";
         readonly reason: "no-group" | "full" | "limited" | "too-late";
@@ -43,6 +54,8 @@
 
 /** Weight of a group in another data centre relative to one in this data centre. */
 const REMOTE_DATA_CENTRE_WEIGHT = 0.55;
+/** Exponent of the slowness in the weight: a slow group is full with its slow streams, and each more of them is late. */
+const SLOWNESS_EXPONENT = 3;
 /** Least number of free slots that a group counts with, so that every group that is not full can be chosen. */
 const MINIMUM_FREE_SLOTS = 0.5;
 /** Time to retry while lost groups are formed again, and the jitter added to it. */
@@ -54,7 +67,8 @@
 /**
  * Places a request at a group that can start it before the deadline. Groups are chosen at random in proportion to their
  * free slots: reports of other daemons' requests lag, and if all daemons chose the group that looks least loaded, they
- * would overload it until the next reports.
+ * would overload it until the next reports. A slow group gets few requests, which show when it recovers, and as many as
+ * before while no other one has a free slot.
  */
 export function placeRequest(input: PlacementInput): Placement {
     const { candidates, engine } = input;
@@ -74,17 +88,19 @@
         available.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
         input.random,
     );
-    const firstEventMilliseconds = estimateFirstEvent(input, chosen);
+    const passMilliseconds = decodeStepMilliseconds(engine, input.model, chosen.inProgress + 1) * engine.stepsPerPass;
+    const firstEventMilliseconds = estimateFirstEvent(input, chosen, passMilliseconds);
     return firstEventMilliseconds > input.remainingMilliseconds
         ? { kind: "refused", reason: "too-late", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) }
-        : { kind: "placed", head: chosen.head, firstEventMilliseconds };
+        : { kind: "placed", head: chosen.head, firstEventMilliseconds, passMilliseconds };
 }
 
 function weightOf(candidate: PlacementCandidate, { engine, dataCentre }: PlacementInput): number {
     const prefillSteps = candidate.pendingPromptTokens / engine.prefillTokensPerSecond * 1_000
         / engine.baseStepMilliseconds;
     const freeSlots = Math.max(MINIMUM_FREE_SLOTS, engine.slots - candidate.inProgress - prefillSteps);
-    return freeSlots * (candidate.dataCentre === dataCentre ? 1 : REMOTE_DATA_CENTRE_WEIGHT);
+    const dataCentreWeight = candidate.dataCentre === dataCentre ? 1 : REMOTE_DATA_CENTRE_WEIGHT;
+    return freeSlots * dataCentreWeight / candidate.slowness ** SLOWNESS_EXPONENT;
 }
 
 interface Weighted {
@@ -111,11 +127,13 @@
     return model.pace * (tokens / engine.prefillTokensPerSecond * 1_000 + attentionMilliseconds);
 }
 
-function estimateFirstEvent(input: PlacementInput, candidate: PlacementCandidate): number {
-    const { engine, model } = input;
-    const passMilliseconds = decodeStepMilliseconds(engine, model, candidate.inProgress + 1) * engine.stepsPerPass;
-    return prefillMilliseconds(engine, model, candidate.pendingPromptTokens + input.promptTokens)
-        + 2 * passMilliseconds;
+function estimateFirstEvent(
+    { engine, model, promptTokens }: PlacementInput,
+    candidate: PlacementCandidate,
+    passMilliseconds: number,
+): number {
+    const prefill = prefillMilliseconds(engine, model, candidate.pendingPromptTokens + promptTokens);
+    return candidate.slowness * (prefill + 2 * passMilliseconds);
 }
 
 /**
--- a/packages/core/src/placement/tests/fleetload.test.ts
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -105,6 +105,7 @@
             pendingPromptTokens: 0,
             suspected: false,
             waitMilliseconds: 0,
+            slowness: 1,
         })),
         dataCentre: "a",
         promptTokens: PROMPT_TOKENS,
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -28,6 +28,7 @@
     pendingPromptTokens: 0,
     suspected: false,
     waitMilliseconds: 0,
+    slowness: 1,
     ...fields,
 });
 const input = (candidates: readonly PlacementCandidate[], fields: Partial<PlacementInput> = {}): PlacementInput => ({
@@ -53,6 +54,21 @@
         input: input([candidate("x", { pendingPromptTokens: 50_000 }), candidate("y", { inProgress: 3 })]),
         expected: "y",
     },
+    {
+        guards: "choosing a slow group while another one has fewer free slots",
+        input: input([candidate("x", { slowness: 3 }), candidate("y", { inProgress: 12 })]),
+        expected: "y",
+    },
+    {
+        guards: "refusing while only a slow group has free slots",
+        input: input([candidate("x", { slowness: 3 }), candidate("y", { inProgress: 18 })]),
+        expected: "x",
+    },
+    {
+        guards: "sending a request to a slow group that cannot begin in time",
+        input: input([candidate("x", { slowness: 16 })], { remainingMilliseconds: 800 }),
+        expected: "too-late",
+    },
     {
         guards: "traffic between data centres for a small difference",
         input: input([candidate("x", { inProgress: 2 }), candidate("y", { dataCentre: "b" })]),
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -180,6 +180,13 @@
         "A connection that would hand over requests was refused, because its address belongs to no daemon.",
         "Find out who connects to the port for messages between daemons.",
     ),
+    targetSlow: define(
+        348,
+        "warn",
+        "The streams of a target take longer than its work should; it gets fewer requests.",
+        "Look at the host, and at the other members of its group, which is as slow as its slowest member.",
+    ),
+    targetNotSlow: define(349, "info", "The streams of a target no longer take longer than its work should."),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { configurationRangeSchema } from "./configurationmessage.js";
 import { quarantineSchema } from "./quarantinemessage.js";
+import { slowTargetsSchema, speedsSchema } from "./sharedspeeds.js";
 import { membershipSchema, targetRangeSchema } from "./targetpages.js";
 
 /** Largest payload of a UDP datagram. */
@@ -52,6 +53,8 @@
     startedAt: z.number(),
     sequence: z.number(),
     loads: loadsSchema,
+    /** What the daemon observed of the speed of targets. Absent in messages of daemons of earlier versions. */
+    speeds: speedsSchema.default([]),
 });
 
 const statementSchema = z.object({
@@ -64,6 +67,8 @@
     ageMilliseconds: z.number().nonnegative(),
     /** Daemons of all data centres with whether they take requests; absent in most messages. */
     roster: z.array(z.tuple([z.string(), z.boolean()])).optional(),
+    /** Absent in messages of daemons of earlier versions. */
+    slowTargets: slowTargetsSchema.default([]),
 });
 
 const dataCentreSchema = z.object({
@@ -73,6 +78,8 @@
     /** Sums over this data centre. */
     sums: loadsSchema,
     members: membersSchema,
+    /** What this data centre observed of its slow targets. Absent in messages of daemons of earlier versions. */
+    speeds: speedsSchema.default([]),
 });
 
 const eventSchema = z.object({
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -12,6 +12,7 @@
 import { encodeConfigurationRange } from "./configurationmessage.js";
 import {
     type CommonFields,
+    type DataCentreMessage,
     decodeExchangeMessage,
     decodeLoads,
     decodeMembers,
@@ -66,11 +67,7 @@
         this.handlers = {
             report: message => this.receiveReport(message),
             statement: message => this.receiveStatement(message),
-            dataCentre: ({ daemon, dataCentre, sums, members }) =>
-                this.collector.receiveStatement(
-                    { dataCentre, collector: daemon, sums: decodeLoads(sums), members },
-                    this.now(),
-                ),
+            dataCentre: message => this.receiveDataCentre(message),
             targets: ({ range }) => {
                 range.changes.forEach(({ key }) => this.targetPages.recordReceived(key));
                 parts.onTargets(range);
@@ -185,6 +182,7 @@
             startedAt,
             sequence,
             loads: encodeLoads(loads),
+            speeds: this.parts.speeds.report(),
         };
         if (collectors.includes(self.daemon)) {
             this.receiveReport(report);
@@ -224,6 +222,7 @@
             members: [...members],
             ageMilliseconds: this.collector.ageMilliseconds(now),
             roster: sendsRoster ? roster : undefined,
+            slowTargets: this.parts.speeds.state(),
         };
         this.receiveStatement(statement);
         this.send(statement, this.otherMembers());
@@ -253,6 +252,7 @@
             dataCentre: self.dataCentre,
             sums,
             members: [...members],
+            speeds: this.parts.speeds.reportToDataCentres(),
         }, receivers);
     }
 
@@ -320,13 +320,22 @@
         }
     }
 
-    private receiveReport({ daemon, startedAt, sequence, takesRequests, loads }: ReportMessage): void {
+    private receiveReport({ daemon, startedAt, sequence, takesRequests, loads, speeds }: ReportMessage): void {
         const report = { daemon, startedAt, sequence, loads: decodeLoads(loads) };
+        this.parts.speeds.receiveReport(daemon, speeds);
         this.collector.receiveReport(report, takesRequests, this.now());
     }
 
-    private receiveStatement({ daemon, sums, members, ageMilliseconds, roster }: StatementMessage): void {
-        const { statedLoads, daemons, self, onCollectorHeard, onUnknownDaemons } = this.parts;
+    private receiveDataCentre({ daemon, dataCentre, sums, members, speeds }: DataCentreMessage): void {
+        const statement = { dataCentre, collector: daemon, sums: decodeLoads(sums), members };
+        this.collector.receiveStatement(statement, this.now());
+        this.parts.speeds.receiveDataCentre(dataCentre, speeds);
+    }
+
+    private receiveStatement(message: StatementMessage): void {
+        const { daemon, sums, members, ageMilliseconds, roster, slowTargets } = message;
+        const { statedLoads, speeds, daemons, self, onCollectorHeard, onUnknownDaemons } = this.parts;
+        speeds.receiveStatement(slowTargets);
         const now = this.now();
         const included = decodeMembers(members);
         statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -10,6 +10,7 @@
 import type { HeadSuspicion } from "./exchangemessage.js";
 import type { KnowledgeParts } from "./knowledge.js";
 import type { Roster } from "./roster.js";
+import type { SharedSpeeds } from "./sharedspeeds.js";
 
 /** Collaborators of the exchange. */
 export interface LoadExchangeParts extends KnowledgeParts {
@@ -26,6 +27,8 @@
     readonly statedLoads: StatedLoads;
     /** Learns which daemons run. */
     readonly roster: Roster;
+    /** Shares what daemons observe of the speed of targets. */
+    readonly speeds: SharedSpeeds;
     /** Called when another daemon suspects the head of a group. */
     readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
     /** Called with registry changes that a collector read. */
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -28,6 +28,7 @@
 import type { LoadExchange } from "../loadexchangeparts.js";
 import { encodeQuarantine } from "../quarantinemessage.js";
 import { createRoster, type Roster } from "../roster.js";
+import { createSharedSpeeds, type SharedSpeeds } from "../sharedspeeds.js";
 
 const STARTED_AT = 7;
 const LEAVING_AGE_MILLISECONDS = 500;
@@ -51,6 +52,7 @@
     let loadTracker: LoadTracker;
     let statedLoads: StatedLoads;
     let roster: Roster;
+    let speeds: SharedSpeeds;
     let daemons: DaemonList;
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
@@ -95,8 +97,10 @@
         loadTracker = createLoadTracker();
         statedLoads = createStatedLoads({ daemon: SELF.daemon, startedAt: STARTED_AT });
         roster = createRoster();
+        const clock = { monotonic: () => performance.now(), wall: () => 0 };
+        speeds = createSharedSpeeds(clock, { emit: () => undefined });
         exchange = startLoadExchange({
-            clock: { monotonic: () => performance.now(), wall: () => 0 },
+            clock,
             log: { emit: (...[, fields]) => void malformed.push(fields) },
             self: SELF,
             daemons,
@@ -105,6 +109,7 @@
             loadTracker,
             statedLoads,
             roster,
+            speeds,
             onSuspicion: () => undefined,
             onTargets: range => void offered.push(range),
             onConfiguration: range => void offeredConfigurations.push(range),
@@ -222,6 +227,7 @@
         sequence,
         takesRequests: true,
         loads: [["t", inProgress, 50]],
+        speeds: [],
     });
     const sendReport = (sequence: number, inProgress: number): void => {
         const { port } = socket.address() as AddressInfo;
@@ -314,6 +320,7 @@
                 members: [],
                 ageMilliseconds: 0,
                 roster: [[named, true]],
+                slowTargets: [],
             };
             const { port } = socket.address() as AddressInfo;
             socket.send(encodeExchangeMessage(statement), port, SELF.ip);
--- a/packages/daemon/src/peers/tests/quarantinemessage.test.ts
+++ b/packages/daemon/src/peers/tests/quarantinemessage.test.ts
@@ -97,7 +97,7 @@
         );
         const encoded = encodeQuarantine(quarantine.report(70_000), 70_000);
         expect(encoded).to.not.equal(undefined);
-        const fields = { startedAt: 1, sequence: 1, loads, quarantine: encoded };
+        const fields = { startedAt: 1, sequence: 1, loads, speeds: [], quarantine: encoded };
         const largest: KnowledgeMessage = { ...message, ...fields, kind: "report" };
         expect(encodeExchangeMessage(largest).length).to.be.below(DATAGRAM_BYTES);
     });
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -21,6 +21,8 @@
     readonly restingTargets: () => number;
     /** Responses of targets with a statement that could not be read, since the start. */
     readonly unreadableStatements: () => number;
+    /** Targets whose streams take longer than their work should. */
+    readonly slowTargets: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
     /** Era of the platform's store, 0 while no answer has stated one. */
@@ -127,6 +129,7 @@
         ["damaskvale_limited_targets", "Targets that limit their request rate.", values.limitedTargets],
         ["damaskvale_resting_targets", "Targets that want no requests for a time.", values.restingTargets],
         ["damaskvale_unreadable_statements", "Responses with an unreadable statement.", values.unreadableStatements],
+        ["damaskvale_slow_targets", "Targets that are slower than their work should take.", values.slowTargets],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
         ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
         ["damaskvale_store_eras_ignored", "Answers of the store that state no valid era.", values.storeErasIgnored],
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -8,6 +8,7 @@
     SlidingMaximum,
 } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
+import type { SharedSpeeds } from "../peers/sharedspeeds.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
@@ -47,6 +48,7 @@
     readonly availability: TargetAvailability;
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
+    readonly speeds: SharedSpeeds;
     readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -14,6 +14,7 @@
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
 import { createRoster, type Roster } from "../peers/roster.js";
+import { createSharedSpeeds, type SharedSpeeds } from "../peers/sharedspeeds.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
@@ -50,6 +51,7 @@
     readonly availability: TargetAvailability;
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
+    readonly speeds: SharedSpeeds;
     readonly connections: TargetConnections;
 }
 
@@ -82,6 +84,7 @@
         limitedTargets: () => availability.limitedTargets(),
         restingTargets: () => availability.restingTargets(),
         unreadableStatements: () => availability.unreadableStatements(),
+        slowTargets: () => speeds.slowTargets().length,
         quarantinedParts: () => requestQuarantine.quarantined().length,
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
@@ -105,6 +108,7 @@
         isCutOff: () => reachability.isCutOff(),
     });
     const reachability = wireReachability(ports, state, metrics.log);
+    const speeds = createSharedSpeeds(systemClock, metrics.log);
     const shared: SharedParts = {
         ...daemonParts,
         settings,
@@ -119,6 +123,7 @@
         availability,
         requestQuarantine,
         reachability,
+        speeds,
         connections: createTargetConnections(TARGET_CONNECTIONS),
     };
     return { shared, metrics };
--- a/packages/daemon/src/relay/streamattempt.ts
+++ b/packages/daemon/src/relay/streamattempt.ts
@@ -3,6 +3,7 @@
 import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
 import type { ObservedAttempt } from "./crashobserver.js";
 import { createEventSplitter, type EventSplitter } from "./eventsplitter.js";
+import { createPauseMeter, type PauseMeter } from "./pausemeter.js";
 import type { TargetExchange } from "./targetconnections.js";
 
 /** One attempt at the head of a group. */
@@ -12,6 +13,7 @@
     readonly sentAt: number;
     readonly splitter: EventSplitter;
     readonly observed: ObservedAttempt;
+    readonly pauses: PauseMeter;
     exchange?: TargetExchange;
     /** Whether the target may have run the request; reset if the target states that it has not. */
     sent: boolean;
@@ -27,14 +29,25 @@
     isReleased: boolean;
 }
 
-/** Creates the state of an attempt that is sent at the monotonic time `sentAt`. */
-export function createStreamAttempt(target: Target, observed: ObservedAttempt, sentAt: number): StreamAttempt {
+/** When an attempt is sent, in monotonic milliseconds, and how long a pass of its group should take. */
+export interface AttemptTimes {
+    readonly sentAt: number;
+    readonly passMilliseconds: number;
+}
+
+/** Creates the state of an attempt. */
+export function createStreamAttempt(
+    target: Target,
+    observed: ObservedAttempt,
+    { sentAt, passMilliseconds }: AttemptTimes,
+): StreamAttempt {
     return {
         head: target.id,
         target,
         sentAt,
         splitter: createEventSplitter(),
         observed,
+        pauses: createPauseMeter(passMilliseconds),
         sent: false,
         written: false,
         started: false,
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -74,7 +74,7 @@
 
 function toPlacementCandidate(
     group: EngineGroup,
-    { loadTracker, peerLoadOf: loadOfOthers, availability }: RelayParts,
+    { loadTracker, peerLoadOf: loadOfOthers, availability, speeds }: RelayParts,
 ): PlacementCandidate {
     const head = group.head?.id ?? "";
     const load = loadTracker.get(head);
@@ -86,5 +86,6 @@
         pendingPromptTokens: (load?.pendingPromptTokens ?? 0) + peerLoad.pendingPromptTokens,
         suspected: load?.suspectedAt !== undefined,
         waitMilliseconds: group.head === undefined ? 0 : availability.waitMilliseconds(group.head),
+        slowness: speeds.slownessOf(head),
     };
 }
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,4 +1,5 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
+import type { PlacedRequest } from "@damaskvale/core";
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import type { StreamEvent } from "./eventsplitter.js";
 import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
@@ -35,6 +36,7 @@
         this.lastEventId = context.request.lastEventId;
         context.response.on("drain", () => {
             this.attempt?.observed.paused();
+            this.attempt?.pauses.interrupt();
             this.attempt?.exchange?.resume();
         });
     }
@@ -68,7 +70,7 @@
                 to: placement.head,
                 lastEventId: this.lastEventId,
             });
-            this.send(placement.head);
+            this.send(placement);
         }
     }
 
@@ -106,10 +108,10 @@
             this.giveUp("budget", refusedRetryMilliseconds(this.context, this.parts));
             return;
         }
-        this.send(placement.head);
+        this.send(placement);
     }
 
-    private send(headId: string): void {
+    private send({ head: headId, passMilliseconds }: PlacedRequest): void {
         const { context, parts } = this;
         const target = parts.state.targetById(headId);
         if (target === undefined) {
@@ -118,7 +120,7 @@
         }
         const now = parts.clock.monotonic();
         const observed = parts.requestQuarantine.observe(target, context.subjects);
-        const attempt = createStreamAttempt(target, observed, now);
+        const attempt = createStreamAttempt(target, observed, { sentAt: now, passMilliseconds });
         this.attempt = attempt;
         this.tried.push(headId);
         this.sends += 1;
@@ -207,8 +209,9 @@
             this.abandon(attempt, "not-an-event");
             return;
         }
-        if (events.some(({ hasContent }) => hasContent)) {
-            this.recordProgress(attempt, now);
+        const withContent = events.filter(({ hasContent }) => hasContent).length;
+        if (withContent > 0) {
+            this.recordProgress(attempt, withContent, now);
         }
         const inOrder = events.every(event => this.deliver(attempt, event));
         if (!inOrder) {
@@ -230,7 +233,7 @@
         writePaced(this.context.response, chunk, attempt.exchange);
     }
 
-    private recordProgress(attempt: StreamAttempt, now: number): void {
+    private recordProgress(attempt: StreamAttempt, events: number, now: number): void {
         const { context, parts } = this;
         if (!attempt.started) {
             attempt.started = true;
@@ -239,6 +242,10 @@
         }
         parts.loadTracker.progressed(attempt.head, now);
         attempt.observed.progressed();
+        const slowness = attempt.pauses.record(events, now);
+        if (slowness !== undefined) {
+            parts.speeds.record(attempt.head, slowness);
+        }
     }
 
     /** Sends an event to the caller unless it has it already. Returns false if an earlier event is missing. */
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -14,6 +14,7 @@
 } from "@damaskvale/core";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import { createSharedSpeeds } from "../../peers/sharedspeeds.js";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
@@ -256,6 +257,7 @@
             availability,
             requestQuarantine,
             reachability: options.reachability ?? reachesTargets,
+            speeds: createSharedSpeeds(clock, log),
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -32,6 +32,7 @@
             limitedTargets: () => 0,
             restingTargets: () => 0,
             unreadableStatements: () => 0,
+            slowTargets: () => 0,
             quarantinedParts: () => 1,
             storeEra: () => 0,
             storeErasIgnored: () => 0,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -13,6 +13,7 @@
 import { createQuarantineHandler } from "./quarantinehandler.js";
 import { createRelay, type Relay } from "./relay.js";
 import { CONNECT_TIMEOUT_MILLISECONDS, createSharedParts, presenceOf, type SharedParts } from "./sharedparts.js";
+import { createSlowTargetsHandler } from "./slowtargetshandler.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./state.js";
@@ -55,7 +56,14 @@
         },
     });
     if (settings.metricsListen !== undefined) {
-        await metrics.serve(settings.metricsListen, createQuarantineHandler(shared.requestQuarantine));
+        const handlers = [
+            createQuarantineHandler(shared.requestQuarantine),
+            createSlowTargetsHandler(shared.speeds, shared.state),
+        ];
+        await metrics.serve(
+            settings.metricsListen,
+            (request, response) => handlers.some(handle => handle(request, response)),
+        );
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
     logStoreEra(ports.storeEra, log);
@@ -85,6 +93,7 @@
         availability: shared.availability,
         requestQuarantine: shared.requestQuarantine,
         reachability: shared.reachability,
+        speeds: shared.speeds,
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
         dataCentre: settings.dataCentre,
@@ -201,6 +210,7 @@
         loadTracker,
         statedLoads,
         roster,
+        speeds: shared.speeds,
         onMembership: reported => state.applyMembership(reported),
         onTargets: followers.offerTargets,
         onConfiguration: followers.offerConfiguration,
