--- a/packages/core/src/membership/tests/candidates.test.ts
+++ b/packages/core/src/membership/tests/candidates.test.ts
@@ -11,8 +11,8 @@
     const sizes: readonly { readonly daemons: number; readonly candidates: number; }[] = [
         { daemons: 1, candidates: 1 },
         { daemons: 9, candidates: 9 },
-        { daemons: 195, candidates: 24 },
-        { daemons: 410, candidates: 24 },
+        { daemons: 195, candidates: 16 },
+        { daemons: 410, candidates: 16 },
     ];
     sizes.forEach(({ daemons, candidates }) =>
         it(`are ${candidates} of ${daemons} daemons`, () => {
@@ -25,7 +25,7 @@
         const before = candidatesOf(daemons);
         const lost = before.slice(0, 10);
         const after = candidatesOf(daemons.filter(daemon => !lost.includes(daemon)));
-        expect(after).to.have.length(24).and.include.members(before.slice(10));
+        expect(after).to.have.length(16).and.include.members(before.slice(10));
     });
 
     it("are all daemons that hear of no others, which may be cut off from these alone", () => {
--- a/packages/daemon/src/relay/tests/partitioncandidate.test.ts
+++ b/packages/daemon/src/relay/tests/partitioncandidate.test.ts
@@ -10,8 +10,8 @@
     readonly candidates: number;
 }[] = [
     { daemons: 195, afterMilliseconds: 100, running: 0, candidates: 0 },
-    { daemons: 195, afterMilliseconds: 600, running: 0, candidates: 24 },
-    { daemons: 195, afterMilliseconds: 600, running: 100, candidates: 24 },
+    { daemons: 195, afterMilliseconds: 600, running: 0, candidates: 16 },
+    { daemons: 195, afterMilliseconds: 600, running: 100, candidates: 16 },
     { daemons: 8, afterMilliseconds: 600, running: 0, candidates: 8 },
     { daemons: 1, afterMilliseconds: 600, running: 0, candidates: 1 },
 ];
