Ask a suspected host less often once it has answered

A host that does not answer is asked as often as before.

Test: 11 reports in 4 s without answers, some 4 with; 11 before.

--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -38,6 +38,10 @@
     missedReports: number;
     reportRequestedAt: number;
     suspectedUntil: number;
+    /** When the last report arrived. */
+    reportedAt: number;
+    /** When the suspicion began that lasts until `suspectedUntil`. */
+    suspectedAt: number;
     /** Time since which the host has responded to all report requests although it is not registered. */
     unregisteredSince?: number;
 }
@@ -52,6 +56,8 @@
 const UNREACHABLE_MISSED_REPORTS = 2;
 /** Longer than the timeout of a report request, so that only one request is in flight. */
 const REPORT_INTERVAL_MILLISECONDS = 350;
+/** The same for a suspected host that has answered since: it is asked only in case it is lost later. */
+const ANSWERED_REPORT_INTERVAL_MILLISECONDS = 1_200;
 /** Interval of the report requests that check whether a host with a lapsed entry still runs. */
 const LAPSED_REPORT_INTERVAL_MILLISECONDS = 600;
 /** Entries that lapsed during a network partition or store outage return within about two seconds of its end. */
@@ -103,11 +109,14 @@
         if (!target.registered) {
             return now - record.reportRequestedAt > LAPSED_REPORT_INTERVAL_MILLISECONDS;
         }
-        const due = now - record.reportRequestedAt > REPORT_INTERVAL_MILLISECONDS
+        const sinceRequest = now - record.reportRequestedAt;
+        const due = sinceRequest > REPORT_INTERVAL_MILLISECONDS
             && now - record.orderResultAt > MAXIMUM_REPORT_AGE_MILLISECONDS;
         const effectMissing = record.effectDueAt > 0 && now >= record.effectDueAt;
-        const isDoubtful = now < record.suspectedUntil || record.missedReports > 0;
-        return due && (effectMissing || isDoubtful || record.sequence === undefined);
+        const hasAnswered = record.reportedAt > record.suspectedAt;
+        const isDoubted = now < record.suspectedUntil
+            && (!hasAnswered || sinceRequest > ANSWERED_REPORT_INTERVAL_MILLISECONDS);
+        return due && (effectMissing || isDoubted || record.missedReports > 0 || record.sequence === undefined);
     }
 
     recordOrderSent(target: Target, now: number): void {
@@ -154,6 +163,7 @@
         }
         record.unregisteredSince = target.registered ? undefined : record.unregisteredSince ?? now;
         record.missedReports = 0;
+        record.reportedAt = now;
         record.sequence = report.orderSequence;
         record.acceptedOrders = report.orderSequence;
         if (now < record.effectDueAt && sameMembership(record, report)) {
@@ -168,7 +178,11 @@
     }
 
     recordSuspicion(target: Target, now: number): void {
-        this.recordOf(target, now).suspectedUntil = now + SUSPICION_MILLISECONDS;
+        const record = this.recordOf(target, now);
+        if (now >= record.suspectedUntil) {
+            record.suspectedAt = now;
+        }
+        record.suspectedUntil = now + SUSPICION_MILLISECONDS;
     }
 
     retain(ids: ReadonlySet<string>): void {
@@ -197,6 +211,8 @@
             missedReports: known?.missedReports ?? 0,
             reportRequestedAt: known?.reportRequestedAt ?? Number.NEGATIVE_INFINITY,
             suspectedUntil: known?.suspectedUntil ?? 0,
+            reportedAt: known?.reportedAt ?? Number.NEGATIVE_INFINITY,
+            suspectedAt: known?.suspectedAt ?? Number.NEGATIVE_INFINITY,
             unregisteredSince: target.registered ? undefined : known?.unregisteredSince,
         };
         this.records.set(target.id, record);
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -71,6 +71,28 @@
         })
     );
 
+    const suspected: readonly { readonly name: string; readonly answers: boolean; readonly requests: number; }[] = [
+        { name: "several times a second until it answers", answers: false, requests: 11 },
+        { name: "about once a second after it has answered", answers: true, requests: 4 },
+    ];
+    suspected.forEach(({ name, answers, requests }) =>
+        it(`request reports of a suspected host ${name}`, () => {
+            const records = createHostRecords();
+            records.recordReport(target, report, 0);
+            records.recordSuspicion(target, 1_000);
+            const times = Array.from({ length: 400 }, (...[, index]) => 1_000 + index * 10);
+            const asked = times.filter(now => {
+                const isAsked = records.needsReport(target, now);
+                if (isAsked) {
+                    records.recordReportRequested(target, now);
+                    records.recordReport(target, answers ? report : undefined, now);
+                }
+                return isAsked;
+            });
+            expect(asked.length).to.be.within(requests - 1, requests + 1);
+        })
+    );
+
     it("do not open a group twice when an entry arrives that does not show the first order yet", () => {
         const records = createHostRecords();
         records.recordReport(target, report, 0);
