Check for stalled heads when one may have stalled, and write log lines every 400 ms

Cause: a daemon with requests in progress woke ten times a second to compare times that could not have run out, and five times to write lines, which wakes another thread as well. Some 40 of its 130 wake-ups a second are not those of events and messages. The next check is due when the first head may have stalled, at least 100 and at most 400 ms later; the tests of the detector are unchanged.

A process that is killed loses the lines of 400 ms in place of 200.

--- a/packages/daemon/src/adapters/boundedoutput.ts
+++ b/packages/daemon/src/adapters/boundedoutput.ts
@@ -12,7 +12,7 @@
 /** Lines that would exceed this many pending bytes are dropped. */
 const MAXIMUM_PENDING_BYTES = 1_048_576;
 /** Lines are collected for this long, so that one write carries many of them. */
-export const COLLECT_MILLISECONDS = 200;
+export const COLLECT_MILLISECONDS = 400;
 
 /** Writes all or part of a block and reports the bytes written. `node:fs` writes off the main thread, even to a pipe. */
 export type BlockWriter = (
--- a/packages/daemon/src/relay/stalldetector.ts
+++ b/packages/daemon/src/relay/stalldetector.ts
@@ -16,9 +16,10 @@
     readonly report: (head: string) => void;
 }
 
+/** Least time between two checks, also while a head is suspected, which may go on at any time. */
 const CHECK_INTERVAL_MILLISECONDS = 100;
-/** While no request is in progress; a request that is sent meanwhile cannot have stalled before the next check. */
-const IDLE_CHECK_INTERVAL_MILLISECONDS = 300;
+/** Longest time between two checks: a request that is sent meanwhile cannot have stalled before the next one. */
+const LONGEST_INTERVAL_MILLISECONDS = 400;
 /** One pass of a full batch that reads a prompt in each step takes about 300 ms. */
 const STALL_MILLISECONDS = 500;
 /** Before its first event, a request also waits for earlier prompts and for a new connection. */
@@ -37,11 +38,10 @@
 export function startStallDetector(parts: StallDetectorParts): StallDetector {
     let timer: NodeJS.Timeout;
     const schedule = (): void => {
-        const isIdle = parts.loadTracker.targets().length === 0;
         timer = setTimeout(() => {
-            schedule();
             check(parts);
-        }, isIdle ? IDLE_CHECK_INTERVAL_MILLISECONDS : CHECK_INTERVAL_MILLISECONDS);
+            schedule();
+        }, nextCheckMilliseconds(parts));
     };
     schedule();
     return {
@@ -59,6 +59,21 @@
     }
 }
 
+/** Returns the time until the first head may have stalled, within the bounds of the interval. */
+function nextCheckMilliseconds({ clock, loadTracker }: StallDetectorParts): number {
+    const now = clock.monotonic();
+    const dueTimes = loadTracker.targets().flatMap(target => loadTracker.get(target) ?? []).map(load =>
+        load.suspectedAt === undefined ? load.lastProgressAt + stallMilliseconds(load) - now : 0
+    );
+    const first = Math.min(LONGEST_INTERVAL_MILLISECONDS, ...dueTimes);
+    return Math.max(CHECK_INTERVAL_MILLISECONDS, first);
+}
+
+/** Returns the time without progress after which a head counts as stalled. */
+function stallMilliseconds({ awaitingFirstEvent, inProgress }: TargetLoad): number {
+    return awaitingFirstEvent < inProgress ? STALL_MILLISECONDS : FIRST_EVENT_STALL_MILLISECONDS;
+}
+
 function check({ clock, log, loadTracker, groupOf, moveStreams, report }: StallDetectorParts): void {
     const now = clock.monotonic();
     loadTracker.targets().forEach(target => {
@@ -72,8 +87,7 @@
             }
             return;
         }
-        const limit = load.awaitingFirstEvent < load.inProgress ? STALL_MILLISECONDS : FIRST_EVENT_STALL_MILLISECONDS;
-        if (load.inProgress > 0 && now - load.lastProgressAt > limit && load.streams) {
+        if (load.inProgress > 0 && now - load.lastProgressAt > stallMilliseconds(load) && load.streams) {
             loadTracker.suspect(target, now, groupOf(target));
             log.emit("targetStalled", {
                 target,
