Prefer groups to whose heads a connection is idle

Cause: with 125 groups, a daemon of 195 sends a head a request every half minute and keeps a connection for 4 s, so that nearly each stream opens one: some 18,000 of 30,721 new connections for 21,598 requests (the rest are reports and orders). Each costs the daemon and the target a socket and the caller a round trip.

Change: such a group weighs six times as much. Each daemon thereby uses some of the groups, others than the next one; free slots still decide between them.

--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -16,6 +16,8 @@
     readonly waitMilliseconds: number;
     /** How many times as long as expected its streams take, as daemons observed lately; 1 if nothing says so. */
     readonly slowness: number;
+    /** Whether this daemon has an idle connection to the head. */
+    readonly isConnected: boolean;
 }
 
 /** Input of the placement of one request. */
@@ -54,6 +56,11 @@
 
 /** Weight of a group in another data centre relative to one in this data centre. */
 const REMOTE_DATA_CENTRE_WEIGHT = 0.55;
+/**
+ * Weight of a group to whose head a connection is idle, relative to one that needs a new connection. Each daemon of a large
+ * fleet thereby uses some of the groups, others than the next daemon, and opens fewer connections.
+ */
+const CONNECTED_WEIGHT = 6;
 /** Exponent of the slowness in the weight: a slow group is full with its slow streams, and each more of them is late. */
 const SLOWNESS_EXPONENT = 3;
 /** Least number of free slots that a group counts with, so that every group that is not full can be chosen. */
@@ -100,7 +107,8 @@
         / engine.baseStepMilliseconds;
     const freeSlots = Math.max(MINIMUM_FREE_SLOTS, engine.slots - candidate.inProgress - prefillSteps);
     const dataCentreWeight = candidate.dataCentre === dataCentre ? 1 : REMOTE_DATA_CENTRE_WEIGHT;
-    return freeSlots * dataCentreWeight / candidate.slowness ** SLOWNESS_EXPONENT;
+    const connectionWeight = candidate.isConnected ? CONNECTED_WEIGHT : 1;
+    return freeSlots * dataCentreWeight * connectionWeight / candidate.slowness ** SLOWNESS_EXPONENT;
 }
 
 interface Weighted {
--- a/packages/core/src/placement/tests/fleetload.test.ts
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -106,6 +106,7 @@
             suspected: false,
             waitMilliseconds: 0,
             slowness: 1,
+            isConnected: false,
         })),
         dataCentre: "a",
         promptTokens: PROMPT_TOKENS,
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -29,6 +29,7 @@
     suspected: false,
     waitMilliseconds: 0,
     slowness: 1,
+    isConnected: false,
     ...fields,
 });
 const input = (candidates: readonly PlacementCandidate[], fields: Partial<PlacementInput> = {}): PlacementInput => ({
@@ -54,6 +55,16 @@
         input: input([candidate("x", { pendingPromptTokens: 50_000 }), candidate("y", { inProgress: 3 })]),
         expected: "y",
     },
+    {
+        guards: "a new connection where one is idle",
+        input: input([candidate("x"), candidate("y", { isConnected: true, inProgress: 3 })]),
+        expected: "y",
+    },
+    {
+        guards: "sending a request to a nearly full group because of its idle connection",
+        input: input([candidate("x"), candidate("y", { isConnected: true, inProgress: 17 })]),
+        expected: "x",
+    },
     {
         guards: "choosing a slow group while another one has fewer free slots",
         input: input([candidate("x", { slowness: 3 }), candidate("y", { inProgress: 12 })]),
--- a/packages/core/src/placement/tests/slowgroups.test.ts
+++ b/packages/core/src/placement/tests/slowgroups.test.ts
@@ -111,6 +111,7 @@
                 suspected: false,
                 waitMilliseconds: 0,
                 slowness: slowness.get(String(group)) ?? 1,
+                isConnected: false,
             })),
             dataCentre: "a",
             promptTokens: engine.meanPromptTokens,
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -74,7 +74,7 @@
 
 function toPlacementCandidate(
     group: EngineGroup,
-    { loadTracker, peerLoadOf: loadOfOthers, availability, speeds }: RelayParts,
+    { loadTracker, peerLoadOf: loadOfOthers, availability, speeds, connections }: RelayParts,
 ): PlacementCandidate {
     const head = group.head?.id ?? "";
     const load = loadTracker.get(head);
@@ -87,5 +87,6 @@
         suspected: load?.suspectedAt !== undefined,
         waitMilliseconds: group.head === undefined ? 0 : availability.waitMilliseconds(group.head),
         slowness: speeds.slownessOf(head),
+        isConnected: group.head !== undefined && connections.isConnected(group.head.address),
     };
 }
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -47,6 +47,8 @@
     send(address: string, request: TargetRequest, receiver: ResponseReceiver): TargetExchange;
     /** Closes the idle connections to an address; requests in progress continue. */
     renew(address: string): void;
+    /** Whether a connection to an address is idle, so that a request can be sent on it. */
+    isConnected(address: string): boolean;
 }
 
 /** Returns whether nothing listens at the address, as opposed to a connection that timed out or was reset. */
@@ -88,6 +90,11 @@
         timeout: IDLE_TIMEOUT_MILLISECONDS,
     });
     const pace = createReadPace();
+    const idleSockets = (address: string): readonly Socket[] => {
+        const [host = "", port = ""] = address.split(":");
+        const name = keepAliveAgent.getName({ host, port: Number(port), localAddress: options.localAddress });
+        return keepAliveAgent.freeSockets[name] ?? [];
+    };
     return {
         send: (address, request, receiver) => {
             const [host = "", port = ""] = address.split(":");
@@ -104,11 +111,8 @@
             message.end(request.body.length === 0 ? undefined : request.body);
             return exchange;
         },
-        renew: address => {
-            const [host = "", port = ""] = address.split(":");
-            const name = keepAliveAgent.getName({ host, port: Number(port), localAddress: options.localAddress });
-            keepAliveAgent.freeSockets[name]?.forEach(socket => socket.destroy());
-        },
+        renew: address => idleSockets(address).forEach(socket => socket.destroy()),
+        isConnected: address => idleSockets(address).length > 0,
     };
 }
 
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -252,6 +252,7 @@
                     };
                 },
                 renew: () => undefined,
+                isConnected: () => false,
             },
             loadTracker,
             availability,
--- a/packages/daemon/src/relay/tests/hangingconnection.test.ts
+++ b/packages/daemon/src/relay/tests/hangingconnection.test.ts
@@ -76,4 +76,22 @@
         connections.renew(address);
         await closed;
     });
+
+    it("counts as idle after a request and until its address is renewed, but not while a request waits", async () => {
+        await send();
+        await wait(20);
+        const states = [connections.isConnected(address)];
+        answers = false;
+        const exchange = connections.send(address, REQUEST, ignore);
+        await wait(20);
+        states.push(connections.isConnected(address));
+        exchange.cancel();
+        answers = true;
+        await send();
+        await wait(20);
+        connections.renew(address);
+        await wait(20);
+        states.push(connections.isConnected(address));
+        expect(states).to.deep.equal([true, false, false]);
+    });
 });
--- a/packages/daemon/src/relay/tests/socketfixture.ts
+++ b/packages/daemon/src/relay/tests/socketfixture.ts
@@ -74,6 +74,7 @@
         connections: {
             send: (address, ...rest) => connections.send(addresses.get(address) ?? "", ...rest),
             renew: address => connections.renew(addresses.get(address) ?? ""),
+            isConnected: address => connections.isConnected(addresses.get(address) ?? ""),
         } satisfies RelayFixture["parts"]["connections"],
     };
     const server = createServer((...[, response]) => {
