Compute the groups that serve from heads alone, and the planner's view of a fleet once until it changes

Cause: each change of a target made the next request collect all 875 hosts of the large site into groups, although placing needs heads only; the batches of the registry and events of memberships come several times a second.

Change: serving groups are collected from serving heads; the unused index of all groups is gone. Hosts by domain, complete groups and partitions are computed when the registry has changed. Rounds follow orders and reports after 20 ms in place of 5. A host that is forgotten during a round counts until the next one.

--- a/packages/core/src/engines/groups.ts
+++ b/packages/core/src/engines/groups.ts
@@ -37,7 +37,7 @@
         if (target.membership === undefined) {
             return;
         }
-        const identity = `${target.membership.group}${NAME_SEPARATOR}${target.membership.epoch}`;
+        const identity = identityOf(target);
         const members = byIdentity.get(identity);
         if (members === undefined) {
             byIdentity.set(identity, [target]);
@@ -87,13 +87,31 @@
     return target.membership?.rank ?? Number.MAX_SAFE_INTEGER;
 }
 
+/** A group that accepts requests, as its head reports it. */
+export interface ServingGroup {
+    /** Model that the group runs; absent if neither the group's name nor its head states it. */
+    readonly model?: string;
+    readonly head: Target;
+}
+
 /**
- * Returns whether requests may be sent to the head of a group. Only complete groups are opened; a group that loses a
- * member later is detected because it makes no progress.
+ * Returns the groups to whose heads requests may be sent. Only heads are looked at: only complete groups are opened, and a
+ * group that loses a member later is detected because it makes no progress.
  */
-export function isServing(group: EngineGroup): boolean {
-    const { head } = group;
-    return head !== undefined && head.membership?.state === "open" && head.registered && !head.draining;
+export function collectServingGroups(targets: readonly Target[], models: readonly ModelProfile[]): ServingGroup[] {
+    const heads = targets.filter(({ membership, registered, draining }) =>
+        membership?.state === "open" && membership.rank === 0 && registered && !draining
+    );
+    // Two hosts can report to be the same head when one has taken over the address of a lost one.
+    const byIdentity = new Map(heads.toReversed().map(head => [identityOf(head), head]));
+    return [...byIdentity.values()].toReversed().map(head => {
+        const named = modelInName(head.membership?.group ?? "");
+        return { model: models.some(({ name }) => name === named) ? named : head.model, head };
+    });
+}
+
+function identityOf({ membership }: Target): string {
+    return `${membership?.group}${NAME_SEPARATOR}${membership?.epoch}`;
 }
 
 /** Counts the complete groups of each model. */
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -13,14 +13,14 @@
     type Service,
     type Target,
 } from "@damaskvale/core";
-import { createHash } from "node:crypto";
 import type { Clock } from "../ports/clock.js";
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PartitionAssignment } from "../ports/registry.js";
 import type { RelayState, ReportedMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
-import { countGroups, domainsOf, fleetKey, roundDemand } from "./fleet.js";
+import { fleetKey, isNetworkPartitioned, roundDemand } from "./fleet.js";
+import { createFleetViews, type FleetViews } from "./fleetviews.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
 import { createReassignments, type Reassignments } from "./reassignments.js";
@@ -57,7 +57,7 @@
 /** Groups may be chosen whose loads cannot all start now, as long as the rate allows them within this time. */
 const LOAD_HORIZON_SECONDS = 10;
 /** Debounce time, so that orders that finish together trigger one round. */
-const ROUND_DELAY_MILLISECONDS = 5;
+const ROUND_DELAY_MILLISECONDS = 20;
 
 /** Starts the planner. */
 export function startEnginePlanner(parts: EnginePlannerParts): EnginePlanner {
@@ -66,6 +66,18 @@
     return planner;
 }
 
+/** A domain for which this daemon plans in a round. */
+interface OwnDomain {
+    readonly domain: string;
+    readonly service: Service;
+    readonly engine: EngineProfile;
+    readonly targets: readonly Target[];
+    /** Complete groups of the service in all domains, when the round began. */
+    readonly groupsByModel: ReadonlyMap<string, number>;
+    readonly assignment: PartitionAssignment;
+    readonly reassignment: GrantedReassignment | undefined;
+}
+
 class EnginePlannerTask implements EnginePlanner {
     /** Planners by service and domain, since hosts of several services may share a domain. */
     private readonly planners = new Map<string, DomainPlanner>();
@@ -76,6 +88,7 @@
     /** Last logged choice of groups, by service and domain. */
     private readonly loggedChoices = new Map<string, string>();
     private readonly reassignments: Reassignments;
+    private readonly views: FleetViews;
     private highestEpoch = 0;
     private readonly servingNotice: ServingNotice;
     private scheduled = false;
@@ -86,6 +99,7 @@
         const describe = (target: Target): EngineHost => this.records.describe(target, parts.clock.monotonic());
         this.reassignments = createReassignments({ ...parts, describe });
         this.servingNotice = createServingNotice(parts.onMembership);
+        this.views = createFleetViews(parts.state, parts.partitionCount);
     }
 
     start(): void {
@@ -119,22 +133,30 @@
             return;
         }
         this.records.retain(new Set(state.targets().map(target => target.id)));
-        const owned = this.engineServices().map(({ service, engine }) => ({
-            service,
-            engine,
-            domains: this.ownDomainsOf(service, assignment),
-        }));
-        owned.forEach(({ service, engine, domains }) => {
-            const reassignments = this.reassignments.update(service, engine, domains);
-            domains.forEach(domain => this.planDomain(domain, service, engine, assignment, reassignments.get(domain)));
-        });
-        this.servingNotice.announce(
-            owned.flatMap(({ service, domains }) =>
-                state.targets().filter(target =>
-                    target.service === service.name && target.domain !== undefined && domains.includes(target.domain)
-                )
-            ),
+        const hosts = this.engineServices().flatMap(({ service, engine }) =>
+            this.planService(service, engine, assignment)
         );
+        this.servingNotice.announce(hosts);
+    }
+
+    /** Plans the own domains of a service; returns their hosts as they are known afterwards. */
+    private planService(service: Service, engine: EngineProfile, assignment: PartitionAssignment): readonly Target[] {
+        const view = this.views.viewOf(service.name);
+        const domains = this.views.domainsOf(view, assignment.partitions);
+        const reassignments = this.reassignments.update(service, engine, domains, view);
+        domains.forEach(domain =>
+            this.planDomain({
+                domain,
+                service,
+                engine,
+                targets: view.hostsByDomain.get(domain) ?? [],
+                groupsByModel: view.groupsByModel,
+                assignment,
+                reassignment: reassignments.get(domain),
+            })
+        );
+        const { hostsByDomain } = this.views.viewOf(service.name);
+        return domains.flatMap(domain => hostsByDomain.get(domain) ?? []);
     }
 
     private engineServices(): { readonly service: Service; readonly engine: EngineProfile; }[] {
@@ -143,21 +165,11 @@
         );
     }
 
-    private ownDomainsOf({ name }: Service, { partitions }: PartitionAssignment): string[] {
-        const { state, partitionCount } = this.parts;
-        return domainsOf(state, name).filter(domain => partitions.includes(partitionOf(domain, partitionCount)));
-    }
-
     private planDomain(
-        domain: string,
-        service: Service,
-        engine: EngineProfile,
-        assignment: PartitionAssignment,
-        reassignment: GrantedReassignment | undefined,
+        { domain, service, engine, targets, groupsByModel, assignment, reassignment }: OwnDomain,
     ): void {
         const { clock, state, partitionCount, demandOf } = this.parts;
         const now = clock.monotonic();
-        const targets = state.targets().filter(target => target.service === service.name && target.domain === domain);
         targets.filter(target => this.records.needsReport(target, now)).forEach(target =>
             this.run(this.requestReport(target))
         );
@@ -171,7 +183,7 @@
             domain,
             hosts,
             models: engine.models,
-            groupsByModel: countGroups(state, service.name),
+            groupsByModel,
             demandByModel: demandOf(service.name).demandByModel(engine.models, now),
             reassignment,
             ...this.allowedLoads(loadsPerSecond, now),
@@ -335,16 +347,6 @@
     }
 }
 
-/** Returns whether most hosts are unreachable, so that this daemon is probably partitioned from a working domain. */
-function isNetworkPartitioned(hosts: readonly EngineHost[]): boolean {
-    return hosts.filter(host => host.unreachable).length * 2 > hosts.length;
-}
-
 function membershipDiffers(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
     return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
 }
-
-/** Returns the partition of a domain, which is the same on every daemon. */
-function partitionOf(domain: string, partitionCount: number): number {
-    return createHash("sha256").update(domain).digest().readUInt32BE(0) % partitionCount;
-}
--- a/packages/daemon/src/engines/fleet.ts
+++ b/packages/daemon/src/engines/fleet.ts
@@ -1,23 +1,10 @@
-/** Domains and groups of the hosts of a service, as the registry shows them. */
-import { collectGroups, countCompleteGroups } from "@damaskvale/core";
-import type { RelayState } from "../relay/state.js";
+/** Keys, partitions and figures of the fleets for which this daemon plans. */
+import type { EngineHost } from "@damaskvale/core";
+import { createHash } from "node:crypto";
 
 /** Significant digits of demands in the log. */
 const DEMAND_DIGITS = 3;
 
-/** Returns the fabric domains of the hosts of a service. */
-export function domainsOf(state: RelayState, service: string): string[] {
-    const domains = state.targets().filter(target => target.service === service).map(target => target.domain);
-    return [...new Set(domains)].filter(domain => domain !== undefined);
-}
-
-/** Counts the complete groups of each model of a service in all domains. */
-export function countGroups(state: RelayState, service: string): Map<string, number> {
-    const engine = state.lookup()?.findService(service)?.engine;
-    const targets = state.targets().filter(target => target.service === service);
-    return countCompleteGroups(collectGroups(targets, engine?.models ?? []));
-}
-
 /** Returns the key of the hosts of a service in one domain. */
 export function fleetKey(service: string, domain: string): string {
     return JSON.stringify([service, domain]);
@@ -27,3 +14,13 @@
 export function roundDemand(demand: number): number {
     return Number(demand.toPrecision(DEMAND_DIGITS));
 }
+
+/** Returns whether most hosts are unreachable, so that this daemon is probably partitioned from a working domain. */
+export function isNetworkPartitioned(hosts: readonly EngineHost[]): boolean {
+    return hosts.filter(host => host.unreachable).length * 2 > hosts.length;
+}
+
+/** Returns the partition of a domain, which is the same on every daemon. */
+export function partitionOf(domain: string, partitionCount: number): number {
+    return createHash("sha256").update(domain).digest().readUInt32BE(0) % partitionCount;
+}
--- /dev/null
+++ b/packages/daemon/src/engines/fleetviews.ts
@@ -0,0 +1,55 @@
+/** Hosts of engine services by domain, computed once for all planning rounds until the registry changes again. */
+import { collectGroups, countCompleteGroups, groupBy, type Target } from "@damaskvale/core";
+import type { RelayState } from "../relay/state.js";
+import { partitionOf } from "./fleet.js";
+
+/** Hosts of one service. */
+export interface FleetView {
+    /** Hosts that have a fabric domain. */
+    readonly hostsByDomain: ReadonlyMap<string, readonly Target[]>;
+    /** Number of complete groups of each model in all domains. */
+    readonly groupsByModel: ReadonlyMap<string, number>;
+}
+
+/** Views of all services. */
+export interface FleetViews {
+    /** Returns the present view of a service; the same one until something changes. */
+    viewOf(service: string): FleetView;
+    /** Returns the domains of a view that belong to some of the partitions. */
+    domainsOf(view: FleetView, partitions: readonly number[]): string[];
+}
+
+/** Creates views of the targets of a state, whose domains are hashed onto partitions. */
+export function createFleetViews(
+    state: Pick<RelayState, "targetsOf" | "lookup">,
+    partitionCount: number,
+): FleetViews {
+    const views = new Map<string, { readonly targets: readonly Target[]; readonly view: FleetView; }>();
+    const partitions = new Map<string, number>();
+    const partitionOfDomain = (domain: string): number => {
+        const partition = partitions.get(domain) ?? partitionOf(domain, partitionCount);
+        partitions.set(domain, partition);
+        return partition;
+    };
+    return {
+        viewOf: service => {
+            const targets = state.targetsOf(service);
+            const known = views.get(service);
+            if (known?.targets === targets) {
+                return known.view;
+            }
+            const models = state.lookup()?.findService(service)?.engine?.models ?? [];
+            const view: FleetView = {
+                hostsByDomain: groupBy(
+                    targets.filter(({ domain }) => domain !== undefined),
+                    ({ domain = "" }) => domain,
+                ),
+                groupsByModel: countCompleteGroups(collectGroups(targets, models)),
+            };
+            views.set(service, { targets, view });
+            return view;
+        },
+        domainsOf: ({ hostsByDomain }, owned) =>
+            [...hostsByDomain.keys()].filter(domain => owned.includes(partitionOfDomain(domain))),
+    };
+}
--- a/packages/daemon/src/engines/reassignments.ts
+++ b/packages/daemon/src/engines/reassignments.ts
@@ -13,14 +13,13 @@
 } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
-import type { RelayState } from "../relay/state.js";
-import { countGroups, fleetKey, roundDemand } from "./fleet.js";
+import { fleetKey, roundDemand } from "./fleet.js";
+import type { FleetView } from "./fleetviews.js";
 
 /** Collaborators of the reassignments. */
 export interface ReassignmentParts {
     readonly clock: Clock;
     readonly log: EventLog;
-    readonly state: RelayState;
     readonly demandOf: (service: string) => DemandMeter;
     /** Returns a host of an own domain as this daemon's planner sees it. */
     readonly describe: (target: Target) => EngineHost;
@@ -29,10 +28,12 @@
 /** Reassignments of the domains that this daemon owns. */
 export interface Reassignments {
     /** Returns the reassignment of each domain of a service that has one, by domain. */
-    update(service: Service, engine: EngineProfile, ownDomains: readonly string[]): ReadonlyMap<
-        string,
-        GrantedReassignment
-    >;
+    update(
+        service: Service,
+        engine: EngineProfile,
+        ownDomains: readonly string[],
+        view: FleetView,
+    ): ReadonlyMap<string, GrantedReassignment>;
     /** Logs why groups are taken apart, once for each reassignment whose orders begin to do so. */
     recordOrders(service: string, reassignment: GrantedReassignment, orders: readonly EngineOrder[]): void;
 }
@@ -55,8 +56,9 @@
         service: Service,
         engine: EngineProfile,
         ownDomains: readonly string[],
+        view: FleetView,
     ): ReadonlyMap<string, GrantedReassignment> {
-        const fleet = this.fleetOf(service, engine, ownDomains);
+        const fleet = this.fleetOf(service, engine, ownDomains, view);
         const watch = this.watches.get(service.name) ?? createStarvationWatch();
         this.watches.set(service.name, watch);
         this.fleets.set(service.name, fleet);
@@ -99,22 +101,25 @@
     }
 
     /** Returns the fleet of a service in all domains; hosts of own domains are as their engines reported last. */
-    private fleetOf({ name }: Service, { models }: EngineProfile, ownDomains: readonly string[]): Fleet {
-        const { clock, state, demandOf, describe } = this.parts;
+    private fleetOf(
+        { name }: Service,
+        { models }: EngineProfile,
+        ownDomains: readonly string[],
+        { hostsByDomain, groupsByModel }: FleetView,
+    ): Fleet {
+        const { clock, demandOf, describe } = this.parts;
         const now = clock.monotonic();
-        const targets = state.targets().filter(target => target.service === name).flatMap(target => {
-            if (target.domain === undefined || !ownDomains.includes(target.domain)) {
-                return target;
-            }
-            const host = describe(target);
-            return host.lost || host.unreachable ? [] : host.target;
-        });
+        const reachable = (hosts: readonly Target[]): Target[] =>
+            hosts.map(describe).filter(host => !host.lost && !host.unreachable).map(({ target }) => target);
+        const targets = [...hostsByDomain].flatMap(([domain, hosts]) =>
+            ownDomains.includes(domain) ? reachable(hosts) : hosts
+        );
         return {
             models,
             targets,
             requestedModels: demandOf(name).requestedModels(now),
             demandByModel: demandOf(name).demandByModel(models, now),
-            groupsByModel: countGroups(state, name),
+            groupsByModel,
         };
     }
 }
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -1,11 +1,11 @@
 /** Current configuration and targets, indexed for the request path. */
 import {
     createRouteLookup,
-    type EngineGroup,
     type GroupMembership,
     isEarlierMembership,
     type RelayConfiguration,
     type RouteLookup,
+    type ServingGroup,
     type StatedProcess,
     type Target,
 } from "@damaskvale/core";
@@ -35,11 +35,12 @@
     /** Registered targets, and hosts whose entry lapsed recently. */
     targets(): readonly Target[];
     targetById(id: string): Target | undefined;
+    /** Known targets of a service; the same array until something changes. */
+    targetsOf(service: string): readonly Target[];
     /** Registered targets of a service that are not draining. */
     servingTargets(service: string): readonly Target[];
     /** Groups of an engine service that accept requests for a model. */
-    servingGroups(service: string, model: string): readonly EngineGroup[];
-    groups(service: string): readonly EngineGroup[];
+    servingGroups(service: string, model: string): readonly ServingGroup[];
     /** Number of groups of all services that accept requests. */
     countServingGroups(): number;
     /** Applies a configuration unless the same or a newer version is in force; returns whether it was applied. */
@@ -114,18 +115,18 @@
         return this.targetsById.get(id);
     }
 
+    targetsOf(service: string): readonly Target[] {
+        return this.indexes.targetsOf(service);
+    }
+
     servingTargets(service: string): readonly Target[] {
         return this.indexes.targetsOf(service).filter(target => !target.draining && target.registered);
     }
 
-    servingGroups(service: string, model: string): readonly EngineGroup[] {
+    servingGroups(service: string, model: string): readonly ServingGroup[] {
         return this.indexes.servingGroupsOf(service, model);
     }
 
-    groups(service: string): readonly EngineGroup[] {
-        return this.indexes.groupsOf(service);
-    }
-
     countServingGroups(): number {
         return this.indexes.countServingGroups();
     }
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -1,10 +1,10 @@
 /** Places streaming requests on groups, using the load that this daemon knows for each group serving the model. */
 import {
-    type EngineGroup,
     type Placement,
     type PlacementCandidate,
     placeRequest,
     requestWorkMilliseconds,
+    type ServingGroup,
 } from "@damaskvale/core";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 
@@ -73,20 +73,19 @@
 }
 
 function toPlacementCandidate(
-    group: EngineGroup,
+    { head }: ServingGroup,
     { loadTracker, peerLoadOf: loadOfOthers, availability, speeds, connections }: RelayParts,
 ): PlacementCandidate {
-    const head = group.head?.id ?? "";
-    const load = loadTracker.get(head);
-    const peerLoad = loadOfOthers(head);
+    const load = loadTracker.get(head.id);
+    const peerLoad = loadOfOthers(head.id);
     return {
-        head,
-        dataCentre: group.head?.dataCentre ?? "",
+        head: head.id,
+        dataCentre: head.dataCentre,
         inProgress: (load?.inProgress ?? 0) + peerLoad.inProgress,
         pendingPromptTokens: (load?.pendingPromptTokens ?? 0) + peerLoad.pendingPromptTokens,
         suspected: load?.suspectedAt !== undefined,
-        waitMilliseconds: group.head === undefined ? 0 : availability.waitMilliseconds(group.head),
-        slowness: speeds.slownessOf(head),
-        isConnected: group.head !== undefined && connections.isConnected(group.head.address),
+        waitMilliseconds: availability.waitMilliseconds(head),
+        slowness: speeds.slownessOf(head.id),
+        isConnected: connections.isConnected(head.address),
     };
 }
--- a/packages/daemon/src/relay/targetindexes.ts
+++ b/packages/daemon/src/relay/targetindexes.ts
@@ -1,14 +1,13 @@
-/** Targets by service and their groups. They are computed when they are first asked for after a change. */
-import { collectGroups, type EngineGroup, groupBy, isServing, type Service, type Target } from "@damaskvale/core";
+/** Targets by service and the groups that serve. They are computed when they are first asked for after a change. */
+import { collectServingGroups, groupBy, type Service, type ServingGroup, type Target } from "@damaskvale/core";
 
 /** Indexes of the known targets. */
 export interface TargetIndexes {
     /** Discards what was computed, because a target or the configuration changed. */
     invalidate(): void;
     targetsOf(service: string): readonly Target[];
-    groupsOf(service: string): readonly EngineGroup[];
     /** Returns the groups of a service that accept requests for a model. */
-    servingGroupsOf(service: string, model: string): readonly EngineGroup[];
+    servingGroupsOf(service: string, model: string): readonly ServingGroup[];
     /** Number of groups of all services that accept requests. */
     countServingGroups(): number;
 }
@@ -21,9 +20,9 @@
 
 interface ComputedIndexes {
     readonly targetsByService: ReadonlyMap<string, readonly Target[]>;
-    readonly groupsByService: ReadonlyMap<string, readonly EngineGroup[]>;
+    readonly servingByService: ReadonlyMap<string, readonly ServingGroup[]>;
     /** Serving groups by service and model. */
-    readonly servingByService: ReadonlyMap<string, ReadonlyMap<string, readonly EngineGroup[]>>;
+    readonly servingByModel: ReadonlyMap<string, ReadonlyMap<string, readonly ServingGroup[]>>;
 }
 
 /** Creates indexes, which are computed for the first time when they are used. */
@@ -38,28 +37,26 @@
             computed = undefined;
         },
         targetsOf: service => current().targetsByService.get(service) ?? [],
-        groupsOf: service => current().groupsByService.get(service) ?? [],
-        servingGroupsOf: (service, model) => current().servingByService.get(service)?.get(model) ?? [],
-        countServingGroups: () => [...current().groupsByService.values()].flat().filter(isServing).length,
+        servingGroupsOf: (service, model) => current().servingByModel.get(service)?.get(model) ?? [],
+        countServingGroups: () => [...current().servingByService.values()].flat().length,
     };
 }
 
 function computeIndexes({ targets, services }: IndexedState): ComputedIndexes {
     const targetsByService = groupBy([...targets()], target => target.service);
-    const groupsByService = new Map(
+    const servingByService = new Map(
         services().flatMap(({ name, engine }) =>
             engine === undefined
                 ? []
-                : [[name, collectGroups(targetsByService.get(name) ?? [], engine.models)] as const]
+                : [[name, collectServingGroups(targetsByService.get(name) ?? [], engine.models)] as const]
         ),
     );
-    const servingByService = new Map(
-        [...groupsByService].map(([service, groups]) => [service, servingByModel(groups)] as const),
+    const servingByModel = new Map(
+        [...servingByService].map(([service, groups]) => [service, groupByModel(groups)] as const),
     );
-    return { targetsByService, groupsByService, servingByService };
+    return { targetsByService, servingByService, servingByModel };
 }
 
-function servingByModel(groups: readonly EngineGroup[]): Map<string, EngineGroup[]> {
-    const known = groups.filter(group => group.model !== undefined && isServing(group));
-    return groupBy(known, ({ model = "" }) => model);
+function groupByModel(groups: readonly ServingGroup[]): Map<string, ServingGroup[]> {
+    return groupBy(groups.filter(({ model }) => model !== undefined), ({ model = "" }) => model);
 }
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -45,7 +45,7 @@
     afterEach(() => clock.uninstall());
 
     const serving = (): string[] => state.servingTargets("pool").map(({ id }) => id);
-    const heads = (): (string | undefined)[] => state.servingGroups("pool", "m").map(group => group.head?.id);
+    const heads = (): (string | undefined)[] => state.servingGroups("pool", "m").map(group => group.head.id);
 
     it("never goes back to an older configuration", () => {
         expect(state.applyConfiguration(configuration(1))).to.equal(false);
