--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -91,15 +91,16 @@
     if (available.length === 0) {
         return { kind: "refused", reason: "limited", retryAfterMilliseconds: limitRetryMilliseconds(input, healthy) };
     }
-    const chosen = drawByWeight(
-        available.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
+    const inTime = available.map(candidate => estimate(candidate, input))
+        .filter(({ firstEventMilliseconds }) => firstEventMilliseconds <= input.remainingMilliseconds);
+    if (inTime.length === 0) {
+        return { kind: "refused", reason: "too-late", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) };
+    }
+    const { candidate: { head }, firstEventMilliseconds, passMilliseconds } = drawByWeight(
+        inTime.map(estimated => ({ ...estimated, weight: weightOf(estimated.candidate, input) })),
         input.random,
     );
-    const passMilliseconds = decodeStepMilliseconds(engine, input.model, chosen.inProgress + 1) * engine.stepsPerPass;
-    const firstEventMilliseconds = estimateFirstEvent(input, chosen, passMilliseconds);
-    return firstEventMilliseconds > input.remainingMilliseconds
-        ? { kind: "refused", reason: "too-late", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) }
-        : { kind: "placed", head: chosen.head, firstEventMilliseconds, passMilliseconds };
+    return { kind: "placed", head, firstEventMilliseconds, passMilliseconds };
 }
 
 function weightOf(candidate: PlacementCandidate, { engine, dataCentre }: PlacementInput): number {
@@ -111,15 +112,10 @@
     return freeSlots * dataCentreWeight * connectionWeight / candidate.slowness ** SLOWNESS_EXPONENT;
 }
 
-interface Weighted {
-    readonly candidate: PlacementCandidate;
-    readonly weight: number;
-}
-
-/** Draws one candidate with a chance proportional to its weight. Expects at least one candidate. */
-function drawByWeight(candidates: readonly Weighted[], random: () => number): PlacementCandidate {
-    const waits = candidates.map(({ candidate, weight }) => ({ candidate, wait: -Math.log(1 - random()) / weight }));
-    return waits.reduce((left, right) => right.wait < left.wait ? right : left).candidate;
+/** Draws one item with a chance proportional to its weight. Expects at least one. */
+function drawByWeight<Item extends { readonly weight: number; }>(items: readonly Item[], random: () => number): Item {
+    const waits = items.map(item => ({ item, wait: -Math.log(1 - random()) / item.weight }));
+    return waits.reduce((left, right) => right.wait < left.wait ? right : left).item;
 }
 
 /** Returns the duration of one decode step of a group with this number of requests, in milliseconds. */
@@ -135,13 +131,19 @@
     return model.pace * (tokens / engine.prefillTokensPerSecond * 1_000 + attentionMilliseconds);
 }
 
-function estimateFirstEvent(
-    { engine, model, promptTokens }: PlacementInput,
+/** A candidate with what is expected of it. */
+type EstimatedCandidate = Pick<PlacedRequest, "firstEventMilliseconds" | "passMilliseconds"> & {
+    readonly candidate: PlacementCandidate;
+};
+
+function estimate(
     candidate: PlacementCandidate,
-    passMilliseconds: number,
-): number {
+    { engine, model, promptTokens }: PlacementInput,
+): EstimatedCandidate {
+    const passMilliseconds = decodeStepMilliseconds(engine, model, candidate.inProgress + 1) * engine.stepsPerPass;
     const prefill = prefillMilliseconds(engine, model, candidate.pendingPromptTokens + promptTokens);
-    return candidate.slowness * (prefill + 2 * passMilliseconds);
+    const firstEventMilliseconds = candidate.slowness * (prefill + 2 * passMilliseconds);
+    return { candidate, firstEventMilliseconds, passMilliseconds };
 }
 
 /**
--- a/packages/core/src/placement/tests/place.test.ts
+++ b/packages/core/src/placement/tests/place.test.ts
@@ -75,6 +75,13 @@
         input: input([candidate("x", { slowness: 3 }), candidate("y", { inProgress: 18 })]),
         expected: "x",
     },
+    {
+        guards: "refusing a request for a slow group that was drawn, while a quick one can begin in time",
+        input: input([candidate("x", { slowness: 1.7 }), candidate("y", { inProgress: 17 })], {
+            remainingMilliseconds: 150,
+        }),
+        expected: "y",
+    },
     {
         guards: "sending a request to a slow group that cannot begin in time",
         input: input([candidate("x", { slowness: 16 })], { remainingMilliseconds: 800 }),
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -335,7 +335,6 @@
     private receiveStatement(message: StatementMessage): void {
         const { daemon, sums, members, ageMilliseconds, roster, slowTargets } = message;
         const { statedLoads, speeds, daemons, self, onCollectorHeard, onUnknownDaemons } = this.parts;
-        speeds.receiveStatement(slowTargets);
         const now = this.now();
         const included = decodeMembers(members);
         statedLoads.merge({ collector: daemon, sums: decodeLoads(sums), included, ageMilliseconds }, now);
@@ -346,7 +345,11 @@
                 onUnknownDaemons(unknown);
             }
         }
-        if (daemon !== self.daemon && daemon === this.collectors()[0]) {
+        if (daemon !== this.collectors()[0]) {
+            return;
+        }
+        speeds.receiveStatement(slowTargets);
+        if (daemon !== self.daemon) {
             onCollectorHeard();
         }
     }
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -320,12 +320,13 @@
                 members: [],
                 ageMilliseconds: 0,
                 roster: [[named, true]],
-                slowTargets: [],
+                slowTargets: [["t", 3]],
             };
             const { port } = socket.address() as AddressInfo;
             socket.send(encodeExchangeMessage(statement), port, SELF.ip);
             await receiveFor(100);
             expect(heard).to.deep.equal(expected);
+            expect(speeds.slownessOf("t")).to.equal(linkOfSender > 0 ? 3 : 1);
         })
     );
 
