--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -91,16 +91,20 @@
     if (available.length === 0) {
         return { kind: "refused", reason: "limited", retryAfterMilliseconds: limitRetryMilliseconds(input, healthy) };
     }
-    const inTime = available.map(candidate => estimate(candidate, input))
-        .filter(({ firstEventMilliseconds }) => firstEventMilliseconds <= input.remainingMilliseconds);
+    const inTime = available.filter(candidate => estimateFirstEvent(input, candidate) <= input.remainingMilliseconds);
     if (inTime.length === 0) {
         return { kind: "refused", reason: "too-late", retryAfterMilliseconds: retryDelayMilliseconds(input, healthy) };
     }
-    const { candidate: { head }, firstEventMilliseconds, passMilliseconds } = drawByWeight(
-        inTime.map(estimated => ({ ...estimated, weight: weightOf(estimated.candidate, input) })),
+    const chosen = drawByWeight(
+        inTime.map(candidate => ({ candidate, weight: weightOf(candidate, input) })),
         input.random,
     );
-    return { kind: "placed", head, firstEventMilliseconds, passMilliseconds };
+    return {
+        kind: "placed",
+        head: chosen.head,
+        firstEventMilliseconds: estimateFirstEvent(input, chosen),
+        passMilliseconds: passMillisecondsOf(chosen, input),
+    };
 }
 
 function weightOf(candidate: PlacementCandidate, { engine, dataCentre }: PlacementInput): number {
@@ -112,10 +116,15 @@
     return freeSlots * dataCentreWeight * connectionWeight / candidate.slowness ** SLOWNESS_EXPONENT;
 }
 
-/** Draws one item with a chance proportional to its weight. Expects at least one. */
-function drawByWeight<Item extends { readonly weight: number; }>(items: readonly Item[], random: () => number): Item {
-    const waits = items.map(item => ({ item, wait: -Math.log(1 - random()) / item.weight }));
-    return waits.reduce((left, right) => right.wait < left.wait ? right : left).item;
+interface Weighted {
+    readonly candidate: PlacementCandidate;
+    readonly weight: number;
+}
+
+/** Draws one candidate with a chance proportional to its weight. Expects at least one candidate. */
+function drawByWeight(candidates: readonly Weighted[], random: () => number): PlacementCandidate {
+    const waits = candidates.map(({ candidate, weight }) => ({ candidate, wait: -Math.log(1 - random()) / weight }));
+    return waits.reduce((left, right) => right.wait < left.wait ? right : left).candidate;
 }
 
 /** Returns the duration of one decode step of a group with this number of requests, in milliseconds. */
@@ -131,19 +140,15 @@
     return model.pace * (tokens / engine.prefillTokensPerSecond * 1_000 + attentionMilliseconds);
 }
 
-/** A candidate with what is expected of it. */
-type EstimatedCandidate = Pick<PlacedRequest, "firstEventMilliseconds" | "passMilliseconds"> & {
-    readonly candidate: PlacementCandidate;
-};
+/** Returns the time of a pass with one more request, if the group is not slow. */
+function passMillisecondsOf({ inProgress }: PlacementCandidate, { engine, model }: PlacementInput): number {
+    return decodeStepMilliseconds(engine, model, inProgress + 1) * engine.stepsPerPass;
+}
 
-function estimate(
-    candidate: PlacementCandidate,
-    { engine, model, promptTokens }: PlacementInput,
-): EstimatedCandidate {
-    const passMilliseconds = decodeStepMilliseconds(engine, model, candidate.inProgress + 1) * engine.stepsPerPass;
+function estimateFirstEvent(input: PlacementInput, candidate: PlacementCandidate): number {
+    const { engine, model, promptTokens } = input;
     const prefill = prefillMilliseconds(engine, model, candidate.pendingPromptTokens + promptTokens);
-    const firstEventMilliseconds = candidate.slowness * (prefill + 2 * passMilliseconds);
-    return { candidate, firstEventMilliseconds, passMilliseconds };
+    return candidate.slowness * (prefill + 2 * passMillisecondsOf(candidate, input));
 }
 
 /**
--- a/packages/core/src/placement/tests/keptconnections.test.ts
+++ b/packages/core/src/placement/tests/keptconnections.test.ts
@@ -5,34 +5,8 @@
 import { expect } from "chai";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import type { EngineProfile, ModelProfile } from "../../routes/types.js";
-import { placeRequest } from "../place.js";
+import { countArrivals, engine, placeOnGroups, STEP_MILLISECONDS } from "./largefleet.js";
 
-const model: ModelProfile = {
-    name: "m",
-    size: 4,
-    share: 1,
-    pace: 0.6,
-    loadMilliseconds: 12_000,
-    warmMilliseconds: 1_100,
-};
-const engine: EngineProfile = {
-    slots: 9,
-    kvCacheTokens: 1_710_000,
-    stepsPerPass: 10,
-    models: [model],
-    baseStepMilliseconds: 6.45,
-    stepMillisecondsPerSequence: 0.0967,
-    stepMillisecondsPerThousandContextTokens: 0.00293,
-    prefillTokensPerSecond: 56_100,
-    prefillMillisecondsPerMillionPairs: 0.309,
-    prefillChunkTokens: 2_048,
-    loadsPerSecond: 14,
-    concurrentLoads: 20,
-    openMilliseconds: 300,
-    meanPromptTokens: 674,
-    meanOutputTokens: 216,
-};
 const DATA_CENTRES = 5;
 const GROUPS = 100;
 const SECONDS = 20;
@@ -41,7 +15,6 @@
 const STREAM_MILLISECONDS = 950;
 const IDLE_MILLISECONDS = 4_000;
 const EXCHANGE_MILLISECONDS = 250;
-const STEP_MILLISECONDS = 10;
 
 interface Result {
     /** Share of the requests that needed a new connection. */
@@ -71,25 +44,15 @@
     };
     const place = (now: number): void => {
         const daemon = Math.floor(random() * daemons);
-        const placement = placeRequest({
-            engine,
-            model,
-            candidates: reported.map((inProgress, group) => ({
-                head: String(group),
+        const placement = placeOnGroups(
+            reported,
+            group => ({
                 dataCentre: String(group % DATA_CENTRES),
-                inProgress,
-                pendingPromptTokens: 0,
-                suspected: false,
-                waitMilliseconds: 0,
-                slowness: 1,
                 isConnected: knowsConnections && idleOf(daemon, group, now).length > 0,
-            })),
-            dataCentre: String(daemon % DATA_CENTRES),
-            promptTokens: engine.meanPromptTokens,
-            remainingMilliseconds: 6_000,
-            recovering: false,
+            }),
+            String(daemon % DATA_CENTRES),
             random,
-        });
+        );
         const group = placement.kind === "placed" ? Number(placement.head) : undefined;
         const isFull = group === undefined || (counts[group] ?? 0) >= engine.slots;
         const idle = group === undefined ? [] : idleOf(daemon, group, now);
@@ -109,9 +72,7 @@
     for (let now = 0; now < SECONDS * 1_000; now += STEP_MILLISECONDS) {
         endStreams(now);
         reported = now % EXCHANGE_MILLISECONDS === 0 ? [...counts] : reported;
-        const arrivals = Math.floor((now + STEP_MILLISECONDS) * requestsPerSecond / 1_000)
-            - Math.floor(now * requestsPerSecond / 1_000);
-        Array.from({ length: arrivals }).forEach(() => place(now));
+        Array.from({ length: countArrivals(requestsPerSecond, now) }).forEach(() => place(now));
     }
     return { connecting: result.connecting / result.all, full: result.full / result.all };
 }
--- a/packages/core/src/placement/tests/slowgroups.test.ts
+++ b/packages/core/src/placement/tests/slowgroups.test.ts
@@ -5,35 +5,10 @@
 import { expect } from "chai";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import type { EngineProfile, ModelProfile } from "../../routes/types.js";
-import { decodeStepMilliseconds, placeRequest } from "../place.js";
+import { decodeStepMilliseconds } from "../place.js";
 import { createSpeedObservations, findSlowTargets, mergeSpeeds } from "../targetspeeds.js";
+import { countArrivals, engine, type KnownGroup, model, placeOnGroups, STEP_MILLISECONDS } from "./largefleet.js";
 
-const model: ModelProfile = {
-    name: "m",
-    size: 4,
-    share: 1,
-    pace: 0.6,
-    loadMilliseconds: 12_000,
-    warmMilliseconds: 1_100,
-};
-const engine: EngineProfile = {
-    slots: 9,
-    kvCacheTokens: 1_710_000,
-    stepsPerPass: 10,
-    models: [model],
-    baseStepMilliseconds: 6.45,
-    stepMillisecondsPerSequence: 0.0967,
-    stepMillisecondsPerThousandContextTokens: 0.00293,
-    prefillTokensPerSecond: 56_100,
-    prefillMillisecondsPerMillionPairs: 0.309,
-    prefillChunkTokens: 2_048,
-    loadsPerSecond: 14,
-    concurrentLoads: 20,
-    openMilliseconds: 300,
-    meanPromptTokens: 674,
-    meanOutputTokens: 216,
-};
 const DAEMONS = 39;
 const GROUPS = 60;
 const EVENTS = 22;
@@ -43,7 +18,6 @@
 /** Requests from this long after groups turned slow are counted, since nobody can know it earlier. */
 const LEARNED_MILLISECONDS = 2_000;
 const EXCHANGE_MILLISECONDS = 250;
-const STEP_MILLISECONDS = 10;
 /** Share of the requests at slow groups that may remain of those that get one when no speed is known. */
 const MOST_OF_UNAVOIDED = 0.7;
 
@@ -100,25 +74,8 @@
     };
     const place = (now: number): void => {
         const daemon = Math.floor(random() * DAEMONS);
-        const placement = placeRequest({
-            engine,
-            model,
-            candidates: reported.map((inProgress, group) => ({
-                head: String(group),
-                dataCentre: "a",
-                inProgress,
-                pendingPromptTokens: 0,
-                suspected: false,
-                waitMilliseconds: 0,
-                slowness: slowness.get(String(group)) ?? 1,
-                isConnected: false,
-            })),
-            dataCentre: "a",
-            promptTokens: engine.meanPromptTokens,
-            remainingMilliseconds: 6_000,
-            recovering: false,
-            random,
-        });
+        const known = (group: number): KnownGroup => ({ slowness: slowness.get(String(group)) ?? 1 });
+        const placement = placeOnGroups(reported, known, "a", random);
         const isCounted = now >= SLOW_FROM_MILLISECONDS + LEARNED_MILLISECONDS && now < SLOW_UNTIL_MILLISECONDS;
         const group = placement.kind === "placed" ? Number(placement.head) : undefined;
         counted.all += isCounted ? 1 : 0;
@@ -140,9 +97,7 @@
             const slow = findSlowTargets(mergeSpeeds(observations.map(observed => observed.sums(now))));
             slowness = usesSpeeds ? new Map(slow.map(entry => [entry.target, entry.slowness])) : slowness;
         }
-        const arrivals = Math.floor((now + STEP_MILLISECONDS) * requestsPerSecond / 1_000)
-            - Math.floor(now * requestsPerSecond / 1_000);
-        Array.from({ length: arrivals }).forEach(() => place(now));
+        Array.from({ length: countArrivals(requestsPerSecond, now) }).forEach(() => place(now));
     }
     return {
         slow: counted.slow / counted.all,
