Describe the engine of the three played loads of placing once

The test of the fleet's load had its own copy of the engine and of the arrivals that largefleet.ts describes for the other two.

--- a/packages/core/src/placement/tests/fleetload.test.ts
+++ b/packages/core/src/placement/tests/fleetload.test.ts
@@ -7,29 +7,20 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { EngineProfile, ModelProfile } from "../../routes/types.js";
 import { decodeStepMilliseconds, placeRequest, prefillMilliseconds } from "../place.js";
+import {
+    countArrivals,
+    engine as smallGroupEngine,
+    model as smallGroupModel,
+    STEP_MILLISECONDS,
+} from "./largefleet.js";
 
-const model: ModelProfile = {
-    name: "small",
-    size: 6,
-    share: 0.5,
-    pace: 0.6,
-    loadMilliseconds: 12_000,
-    warmMilliseconds: 1_100,
-};
+const model: ModelProfile = { ...smallGroupModel, name: "small", size: 6, share: 0.5 };
 const engine: EngineProfile = {
+    ...smallGroupEngine,
     slots: 34,
     kvCacheTokens: 1_749_583,
     stepsPerPass: 5,
     models: [model],
-    baseStepMilliseconds: 6.45,
-    stepMillisecondsPerSequence: 0.0967,
-    stepMillisecondsPerThousandContextTokens: 0.00293,
-    prefillTokensPerSecond: 56_100,
-    prefillMillisecondsPerMillionPairs: 0.309,
-    prefillChunkTokens: 2_048,
-    loadsPerSecond: 14,
-    concurrentLoads: 20,
-    openMilliseconds: 300,
     meanPromptTokens: 714,
     meanOutputTokens: 148,
 };
@@ -37,7 +28,6 @@
 const GROUPS = 12;
 const SECONDS = 30;
 const REPORT_INTERVAL_MILLISECONDS = 600;
-const STEP_MILLISECONDS = 10;
 const PROMPT_TOKENS = 714;
 const ANSWER_TOKENS = 148;
 
@@ -70,8 +60,7 @@
             const tokens = STEP_MILLISECONDS / decodeStepMilliseconds(engine, model, group.length);
             groups[index] = group.filter(running => (running.remaining -= tokens) > 0);
         });
-        const arrivals = Math.floor((now + STEP_MILLISECONDS) * requestsPerSecond / 1_000)
-            - Math.floor(now * requestsPerSecond / 1_000);
+        const arrivals = countArrivals(requestsPerSecond, now);
         for (let arrival = 0; arrival < arrivals; arrival += 1) {
             const daemon = Math.floor(draw() * DAEMONS);
             const known = groups.map((...[, group]) =>
