Wait at a shutdown for requests whose head is on its way, and read none after its end

The caller wrote its request from 12,587 to 12,777 ms; the daemon, terminated at 10,080, saw no request in progress at some 12,730, since the head was not complete, waited 50 ms for the last bytes of responses, and exited at 12,818. The request was read in these 50 ms.

Change: a head of which bytes have been read counts as a request in progress; after the 50 ms the check is repeated; then the connections that never had a request are closed in the same step, so that none is read while the lease is given back.

--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers. Its limits follow the configuration. */
 import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
-import { limitConnections } from "./connectionlimits.js";
+import { type ConnectionLimits, limitConnections } from "./connectionlimits.js";
 import { closeAfterCaller } from "./lingering.js";
 import { closeAfterParserErrors } from "./parsererrors.js";
 import { inOrder, type RequestHandler } from "./requestorder.js";
@@ -14,8 +14,14 @@
 /** Callers reuse idle connections until shortly before the idle timeout, so the server keeps them open longer. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 
+/** The server and its connections. */
+export interface CallerServer {
+    readonly server: Server;
+    readonly connections: ConnectionLimits;
+}
+
 /** Creates the server, which does not listen yet. */
-export function createCallerServer(state: RelayState, handle: RequestHandler): Server {
+export function createCallerServer(state: RelayState, handle: RequestHandler): CallerServer {
     const server = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
         requestTimeout: 0,
@@ -26,18 +32,19 @@
         // Node calls it after the last response of a connection, and would close the connection for reading as well.
         socket.destroySoon = () => closeAfterCaller(socket);
     });
-    const connectionLimits = limitConnections(server);
-    // Node counts a response as sent when its last bytes are written, although they may wait for a slow caller.
-    server.closeIdleConnections = () => connectionLimits.closeIdle();
+    const connections = limitConnections(server);
+    // Node counts a response as sent when its last bytes are written, although they may wait for a slow caller. It calls
+    // this when the server is closed.
+    server.closeIdleConnections = () => connections.closeIdle();
     state.onChange(() => {
         const limits = state.lookup()?.configuration.limits;
         if (limits !== undefined) {
             // Node takes over the value for each new connection.
             const maxHeaderSize = Math.max(PARSER_HEADER_BYTES, PARSER_HEADER_FACTOR * limits.headerBytes);
             Object.assign(server, { maxHeaderSize });
-            connectionLimits.setHeaderTimeout(limits.headerTimeoutMilliseconds);
-            connectionLimits.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
+            connections.setHeaderTimeout(limits.headerTimeoutMilliseconds);
+            connections.setIdleTimeout(limits.idleTimeoutMilliseconds + IDLE_MARGIN_MILLISECONDS);
         }
     });
-    return server;
+    return { server, connections };
 }
--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -10,6 +10,10 @@
     setHeaderTimeout(milliseconds: number): void;
     /** Closes the connections whose responses have all been sent and on which no request is on its way. */
     closeIdle(): void;
+    /** Closes at once the connections on which no request is on its way, also those that never had one. */
+    closeUnused(): void;
+    /** Whether the first bytes of a request have been read whose head is not complete. */
+    hasPartialRequest(): boolean;
 }
 
 /** Head of a request that has not been read to its end. */
@@ -82,6 +86,16 @@
         setImmediate(() => [...this.connections.values()].filter(isIdle).forEach(({ socket }) => socket.destroy()));
     }
 
+    closeUnused(): void {
+        [...this.connections.values()]
+            .filter(connection => hasNoRequest(connection) && !isPartial(connection))
+            .forEach(({ socket }) => socket.destroy());
+    }
+
+    hasPartialRequest(): boolean {
+        return [...this.connections.values()].some(connection => hasNoRequest(connection) && isPartial(connection));
+    }
+
     private accept(socket: Socket): void {
         this.connections.set(socket, {
             socket,
@@ -169,8 +183,16 @@
     }
 }
 
-/** A connection whose end has been sent waits for its caller to close it, and is not idle. */
-function isIdle({ socket, openResponses, openBodies, bytesRead }: Connection): boolean {
-    return socket.writable && openResponses === 0 && openBodies === 0 && bytesRead > 0
-        && socket.bytesRead === bytesRead;
+function isIdle(connection: Connection): boolean {
+    return hasNoRequest(connection) && connection.bytesRead > 0 && !isPartial(connection);
+}
+
+/** A connection whose end has been sent waits for its caller to close it, and takes no request. */
+function hasNoRequest({ socket, openResponses, openBodies }: Connection): boolean {
+    return socket.writable && openResponses === 0 && openBodies === 0;
+}
+
+/** Returns whether bytes have been read that belong to no request whose head is complete. */
+function isPartial({ socket, bytesRead }: Connection): boolean {
+    return socket.bytesRead > bytesRead;
 }
--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -71,7 +71,7 @@
             writeInternalError(response, true);
         });
     };
-    const callerServer = createCallerServer(state, handleWith((...request) => relay.handle(...request)));
+    const callers = createCallerServer(state, handleWith((...request) => relay.handle(...request)));
     const endAll = (): void => {
         stopped = true;
         cutOff = relay.inProgress();
@@ -84,7 +84,7 @@
         !draining && state.lookup() !== undefined && state.targets().length > 0
     );
     await Promise.all([
-        listenOn(callerServer, parts.callerListen),
+        listenOn(callers.server, parts.callerListen),
         listenOn(readinessServer, parts.readinessListen),
         ...(parts.daemons === undefined
             ? []
@@ -95,8 +95,10 @@
         shutDown: async () => {
             draining = true;
             log.emit("daemonDraining", { inProgress: relay.inProgress() });
-            const isIdle = (): boolean => unanswered.size === 0 && relay.inProgress() === 0;
-            await drain(callerServer, { isIdle, endAll }, parts.shutdownMilliseconds);
+            const isIdle = (): boolean =>
+                unanswered.size === 0 && relay.inProgress() === 0 && !callers.connections.hasPartialRequest();
+            await drain(callers, { isIdle, endAll }, parts.shutdownMilliseconds);
+            stopped = true;
             log.emit("daemonStopped", { cutOff });
         },
         isDraining: () => draining,
@@ -110,7 +112,7 @@
     handleWith: (handle: Handle) => RequestHandler,
 ): Server {
     let taken = 0;
-    const server = createCallerServer(
+    const { server } = createCallerServer(
         state,
         handleWith(async (request, response, waitedMilliseconds) => {
             if (taken >= MAXIMUM_TAKEN_REQUESTS) {
--- a/packages/daemon/src/relay/shutdown.ts
+++ b/packages/daemon/src/relay/shutdown.ts
@@ -1,5 +1,6 @@
 /** Ends the server for callers without cutting off requests. */
 import type { Server } from "node:http";
+import type { ConnectionLimits } from "./connectionlimits.js";
 
 /** The platform takes a daemon out of rotation after two failed readiness checks, one per second. */
 const LEAVE_ROTATION_MILLISECONDS = 2_600;
@@ -11,42 +12,52 @@
 
 /** Requests in progress of a server that is drained. */
 export interface DrainedRequests {
-    /** Whether there are none. */
+    /** Whether there are none, and none is on its way. */
     readonly isIdle: () => boolean;
     /** Ends those that are left at the end of the grace time. */
     readonly endAll: () => void;
 }
 
+/** What is drained. */
+export interface DrainedServer {
+    readonly server: Pick<Server, "close">;
+    readonly connections: Pick<ConnectionLimits, "closeIdle" | "closeUnused">;
+}
+
 /**
  * Goes on listening until the daemon has left the rotation, and then waits for requests in progress. Resolves when the
- * process may exit, at the latest shortly before it would be killed.
+ * process may exit, at the latest shortly before it would be killed; no request is read any more then.
  */
 export async function drain(
-    server: Server,
+    { server, connections }: DrainedServer,
     { isIdle, endAll }: DrainedRequests,
     shutdownMilliseconds: number,
 ): Promise<void> {
     const startedAt = performance.now();
+    const mustEnd = (): boolean => performance.now() - startedAt > shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS;
     await waitUntil(() => performance.now() - startedAt > LEAVE_ROTATION_MILLISECONDS);
     server.close();
-    await waitUntil(() => {
-        // The response of a connection that has just become idle may have begun before the shutdown, without telling the
-        // caller to close it.
-        server.closeIdleConnections();
-        return isIdle() || performance.now() - startedAt > shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS;
-    });
+    do {
+        await waitUntil(() => {
+            // The response of a connection that has just become idle may have begun before the shutdown, without telling
+            // the caller to close it.
+            connections.closeIdle();
+            return isIdle() || mustEnd();
+        });
+        // The last bytes of responses take time to be sent, in which a connection that is open may bring a request.
+        await wait(IDLE_CHECK_MILLISECONDS);
+    }
+    while (!isIdle() && !mustEnd());
     if (!isIdle()) {
         endAll();
         const flushedAt = performance.now() + FLUSH_MILLISECONDS;
         await waitUntil(() => isIdle() || performance.now() > flushedAt);
     }
-    await closeAfterFlush(server);
+    connections.closeUnused();
 }
 
-/** Closes idle connections and gives the last bytes of responses time to be sent before the process exits. */
-async function closeAfterFlush(server: Server): Promise<void> {
-    server.closeIdleConnections();
-    await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MILLISECONDS));
+function wait(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
 
 function waitUntil(condition: () => boolean): Promise<void> {
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -85,4 +85,24 @@
         socket.write("b");
         expect(await answeredBeforeExit).to.match(/^HTTP\/1\.1 200 OK[^]*done/);
     });
+
+    it("answers a request whose head is still on its way when all others have ended", async () => {
+        const { listeners, socket, received } = await start(async (message, response) => {
+            message.resume();
+            await new Promise(resolve => message.once("end", resolve));
+            response.end("done");
+        });
+        const answeredBeforeExit = listeners.shutDown().then(received);
+        await wait(LEFT_ROTATION_MILLISECONDS - 500);
+        socket.write(request.slice(0, 20));
+        await wait(1_000);
+        socket.write(`${request.slice(20)}ab`);
+        expect(await answeredBeforeExit).to.match(/^HTTP\/1\.1 200 OK[^]*done/);
+    });
+
+    it("closes a connection that had no request, so that none is read after its end", async () => {
+        const { listeners, closed } = await start(() => Promise.resolve());
+        await listeners.shutDown();
+        await closed;
+    });
 });
