Start the bundled daemon with compiled code

Cause: each start compiled the bundle, and each function again when it was first called: some 0.04 s until the version is printed, 195 times at once.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,14 @@
-/** Bundles the daemon's entry on the platform into one file, so that a process starts fast and needs no modules. */
+/**
+ * Bundles the daemon's entry on the platform into one file, and compiles it, so that a process starts fast and needs no modules.
+ * Compiled code fits only the flags of V8 with which `deploy/system.toml` runs the daemon.
+ */
 import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { copyFileSync, readFileSync } from "node:fs";
+
+const BUNDLE = "target/daemon.js";
+const COMPILED = "target/daemon.cache";
+const ENTRY = "target/damaskvaled.js";
 
 /** Optional parts of bunyan and msgpackr. These do without them, and each start saves loading them. */
 const OPTIONAL_PARTS = /^(dtrace-provider|mv|safe-json-stringify|source-map-support|msgpackr-extract)$/;
@@ -23,8 +32,11 @@
 
 await build({
     entryPoints: ["platform/src/main.ts"],
-    outfile: "target/damaskvaled.js",
+    outfile: BUNDLE,
     bundle: true,
+    // The entry calls the bundle as Node calls a module.
+    banner: { js: "(function (require, module, __filename, __dirname) {" },
+    footer: { js: "})" },
     platform: "node",
     target: "node20",
     // The CommonJS form of ts-results picks its modules at run time, which a bundle cannot follow.
@@ -40,3 +52,12 @@
         "@damaskvale/daemon": "./scripts/bundle/daemon.mjs",
     },
 });
+
+copyFileSync("scripts/bundle/damaskvaled.cjs", ENTRY);
+execFileSync(process.execPath, [...flagsOfDaemon(), "scripts/bundle/compile.mjs", BUNDLE, COMPILED]);
+
+/** Returns the flags of Node.js with which the deploy file runs the daemon. */
+function flagsOfDaemon() {
+    const run = /^run = "node (.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1] ?? "";
+    return run.split(" ").filter(word => word.startsWith("--"));
+}
