--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -19,6 +19,8 @@
 import type { PartitionAssignment } from "../ports/registry.js";
 import type { RelayState, ReportedMembership } from "../relay/state.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
+import { type BackgroundTasks, createBackgroundTasks } from "./backgroundtasks.js";
+import { createEpochs, type Epochs } from "./epochs.js";
 import { fleetKey, isNetworkPartitioned, roundDemand } from "./fleet.js";
 import { createFleetViews, type FleetViews } from "./fleetviews.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
@@ -89,10 +91,11 @@
     private readonly loggedChoices = new Map<string, string>();
     private readonly reassignments: Reassignments;
     private readonly views: FleetViews;
-    private highestEpoch = 0;
+    private readonly epochs: Epochs;
     private readonly servingNotice: ServingNotice;
-    private scheduled = false;
-    private stopped = false;
+    /** Whether records may be kept of targets that are not known any more. */
+    private hasStaleRecords = false;
+    private readonly tasks: BackgroundTasks;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(private readonly parts: EnginePlannerParts) {
@@ -100,6 +103,16 @@
         this.reassignments = createReassignments({ ...parts, describe });
         this.servingNotice = createServingNotice(parts.onMembership);
         this.views = createFleetViews(parts.state, parts.partitionCount);
+        this.epochs = createEpochs(parts.state);
+        this.tasks = createBackgroundTasks({
+            log: parts.log,
+            owner: "engine planner",
+            onFinished: () => this.planRound(),
+            delayMilliseconds: ROUND_DELAY_MILLISECONDS,
+        });
+        parts.state.onChange(() => {
+            this.hasStaleRecords = true;
+        });
     }
 
     start(): void {
@@ -111,7 +124,7 @@
     }
 
     stop(): void {
-        this.stopped = true;
+        this.tasks.stop();
         clearTimeout(this.timer);
     }
 
@@ -132,7 +145,10 @@
         if (assignment === undefined || assignment.partitions.length === 0) {
             return;
         }
-        this.records.retain(new Set(state.targets().map(target => target.id)));
+        if (this.hasStaleRecords) {
+            this.hasStaleRecords = false;
+            this.records.retain(new Set(state.targets().map(target => target.id)));
+        }
         const hosts = this.engineServices().flatMap(({ service, engine }) =>
             this.planService(service, engine, assignment)
         );
@@ -171,7 +187,7 @@
         const { clock, state, partitionCount, demandOf } = this.parts;
         const now = clock.monotonic();
         targets.filter(target => this.records.needsReport(target, now)).forEach(target =>
-            this.run(this.requestReport(target))
+            this.tasks.run(this.requestReport(target))
         );
         const hosts = targets.map(target => this.records.describe(target, now));
         if (this.refusedTokens.get(domain) === assignment.fencingToken || isNetworkPartitioned(hosts)) {
@@ -189,7 +205,7 @@
             ...this.allowedLoads(loadsPerSecond, now),
             registryDelayMilliseconds: this.parts.registryDelayMilliseconds(),
             fencingToken: assignment.fencingToken,
-            nextEpoch: this.nextEpoch(assignment),
+            nextEpoch: this.epochs.next(assignment.fencingToken),
             now,
         });
         this.logChoice(service.name, domain, choice);
@@ -201,7 +217,7 @@
             const target = byId.get(order.host);
             if (target !== undefined) {
                 this.recordOrder(target, order);
-                this.run(this.sendOrder(target, order, domain, assignment));
+                this.tasks.run(this.sendOrder(target, order, domain, assignment));
             }
         });
     }
@@ -255,7 +271,7 @@
             this.loads.take();
         }
         if (order.kind === "join") {
-            this.highestEpoch = Math.max(this.highestEpoch, order.epoch);
+            this.epochs.record(order.epoch);
         }
     }
 
@@ -322,29 +338,6 @@
         this.planners.set(key, planner);
         return planner;
     }
-
-    private nextEpoch(assignment: PartitionAssignment): number {
-        const seen = this.parts.state.targets().map(target => target.membership?.epoch ?? 0);
-        this.highestEpoch = Math.max(this.highestEpoch, assignment.fencingToken, ...seen);
-        return this.highestEpoch + 1;
-    }
-
-    /** Runs a task in the background and schedules a planning round when it is done. */
-    private run(work: Promise<void>): void {
-        work.then(() => this.schedule())
-            .catch((error: unknown) => this.parts.log.emit("taskFailed", { task: "engine planner", error }));
-    }
-
-    private schedule(): void {
-        if (this.scheduled || this.stopped) {
-            return;
-        }
-        this.scheduled = true;
-        setTimeout(() => {
-            this.scheduled = false;
-            this.planRound();
-        }, ROUND_DELAY_MILLISECONDS);
-    }
 }
 
 function membershipDiffers(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
--- /dev/null
+++ b/packages/daemon/src/engines/epochs.ts
@@ -0,0 +1,30 @@
+/** Epochs of new groups: each is above all that this daemon knows of, also after the change of an owner. */
+import type { RelayState } from "../relay/state.js";
+
+/** Epochs of one planner. */
+export interface Epochs {
+    /** Returns the epoch of a new group of an owner with this fencing token. */
+    next(fencingToken: number): number;
+    /** Records the epoch of a group that is ordered. */
+    record(epoch: number): void;
+}
+
+/** Creates the epochs. Those of the targets are searched once until something changes. */
+export function createEpochs(state: Pick<RelayState, "targets" | "onChange">): Epochs {
+    let highest = 0;
+    let isSearched = false;
+    state.onChange(() => {
+        isSearched = false;
+    });
+    return {
+        next: fencingToken => {
+            const seen = isSearched ? [] : state.targets().map(({ membership }) => membership?.epoch ?? 0);
+            isSearched = true;
+            highest = Math.max(highest, fencingToken, ...seen);
+            return highest + 1;
+        },
+        record: epoch => {
+            highest = Math.max(highest, epoch);
+        },
+    };
+}
--- a/packages/daemon/src/engines/tests/engineplanner.test.ts
+++ b/packages/daemon/src/engines/tests/engineplanner.test.ts
@@ -110,6 +110,7 @@
         start({
             ...state,
             lookup: () => state.lookup(),
+            onChange: listener => state.onChange(listener),
             targets: () => {
                 lists += 1;
                 return state.targets();
