--- a/packages/daemon/src/peers/collector.ts
+++ b/packages/daemon/src/peers/collector.ts
@@ -18,8 +18,8 @@
 
 /** Knowledge of a collector. Times are monotonic milliseconds. */
 export interface Collector {
-    /** Takes over the report of a daemon of the own data centre, unless a newer one is known. */
-    receiveReport(report: LoadReport, takesRequests: boolean, now: number): void;
+    /** Takes over the report of a daemon of the own data centre, unless a newer one is known; returns whether it did. */
+    receiveReport(report: LoadReport, takesRequests: boolean, now: number): boolean;
     /** Records whether a daemon takes requests, as it says itself between two reports. */
     recordTakesRequests(daemon: string, takesRequests: boolean): void;
     /** Takes over the statement of another data centre. */
@@ -61,9 +61,11 @@
 
     return {
         receiveReport: (report, takes, now) => {
-            if (reports.update(report, now)) {
+            const isNewest = reports.update(report, now);
+            if (isNewest) {
                 takesRequests.set(report.daemon, takes);
             }
+            return isNewest;
         },
         recordTakesRequests: (daemon, takes) => {
             if (takesRequests.has(daemon)) {
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -28,6 +28,7 @@
 } from "./exchangemessage.js";
 import { applyKnowledge, encodeKnowledge } from "./knowledge.js";
 import type { LoadExchange, LoadExchangeParts } from "./loadexchangeparts.js";
+import { collectorsElsewhere } from "./remotecollectors.js";
 import { createSendSchedule, IDLE_INTERVAL_MILLISECONDS, MOST_DAEMONS_AT_ONCE } from "./sendschedule.js";
 import { createSilenceDetector } from "./silence.js";
 import { createTargetPages, encodeTargetRange } from "./targetpages.js";
@@ -238,14 +239,7 @@
         if (!this.isDue("dataCentre", JSON.stringify([sums, names]))) {
             return;
         }
-        const running = new Set(roster.daemons(now));
-        const dataCentres = new Set(daemons.others().map(({ dataCentre }) => dataCentre));
-        const receivers = [...dataCentres].filter(dataCentre => dataCentre !== self.dataCentre).flatMap(dataCentre => {
-            const isKnown = daemons.others().some(other =>
-                other.dataCentre === dataCentre && running.has(other.daemon)
-            );
-            return this.chooser.choose(dataCentre, daemons.all(), daemon => isKnown && !running.has(daemon));
-        });
+        const receivers = collectorsElsewhere({ self, daemons, running: new Set(roster.daemons(now)) }, this.chooser);
         this.send({
             kind: "dataCentre",
             ...this.commonFields("dataCentre"),
@@ -322,8 +316,10 @@
 
     private receiveReport({ daemon, startedAt, sequence, takesRequests, loads, speeds }: ReportMessage): void {
         const report = { daemon, startedAt, sequence, loads: decodeLoads(loads) };
-        this.parts.speeds.receiveReport(daemon, speeds);
-        this.collector.receiveReport(report, takesRequests, this.now());
+        // A report that a later one has overtaken says nothing new.
+        if (this.collector.receiveReport(report, takesRequests, this.now())) {
+            this.parts.speeds.receiveReport(daemon, speeds);
+        }
     }
 
     private receiveDataCentre({ daemon, dataCentre, sums, members, speeds }: DataCentreMessage): void {
