--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -62,6 +62,8 @@
     /** Time in which the process ran until the last sweep. */
     private runningMilliseconds = 0;
     private lastSweepAt = performance.now();
+    /** Set while there are connections. */
+    private timer: NodeJS.Timeout | undefined;
 
     constructor(private readonly server: Server) {
         server.headersTimeout = 0;
@@ -69,7 +71,6 @@
         server.on("request", (message: IncomingMessage, response: ServerResponse) => this.track(message, response));
         // With a listener, Node does not destroy the connection itself when its idle timer ends.
         server.on("timeout", () => undefined);
-        setInterval(() => this.sweep(), SWEEP_MILLISECONDS).unref();
     }
 
     setIdleTimeout(milliseconds: number): void {
@@ -97,6 +98,10 @@
     }
 
     private accept(socket: Socket): void {
+        if (this.timer === undefined) {
+            this.lastSweepAt = performance.now();
+            this.timer = setInterval(() => this.sweep(), SWEEP_MILLISECONDS).unref();
+        }
         this.connections.set(socket, {
             socket,
             openResponses: 0,
@@ -106,7 +111,15 @@
             bytesRead: 0,
             head: this.beginHead(),
         });
-        socket.once("close", () => this.connections.delete(socket));
+        socket.once("close", () => this.forget(socket));
+    }
+
+    private forget(socket: Socket): void {
+        this.connections.delete(socket);
+        if (this.connections.size === 0) {
+            clearInterval(this.timer);
+            this.timer = undefined;
+        }
     }
 
     private track(message: IncomingMessage, response: ServerResponse): void {
