--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -81,6 +81,9 @@
 /** Maximum size of all that precedes the body of a response. */
 const MAXIMUM_HEAD_BYTES = 65_536;
 
+/** More than the targets of a large deployment. */
+const MAXIMUM_AGENT_NAMES = 4_096;
+
 /** Creates the connections. */
 export function createTargetConnections(options: TargetConnectionOptions): TargetConnections {
     const keepAliveAgent = new Agent({
@@ -90,11 +93,23 @@
         timeout: IDLE_TIMEOUT_MILLISECONDS,
     });
     const pace = createReadPace();
-    const idleSockets = (address: string): readonly Socket[] => {
+    /** Names under which the agent keeps connections, by address: each choice of a target asks for all of them. */
+    const agentNames = new Map<string, string>();
+    const agentNameOf = (address: string): string => {
+        const known = agentNames.get(address);
+        if (known !== undefined) {
+            return known;
+        }
         const [host = "", port = ""] = address.split(":");
         const name = keepAliveAgent.getName({ host, port: Number(port), localAddress: options.localAddress });
-        return keepAliveAgent.freeSockets[name] ?? [];
+        // Targets that are long gone are forgotten together with all others.
+        if (agentNames.size >= MAXIMUM_AGENT_NAMES) {
+            agentNames.clear();
+        }
+        agentNames.set(address, name);
+        return name;
     };
+    const idleSockets = (address: string): readonly Socket[] => keepAliveAgent.freeSockets[agentNameOf(address)] ?? [];
     return {
         send: (address, request, receiver) => {
             const [host = "", port = ""] = address.split(":");
