--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -30,6 +30,12 @@
     setup: ({ onLoad }) => onLoad({ filter: /zod[/]v4[/]locales[/]index[.]js$/ }, () => ({ contents: "export {};" })),
 };
 
+/** Leaves out the client that pushes metrics: they are fetched. It would load HTTPS and TLS at each start. */
+const withoutPushOfMetrics = {
+    name: "without push of metrics",
+    setup: ({ onLoad }) => onLoad({ filter: /prom-client[/]lib[/]pushgateway[.]js$/ }, () => ({ contents: "" })),
+};
+
 await build({
     entryPoints: ["platform/src/main.ts"],
     outfile: BUNDLE,
@@ -46,7 +52,7 @@
     // Names stay, so that stack traces can be read.
     minifyWhitespace: true,
     minifySyntax: true,
-    plugins: [withoutTranslations, withoutOptionalParts],
+    plugins: [withoutTranslations, withoutPushOfMetrics, withoutOptionalParts],
     alias: {
         "@damaskvale/core": "./packages/core/src/index.ts",
         "@damaskvale/daemon": "./scripts/bundle/daemon.mjs",
