--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -43,6 +43,10 @@
             }],
         },
     },
+    {
+        files: ["**/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["packages/**/tests/**/*.ts", "platform/**/tests/**/*.ts"],
         rules: {
