Gather the names of daemons that start together into one look-up

Each collector's statement that named a daemon which had just started made all others of its data centre read the announcements at once, on top of reads 100 ms apart.

Change: in fleets of more than 12 daemons unknown names are gathered for 0.5 s, and reads of announcements are 0.6 s apart at least. Small fleets go on as before.

--- a/packages/daemon/src/peers/presence.ts
+++ b/packages/daemon/src/peers/presence.ts
@@ -5,6 +5,7 @@
 import { StoreError, type TopicChange } from "../ports/registry.js";
 import { followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import { jitteredDelay, sleep } from "../tasks/sleep.js";
+import { MOST_DAEMONS_AT_ONCE } from "./sendschedule.js";
 
 /** Collaborators of the presence task. */
 export interface PresenceParts {
@@ -25,6 +26,8 @@
 const ANNOUNCE_SPREAD_MILLISECONDS = 500;
 /** Each announcement ends the waiting reads of all daemons, so that a large fleet reads several of them together. */
 const LEAST_FOLLOW_PAUSE_MILLISECONDS = 100;
+/** Least pause in a fleet whose daemons do not all read for themselves. */
+const LARGE_FLEET_FOLLOW_PAUSE_MILLISECONDS = 600;
 const FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON = 10;
 /** Daemons rarely start or stop, and learning of it late does no harm. */
 const FOLLOW_WAIT_MILLISECONDS = 15_000;
@@ -70,8 +73,7 @@
         random,
         currentEra: () => storeEra.current(),
         waitMilliseconds: () => FOLLOW_WAIT_MILLISECONDS,
-        pauseMilliseconds: () =>
-            Math.max(LEAST_FOLLOW_PAUSE_MILLISECONDS, peers.size * FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON),
+        pauseMilliseconds: () => followPauseMilliseconds(peers.size),
         replace: (changes, isRestored) => {
             // Daemons that an older copy of the store lacks announce themselves again.
             if (!isRestored) {
@@ -82,3 +84,10 @@
         apply,
     });
 }
+
+function followPauseMilliseconds(daemons: number): number {
+    const least = daemons > MOST_DAEMONS_AT_ONCE
+        ? LARGE_FLEET_FOLLOW_PAUSE_MILLISECONDS
+        : LEAST_FOLLOW_PAUSE_MILLISECONDS;
+    return Math.max(least, daemons * FOLLOW_PAUSE_MILLISECONDS_PER_DAEMON);
+}
--- a/packages/daemon/src/relay/storefollowers.ts
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -111,8 +111,9 @@
         },
         rest: createRest(shared, presence, configuration),
         readUnknownDaemons: names => {
-            if (unknownDaemons.shouldRead(names, clock.monotonic())) {
-                presence.refresh(0);
+            const delay = unknownDaemons.readAfter(names, daemons.count(), clock.monotonic());
+            if (delay !== undefined) {
+                setTimeout(() => presence.refresh(0), delay).unref();
             }
         },
     };
