Find slow plain targets by their times for a route, and send them few requests

Cause: the users' complaint names the portal's look-ups as well, and the choice of a plain target knew requests in progress and data centre only. What its work should take is not stated, so that nothing could be compared.

Change: each daemon compares a response with what the other targets of the service took for the same route lately; the ratio is shared and stated like the pauses of streams.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,7 @@
 export * from "./placement/plaintarget.js";
 export * from "./placement/reachability.js";
 export * from "./placement/requestpacer.js";
+export * from "./placement/routetimes.js";
 export * from "./placement/slidingmaximum.js";
 export * from "./placement/statedloads.js";
 export * from "./placement/suspicions.js";
--- /dev/null
+++ b/packages/core/src/placement/routetimes.ts
@@ -0,0 +1,65 @@
+/**
+ * Expected time of a response of a plain target: what the other targets of the service took for the same route lately, as one
+ * daemon observed it. Times are averaged as logarithms, so that single odd ones count little.
+ */
+
+/** Times of responses that one daemon observed. Times are monotonic milliseconds. */
+export interface RouteTimes {
+    /**
+     * Records how long a target took for a request of a route; returns this over the time that the other targets take for the
+     * route, or `undefined` while too little is known of them.
+     */
+    record(route: string, target: string, milliseconds: number, now: number): number | undefined;
+}
+
+/** Time after which an observation counts half. */
+const HALF_LIFE_MILLISECONDS = 10_000;
+/** Observations of the other targets from which their mean is used. */
+const LEAST_OBSERVATIONS = 2;
+/** Shorter times differ by chance. */
+const LEAST_MILLISECONDS = 1;
+/** Routes that are remembered; those without requests are forgotten first. */
+const MAXIMUM_ROUTES = 256;
+
+interface FadingMean {
+    readonly weight: number;
+    readonly logSum: number;
+    readonly at: number;
+}
+
+/** Creates the times of a daemon that observed none. */
+export function createRouteTimes(): RouteTimes {
+    /** Means by target, by route; the route that was used last stands last. */
+    const routes = new Map<string, Map<string, FadingMean>>();
+    const targetsOf = (route: string): Map<string, FadingMean> => {
+        const targets = routes.get(route) ?? new Map<string, FadingMean>();
+        routes.delete(route);
+        routes.set(route, targets);
+        if (routes.size > MAXIMUM_ROUTES) {
+            routes.delete([...routes.keys()][0] ?? "");
+        }
+        return targets;
+    };
+    return {
+        record: (route, target, milliseconds, now) => {
+            const targets = targetsOf(route);
+            const logarithm = Math.log(Math.max(LEAST_MILLISECONDS, milliseconds));
+            const known = fade(targets.get(target), now);
+            const expected = meanOfOthers(targets, target, now);
+            targets.set(target, { weight: known.weight + 1, logSum: known.logSum + logarithm, at: now });
+            return expected === undefined ? undefined : Math.exp(logarithm - expected);
+        },
+    };
+}
+
+function fade(mean: FadingMean | undefined, now: number): FadingMean {
+    const factor = mean === undefined ? 0 : 0.5 ** ((now - mean.at) / HALF_LIFE_MILLISECONDS);
+    return { weight: (mean?.weight ?? 0) * factor, logSum: (mean?.logSum ?? 0) * factor, at: now };
+}
+
+/** Returns the mean logarithm of the other targets: each counts by its observations. */
+function meanOfOthers(targets: ReadonlyMap<string, FadingMean>, target: string, now: number): number | undefined {
+    const others = [...targets].filter(([id]) => id !== target).map(([, mean]) => fade(mean, now));
+    const weight = others.reduce((sum, mean) => sum + mean.weight, 0);
+    return weight < LEAST_OBSERVATIONS ? undefined : others.reduce((sum, { logSum }) => sum + logSum, 0) / weight;
+}
--- a/packages/core/src/placement/tests/plaintarget.test.ts
+++ b/packages/core/src/placement/tests/plaintarget.test.ts
@@ -7,6 +7,7 @@
     dataCentre: "a",
     inProgress: 0,
     waitMilliseconds: 0,
+    slowness: 1,
     ...fields,
 });
 
@@ -36,6 +37,16 @@
         candidates: [candidate("x", { dataCentre: "b" }), candidate("y", { inProgress: 3 })],
         chosen: "x",
     },
+    {
+        name: "one of another data centre before a slow one",
+        candidates: [candidate("x", { slowness: 3 }), candidate("y", { dataCentre: "b" })],
+        chosen: "y",
+    },
+    {
+        name: "a slow one while the others are much busier",
+        candidates: [candidate("x", { slowness: 2 }), candidate("y", { inProgress: 6 })],
+        chosen: "x",
+    },
     {
         name: "a busier one while the other rests",
         candidates: [candidate("x", { waitMilliseconds: 9 }), candidate("y", { inProgress: 7 })],
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -95,6 +95,7 @@
             dataCentre: target.dataCentre,
             inProgress: parts.loadTracker.get(target.id)?.inProgress ?? 0,
             waitMilliseconds: parts.availability.waitMilliseconds(target),
+            slowness: parts.speeds.slownessOf(target.id),
         }));
         const chosen = choosePlainTarget(candidates, parts.dataCentre, parts.random);
         return untried.find(({ id }) => id === chosen);
@@ -209,6 +210,7 @@
     private receiveEnd(attempt: PlainAttempt): void {
         const { head, decoded } = attempt;
         concludeObservation(attempt);
+        this.recordSpeed(attempt);
         if (this.isFinished) {
             return;
         }
@@ -241,6 +243,19 @@
         this.deliver(head, decoded, Buffer.concat(attempt.chunks));
     }
 
+    /** Compares the time of a response with those of the other targets. Errors are often quicker. */
+    private recordSpeed({ target, sentAt, head }: PlainAttempt): void {
+        const { parts } = this;
+        if (head === undefined || head.status >= 400) {
+            return;
+        }
+        const now = parts.clock.monotonic();
+        const ratio = parts.routeTimes.record(this.context.admitted.route.name, target.id, now - sentAt, now);
+        if (ratio !== undefined) {
+            parts.speeds.record(target.id, ratio);
+        }
+    }
+
     private deliver(head: ResponseHead, decoded: DecodedResponse, body: Buffer): void {
         const { response, request } = this.context;
         const hasLength = head.delimited && request.method !== "HEAD";
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -5,6 +5,7 @@
     LoadTracker,
     RetryBudget,
     RouteLookup,
+    RouteTimes,
     SlidingMaximum,
 } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
@@ -49,6 +50,8 @@
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
+    /** How long plain targets take for the requests of this daemon. */
+    readonly routeTimes: RouteTimes;
     readonly stalledHeads: StalledHeads;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -1,5 +1,5 @@
 /** Composition root of the daemon on a platform: connects the relay, the topic followers and the engine planner. */
-import { createSlidingMaximum, createSuspicions, eraOf, type TargetLoad } from "@damaskvale/core";
+import { createRouteTimes, createSlidingMaximum, createSuspicions, eraOf, type TargetLoad } from "@damaskvale/core";
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
 import { startLoadExchange } from "../peers/loadexchange.js";
 import type { LoadExchange } from "../peers/loadexchangeparts.js";
@@ -94,6 +94,7 @@
         requestQuarantine: shared.requestQuarantine,
         reachability: shared.reachability,
         speeds: shared.speeds,
+        routeTimes: createRouteTimes(),
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         headUnusable,
         dataCentre: settings.dataCentre,
