--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -110,14 +110,9 @@
         if (this.collectorRank() === undefined) {
             return;
         }
+        const { daemon } = this.parts.self;
         const members = this.otherMembers();
-        ranges.forEach(part =>
-            this.send({
-                kind: "targets",
-                daemon: this.parts.self.daemon,
-                range: encodeTargetRange(part),
-            }, members)
-        );
+        ranges.forEach(part => this.send({ kind: "targets", daemon, range: encodeTargetRange(part) }, members));
     }
 
     passOnConfiguration(range: TopicRange<RelayConfiguration>): void {
