--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -48,6 +48,12 @@
     return { listeners, socket, received: () => received, closed };
 }
 
+/** Answers a request once its body has arrived. */
+const answerWholeRequest: Relay["handle"] = async (message, response) => {
+    message.resume();
+    await new Promise(resolve => message.once("end", resolve));
+    response.end("done");
+};
 const wait = (milliseconds: number): Promise<void> => new Promise(resolve => setTimeout(resolve, milliseconds));
 const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
 
@@ -73,11 +79,7 @@
     });
 
     it("answers a request whose body is still on its way when all others have ended", async () => {
-        const { listeners, socket, received } = await start(async (message, response) => {
-            message.resume();
-            await new Promise(resolve => message.once("end", resolve));
-            response.end("done");
-        });
+        const { listeners, socket, received } = await start(answerWholeRequest);
         const answeredBeforeExit = listeners.shutDown().then(received);
         await wait(LEFT_ROTATION_MILLISECONDS - 500);
         socket.write(`${request}a`);
@@ -87,11 +89,7 @@
     });
 
     it("answers a request whose head is still on its way when all others have ended", async () => {
-        const { listeners, socket, received } = await start(async (message, response) => {
-            message.resume();
-            await new Promise(resolve => message.once("end", resolve));
-            response.end("done");
-        });
+        const { listeners, socket, received } = await start(answerWholeRequest);
         const answeredBeforeExit = listeners.shutDown().then(received);
         await wait(LEFT_ROTATION_MILLISECONDS - 500);
         socket.write(request.slice(0, 20));
