--- a/packages/daemon/src/peers/unknowndaemons.ts
+++ b/packages/daemon/src/peers/unknowndaemons.ts
@@ -28,12 +28,12 @@
             if (fresh.length === 0) {
                 return undefined;
             }
-            const isDue = now < readAt;
-            if (!isDue) {
+            const isScheduled = now < readAt;
+            if (!isScheduled) {
                 readAt = now + (daemons > MOST_DAEMONS_AT_ONCE ? GATHERING_MILLISECONDS : 0);
             }
             fresh.forEach(name => lookedUpAt.set(name, readAt));
-            return isDue ? undefined : readAt - now;
+            return isScheduled ? undefined : readAt - now;
         },
     };
 }
--- a/packages/daemon/src/relay/wholecall.ts
+++ b/packages/daemon/src/relay/servercall.ts
@@ -1,11 +1,11 @@
-/** Whole exchanges with a server: sends a request over the connections to targets and resolves with the complete response. */
+/** Calls of the daemon itself, to the store and to engines: sends a request and resolves with the complete response. */
 import type { IncomingHttpHeaders } from "node:http";
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import { TimeoutError } from "../tasks/withtimeout.js";
 import type { TargetConnections, TargetRequest } from "./targetconnections.js";
 
 /** A call to the server at an address, `IP:PORT`. */
-export interface WholeCall extends TargetRequest {
+export interface ServerCall extends TargetRequest {
     readonly address: string;
     /** Time for the whole exchange; its connection is closed when it ends. */
     readonly timeoutMilliseconds: number;
@@ -14,14 +14,14 @@
 }
 
 /** A complete response. */
-export interface WholeResponse {
+export interface CompleteResponse {
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     readonly body: Buffer;
 }
 
 /** Makes a call. Rejects if there is no complete response in time, or if it is cancelled. */
-export function callWhole(connections: Pick<TargetConnections, "send">, call: WholeCall): Promise<WholeResponse> {
+export function callServer(connections: Pick<TargetConnections, "send">, call: ServerCall): Promise<CompleteResponse> {
     const { address, timeoutMilliseconds, signal } = call;
     return new Promise((resolve, reject) => {
         if (signal?.aborted) {
@@ -41,6 +41,7 @@
                 reject(error);
             });
         const abort = (): void => cancel(signal?.reason as Error);
+        const timer = setTimeout(() => cancel(new TimeoutError(timeoutMilliseconds)), timeoutMilliseconds);
         const request = { ...call, headers: ["Host", address, ...call.headers] };
         const exchange = connections.send(address, request, {
             sent: () => undefined,
@@ -54,7 +55,6 @@
                 ),
             failed: error => end(() => reject(error)),
         });
-        const timer = setTimeout(() => cancel(new TimeoutError(timeoutMilliseconds)), timeoutMilliseconds);
         signal?.addEventListener("abort", abort);
     });
 }
