Fade the sums of speeds and of route times by one piece of code

Read again: both modules halved a weight and a sum of logarithms after a half-life, one on objects that it changed, the other on new ones. The two conditions for a connection without a request are one as well. No change of behaviour.

--- a/packages/core/src/placement/routetimes.ts
+++ b/packages/core/src/placement/routetimes.ts
@@ -3,6 +3,8 @@
  * daemon observed it. Times are averaged as logarithms, so that single odd ones count little.
  */
 
+import { addLogarithm, fade, type FadingSum } from "./fadingsum.js";
+
 /** Times of responses that one daemon observed. Times are monotonic milliseconds. */
 export interface RouteTimes {
     /**
@@ -21,18 +23,12 @@
 /** Routes that are remembered; those without requests are forgotten first. */
 const MAXIMUM_ROUTES = 256;
 
-interface FadingMean {
-    readonly weight: number;
-    readonly logSum: number;
-    readonly at: number;
-}
-
 /** Creates the times of a daemon that observed none. */
 export function createRouteTimes(): RouteTimes {
-    /** Means by target, by route; the route that was used last stands last. */
-    const routes = new Map<string, Map<string, FadingMean>>();
-    const targetsOf = (route: string): Map<string, FadingMean> => {
-        const targets = routes.get(route) ?? new Map<string, FadingMean>();
+    /** Sums by target, by route; the route that was used last stands last. */
+    const routes = new Map<string, Map<string, FadingSum>>();
+    const targetsOf = (route: string): Map<string, FadingSum> => {
+        const targets = routes.get(route) ?? new Map<string, FadingSum>();
         routes.delete(route);
         routes.set(route, targets);
         if (routes.size > MAXIMUM_ROUTES) {
@@ -44,22 +40,19 @@
         record: (route, target, milliseconds, now) => {
             const targets = targetsOf(route);
             const logarithm = Math.log(Math.max(LEAST_MILLISECONDS, milliseconds));
-            const known = fade(targets.get(target), now);
+            const known = fade(targets.get(target), HALF_LIFE_MILLISECONDS, now);
             const expected = meanOfOthers(targets, target, now);
-            targets.set(target, { weight: known.weight + 1, logSum: known.logSum + logarithm, at: now });
+            targets.set(target, addLogarithm(known, logarithm));
             return expected === undefined ? undefined : Math.exp(logarithm - expected);
         },
     };
 }
 
-function fade(mean: FadingMean | undefined, now: number): FadingMean {
-    const factor = mean === undefined ? 0 : 0.5 ** ((now - mean.at) / HALF_LIFE_MILLISECONDS);
-    return { weight: (mean?.weight ?? 0) * factor, logSum: (mean?.logSum ?? 0) * factor, at: now };
-}
-
 /** Returns the mean logarithm of the other targets: each counts by its observations. */
-function meanOfOthers(targets: ReadonlyMap<string, FadingMean>, target: string, now: number): number | undefined {
-    const others = [...targets].filter(([id]) => id !== target).map(([, mean]) => fade(mean, now));
-    const weight = others.reduce((sum, mean) => sum + mean.weight, 0);
-    return weight < LEAST_OBSERVATIONS ? undefined : others.reduce((sum, { logSum }) => sum + logSum, 0) / weight;
+function meanOfOthers(targets: ReadonlyMap<string, FadingSum>, target: string, now: number): number | undefined {
+    const others = [...targets].filter(([id]) => id !== target).map(([, sum]) =>
+        fade(sum, HALF_LIFE_MILLISECONDS, now)
+    );
+    const weight = others.reduce((total, sum) => total + sum.weight, 0);
+    return weight < LEAST_OBSERVATIONS ? undefined : others.reduce((total, { logSum }) => total + logSum, 0) / weight;
 }
--- a/packages/core/src/placement/targetspeeds.ts
+++ b/packages/core/src/placement/targetspeeds.ts
@@ -6,6 +6,8 @@
  * single odd ones count little, and fade, so that a target that recovers gets its share back.
  */
 
+import { addLogarithm, fade, type FadingSum } from "./fadingsum.js";
+
 /** Observations of one target: their faded number, and the sum of their logarithms. */
 export interface SpeedSum {
     readonly target: string;
@@ -42,38 +44,25 @@
 /** A target counts as slow from here on; the expected times are estimates. */
 const LEAST_SLOWNESS = 1.6;
 
-interface FadingSum {
-    weight: number;
-    logSum: number;
-    at: number;
-}
-
 /** Creates a daemon's observations, without any. */
 export function createSpeedObservations(): SpeedObservations {
     const sums = new Map<string, FadingSum>();
-    const fade = (sum: FadingSum, now: number): void => {
-        const factor = 0.5 ** ((now - sum.at) / HALF_LIFE_MILLISECONDS);
-        sum.weight *= factor;
-        sum.logSum *= factor;
-        sum.at = now;
-    };
     return {
         record: (target, ratio, now) => {
             if (!Number.isFinite(ratio) || ratio <= 0) {
                 return;
             }
-            const sum = sums.get(target) ?? { weight: 0, logSum: 0, at: now };
-            fade(sum, now);
-            sum.weight += 1;
-            sum.logSum += Math.log(Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, ratio)));
-            sums.set(target, sum);
+            const logarithm = Math.log(Math.min(MAXIMUM_RATIO, Math.max(MINIMUM_RATIO, ratio)));
+            sums.set(target, addLogarithm(fade(sums.get(target), HALF_LIFE_MILLISECONDS, now), logarithm));
         },
         sums: now => {
-            sums.forEach((sum, target) => {
-                fade(sum, now);
+            sums.forEach((known, target) => {
+                const sum = fade(known, HALF_LIFE_MILLISECONDS, now);
                 if (sum.weight < LEAST_WEIGHT) {
                     sums.delete(target);
+                    return;
                 }
+                sums.set(target, sum);
             });
             const usual = usualLogarithm([...sums.values()]);
             return [...sums].map(([target, { weight, logSum }]) => ({
--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -89,7 +89,7 @@
 
     closeUnused(): void {
         [...this.connections.values()]
-            .filter(connection => hasNoRequest(connection) && !isPartial(connection))
+            .filter(isUnused)
             .forEach(({ socket }) => socket.destroy());
     }
 
@@ -197,7 +197,11 @@
 }
 
 function isIdle(connection: Connection): boolean {
-    return hasNoRequest(connection) && connection.bytesRead > 0 && !isPartial(connection);
+    return isUnused(connection) && connection.bytesRead > 0;
+}
+
+function isUnused(connection: Connection): boolean {
+    return hasNoRequest(connection) && !isPartial(connection);
 }
 
 /** A connection whose end has been sent waits for its caller to close it, and takes no request. */
