--- a/review/common/servers.mjs
+++ b/review/common/servers.mjs
@@ -123,7 +123,6 @@
     sequence = 0;
     highestToken = 0;
     highestEpoch = 0;
-    staged = [];
     busy = false;
     running = 0;
     readyFor = new Set();
@@ -132,8 +131,9 @@
 
     constructor(options) {
         super(options);
-        const { domain, models, fleet, events = 12, eventMilliseconds = EVENT_MILLISECONDS } = options;
-        Object.assign(this, { domain, models, fleet, events, eventMilliseconds });
+        const { domain, models, fleet, staged = [] } = options;
+        const { events = 12, eventMilliseconds = EVENT_MILLISECONDS } = options;
+        Object.assign(this, { domain, models, fleet, staged, events, eventMilliseconds });
     }
 
     describe() {
