--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,10 +11,14 @@
     until,
 } from "../common/deployment.mjs";
 
-/** The larger model of the sheets, in a domain of 11 servers: one group of 6, and 5 spares. */
+/** The larger model of the sheets, in a domain of 10 servers: one group of 6, and 4 spares. */
 const MODELS = [{ name: "m0", size: 6, pace: 1, share: 1, loadS: 16, warmS: 1.6 }];
-/** The servers of the domain in the order in which they start. */
-const HOSTS = ["i-c1", "i-c2", "i-c3", "i-c4", "i-c5", "i-c6", "i-b5", "i-b4", "i-b3", "i-b2", "i-b1"];
+const SPARES = 4;
+/** Ids of the servers that start at first, and of those that replace the spares later, without an order. */
+const HOSTS = ["i-7f3a", "i-02d9", "i-c41e", "i-9e16", "i-31b1", "i-5d6e", "i-e80b", "i-1a77", "i-b2c0", "i-64f5"];
+const REPLACEMENTS = ["i-8d12", "i-0b93", "i-f7a4", "i-46ce"];
+/** A server that leaves goes on for `drainMs` and a little longer. */
+const LEAVE_MILLISECONDS = 2_500;
 const DAEMONS = 2;
 const DOWN_MILLISECONDS = 1_300;
 const RECOVER_MILLISECONDS = 12_000;
@@ -54,12 +58,21 @@
     }
     const openHead = () => deployment.servers.find(({ group }) => group?.state === "open" && group.rank === 0);
     await until("a group is open", () => openHead() !== undefined, 30_000);
-    const isSpareReady = server => server.lastModel === "m0" && server.group === undefined;
-    await until(
-        "the spares have run the model once",
-        () => deployment.servers.filter(isSpareReady).length === HOSTS.length - MODELS[0].size,
-        30_000,
-    );
+    const readySpares = () =>
+        deployment.servers.filter(({ isAlive, draining, lastModel, group }) =>
+            isAlive && !draining && lastModel === "m0" && group === undefined
+        );
+    const untilSparesReady = () =>
+        until("all spares have run the model once", () => readySpares().length === SPARES, 30_000);
+    await untilSparesReady();
+    // The spares are replaced, one at a time: the new one starts first, the old one drains.
+    const replaced = readySpares();
+    for (const [index, id] of REPLACEMENTS.entries()) {
+        deployment.record(`${id} replaces ${replaced[index].id}`);
+        await deployment.startModel(id, "pool", "domain-0");
+        await replaced[index].leave(LEAVE_MILLISECONDS);
+        await untilSparesReady();
+    }
     const before = await measure(4_000);
     if (CRASHES) {
         const lost = deployment.byId(openHead().group.members[1]);
--- a/review/common/servers.mjs
+++ b/review/common/servers.mjs
@@ -44,6 +44,15 @@
         setTimeout(() => this.store.put(SERVERS_TOPIC, this.id), MISSED_HEARTBEATS * HEARTBEAT_MILLISECONDS).unref();
     }
 
+    /** Leaves as planned: reports that it drains, serves on for a time, and ends. */
+    async leave(drainMilliseconds) {
+        this.draining = true;
+        this.beat();
+        await new Promise(resolve => setTimeout(resolve, drainMilliseconds));
+        this.close();
+        this.store.put(SERVERS_TOPIC, this.id);
+    }
+
     close() {
         this.isAlive = false;
         clearInterval(this.heartbeat);
