Refuse late requests that a stopping daemon may not answer in time

Cause: a daemon that drains relayed whatever it could read, however little time was left; the head of a response that began before the signal cannot tell its client to close the connection.

From the time on at which callers are sent elsewhere, a request whose deadline lies after the end of the daemon is refused as not run, with Retry-After 0; one whose deadline is earlier is passed on.

--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -7,7 +7,7 @@
 import type { Relay } from "./relay.js";
 import type { RequestHandler } from "./requestorder.js";
 import { writeInternalError, writeRefusal, writeShutdown } from "./responses.js";
-import { drain } from "./shutdown.js";
+import { drain, shutdownTimesOf } from "./shutdown.js";
 import type { RelayState } from "./state.js";
 
 /** Collaborators and addresses of the listeners. */
@@ -93,11 +93,13 @@
 
     return {
         shutDown: async () => {
+            const times = shutdownTimesOf(parts.shutdownMilliseconds);
             draining = true;
+            relay.beginShutdown(times);
             log.emit("daemonDraining", { inProgress: relay.inProgress() });
             const isIdle = (): boolean =>
                 unanswered.size === 0 && relay.inProgress() === 0 && !callers.connections.hasPartialRequest();
-            await drain(callers, { isIdle, endAll }, parts.shutdownMilliseconds);
+            await drain(callers, { isIdle, endAll }, times);
             stopped = true;
             log.emit("daemonStopped", { cutOff });
         },
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -8,7 +8,8 @@
 import type { StoppableRelay } from "./relaytask.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 import { identifyRequest } from "./requestidentity.js";
-import { type DenialReason, writeDenial, writeInternalError, writeRefusal } from "./responses.js";
+import { type DenialReason, writeDenial, writeInternalError, writeRefusal, writeShutdown } from "./responses.js";
+import type { ShutdownTimes } from "./shutdown.js";
 import { createStreamRelay, type StreamRelay } from "./streamrelay.js";
 
 /** The request path of the daemon. */
@@ -26,6 +27,8 @@
     moveStreams(head: string): void;
     /** Cancels the streams that wait for their first event and have a quarantined subject. */
     cancelWaiting(subject: string): void;
+    /** From the time on at which callers are sent elsewhere, refuses requests that may last longer than this daemon. */
+    beginShutdown(times: ShutdownTimes): void;
     /** Ends all requests in progress because the daemon stops. */
     stop(): void;
 }
@@ -47,6 +50,12 @@
     readonly mayHandOver: boolean;
 }
 
+/** Monotonic times of a shutdown in progress. */
+interface Shutdown {
+    readonly leavesRotationAt: number;
+    readonly endsAt: number;
+}
+
 /** Creates the request path. Without a way to the other daemons, no request is handed over. */
 export function createRelay(parts: RelayParts, handOverPath?: HandOverPath): Relay {
     return new RequestPath(parts, handOverPath);
@@ -55,6 +64,7 @@
 class RequestPath implements Relay {
     private readonly streams = new Set<StreamRelay>();
     private readonly requests = new Set<StoppableRelay>();
+    private shutdown: Shutdown | undefined;
 
     constructor(private readonly parts: RelayParts, private readonly handOverPath: HandOverPath | undefined) {}
 
@@ -119,8 +129,13 @@
             this.deny(response, admitted, { requestId: request.id, configurationVersion });
             return;
         }
-        const service = pickService(admitted.route, this.parts.random()) ?? "";
         const deadlineAt = receivedAt + timeoutMillisecondsOf(request.deadlineMilliseconds, admitted);
+        if (this.mayBeCutOff(deadlineAt)) {
+            this.parts.log.emit("requestDenied", { requestId: request.id, reason: "shutdown" });
+            writeShutdown(response, false);
+            return;
+        }
+        const service = pickService(admitted.route, this.parts.random()) ?? "";
         if (deadlineAt - this.parts.clock.monotonic() < LEAST_REMAINING_MILLISECONDS) {
             this.parts.log.emit("requestDenied", { requestId: request.id, reason: "too-late" });
             writeRefusal(response, "too-late", 0);
@@ -137,6 +152,22 @@
         }
     }
 
+    beginShutdown({ leavesRotationAfter, endsAfter }: ShutdownTimes): void {
+        const now = this.parts.clock.monotonic();
+        this.shutdown = { leavesRotationAt: now + leavesRotationAfter, endsAt: now + endsAfter };
+    }
+
+    /**
+     * Returns whether this daemon may end before a request that it has just read, which another daemon could answer whole.
+     * A daemon that callers are still sent to takes all requests, since most end long before their deadline.
+     */
+    private mayBeCutOff(deadlineAt: number): boolean {
+        const { shutdown } = this;
+        return shutdown !== undefined
+            && this.parts.clock.monotonic() > shutdown.leavesRotationAt
+            && deadlineAt > shutdown.endsAt;
+    }
+
     cancelWaiting(subject: string): void {
         [...this.streams].forEach(stream => stream.guard(() => stream.cancelIfWaiting(subject)));
     }
--- a/packages/daemon/src/relay/shutdown.ts
+++ b/packages/daemon/src/relay/shutdown.ts
@@ -18,12 +18,28 @@
     readonly endAll: () => void;
 }
 
+/** Times of a shutdown, in milliseconds from its beginning. */
+export interface ShutdownTimes {
+    /** When the platform sends no new connections any more. */
+    readonly leavesRotationAfter: number;
+    /** When the requests that are left are ended. */
+    readonly endsAfter: number;
+}
+
 /** What is drained. */
 export interface DrainedServer {
     readonly server: Pick<Server, "close">;
     readonly connections: Pick<ConnectionLimits, "closeIdle" | "closeUnused">;
 }
 
+/** Returns the times of a shutdown; the platform kills the process after `shutdownMilliseconds`. */
+export function shutdownTimesOf(shutdownMilliseconds: number): ShutdownTimes {
+    return {
+        leavesRotationAfter: LEAVE_ROTATION_MILLISECONDS,
+        endsAfter: shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS,
+    };
+}
+
 /**
  * Goes on listening until the daemon has left the rotation, and then waits for requests in progress. Resolves when the
  * process may exit, at the latest shortly before it would be killed; no request is read any more then.
@@ -31,11 +47,11 @@
 export async function drain(
     { server, connections }: DrainedServer,
     { isIdle, endAll }: DrainedRequests,
-    shutdownMilliseconds: number,
+    { leavesRotationAfter, endsAfter }: ShutdownTimes,
 ): Promise<void> {
     const startedAt = performance.now();
-    const mustEnd = (): boolean => performance.now() - startedAt > shutdownMilliseconds - EXIT_MARGIN_MILLISECONDS;
-    await waitUntil(() => performance.now() - startedAt > LEAVE_ROTATION_MILLISECONDS);
+    const mustEnd = (): boolean => performance.now() - startedAt > endsAfter;
+    await waitUntil(() => performance.now() - startedAt > leavesRotationAfter);
     server.close();
     do {
         await waitUntil(() => {
--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -59,6 +59,7 @@
             inProgress: () => 0,
             moveStreams: () => undefined,
             cancelWaiting: () => undefined,
+            beginShutdown: () => undefined,
             stop: () => undefined,
         }
         : given;
--- a/packages/daemon/src/relay/tests/lifecycle.test.ts
+++ b/packages/daemon/src/relay/tests/lifecycle.test.ts
@@ -27,6 +27,7 @@
         inProgress: () => 0,
         moveStreams: () => undefined,
         cancelWaiting: () => undefined,
+        beginShutdown: () => undefined,
         stop: () => undefined,
     };
     const listeners = await startListeners({
--- a/packages/daemon/src/relay/tests/shutdown.test.ts
+++ b/packages/daemon/src/relay/tests/shutdown.test.ts
@@ -1,6 +1,6 @@
 /** A drained server waits for requests that arrive while the last responses are being sent. */
 import { expect } from "chai";
-import { drain } from "../shutdown.js";
+import { drain, shutdownTimesOf } from "../shutdown.js";
 
 const SHUTDOWN_MILLISECONDS = 6_000;
 const REQUEST_MILLISECONDS = 300;
@@ -30,7 +30,8 @@
         };
         const server = { close: () => undefined as never };
         const connections = { closeIdle: () => undefined, closeUnused: () => void ended.push("connections") };
-        await drain({ server, connections }, { isIdle, endAll: () => void ended.push("all") }, SHUTDOWN_MILLISECONDS);
+        const requests = { isIdle, endAll: () => void ended.push("all") };
+        await drain({ server, connections }, requests, shutdownTimesOf(SHUTDOWN_MILLISECONDS));
         expect(ended).to.deep.equal(["request", "connections"]);
     });
 });
