Rely on a collector only while the store confirms its configuration

Cause: a daemon that hears its first collector makes no reads, and being heard does not say that the collector reads.

Collectors state how long ago the store confirmed their version. The field is optional, so that builds before ignore it, and a collector that does not state it is not relied on.

--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -67,6 +67,11 @@
     ageMilliseconds: z.number().nonnegative(),
     /** Daemons of all data centres with whether they take requests; absent in most messages. */
     roster: z.array(z.tuple([z.string(), z.boolean()])).optional(),
+    /**
+     * How long ago the store confirmed that the collector knew the newest configuration. Absent if it never did, and in
+     * messages of daemons of earlier versions.
+     */
+    configurationAgeMilliseconds: countSchema.optional(),
     /** Absent in messages of daemons of earlier versions. */
     slowTargets: slowTargetsSchema.default([]),
 });
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -37,6 +37,8 @@
 const ROUND_MILLISECONDS = 120;
 /** Rounds between two statements to other data centres. */
 const REMOTE_ROUNDS = 2;
+/** Differences below this come from the readings of the clock. */
+const CONFIRMATION_TOLERANCE_MILLISECONDS = 5;
 /** Time over which events are gathered into one message. */
 const EVENT_DELAY_MILLISECONDS = 10;
 
@@ -57,6 +59,8 @@
     private announcedVersion = 0;
     private reportedToAllAt = Number.NEGATIVE_INFINITY;
     private readonly schedule = createSendSchedule();
+    /** When the store had confirmed the configuration by the last statement that was sent for this. */
+    private statedConfirmationAt = 0;
     private rosterSent = { names: "", at: Number.NEGATIVE_INFINITY };
     private pendingEvent: Pick<EventMessage, "suspects" | "memberships"> | undefined;
     private readonly handlers: {
@@ -205,7 +209,9 @@
         const roster = this.collector.roster(now);
         const names = JSON.stringify(roster);
         const sendsRoster = names !== this.rosterSent.names || now - this.rosterSent.at >= IDLE_INTERVAL_MILLISECONDS;
-        if (!this.isDue("statement", isFirst ? JSON.stringify(sums) : "") && !sendsRoster) {
+        const configurationAge = this.parts.configurationAgeMilliseconds();
+        const isConfirmedAnew = isFirst && this.isConfirmedAnew(configurationAge, now);
+        if (!this.isDue("statement", isFirst ? JSON.stringify(sums) : "") && !sendsRoster && !isConfirmedAnew) {
             return;
         }
         if (sendsRoster) {
@@ -218,12 +224,23 @@
             members: [...members],
             ageMilliseconds: this.collector.ageMilliseconds(now),
             roster: sendsRoster ? roster : undefined,
+            configurationAgeMilliseconds: configurationAge,
             slowTargets: this.parts.speeds.state(),
         };
         this.receiveStatement(statement);
         this.send(statement, this.otherMembers());
     }
 
+    /** Returns whether the store has confirmed the configuration since the last statement. */
+    private isConfirmedAnew(ageMilliseconds: number | undefined, now: number): boolean {
+        const confirmedAt = now - (ageMilliseconds ?? Number.POSITIVE_INFINITY);
+        const isNewer = confirmedAt - this.statedConfirmationAt > CONFIRMATION_TOLERANCE_MILLISECONDS;
+        if (isNewer) {
+            this.statedConfirmationAt = confirmedAt;
+        }
+        return isNewer;
+    }
+
     /** States the sums of this data centre to the collectors of the others. */
     private sendToDataCentres(): void {
         const now = this.now();
@@ -324,7 +341,7 @@
     }
 
     private receiveStatement(message: StatementMessage): void {
-        const { daemon, sums, members, ageMilliseconds, roster, slowTargets } = message;
+        const { daemon, sums, members, ageMilliseconds, roster, slowTargets, configurationAgeMilliseconds } = message;
         const { statedLoads, speeds, daemons, self, onCollectorHeard, onUnknownDaemons } = this.parts;
         const now = this.now();
         const included = decodeMembers(members);
@@ -341,7 +358,7 @@
         }
         speeds.receiveStatement(slowTargets);
         if (daemon !== self.daemon) {
-            onCollectorHeard();
+            onCollectorHeard(configurationAgeMilliseconds);
         }
     }
 }
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -37,8 +37,13 @@
     readonly onConfiguration: (range: ConfigurationRangeMessage) => void;
     /** Called when another daemon learned a membership from the engine itself. */
     readonly onMembership: (reported: ReportedMembership) => void;
-    /** Called when this daemon hears the collector to which it reports, which lets it know of what changes. */
-    readonly onCollectorHeard: () => void;
+    /**
+     * Called when this daemon hears the collector to which it reports, which lets it know of what changes. The age is how
+     * long ago the store confirmed the collector's configuration, if it did and the collector states it.
+     */
+    readonly onCollectorHeard: (configurationAgeMilliseconds: number | undefined) => void;
+    /** How long ago the store confirmed the configuration that this daemon knows; `undefined` if it never did. */
+    readonly configurationAgeMilliseconds: () => number | undefined;
     /** Called with the daemons that a collector names and that are not known. */
     readonly onUnknownDaemons: (names: readonly string[]) => void;
     /** Whether this daemon announces a configuration that has come into force to all others at once. */
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -47,6 +47,7 @@
     let configurationVersion = 0;
     let newestConfiguration = 0;
     let announces = false;
+    let configurationAge: number | undefined;
     const received: KnowledgeMessage[] = [];
     const targets: TargetsMessage[] = [];
     let loadTracker: LoadTracker;
@@ -126,7 +127,8 @@
             announcesConfiguration: () => announces,
             newestConfiguration: () => Math.max(configurationVersion, newestConfiguration),
             onNewerConfiguration: () => undefined,
-            onCollectorHeard: () => void heard.push("collector"),
+            onCollectorHeard: age => void heard.push(age === undefined ? "collector" : `collector ${age}`),
+            configurationAgeMilliseconds: () => configurationAge,
             onUnknownDaemons: names => void heard.push(...names.map(name => `unknown ${name}`)),
         });
     });
@@ -303,13 +305,21 @@
         readonly name: string;
         readonly linkOfSender: number;
         readonly named: string;
+        readonly age?: number;
         readonly heard: readonly string[];
     }[] = [
         { name: "the collector to which it reports", linkOfSender: 200, named: SELF.daemon, heard: ["collector"] },
+        {
+            name: "the collector, whose configuration was confirmed a while ago",
+            linkOfSender: 200,
+            named: SELF.daemon,
+            age: 900,
+            heard: ["collector 900"],
+        },
         { name: "another collector", linkOfSender: 0, named: SELF.daemon, heard: [] },
         { name: "a collector that names an unknown daemon", linkOfSender: 0, named: "d9", heard: ["unknown d9"] },
     ];
-    statements.forEach(({ name, linkOfSender, named, heard: expected }) =>
+    statements.forEach(({ name, linkOfSender, named, age, heard: expected }) =>
         it(`learns from a statement whether it comes from ${name}`, async () => {
             daemons.replace([SELF, { ...OTHER, linkMegabits: linkOfSender }]);
             const { daemon, configurationVersion, limits, leaving: known } = reportOfOther(1, 0);
@@ -320,6 +330,7 @@
                 members: [],
                 ageMilliseconds: 0,
                 roster: [[named, true]],
+                configurationAgeMilliseconds: age,
                 slowTargets: [["t", 3]],
             };
             const { port } = socket.address() as AddressInfo;
--- a/packages/daemon/src/relay/configurationwait.ts
+++ b/packages/daemon/src/relay/configurationwait.ts
@@ -1,6 +1,7 @@
 /**
- * Decides how long a read of the configuration waits for a change. Two daemons, its watchers, wait for a short time, so
- * that they find out soon when all waiting reads have gone silent, and inform the others, which save reads by a long wait.
+ * Decides how long a read of the configuration waits for a change. Some daemons wait for a short time, so that they find out
+ * soon when all waiting reads have gone silent: two watchers, which inform the others, and each daemon that no collector
+ * tells that it knows the newest version. The others save reads by a long wait.
  */
 import type { DaemonLocation } from "@damaskvale/core";
 
@@ -9,11 +10,13 @@
     readonly self: DaemonLocation;
     /** Other daemons that reported lately. */
     readonly peers: readonly DaemonLocation[];
+    /** Whether no collector confirms that this daemon knows the newest version, for example because it is one itself. */
+    readonly isUnconfirmed?: boolean;
 }
 
 /** Wait of a daemon that others report to. */
 const LONG_WAIT_MILLISECONDS = 8_000;
-/** Wait of a watcher, as a share of the time within which a configuration must be in force. */
+/** Wait of a watcher, or a daemon that nobody confirms, as a share of the time within which a configuration must be in force. */
 const WATCHER_WAIT_SHARE = 0.25;
 /**
  * Without other daemons, a dead connection is detected only when the read times out. The wait is therefore shorter by this
@@ -35,7 +38,7 @@
     if (reader.peers.length === 0) {
         return aloneMilliseconds;
     }
-    return isConfigurationWatcher(reader)
+    return reader.isUnconfirmed === true || isConfigurationWatcher(reader)
         ? Math.min(aloneMilliseconds, configurationMilliseconds * WATCHER_WAIT_SHARE)
         : LONG_WAIT_MILLISECONDS;
 }
--- a/packages/daemon/src/relay/storefollowers.ts
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -15,6 +15,7 @@
     configurationWaitMilliseconds,
     isConfigurationWatcher,
 } from "./configurationwait.js";
+import { type CollectorConfirmation, createCollectorConfirmation, observeReads } from "./confirmedreads.js";
 import { collectorReadDelayMilliseconds, ownReadDelayMilliseconds, registryReadDelayMilliseconds } from "./pace.js";
 import { locate, presenceOf, type SharedParts } from "./sharedparts.js";
 import { refreshAfterRestore } from "./storerestore.js";
@@ -27,8 +28,8 @@
 const ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS = 400;
 /** Longer than two statements of a collector without changes, so that a single lost one does not end the rest. */
 const REST_MILLISECONDS = 2_000;
-/** Collectors are heard several times a second; who watches the configuration is decided less often. */
-const REST_INTERVAL_MILLISECONDS = 500;
+/** Collectors are heard several times a second; what a rest needs is computed less often. */
+const REST_INTERVAL_MILLISECONDS = 250;
 
 /** Followers of the store's topics. */
 export interface StoreFollowers {
@@ -42,8 +43,13 @@
     readonly newestConfiguration: () => number;
     /** Reads a version of which another daemon knows. */
     readonly readNewerConfiguration: (version: number) => void;
-    /** Makes no reads of configurations and daemons for a time, because the collector that is heard tells of changes. */
-    readonly rest: () => void;
+    /**
+     * Makes no reads of configurations and daemons for a time, because the collector that is heard tells of changes. It is
+     * relied on for the configuration only for as long as the store has confirmed the collector's own, by its age.
+     */
+    readonly rest: (configurationAgeMilliseconds: number | undefined) => void;
+    /** How long ago the store confirmed the configuration to this daemon; `undefined` if it never did. */
+    readonly configurationAgeMilliseconds: () => number | undefined;
     /** Reads the daemons anew, because these were named and are not known. */
     readonly readUnknownDaemons: (names: readonly string[]) => void;
 }
@@ -59,11 +65,14 @@
     let exchange: LoadExchange | undefined;
     let newestKnown = 0;
     const unknownDaemons = createUnknownDaemons();
-    const configurationTopic = ports.configuration(log);
+    const confirmed = observeReads(ports.configuration(log), clock);
+    const configurationTopic = confirmed.topic;
+    const confirmation = createCollectorConfirmation(clock, settings.configurationMilliseconds);
     const configuration = followConfiguration(
         shared,
         configurationTopic,
         range => exchange?.passOnConfiguration(range),
+        confirmation.isMissing,
     );
     const presence = startPresence({
         topic: ports.presence(log),
@@ -97,7 +106,7 @@
         },
         offerConfiguration: range => {
             try {
-                configuration.offer(decodeConfigurationRange(range, configurationTopic), REST_MILLISECONDS);
+                configuration.offer(decodeConfigurationRange(range, configurationTopic), confirmation.milliseconds);
             }
             catch (error) {
                 // This daemon reads the version itself when a message names it.
@@ -109,7 +118,8 @@
             newestKnown = Math.max(newestKnown, version);
             configuration.refresh(ANNOUNCED_CONFIGURATION_GRACE_MILLISECONDS);
         },
-        rest: createRest(shared, presence, configuration),
+        rest: createRest(shared, presence, configuration, confirmation),
+        configurationAgeMilliseconds: confirmed.ageMilliseconds,
         readUnknownDaemons: names => {
             const delay = unknownDaemons.readAfter(names, daemons.count(), clock.monotonic());
             if (delay !== undefined) {
@@ -120,10 +130,15 @@
 }
 
 /** Returns what lets the followers rest when the first collector is heard. */
-function createRest(shared: SharedParts, presence: TopicFollower, configuration: TopicFollower): () => void {
+function createRest(
+    shared: SharedParts,
+    presence: TopicFollower,
+    configuration: TopicFollower,
+    confirmation: CollectorConfirmation,
+): StoreFollowers["rest"] {
     const { clock, daemons } = shared;
     let restedAt = Number.NEGATIVE_INFINITY;
-    return () => {
+    return configurationAgeMilliseconds => {
         const now = clock.monotonic();
         if (now - restedAt < REST_INTERVAL_MILLISECONDS) {
             return;
@@ -133,8 +148,9 @@
         if (daemons.count() > MOST_DAEMONS_AT_ONCE) {
             presence.rest(REST_MILLISECONDS);
         }
-        if (!isConfigurationWatcher(configurationReader(shared))) {
-            configuration.rest(REST_MILLISECONDS);
+        const confirmedMilliseconds = confirmation.confirm(configurationAgeMilliseconds);
+        if (confirmedMilliseconds > 0 && !isConfigurationWatcher(configurationReader(shared))) {
+            configuration.rest(confirmedMilliseconds);
         }
     };
 }
@@ -143,6 +159,7 @@
     shared: SharedParts,
     topic: ConfigurationTopic,
     onRead: (range: TopicRange<RelayConfiguration>) => void,
+    isUnconfirmed: () => boolean,
 ): FedTopicFollower<RelayConfiguration> {
     const { settings, ports, log, random, state } = shared;
     const apply = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
@@ -157,7 +174,10 @@
         random,
         currentEra: () => ports.storeEra.current(),
         waitMilliseconds: () =>
-            configurationWaitMilliseconds(configurationReader(shared), settings.configurationMilliseconds),
+            configurationWaitMilliseconds(
+                { ...configurationReader(shared), isUnconfirmed: isUnconfirmed() },
+                settings.configurationMilliseconds,
+            ),
         pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
         replace: apply,
         apply,
--- a/packages/daemon/src/relay/tests/configurationwait.test.ts
+++ b/packages/daemon/src/relay/tests/configurationwait.test.ts
@@ -26,6 +26,13 @@
         it(`is short for two daemons at most ${name}`, () => expect(waitsOf(names)).to.deep.equal(waits))
     );
 
+    // Daemons whose readers had lost the store did not read the configuration: review/5, CONFIG.
+    it("is short for a daemon whose version no collector confirms", () => {
+        const [self, ...peers] = ["3", "1", "2"].map(daemon => ({ daemon, dataCentre: "x" }));
+        const reader = { self: self ?? { daemon: "3" }, peers, isUnconfirmed: true };
+        expect(configurationWaitMilliseconds(reader, CONFIGURATION_MILLISECONDS)).to.equal(500);
+    });
+
     it("is not longer for a watcher than the time for a change allows", () => {
         const reader = { self: { daemon: "1" }, peers: [{ daemon: "2" }] };
         expect([1_300, 500].map(time => configurationWaitMilliseconds(reader, time))).to.deep.equal([200, 0]);
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -228,6 +228,7 @@
         newestConfiguration: followers.newestConfiguration,
         onNewerConfiguration: followers.readNewerConfiguration,
         onCollectorHeard: followers.rest,
+        configurationAgeMilliseconds: followers.configurationAgeMilliseconds,
         onUnknownDaemons: followers.readUnknownDaemons,
         onSuspicion: ({ head, group }, daemon) => {
             if (groupOf(state, head) !== group) {
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -36,7 +36,7 @@
     refresh(graceMilliseconds: number): void;
     /**
      * Makes no read of its own for a time, because another daemon would tell of a change. A read that waits goes on, and
-     * `refresh` ends the time.
+     * `refresh` ends the time; a pause that ends later is not shortened.
      */
     rest(milliseconds: number): void;
     stop(): void;
@@ -78,6 +78,8 @@
     private offeredTimer: NodeJS.Timeout | undefined;
     /** Length of the pause that runs. */
     private pauseMilliseconds = 0;
+    /** End of the pause that runs, in monotonic milliseconds. */
+    private pausedUntil = 0;
     /** Ends the pause of the own reads. */
     private resumeReads: (() => void) | undefined;
 
@@ -120,7 +122,8 @@
     }
 
     rest(milliseconds: number): void {
-        if (this.position !== undefined && !this.isRefreshing) {
+        const endsLater = this.offeredTimer === undefined || performance.now() + milliseconds > this.pausedUntil;
+        if (this.position !== undefined && !this.isRefreshing && endsLater) {
             this.pauseReads(milliseconds);
         }
     }
@@ -147,6 +150,7 @@
 
     /** Starts or prolongs the time without own reads. */
     private pauseReads(milliseconds: number): void {
+        this.pausedUntil = performance.now() + milliseconds;
         if (this.offeredTimer !== undefined && milliseconds === this.pauseMilliseconds) {
             this.offeredTimer.refresh();
             return;
