Send a body without a stated length in chunks, so that a killed daemon leaves no seeming end

Reproduced: a daemon that is killed in the middle of twelve streams whose targets mark no ends leaves twelve callers with a stream that seems complete. Cause: the daemon passed the framing of the target on, and the kernel closes the connections of a killed process in the ordinary way, which is the end of such a body.

A body without a stated length now goes out in chunks whatever the target's framing. Status, body and stamp are unchanged. A caller that speaks HTTP/1.0 gets its end as before. Two tests asked that the framing be passed on: their cases now ask for the marked end, and keep the old ones for HTTP/1.0.

--- a/packages/daemon/src/relay/tests/endofgrace.test.ts
+++ b/packages/daemon/src/relay/tests/endofgrace.test.ts
@@ -61,9 +61,16 @@
         play: begin(responseHeads.stream),
         received: /^HTTP\/1\.1 200 [^]*data: x\n\n\r\n$/,
     },
+    {
+        name: "whose response has begun, from a target that marks no end",
+        kind: "stream",
+        play: begin({ ...responseHeads.stream, delimited: false } as unknown as typeof responseHeads.stream),
+        received: /^HTTP\/1\.1 200 [^]*chunked[^]*data: x\n\n\r\n$/,
+    },
     {
         name: "whose response has begun and ends with its connection",
         kind: "stream",
+        sent: REQUEST.replace("1.1", "1.0"),
         play: begin({ ...responseHeads.stream, delimited: false } as unknown as typeof responseHeads.stream),
         received: /^HTTP\/1\.1 200 [^]*data: x\n\n$/,
         wasReset: true,
