Ask a target whether it lives when a stream ends with its connection

Cause: an end of the connection after an event was taken for the end of the stream; the kernel closes the connections of a killed process so.

The daemon now asks the target for its report. If its process does not answer, a stream that may be resumed goes on elsewhere, and any other is broken off; an answer with a marked end and nothing more confirms that the stream was whole.

--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -7,6 +7,7 @@
     RouteLookup,
     RouteTimes,
     SlidingMaximum,
+    Target,
 } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
 import type { SharedSpeeds } from "../peers/sharedspeeds.js";
@@ -53,6 +54,8 @@
     /** How long plain targets take for the requests of this daemon. */
     readonly routeTimes: RouteTimes;
     readonly stalledHeads: StalledHeads;
+    /** Resolves to whether the process of a target answers; never rejects. */
+    readonly isTargetAlive: (target: Target) => Promise<boolean>;
     /** Reports a head that cannot be used: nothing listens at its address, or another process does. */
     readonly headUnusable: (head: string) => void;
     readonly dataCentre: string;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -30,6 +30,8 @@
     private attempt: StreamAttempt | undefined;
     private lastEventId: number | undefined;
     private firstEventAt: number | undefined;
+    /** Whether an attempt ended after an event, so that the caller may have the whole stream. */
+    private mayBeWhole = false;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
@@ -265,13 +267,45 @@
     }
 
     private receiveEnd(attempt: StreamAttempt): void {
-        if (!attempt.isPassthrough && (attempt.splitter.hasPartialEvent() || !attempt.started)) {
-            if (attempt.opening?.head.delimited === false) {
+        const isDelimited = attempt.opening?.head.delimited !== false;
+        const isNothingLeft = this.mayBeWhole && isDelimited;
+        if (
+            !attempt.isPassthrough
+            && (attempt.splitter.hasPartialEvent() || !(attempt.started || isNothingLeft))
+        ) {
+            if (!isDelimited) {
                 attempt.observed.connectionLost();
             }
             this.attemptFailed(attempt, "ended inside an event");
             return;
         }
+        if (attempt.isPassthrough || isDelimited) {
+            this.complete(attempt);
+            return;
+        }
+        void this.parts.isTargetAlive(attempt.target).then(isAlive =>
+            this.guard(() => this.receiveEndOfConnection(attempt, isAlive))
+        );
+    }
+
+    /**
+     * Decides on an answer that ended with its connection after an event. It is whole by the protocol, unless its process has
+     * ended: the operating system then closes the connection in the same way, wherever the stream was.
+     */
+    private receiveEndOfConnection(attempt: StreamAttempt, isTargetAlive: boolean): void {
+        if (attempt.isReleased || this.isFinished) {
+            return;
+        }
+        if (isTargetAlive) {
+            this.complete(attempt);
+            return;
+        }
+        this.mayBeWhole = true;
+        attempt.observed.connectionLost();
+        this.attemptFailed(attempt, "ended with its process");
+    }
+
+    private complete(attempt: StreamAttempt): void {
         if (!attempt.isPassthrough) {
             attempt.observed.completed();
         }
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -68,6 +68,8 @@
     readonly promptParts?: readonly string[];
     /** Whether this daemon reaches targets; it does by default. */
     readonly reachability?: TargetReachability;
+    /** Whether the processes of targets answer; they do by default. */
+    readonly isTargetAlive?: () => Promise<boolean>;
     /** Hands the request over; no daemon takes it by default. */
     readonly handOver?: () => boolean;
     /** Identity of the request, if it can be quarantined. */
@@ -262,6 +264,7 @@
             speeds: createSharedSpeeds(clock, log),
             routeTimes: createRouteTimes(),
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
+            isTargetAlive: options.isTargetAlive ?? (() => Promise.resolve(true)),
             headUnusable: head => void unusableHeads.push(head),
             dataCentre: "x",
             peerLoadOf: () => ({ inProgress: 0, pendingPromptTokens: 0 }),
--- a/packages/daemon/src/relay/tests/undelimited.test.ts
+++ b/packages/daemon/src/relay/tests/undelimited.test.ts
@@ -9,6 +9,7 @@
 import { writeResponseHead } from "../responses.js";
 import { createStreamRelay } from "../streamrelay.js";
 import type { ResponseReceiver } from "../targetconnections.js";
+import { wait } from "./callerfixture.js";
 import { createRelayFixture, responseHeads } from "./fixture.js";
 
 /** Returns the bytes that a caller receives for a response with or without a marked end. */
@@ -91,7 +92,7 @@
         },
     ];
     resumedEndings.forEach(({ name, chunks, end, ended }) =>
-        it(`${ended ? "completes" : "does not complete"} a stream with a marked end whose resumed response ${name}`, () => {
+        it(`${ended ? "completes" : "does not complete"} a stream with a marked end whose resumed response ${name}`, async () => {
             const { context, parts, sends, caller } = createRelayFixture({ kind: "stream", resumable: true });
             createStreamRelay(context, parts, () => undefined).start();
             sends[0]?.receiver.sent();
@@ -104,7 +105,71 @@
             if (sends[1] !== undefined) {
                 end(sends[1].receiver);
             }
+            await wait(1);
             expect([caller.ended, caller.destroyed]).to.deep.equal([ended, !ended]);
         })
     );
+
+    // The connections of a killed target are closed in the ordinary way, wherever its streams were: ORDER.
+    describe("of a target whose process has ended after an event", () => {
+        const endings: readonly {
+            readonly name: string;
+            readonly resumable: boolean;
+            readonly resume?: (receiver: ResponseReceiver) => void;
+            readonly seen: { readonly ids: readonly (number | undefined)[]; readonly ended: boolean; };
+        }[] = [
+            {
+                name: "goes on at another group",
+                resumable: true,
+                resume: receiver => receiver.data(event(2)),
+                seen: { ids: [undefined, 1], ended: true },
+            },
+            {
+                name: "is complete if another group has no more of it",
+                resumable: true,
+                seen: { ids: [undefined, 1], ended: true },
+            },
+            {
+                name: "is not complete if the other answer ends before an event with its connection",
+                resumable: true,
+                resume: receiver => receiver.head({ ...responseHeads.stream, delimited: false }),
+                seen: { ids: [undefined, 1], ended: false },
+            },
+            {
+                name: "is not complete if it may not be resumed",
+                resumable: false,
+                seen: { ids: [undefined], ended: false },
+            },
+        ];
+        endings.forEach(({ name, resumable, resume, seen }) =>
+            it(name, async () => {
+                const isTargetAlive = (): Promise<boolean> => Promise.resolve(false);
+                const { context, parts, sends, caller } = createRelayFixture({
+                    kind: "stream",
+                    resumable,
+                    isTargetAlive,
+                });
+                createStreamRelay(context, parts, () => undefined).start();
+                sends[0]?.receiver.sent();
+                sends[0]?.receiver.head({ ...responseHeads.stream, delimited: false });
+                sends[0]?.receiver.data(event(1));
+                sends[0]?.receiver.ended();
+                await wait(1);
+                sends[1]?.receiver.sent();
+                sends[1]?.receiver.head(responseHeads.stream);
+                if (sends[1] !== undefined) {
+                    resume?.(sends[1].receiver);
+                    sends[1].receiver.ended();
+                }
+                await wait(1);
+                const ids = sends.map(({ request }) => {
+                    const position = request.headers.indexOf("lastEventId");
+                    const value = request.headers[position + 1];
+                    return position < 0 || value === "undefined" ? undefined : Number(value);
+                });
+                expect({ ids, ended: caller.ended }).to.deep.equal(seen);
+                expect(caller.destroyed).to.equal(!seen.ended);
+            })
+        );
+    });
 });
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -20,6 +20,7 @@
 import { configurationReader, startStoreFollowers, type StoreFollowers } from "./storefollowers.js";
 import { logStoreEra } from "./storerestore.js";
 import { createTargetConnections } from "./targetconnections.js";
+import { createTargetLiveness } from "./targetliveness.js";
 
 const LEASE_MILLISECONDS = 2_500;
 /** How long this daemon keeps planning while the store is unreachable, if engines refuse orders of previous owners. */
@@ -96,6 +97,7 @@
         speeds: shared.speeds,
         routeTimes: createRouteTimes(),
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
+        isTargetAlive: createTargetLiveness(state, ports.engines(log)),
         headUnusable,
         dataCentre: settings.dataCentre,
         peerLoadOf: target => statedLoads.totalOf(target, clock.monotonic()),
