Refuse odd entries one by one, and end no process for an address that cannot be used

Cause: an entry was taken whose port no connection can use; Node throws at once for it, and in a call of the daemon itself the timer of the call then used an exchange that did not exist.

A follower goes on after any error of applying a change, an error while a datagram is taken in is logged, and epochs of odd entries are not exceeded.

--- a/packages/daemon/src/engines/epochs.ts
+++ b/packages/daemon/src/engines/epochs.ts
@@ -14,6 +14,11 @@
     raiseAbove(refusedEpoch: number): void;
 }
 
+/**
+ * Epochs begin at the fencing token and rise with each group. One that is further above it was ordered by no planner, and is
+ * not exceeded.
+ */
+const EPOCHS_PER_TOKEN = 1_000_000_000;
 /** Added to a refused epoch, since a refusal does not tell which epoch the host has seen. */
 const REFUSED_EPOCH_STEP = 1_000;
 
@@ -26,7 +31,10 @@
     });
     return {
         next: fencingToken => {
-            const seen = isSearched ? [] : state.targets().map(({ membership }) => membership?.epoch ?? 0);
+            const seen = isSearched
+                ? []
+                : state.targets().map(({ membership }) => membership?.epoch ?? 0)
+                    .filter(epoch => epoch <= fencingToken + EPOCHS_PER_TOKEN);
             isSearched = true;
             highest = Math.max(highest, fencingToken, ...seen);
             return highest + 1;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./front/front.js";
 export * from "./messages.js";
 export * from "./metrics.js";
+export * from "./peers/address.js";
 export * from "./peers/presence.js";
 export type * from "./ports/claims.js";
 export type * from "./ports/clock.js";
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -85,7 +85,7 @@
                 memberships.forEach(parts.onMembership);
             },
         };
-        this.socket.on("message", bytes => this.receive(bytes));
+        this.socket.on("message", bytes => this.receiveGuarded(bytes));
         this.socket.on("error", error => log.emit("taskFailed", { task: "load exchange", error }));
         this.socket.bind(port, self.ip);
         this.timer = setInterval(() => this.runRound(), ROUND_MILLISECONDS);
@@ -311,6 +311,16 @@
         }
     }
 
+    /** Takes in a message. An error in doing so would end the process. */
+    private receiveGuarded(bytes: Buffer): void {
+        try {
+            this.receive(bytes);
+        }
+        catch (error) {
+            this.parts.log.emit("taskFailed", { task: "load exchange", error });
+        }
+    }
+
     private receive(bytes: Buffer): void {
         const decoded = decodeExchangeMessage(bytes);
         if (decoded.kind === "malformed") {
--- a/packages/daemon/src/peers/targetpages.ts
+++ b/packages/daemon/src/peers/targetpages.ts
@@ -5,6 +5,7 @@
 import type { Target } from "@damaskvale/core";
 import { z } from "zod";
 import type { TopicChange, TopicRange } from "../ports/registry.js";
+import { addressSchema } from "./address.js";
 
 /** Schema of the membership of a host in a group. */
 export const membershipSchema = z.object({
@@ -17,7 +18,7 @@
 const targetSchema = z.object({
     id: z.string(),
     service: z.string(),
-    address: z.string(),
+    address: addressSchema,
     dataCentre: z.string(),
     draining: z.boolean(),
     registered: z.boolean(),
@@ -36,7 +37,8 @@
     fromOffset: z.number(),
     nextOffset: z.number(),
     era: z.number(),
-    changes: z.array(z.object({ key: z.string(), value: targetSchema.optional() })),
+    // A daemon of the build before may pass on an entry that this one refuses; the entry then counts as none.
+    changes: z.array(z.object({ key: z.string(), value: targetSchema.optional().catch(undefined) })),
 });
 
 /** A range as it is sent. */
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -242,10 +242,12 @@
         }
     }
 
-    /** Waits after a failed read; rethrows errors that do not come from the store. */
+    /** Waits after a failed read. Any other error is a fault of this program; the topic is followed further nonetheless. */
     private async recover(error: unknown): Promise<void> {
         if (!(error instanceof StoreError)) {
-            throw error;
+            this.options.log.emit("taskFailed", { task: `follow ${this.options.topic.name}`, error });
+            await sleep(MAXIMUM_RETRY_MILLISECONDS);
+            return;
         }
         const wasAborted = this.waitingRead?.signal.aborted === true;
         this.waitingRead = undefined;
--- a/packages/daemon/src/tasks/tests/followtopic.test.ts
+++ b/packages/daemon/src/tasks/tests/followtopic.test.ts
@@ -12,6 +12,11 @@
     let calls: string[];
     let seen: string[];
     let currentEra: number;
+    /** Value at which applying a change fails. */
+    let faulty: string | undefined;
+    beforeEach(() => {
+        faulty = undefined;
+    });
 
     const start = (answers: readonly Answer[]): void => {
         clock = install({ toFake: ["setTimeout", "clearTimeout"] });
@@ -53,7 +58,12 @@
                 void seen.push(
                     `${isRestored ? "restored" : "all"} ${changes.map(({ key, value }) => `${key}=${value}`).join()}`,
                 ),
-            apply: changes => void seen.push(changes.map(({ key, value }) => `${key}=${value}`).join()),
+            apply: changes => {
+                if (faulty !== undefined && changes.some(({ value }) => value === faulty)) {
+                    throw new TypeError("faulty");
+                }
+                seen.push(changes.map(({ key, value }) => `${key}=${value}`).join());
+            },
         });
     };
     afterEach(() => {
@@ -61,6 +71,17 @@
         clock.uninstall();
     });
 
+    it("goes on after a change that cannot be applied", async () => {
+        start([
+            { changes: [], nextOffset: 5, era: 1 },
+            { changes: [{ key: "a", value: "odd" }], nextOffset: 6, era: 1 },
+            { changes: [{ key: "b", value: "1" }], nextOffset: 7, era: 1 },
+        ]);
+        faulty = "odd";
+        await clock.tickAsync(2_000);
+        expect(seen).to.deep.equal(["all ", "b=1"]);
+    });
+
     it("reads all newest values and then each change", async () => {
         start([
             { changes: [{ key: "a", value: "1" }], nextOffset: 5, era: 1 },
