Drop answers that name no request on kept connections

Reproduced by repeatedrefusal.test.ts: a refusal that names no request and comes while the next request runs lets a stream that may run once run twice ("runs": 2). Cause: the relays compared the id only if a response named one. The five other cases held before and stay in the test.

Before: 1 of 6 cases runs twice. After: 6 of 6 hold.

--- a/packages/daemon/src/ports/relayprotocol.ts
+++ b/packages/daemon/src/ports/relayprotocol.ts
@@ -50,9 +50,11 @@
     readonly headers: IncomingHttpHeaders;
     /**
      * Whether the end of the body is marked. A body without a marked end is complete if its connection was closed, not
-     * reset. It is forwarded with the same framing.
+     * reset.
      */
     readonly delimited: boolean;
+    /** Whether an earlier request was sent on the connection, so that an answer to it may come late. Absent if not. */
+    readonly onKeptConnection?: boolean;
 }
 
 /** What a response says about the request rate that its target accepts from all daemons together. */
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -143,8 +143,7 @@
         this.parts.reachability.recordReached();
         attempt.head = head;
         attempt.decoded = this.parts.protocol.decodeResponse(head);
-        const { requestId } = attempt.decoded;
-        if (requestId !== undefined && requestId !== this.context.request.id) {
+        if (this.isForeign(head, attempt.decoded)) {
             attempt.exchange?.cancel();
             this.attemptFailed(attempt, "foreign-answer");
             return;
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -1,4 +1,5 @@
 /** Base class of the relays: enforces the deadline, detects a caller that disconnects, and ends each request once. */
+import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -144,6 +145,14 @@
         return true;
     }
 
+    /**
+     * Whether a response belongs to another request. Targets name the request in each response; on a kept connection, one
+     * that names none may be an earlier response that a faulty target sends once more.
+     */
+    protected isForeign({ onKeptConnection = false }: ResponseHead, { requestId }: DecodedResponse): boolean {
+        return requestId === undefined ? onKeptConnection : requestId !== this.context.request.id;
+    }
+
     /** Whether targets crash on a subject of the request, so that it is not sent again. */
     protected isQuarantined(): boolean {
         return this.parts.requestQuarantine.check(this.context.subjects, false).kind === "refused";
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -164,7 +164,7 @@
         const { context, parts } = this;
         parts.reachability.recordReached();
         const decoded = parts.protocol.decodeResponse(head);
-        if (decoded.requestId !== undefined && decoded.requestId !== context.request.id) {
+        if (this.isForeign(head, decoded)) {
             this.abandon(attempt, "foreign-answer");
             return;
         }
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -284,7 +284,7 @@
         this.answer = response;
         const { statusCode: status = 0, headers } = response;
         const delimited = isDelimited(status, headers);
-        this.receiver.head({ status, headers, delimited });
+        this.receiver.head({ status, headers, delimited, onKeptConnection: this.message.reusedSocket });
         response.on("data", (chunk: Buffer) => {
             if (this.done) {
                 return;
