End a call that cannot be sent, and leave requests of callers as they were

The guard now stands where the fault was, in the calls of the daemon itself: a call that cannot be sent is rejected and its timer ends.

--- a/packages/daemon/src/relay/servercall.ts
+++ b/packages/daemon/src/relay/servercall.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import { TimeoutError } from "../tasks/withtimeout.js";
-import type { TargetConnections, TargetRequest } from "./targetconnections.js";
+import type { ResponseReceiver, TargetConnections, TargetExchange, TargetRequest } from "./targetconnections.js";
 
 /** A call to the server at an address, `IP:PORT`. */
 export interface ServerCall extends TargetRequest {
@@ -30,6 +30,7 @@
         }
         const chunks: Buffer[] = [];
         let head: ResponseHead | undefined;
+        let exchange: TargetExchange | undefined;
         const end = (settle: () => void): void => {
             clearTimeout(timer);
             signal?.removeEventListener("abort", abort);
@@ -37,13 +38,13 @@
         };
         const cancel = (error: Error): void =>
             end(() => {
-                exchange.cancel();
+                exchange?.cancel();
                 reject(error);
             });
         const abort = (): void => cancel(signal?.reason as Error);
         const timer = setTimeout(() => cancel(new TimeoutError(timeoutMilliseconds)), timeoutMilliseconds);
         const request = { ...call, headers: ["Host", address, ...call.headers] };
-        const exchange = connections.send(address, request, {
+        const receiver: ResponseReceiver = {
             sent: () => undefined,
             head: received => {
                 head = received;
@@ -54,7 +55,15 @@
                     resolve({ status: head?.status ?? 0, headers: head?.headers ?? {}, body: Buffer.concat(chunks) })
                 ),
             failed: error => end(() => reject(error)),
-        });
+        };
+        try {
+            exchange = connections.send(address, request, receiver);
+        }
+        catch (error) {
+            // No connection can be opened to the address, or a header cannot be sent.
+            end(() => reject(error as Error));
+            return;
+        }
         signal?.addEventListener("abort", abort);
     });
 }
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -113,24 +113,15 @@
     return {
         send: (address, request, receiver) => {
             const [host = "", port = ""] = address.split(":");
-            const start = (): ClientRequest =>
-                startRequest({
-                    host,
-                    port: Number(port),
-                    method: request.method,
-                    path: request.path,
-                    headers: [...request.headers, ...contentLengthOf(request)],
-                    localAddress: options.localAddress,
-                    agent: request.onNewConnection ? new Agent({ keepAlive: false }) : keepAliveAgent,
-                });
-            let message: ClientRequest;
-            try {
-                message = start();
-            }
-            catch (error) {
-                // Callers expect the outcome after they have the exchange.
-                return createFailedExchange(receiver, error as Error);
-            }
+            const message = startRequest({
+                host,
+                port: Number(port),
+                method: request.method,
+                path: request.path,
+                headers: [...request.headers, ...contentLengthOf(request)],
+                localAddress: options.localAddress,
+                agent: request.onNewConnection ? new Agent({ keepAlive: false }) : keepAliveAgent,
+            });
             const exchange = new Exchange(message, receiver, options.connectTimeoutMilliseconds, pace.start());
             message.end(request.body.length === 0 ? undefined : request.body);
             return exchange;
@@ -140,12 +131,6 @@
     };
 }
 
-/** Returns the exchange of a request that cannot be sent, and tells the receiver soon. */
-function createFailedExchange(receiver: ResponseReceiver, error: Error): TargetExchange {
-    const timer = setImmediate(() => receiver.failed(error));
-    return { cancel: () => clearImmediate(timer), pause: () => undefined, resume: () => undefined };
-}
-
 function contentLengthOf({ method, body }: TargetRequest): HeaderList {
     const mayHaveNone = body.length === 0 && (method === "GET" || method === "HEAD");
     return mayHaveNone ? [] : ["Content-Length", String(body.length)];
