Test of kept connections: wait until the response has ended at the server

Cause: the test waited 20 ms for the end of a response that its own server sends 10 ms after the last event; a late timer sends the next request while the first response is open, which needs a second connection rightly. It now waits for the end itself. What it asks is unchanged.

--- a/packages/daemon/src/adapters/tests/clients.test.ts
+++ b/packages/daemon/src/adapters/tests/clients.test.ts
@@ -56,8 +56,10 @@
 
     it("reuse a connection after a complete stream, because opening one per request costs time", async () => {
         const connections = new Set<unknown>();
+        const finished: Promise<void>[] = [];
         const url = await start((incoming, response) => {
             connections.add(incoming.socket);
+            finished.push(new Promise(resolve => response.once("finish", resolve)));
             response.writeHead(200, { "content-type": "text/event-stream" });
             response.write('data: {"id":"c"}\n\ndata: [DONE]\n\n');
             setTimeout(() => response.end(), 10);
@@ -65,7 +67,10 @@
         for (const attemptId of ["r-1", "r-2", "r-3"]) {
             const events = await collect(engines.complete(request(url, { attemptId })));
             expect(events.at(-1)).to.deep.equal({ kind: "done" });
-            await new Promise(resolve => setTimeout(resolve, 20));
+            await Promise.all(finished);
+            // Between two timers the client reads what has arrived; a single one may be late and run before that.
+            await new Promise(resolve => setTimeout(resolve, 10));
+            await new Promise(resolve => setTimeout(resolve, 10));
         }
 
         expect(connections.size).to.equal(1);
