Planner: a configuration with other groups closes those that serve, and cuts none of their streams

Cause: describeGroup measured the members of a group by the size that the configuration states now. Under another size of the model, or without the model, a group that serves was not complete, assessGroup took that for a lost member, and its head was ordered to leave at once. The class: what was formed under one version is judged by the next one.

Change: a group's name states the number of members for which it was formed (builds before read only the model in it), so that a group is whole by that, and outdated by the configuration. A group of a build before, whose name states no size, is closed as well while it serves. Orders to close and to leave state their reason in event 421, since the log did not tell a lost member from another size.

--- a/packages/core/src/engines/assessment.ts
+++ b/packages/core/src/engines/assessment.ts
@@ -1,6 +1,6 @@
 /** Assesses whether a group is being formed, serves, retires or must be dissolved, and gives the orders for it. */
-import { type EngineGroup, isReadyToOpen } from "./groups.js";
-import type { EngineOrder } from "./orders.js";
+import { type EngineGroup, isReadyToOpen, isServingGroup } from "./groups.js";
+import type { EndReason, EngineOrder } from "./orders.js";
 import type { PendingOperations } from "./pendingoperations.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
 import type { Target } from "./types.js";
@@ -11,66 +11,91 @@
     readonly forming: boolean;
     /** Head of the group, unless it is unknown or lost. */
     readonly head?: Target;
-    readonly lostMember: boolean;
-    /**
-     * Whether the group is to end: a member is draining, the head's registry entry lapsed for good, so that it gets no
-     * requests, or its hosts are needed for a model without a group.
-     */
-    readonly retiring: boolean;
+    /** Why the group makes no progress any more, so that nothing is lost if its members leave at once. */
+    readonly failure?: EndReason;
+    /** Why the group is to end once its requests have ended. */
+    readonly retirement?: EndReason;
     /** Whether the hosts of the group will soon be needed for a model without a group, so that it is not opened. */
     readonly withheld: boolean;
 }
 
 /** Assesses a group by the state of its hosts and the orders in progress. */
-export function assessGroup(group: EngineGroup, input: DomainPlanInput, pending: PendingOperations): AssessedGroup {
+export function assessGroup(
+    group: EngineGroup,
+    input: DomainPlanInput,
+    pending: PendingOperations,
+): AssessedGroup {
     const hosts = new Map(input.hosts.map(host => [host.target.id, host]));
     const isLost = (id: string): boolean => hosts.get(id)?.lost ?? true;
-    const isReleased = input.reassignment?.releases.includes(group.name) === true;
     const willNotJoin = (id: string): boolean => isLost(id) || hosts.get(id)?.target.draining === true;
+    const isHeadLost = group.head !== undefined && isLost(group.head.id);
+    const hasLostMember = group.members.some(({ id }) => isLost(id));
+    const isIncomplete = !group.complete;
     return {
         group,
         forming: pending.isForming(group, input.models, willNotJoin, input.now),
-        head: group.head === undefined || isLost(group.head.id) ? undefined : group.head,
-        lostMember: !group.complete || group.members.some(member => isLost(member.id)),
-        retiring: group.members.some(member => member.draining)
-            || (group.head !== undefined && hosts.get(group.head.id)?.lapsed === true)
-            || (isReleased && input.reassignment?.due === true),
-        withheld: isReleased,
+        head: isHeadLost ? undefined : group.head,
+        failure: isHeadLost ? "head-lost" : hasLostMember ? "member-lost" : failureOf(group, isIncomplete),
+        retirement: retirementOf(group, isIncomplete, hosts, input),
+        withheld: input.reassignment?.releases.includes(group.name) === true,
     };
 }
 
+/** Returns why a group of which no known member is lost makes no progress. */
+function failureOf(group: EngineGroup, isIncomplete: boolean): EndReason | undefined {
+    const state = group.head?.membership?.state;
+    const isServing = isServingGroup(group);
+    const isJoining = group.members.some(({ membership }) => membership?.state === "joining");
+    // Only complete groups are opened. One whose name does not state its size may have been formed for another one.
+    const isMemberMissing = isIncomplete && (group.statedSize !== undefined || !isServing);
+    const checks: readonly (readonly [boolean, EndReason])[] = [
+        [state === "broken", "broken"],
+        [isIncomplete && group.head === undefined, "head-missing"],
+        [isMemberMissing, "member-missing"],
+        [isJoining && !isServing, "not-joined"],
+    ];
+    return checks.find(([holds]) => holds)?.[1];
+}
+
+/** Returns why a group is to end when its requests have ended. */
+function retirementOf(
+    group: EngineGroup,
+    isIncomplete: boolean,
+    hosts: ReadonlyMap<string, EngineHost>,
+    { reassignment }: DomainPlanInput,
+): EndReason | undefined {
+    const isReleased = reassignment?.due === true && reassignment.releases.includes(group.name);
+    const isOfOtherSize = isIncomplete && group.statedSize === undefined;
+    const checks: readonly (readonly [boolean, EndReason])[] = [
+        [group.members.some(({ draining }) => draining), "member-draining"],
+        [hosts.get(group.head?.id ?? "")?.lapsed === true, "head-lapsed"],
+        [group.outdated || isOfOtherSize, "outdated"],
+        [isReleased, "reassigned"],
+    ];
+    return checks.find(([holds]) => holds)?.[1];
+}
+
 /** Returns the orders that open, close or dissolve a group. */
 export function ordersForGroup(assessed: AssessedGroup): EngineOrder[] {
-    const { group, forming, head, lostMember, withheld } = assessed;
+    const { group, forming, head, failure, retirement, withheld } = assessed;
     const { name, epoch } = group;
-    if (isReadyToOpen(group) && head !== undefined && !lostMember && !withheld) {
+    if (isReadyToOpen(group) && head !== undefined && failure === undefined && !withheld) {
         return [{ kind: "open", host: head.id, group: name, epoch }];
     }
     if (forming) {
         return [];
     }
-    if (head === undefined) {
-        return group.members.map(member => ({ kind: "leave", host: member.id, group: name, epoch }));
-    }
-    const leave: EngineOrder = { kind: "leave", host: head.id, group: name, epoch };
-    const close: EngineOrder = { kind: "close", host: head.id, group: name, epoch, work: "finish" };
-    const orders: Readonly<Record<GroupAction, EngineOrder[]>> = { keep: [], close: [close], dissolve: [leave] };
-    return orders[actionFor(assessed)];
-}
-
-/** Action on a group that has a head and is not being formed. */
-type GroupAction = "keep" | "close" | "dissolve";
-
-function actionFor({ group, head, lostMember, retiring }: AssessedGroup): GroupAction {
     const state = head?.membership?.state;
-    const stuck = group.members.some(member => member.membership?.state === "joining");
-    if (lostMember || stuck || state === "broken") {
-        return "dissolve";
+    const leaving = head === undefined ? group.members : [head];
+    if (failure !== undefined) {
+        return leaving.map(({ id }) => ({ kind: "leave", host: id, group: name, epoch, reason: failure }));
     }
-    if (!retiring || state === "closing") {
-        return "keep";
+    if (head === undefined || retirement === undefined || state === "closing") {
+        return [];
     }
-    return state === "open" ? "close" : "dissolve";
+    return state === "open"
+        ? [{ kind: "close", host: head.id, group: name, epoch, work: "finish", reason: retirement }]
+        : [{ kind: "leave", host: head.id, group: name, epoch, reason: retirement }];
 }
 
 /**
--- a/packages/core/src/engines/forming.ts
+++ b/packages/core/src/engines/forming.ts
@@ -126,7 +126,7 @@
     epoch: number,
     pending: PendingOperations,
 ): EngineOrder[] {
-    const group = groupName(domain, model, fencingToken, epoch);
+    const group = groupName({ domain, model, fencingToken, epoch, size: targets.length });
     const members = targets.map(target => target.id);
     pending.recordGroup(group, { model, members, startedAt: now });
     return members.map(host => joinOrder(host, { group, epoch, model, members }));
--- a/packages/core/src/engines/pendingoperations.ts
+++ b/packages/core/src/engines/pendingoperations.ts
@@ -102,10 +102,10 @@
         if (pendingGroup === undefined || profile === undefined) {
             return loading;
         }
-        // A group of fewer hosts only warms them up.
-        const warmed = pendingGroup.members.length < profile.size
+        // A group of fewer hosts only warms them up; the configuration may also ask for another size by now.
+        const willNotOpen = pendingGroup.members.length !== profile.size
             && group.members.every(member => member.membership?.state === "ready");
-        if (warmed) {
+        if (willNotOpen) {
             this.groups.delete(group.name);
             return false;
         }
--- a/packages/core/src/engines/reassignment.ts
+++ b/packages/core/src/engines/reassignment.ts
@@ -1,7 +1,7 @@
 /** Chooses which groups give up their hosts for a model that callers request and that has no group in any domain. */
 import type { ModelProfile } from "../routes/types.js";
 import { loadCost } from "./groupcounts.js";
-import { collectGroups, type EngineGroup } from "./groups.js";
+import { collectGroups, type EngineGroup, isCurrentGroup } from "./groups.js";
 import type { Target } from "./types.js";
 
 /** Fleet of one service in all domains. */
@@ -68,7 +68,7 @@
     const names = [...new Set(targets.flatMap(({ domain }) => domain ?? []))];
     return names.map(domain => {
         const hosts = targets.filter(target => target.domain === domain);
-        const groups = collectGroups(hosts, models).filter(group => group.complete && !isBroken(group));
+        const groups = collectGroups(hosts, models).filter(group => isCurrentGroup(group) && !isBroken(group));
         const taken = new Set(groups.flatMap(({ members }) => members.map(({ id }) => id)));
         return { domain, groups, free: hosts.filter(host => isUsable(host) && !taken.has(host.id)) };
     });
--- a/packages/core/src/engines/tests/domain.ts
+++ b/packages/core/src/engines/tests/domain.ts
@@ -60,7 +60,7 @@
     };
 }
 
-export const member = (rank: number, state: GroupMembership["state"], group = "d~large~4.9"): Partial<Target> => ({
+export const member = (rank: number, state: GroupMembership["state"], group = "d~large~4.9.3"): Partial<Target> => ({
     membership: { group, epoch: 9, rank, state },
     model: "large",
     stagedModels: ["large"],
--- a/packages/core/src/engines/tests/planner.test.ts
+++ b/packages/core/src/engines/tests/planner.test.ts
@@ -216,14 +216,14 @@
         const planner = createDomainPlanner();
         const hosts = ["a", "b", "c"].map(id => host(id, { stagedModels: ["large"] }));
         ordersOf(planner, input(hosts));
-        const joining = (id: string, rank: number): EngineHost => host(id, member(rank, "joining", "d~large~4.10"));
+        const joining = (id: string, rank: number): EngineHost => host(id, member(rank, "joining", "d~large~4.10.3"));
         const [, , last = host("c")] = hosts;
         const waiting = input([joining("a", 0), joining("b", 1), { ...last, orderPending: true }], {
             now: START + 100,
         });
         expect(summarize(ordersOf(planner, waiting))).to.deep.equal([]);
         const [order] = ordersOf(planner, input([joining("a", 0), joining("b", 1), last], { now: START + 500 }));
-        expect(order).to.deep.include({ kind: "join", host: "c", group: "d~large~4.10", members: ["a", "b", "c"] });
+        expect(order).to.deep.include({ kind: "join", host: "c", group: "d~large~4.10.3", members: ["a", "b", "c"] });
     });
 
     // The planner asked a spare again and again that had seen a higher epoch: review/2, RECOVER.
@@ -231,9 +231,12 @@
         const planner = createDomainPlanner();
         const hosts = ["a", "b", "c"].map(id => host(id, { stagedModels: ["large"] }));
         ordersOf(planner, input(hosts));
-        planner.recordRefusedJoin("d~large~4.10");
+        planner.recordRefusedJoin("d~large~4.10.3");
         const [a, b, last = host("c")] = hosts;
-        const joined = [host("a", member(0, "ready", "d~large~4.10")), host("b", member(1, "ready", "d~large~4.10"))];
+        const joined = [
+            host("a", member(0, "ready", "d~large~4.10.3")),
+            host("b", member(1, "ready", "d~large~4.10.3")),
+        ];
         const dissolved = summarize(ordersOf(planner, input([...joined, last], { now: START + 500 })));
         const left = input([a ?? last, b ?? last, last], { nextEpoch: 1_011, now: START + 1_000 });
         const formed = ordersOf(planner, left).map(order => order.kind === "join" && order.epoch);
--- a/packages/core/src/engines/tests/servinggroups.test.ts
+++ b/packages/core/src/engines/tests/servinggroups.test.ts
@@ -36,6 +36,13 @@
         targets: [head("a", { membership: { group: "d~m~1.1", epoch: 1, rank: 0, state: "ready" } })],
         heads: [],
     },
+    {
+        guards: "beginning requests in a group of another size than the configuration states",
+        targets: [1, 2, 3].map(size =>
+            head(`of-${size}`, { membership: { group: `d~m~1.${size}.${size}`, epoch: size, rank: 0, state: "open" } })
+        ),
+        heads: ["of-2"],
+    },
     { guards: "sending requests to a draining head", targets: [head("a", { draining: true })], heads: [] },
     { guards: "sending requests to a head whose entry lapsed", targets: [head("a", { registered: false })], heads: [] },
     {
--- a/packages/core/src/engines/tests/spares.test.ts
+++ b/packages/core/src/engines/tests/spares.test.ts
@@ -28,7 +28,7 @@
         expect(summarize(ordersOf(planner, input([...completeGroup, ...spares], slowLoads)))).to.deep.equal([
             "join e large",
         ]);
-        const warming = host("e", { ...member(0, "joining", "d~large~4.10"), stagedModels: ["large"] });
+        const warming = host("e", { ...member(0, "joining", "d~large~4.10.1"), stagedModels: ["large"] });
         const later = { ...slowLoads, now: START + 500 };
         expect(ordersOf(planner, input([...completeGroup, warming, spares[1]], later))).to.deep.equal([]);
     });
@@ -63,7 +63,7 @@
         const spare = (fields: Partial<Target> = {}): EngineHost => host("e", { stagedModels: ["large"], ...fields });
         const warming = (state: GroupMembership["state"]): Partial<Target> => ({
             model: "large",
-            membership: { group: "d~large~4.10", epoch: 10, rank: 0, state },
+            membership: { group: "d~large~4.10.1", epoch: 10, rank: 0, state },
         });
 
         it("warms it up and orders it to leave as soon as it is ready", () => {
--- a/packages/daemon/src/engines/tests/hostrecords.test.ts
+++ b/packages/daemon/src/engines/tests/hostrecords.test.ts
@@ -32,7 +32,7 @@
 const orders = {
     join: { ...membership, kind: "join", model: "m", members: ["a"] },
     open: { ...membership, kind: "open" },
-    leave: { ...membership, kind: "leave" },
+    leave: { ...membership, kind: "leave", reason: "member-lost" },
     stage: { kind: "stage", host: "a", model: "m" },
 } satisfies Partial<Record<EngineOrder["kind"], EngineOrder>>;
 
--- a/packages/daemon/src/engines/tests/knownengine.test.ts
+++ b/packages/daemon/src/engines/tests/knownengine.test.ts
@@ -11,7 +11,7 @@
 const next: GroupMembership = { group: "h", epoch: 6, rank: 0, state: "joining" };
 
 const join: EngineOrder = { kind: "join", host: "a", group: "g", epoch: 5, model: "m", members: ["b", "a"] };
-const leave: EngineOrder = { kind: "leave", host: "a", group: "g", epoch: 5 };
+const leave = { kind: "leave", host: "a", group: "g", epoch: 5, reason: "member-lost" } satisfies EngineOrder;
 const open: EngineOrder = { kind: "open", host: "a", group: "g", epoch: 5 };
 const stage: EngineOrder = { kind: "stage", host: "a", model: "m" };
 
