Planner: what engines stated holds for one term, and a missing member must be shown before a group that may serve ends

Cause: HostRecordMap kept what an engine stated for as long as the host was known, also while another daemon planned its domain. "No group" from then stood against a newer entry, the group of that host looked incomplete, incomplete counted as "lost a member", and its head, which served, was ordered to leave. The same records say that a host does not respond. The class: knowledge of an earlier term used in a later one, and destroying on missing knowledge.

Change: a term of planning is the time under one fencing token in which each round plans the domain. A new term begins without statements of engines, and one after a break also without a planner and without missed reports of before. A group whose head serves or is not known ends for a missing member only if that is shown: a member that it had is gone or lost, or has left, or all hosts that are in no complete group have stated their state since the group looked incomplete, or after 8 s, longer than a head takes to break. These hosts are asked then, once. Groups whose head is known not to serve end as before.

--- a/packages/core/src/engines/assessment.ts
+++ b/packages/core/src/engines/assessment.ts
@@ -3,6 +3,7 @@
 import type { EndReason, EngineOrder } from "./orders.js";
 import type { PendingOperations } from "./pendingoperations.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
+import type { RequiredStatement } from "./seengroups.js";
 import type { Target } from "./types.js";
 
 /** A group with the planner's assessment. */
@@ -15,13 +16,24 @@
     readonly failure?: EndReason;
     /** Why the group is to end once its requests have ended. */
     readonly retirement?: EndReason;
+    /** Statements of hosts without which it is not shown that the group lacks a member. */
+    readonly requiredStatements: readonly RequiredStatement[];
     /** Whether the hosts of the group will soon be needed for a model without a group, so that it is not opened. */
     readonly withheld: boolean;
 }
 
-/** Assesses a group by the state of its hosts and the orders in progress. */
+/** Returns the hosts that are in no complete group, so that they may be members of a group that looks incomplete. */
+export function looseHosts(groups: readonly EngineGroup[], hosts: readonly EngineHost[]): EngineHost[] {
+    const settled = new Set(
+        groups.filter(({ complete }) => complete).flatMap(({ members }) => members.map(({ id }) => id)),
+    );
+    return hosts.filter(({ target }) => !settled.has(target.id));
+}
+
+/** Assesses a group by the state of its hosts, the orders in progress, and the statements that are still required of hosts. */
 export function assessGroup(
     group: EngineGroup,
+    requiredStatements: readonly RequiredStatement[],
     input: DomainPlanInput,
     pending: PendingOperations,
 ): AssessedGroup {
@@ -30,13 +42,14 @@
     const willNotJoin = (id: string): boolean => isLost(id) || hosts.get(id)?.target.draining === true;
     const isHeadLost = group.head !== undefined && isLost(group.head.id);
     const hasLostMember = group.members.some(({ id }) => isLost(id));
-    const isIncomplete = !group.complete;
+    const isIncomplete = !group.complete && requiredStatements.length === 0;
     return {
         group,
         forming: pending.isForming(group, input.models, willNotJoin, input.now),
         head: isHeadLost ? undefined : group.head,
         failure: isHeadLost ? "head-lost" : hasLostMember ? "member-lost" : failureOf(group, isIncomplete),
         retirement: retirementOf(group, isIncomplete, hosts, input),
+        requiredStatements,
         withheld: input.reassignment?.releases.includes(group.name) === true,
     };
 }
--- a/packages/core/src/engines/planinput.ts
+++ b/packages/core/src/engines/planinput.ts
@@ -13,6 +13,11 @@
     readonly orderSequence?: number;
     /** Whether the effect of an order has not been observed yet. */
     readonly orderPending: boolean;
+    /**
+     * Latest time at which the engine certainly had the membership shown by `target`, as it stated itself to this daemon, in monotonic
+     * milliseconds; absent while it is unknown.
+     */
+    readonly statedAt?: number;
     /** Whether the host does not answer this daemon. Such a host gets no orders, but may still serve. */
     readonly unreachable: boolean;
     /** Whether the host counts as lost even if it is registered, for example if another process has its address. */
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -1,8 +1,9 @@
 /**
  * Plans the groups of one fabric domain: which groups to open, close and dissolve, which groups to form from which
- * hosts, and which weights spare hosts load in advance. The only state is the record of pending operations.
+ * hosts, and which weights spare hosts load in advance. The only state is the record of pending operations and
+ * of the groups seen.
  */
-import { type AssessedGroup, assessGroup, freeHosts, ordersForGroup } from "./assessment.js";
+import { type AssessedGroup, assessGroup, freeHosts, looseHosts, ordersForGroup } from "./assessment.js";
 import {
     chooseGroups,
     formGroups,
@@ -12,10 +13,11 @@
     loadsForReassignment,
     repeatJoins,
 } from "./forming.js";
-import { collectGroups, countCompleteGroups } from "./groups.js";
+import { collectGroups, countCompleteGroups, type EngineGroup } from "./groups.js";
 import type { EngineOrder } from "./orders.js";
 import { PendingOperations } from "./pendingoperations.js";
 import type { DomainPlanInput, EngineHost } from "./planinput.js";
+import { type RequiredStatement, SeenGroups } from "./seengroups.js";
 import { stageHosts } from "./staging.js";
 import { findReassignedModel } from "./starvation.js";
 import type { Target } from "./types.js";
@@ -25,6 +27,8 @@
     readonly orders: readonly EngineOrder[];
     /** Absent if no groups could be chosen in this round. */
     readonly choice?: GroupChoice;
+    /** Statements of hosts without which groups that look incomplete are not ended. */
+    readonly requiredStatements: readonly RequiredStatement[];
 }
 
 /** Planner of one domain. */
@@ -42,12 +46,13 @@
 /** Creates the planner of a domain. */
 export function createDomainPlanner(): DomainPlanner {
     const pending = new PendingOperations();
+    const seen = new SeenGroups();
     return {
         plan: given => {
             const input = withNeededReleases(given);
             pending.removeExpired(input.models, new Set(input.hosts.map(host => host.target.id)), input.now);
-            const groups = collectGroups(input.hosts.map(host => host.target), input.models)
-                .map(group => assessGroup(group, input, pending));
+            const collected = collectGroups(input.hosts.map(host => host.target), input.models);
+            const groups = assessGroups(collected, input, pending, seen);
             groups.forEach(({ group }) => pending.recordReadyMembers(group));
             const usableTargets = input.hosts.filter(isUsable).map(host => host.target);
             const changes = [
@@ -56,13 +61,32 @@
             ];
             const { orders, choice } = planFreeHosts(input, groups, changes, pending);
             const usable = new Set(usableTargets.map(target => target.id));
-            return { orders: [...changes, ...orders].filter(order => usable.has(order.host)), choice };
+            return {
+                orders: [...changes, ...orders].filter(order => usable.has(order.host)),
+                choice,
+                requiredStatements: groups.filter(({ forming }) => !forming)
+                    .flatMap(({ requiredStatements }) => requiredStatements),
+            };
         },
         recordRefusedLoad: host => pending.removeLoad(host),
         recordRefusedJoin: group => pending.giveUpGroup(group),
     };
 }
 
+function assessGroups(
+    collected: readonly EngineGroup[],
+    input: DomainPlanInput,
+    pending: PendingOperations,
+    seen: SeenGroups,
+): AssessedGroup[] {
+    seen.update(collected, input.now);
+    const hosts = new Map(input.hosts.map(host => [host.target.id, host]));
+    const loose = looseHosts(collected, input.hosts);
+    return collected.map(group =>
+        assessGroup(group, seen.requiredStatements(group, hosts, loose, input.now), input, pending)
+    );
+}
+
 /** Returns the input without releases if the free hosts suffice, also those whose registry entries lapsed. */
 function withNeededReleases(input: DomainPlanInput): DomainPlanInput {
     const free = freeHosts(input.hosts.filter(host => !host.unreachable));
@@ -77,7 +101,7 @@
     groups: readonly AssessedGroup[],
     changes: readonly EngineOrder[],
     pending: PendingOperations,
-): DomainPlan {
+): Omit<DomainPlan, "requiredStatements"> {
     if (!isSettled(input, groups)) {
         return { orders: [] };
     }
--- a/packages/core/src/engines/tests/domain.ts
+++ b/packages/core/src/engines/tests/domain.ts
@@ -33,6 +33,7 @@
             ...fields,
         },
         orderPending: false,
+        statedAt: START,
         unreachable: false,
         lost: false,
         lapsed: false,
--- a/packages/core/src/engines/tests/simulatedfleet.ts
+++ b/packages/core/src/engines/tests/simulatedfleet.ts
@@ -132,7 +132,8 @@
         };
         this.epoch += 1;
         const round: DomainPlanInput = input(
-            targets.filter(target => target.domain === domain).map(target => host(target.id, target)),
+            targets.filter(target => target.domain === domain)
+                .map(target => host(target.id, target, { statedAt: this.now })),
             {
                 ...fleet,
                 domain,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./engines/planinput.js";
 export * from "./engines/planner.js";
 export * from "./engines/reassignment.js";
+export * from "./engines/seengroups.js";
 export * from "./engines/starvation.js";
 export * from "./engines/statedgroups.js";
 export * from "./engines/types.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -9,7 +9,6 @@
     type EngineProfile,
     type GrantedReassignment,
     type GroupChoice,
-    type GroupMembership,
     type Service,
     type Target,
 } from "@damaskvale/core";
@@ -24,8 +23,10 @@
 import { fleetKey, isNetworkPartitioned, roundDemand } from "./fleet.js";
 import { countGroupsByModel, createFleetViews, type FleetView, type FleetViews } from "./fleetviews.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
+import { membershipDiffers } from "./knownengine.js";
 import { createLoadRateLimiter } from "./loadratelimiter.js";
 import { createOutdatedOrders, type OutdatedOrders } from "./outdatedorders.js";
+import { createPlanningTerms, type OwnHosts } from "./planningterms.js";
 import { createReassignments, type Reassignments } from "./reassignments.js";
 import { createServingNotice, type ServingNotice } from "./servingnotice.js";
 
@@ -90,6 +91,12 @@
     private readonly records = createHostRecords(({ id, startedAt, domain }, stale) =>
         this.parts.log.emit("staleMembership", { host: id, domain, startedAt, ...stale })
     );
+    private readonly terms = createPlanningTerms(({ key, targets }, isContinued) => {
+        this.records.beginTerm(targets, isContinued, this.parts.clock.monotonic());
+        if (!isContinued) {
+            this.planners.delete(key);
+        }
+    });
     private readonly loads = createLoadRateLimiter();
     /** Last logged choice of groups, by service and domain. */
     private readonly loggedChoices = new Map<string, string>();
@@ -148,18 +155,28 @@
         const { state, lease } = this.parts;
         const assignment = lease.current();
         if (assignment === undefined || assignment.partitions.length === 0) {
+            this.terms.end();
             return;
         }
         if (this.hasStaleRecords) {
             this.hasStaleRecords = false;
             this.records.retain(new Set(state.targets().map(target => target.id)));
         }
-        const hosts = this.engineServices().flatMap(({ service, engine }) =>
-            this.planService(service, engine, assignment)
+        const services = this.engineServices();
+        this.terms.update(
+            services.flatMap(({ service }) => this.ownHosts(service, assignment)),
+            assignment.fencingToken,
         );
+        const hosts = services.flatMap(({ service, engine }) => this.planService(service, engine, assignment));
         this.servingNotice.announce(hosts);
     }
 
+    private ownHosts({ name }: Service, { partitions }: PartitionAssignment): readonly OwnHosts[] {
+        const view = this.views.viewOf(name);
+        return this.views.domainsOf(view, partitions)
+            .map(domain => ({ key: fleetKey(name, domain), targets: view.hostsByDomain.get(domain) ?? [] }));
+    }
+
     /** Plans the own domains of a service; returns their hosts as they are known afterwards. */
     private planService(service: Service, engine: EngineProfile, assignment: PartitionAssignment): readonly Target[] {
         const view = this.views.viewOf(service.name);
@@ -220,7 +237,7 @@
         }
         hosts.filter(host => host.lost && !host.target.registered).forEach(host => state.forget(host.target.id));
         const loadsPerSecond = engine.loadsPerSecond * assignment.partitions.length / partitionCount;
-        const { orders, choice } = this.plannerOf(service.name, domain).plan({
+        const { orders, choice, requiredStatements } = this.plannerOf(service.name, domain).plan({
             domain,
             hosts,
             models: engine.models,
@@ -233,6 +250,7 @@
             nextEpoch: this.epochs.next(assignment.fencingToken),
             now,
         });
+        requiredStatements.forEach(({ host, since }) => this.records.requireStatement(host, since));
         this.logChoice(service.name, domain, choice);
         if (reassignment !== undefined) {
             this.reassignments.recordOrders(service.name, reassignment, orders);
@@ -373,7 +391,3 @@
         return planner;
     }
 }
-
-function membershipDiffers(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
-    return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
-}
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -25,6 +25,13 @@
     recordReportRequested(target: Target, now: number): void;
     /** Records a report or its absence; returns whether the report is newer than the known state. */
     recordReport(target: Target, report: EngineReport | undefined, now: number): boolean;
+    /**
+     * Begins a term of planning for hosts. Another planner may have changed since what their engines stated before, so that they must
+     * state it anew. `isContinued` is whether this daemon planned for them until now, so that it has observed whether they respond.
+     */
+    beginTerm(targets: readonly Target[], isContinued: boolean, now: number): void;
+    /** Requires a statement of the engine that shows its state at `since` or later. */
+    requireStatement(id: string, since: number): void;
     /** Records that the host's group makes no progress; if the host is also unreachable, it counts as lost. */
     recordSuspicion(target: Target, now: number): void;
     /** Drops the records of hosts that are not in the set. */
@@ -51,8 +58,12 @@
     /** When the entry changed last. */
     entryAt: number;
     knownSince: number;
-    /** Absent until the engine has stated its state to this daemon. */
+    /** Absent until the engine has stated its state to this daemon in the present term. */
     engine?: KnownEngine;
+    /** Latest time at which the engine certainly had the known state; absent if that is not known. */
+    statedAt?: number;
+    /** Time from which a state is required; absent if none is. */
+    requiredSince?: number;
     /** The target as it was last described, with what it was made from. */
     shown?: { readonly entry: Target; readonly engine: KnownEngine; readonly target: Target; };
     /** Orders that this engine process has certainly accepted; a report with fewer comes from another process. */
@@ -123,6 +134,7 @@
         return {
             target: engine === undefined ? target : shownTargetOf(record, engine),
             orderSequence: engine?.isDoubted === false ? engine.orderSequence : undefined,
+            statedAt: engine?.isDoubted === false ? record.statedAt : undefined,
             knownSince: record.knownSince,
             orderPending: record.sent !== undefined || record.effectDueAt > 0 || engine?.isDoubted !== false,
             unreachable,
@@ -153,7 +165,8 @@
         const isSuspected = now < record.suspectedUntil
             && (!hasAnswered || sinceRequest > ANSWERED_REPORT_INTERVAL_MILLISECONDS);
         const isUncertain = record.engine?.isDoubted !== false;
-        return due && (effectMissing || isSuspected || record.missedReports > 0 || isUncertain);
+        return due
+            && (effectMissing || isSuspected || record.missedReports > 0 || isUncertain || isStatementDue(record, now));
     }
 
     recordOrderSent(target: Target, expectedSequence: number): void {
@@ -183,6 +196,8 @@
         const { expectedSequence } = sent;
         const isShown = engine.membership !== sent.engine?.membership;
         record.engine = knownFromAnswer(engine, { order, result, expectedSequence, answeredAt: now });
+        // An engine accepts an order only in the state from which it was made.
+        record.statedAt = takesEffect({ order, result }) ? now : undefined;
         const awaited = takesEffect({ order, result }) && !isShown ? AWAITED_EFFECTS[order.kind] : undefined;
         record.effectDueAt = awaited === undefined ? 0 : now + awaited.milliseconds;
         record.awaitsChange = awaited?.isChange === true;
@@ -215,6 +230,10 @@
         const isUnchanged = orderStatements(report, known) === "same";
         const isNewest = record.entryAt + MAXIMUM_REPORT_AGE_MILLISECONDS <= record.reportRequestedAt;
         record.engine = knownFromReport({ report, known, isNewest, arrivedAt: now });
+        record.statedAt = Math.max(
+            record.statedAt ?? Number.NEGATIVE_INFINITY,
+            record.reportRequestedAt - MAXIMUM_REPORT_AGE_MILLISECONDS,
+        );
         if (now < record.effectDueAt && record.awaitsChange && isUnchanged) {
             return false;
         }
@@ -225,6 +244,29 @@
         return record.engine.membershipFrom === "report";
     }
 
+    beginTerm(targets: readonly Target[], isContinued: boolean, now: number): void {
+        targets.forEach(target => {
+            const record = this.records.get(target.id);
+            if (record !== undefined && record.entry.startedAt === target.startedAt) {
+                record.missedReports = isContinued ? record.missedReports : 0;
+                record.unregisteredSince = isContinued ? record.unregisteredSince : undefined;
+                record.entryAt = now;
+                record.engine = undefined;
+                record.statedAt = undefined;
+                record.requiredSince = undefined;
+                record.effectDueAt = 0;
+                record.awaitsChange = false;
+            }
+        });
+    }
+
+    requireStatement(id: string, since: number): void {
+        const record = this.records.get(id);
+        if (record !== undefined) {
+            record.requiredSince = since;
+        }
+    }
+
     recordSuspicion(target: Target, now: number): void {
         const record = this.recordOf(target, now);
         if (record === undefined) {
@@ -263,6 +305,7 @@
         }
         const order = orderStatements(entry, engine);
         record.engine = knownFromEntry(engine, entry, now);
+        record.statedAt = order === "unordered" ? undefined : record.statedAt;
         record.effectDueAt = EFFECT_TIMES[order](record, now);
         if (order === "earlier" || order === "unordered") {
             this.onStaleMembership(entry, {
@@ -326,6 +369,12 @@
 /** Orders that change the group of an engine, so that none of them is accepted without being counted. */
 const CERTAINLY_COUNTED: ReadonlySet<EngineOrder["kind"]> = new Set(["join", "leave"]);
 
+/** Returns whether a report that is requested now would be the statement that is required. */
+function isStatementDue({ statedAt, requiredSince }: HostRecord, now: number): boolean {
+    return requiredSince !== undefined && (statedAt ?? Number.NEGATIVE_INFINITY) < requiredSince
+        && now - MAXIMUM_REPORT_AGE_MILLISECONDS >= requiredSince;
+}
+
 /** Returns how many orders an engine has certainly accepted, given its result for an order with an expected count. */
 function acceptedOrdersAfter(expected: number, order: EngineOrder, result: OrderResult): number {
     const acceptedCounts: Partial<Record<OrderResult, number>> = {
--- a/packages/daemon/src/engines/knownengine.ts
+++ b/packages/daemon/src/engines/knownengine.ts
@@ -182,3 +182,8 @@
 function joiningMembership({ host, group, epoch, members }: Extract<EngineOrder, { kind: "join"; }>): GroupMembership {
     return { group, epoch, rank: members.indexOf(host), state: "joining" };
 }
+
+/** Returns whether two memberships differ in their group or its state. */
+export function membershipDiffers(left: GroupMembership | undefined, right: GroupMembership | undefined): boolean {
+    return left?.group !== right?.group || left?.state !== right?.state || left?.epoch !== right?.epoch;
+}
--- a/packages/daemon/src/engines/tests/handover.test.ts
+++ b/packages/daemon/src/engines/tests/handover.test.ts
@@ -17,7 +17,7 @@
     ) => it(`keeps a group of ${size} hosts that the former owner formed at ${formedAt} ms`, async () => {
         const ids = ["a", "b", "c"].slice(0, size);
         domain = new PlannedDomain({ ids, startedAt: 7, reportAgeMilliseconds: REPORT_AGE_MILLISECONDS });
-        domain.isOwner = false;
+        domain.fencingToken = undefined;
         domain.start(size);
         await domain.clock.tickAsync(formedAt);
         ids.forEach(host =>
@@ -27,7 +27,7 @@
             )
         );
         await domain.clock.tickAsync(TAKEN_OVER_AFTER_MILLISECONDS);
-        domain.isOwner = true;
+        domain.fencingToken = 2;
         await domain.clock.tickAsync(20_000);
         expect(domain.engine("a").membership?.state).to.equal("open");
         expect(domain.state.servingGroups("pool", "m").length, "groups that the own state shows").to.equal(1);
--- a/packages/daemon/src/engines/tests/planneddomain.ts
+++ b/packages/daemon/src/engines/tests/planneddomain.ts
@@ -48,6 +48,8 @@
     heartbeat = 1;
     /** Whether orders and requests for reports do not arrive. */
     isCutOff = false;
+    /** Number of requests for reports that do not arrive. */
+    reportsToMiss = 0;
     /** Kinds of the orders that changed something. */
     readonly counted: EngineOrder["kind"][] = [];
     private readonly reports: { readonly at: number; readonly report: EngineReport; }[] = [];
@@ -68,7 +70,8 @@
     }
 
     report(): EngineReport | undefined {
-        if (this.isCutOff) {
+        this.reportsToMiss -= 1;
+        if (this.isCutOff || this.reportsToMiss >= 0) {
             return undefined;
         }
         const at = performance.now() - this.reportAgeMilliseconds;
@@ -167,8 +170,10 @@
 export class PlannedDomain {
     readonly clock: FakeClock = install({ now: 10_000, toFake: ["setTimeout", "clearTimeout", "performance"] });
     readonly state: RelayState = createRelayState();
-    /** Whether the daemon owns the domain. */
-    isOwner = true;
+    /** Fencing token under which the daemon owns the domain, if it does. */
+    fencingToken: number | undefined = 2;
+    /** Whether orders do not arrive. */
+    holdsOrders = false;
     private readonly engines: ReadonlyMap<string, EngineStub>;
     private planner: EnginePlanner | undefined;
 
@@ -202,14 +207,16 @@
             log: { emit: () => undefined },
             state: this.state,
             lease: {
-                current: () => this.isOwner ? { fencingToken: 2, partitions: [0] } : undefined,
+                current: () =>
+                    this.fencingToken === undefined ? undefined : { fencingToken: this.fencingToken, partitions: [0] },
                 confirmedSince: () => true,
                 invalidate: () => undefined,
                 stop: () => Promise.resolve(),
             },
             partitionCount: 1,
             engines: {
-                order: (target, order, guard) => Promise.resolve(this.engine(target.id).order(order, guard)),
+                order: (target, order, guard) =>
+                    Promise.resolve(this.holdsOrders ? "unanswered" : this.engine(target.id).order(order, guard)),
                 report: target => Promise.resolve(this.engine(target.id).report()),
             },
             trafficSeen: () => true,
@@ -219,6 +226,11 @@
         });
     }
 
+    /** Reports that requests to a head stand still. */
+    suspect(head: string): void {
+        this.planner?.suspect(head);
+    }
+
     stop(): void {
         this.planner?.stop();
         this.clock.uninstall();
--- a/packages/proofs/src/fuzz/planner/engine.ts
+++ b/packages/proofs/src/fuzz/planner/engine.ts
@@ -26,6 +26,8 @@
     readonly peer: (id: string) => SimulatedEngine | undefined;
     readonly onChange: (engine: SimulatedEngine) => void;
     readonly onViolation: (text: string) => void;
+    /** Called when an order cuts the requests of a group that makes progress. */
+    readonly onCut: (text: string) => void;
     readonly trace: (line: string) => void;
 }
 
@@ -262,11 +264,24 @@
         if (!this.isInGroup(name, epoch)) {
             return this.parts.resultOfOtherLeave;
         }
+        this.checkRequests();
         this.group = undefined;
         this.begin();
         return "already-holds";
     }
 
+    /** Rule LOST of the users' platform: what runs in a group that makes progress is not cut. */
+    private checkRequests(): void {
+        const head = this.parts.peer(this.group?.members[0] ?? "");
+        const group = head?.group;
+        if (group === undefined || group.group !== this.group?.group || !isServing(group) || head?.isAlive !== true) {
+            return;
+        }
+        if (this.isComplete(group)) {
+            this.parts.onCut(`LOST: ${this.id} leaves ${group.group} while its head ${head.id} is ${group.state}`);
+        }
+    }
+
     private stage(model: string): OrderResult {
         if (this.staged.includes(model)) {
             return "already-holds";
--- a/packages/proofs/src/fuzz/planner/world.ts
+++ b/packages/proofs/src/fuzz/planner/world.ts
@@ -50,6 +50,8 @@
 const TOKEN_STEP = 1_000;
 const LATE_WRITE_PROBABILITY = 0.2;
 const LOSS_PROBABILITY = 0.4;
+/** Disturbances by which a daemon gets no answers of a host that runs. */
+const UNREACHING_FAULTS: ReadonlySet<FaultKind> = new Set(["cutFromDaemons", "lostReports"]);
 const STALL_MILLISECONDS = 3_000;
 const LOAD_MILLISECONDS = 4_000;
 
@@ -201,6 +203,12 @@
                     this.trace(text);
                     this.violations.push(`${this.elapsed}: ${text}`);
                 },
+                onCut: text => {
+                    this.trace(text);
+                    if (!this.mayCountAsLost()) {
+                        this.violations.push(`${this.elapsed}: ${text}`);
+                    }
+                },
                 trace: line => this.trace(line),
             }),
             index,
@@ -339,6 +347,11 @@
         };
     }
 
+    /** Returns whether a host that runs may count as lost, because daemons have not reached it. */
+    private mayCountAsLost(): boolean {
+        return this.options.faults.some(({ kind, at }) => UNREACHING_FAULTS.has(kind) && at <= this.elapsed);
+    }
+
     /** Returns an engine to which the daemons have a way. */
     private reachableEngine(id: string): SimulatedEngine | undefined {
         const process = this.processes.get(id);
