--- a/packages/core/src/groups/tests/plan.test.ts
+++ b/packages/core/src/groups/tests/plan.test.ts
@@ -189,6 +189,19 @@
             },
             actions: ["form m b1 b2"],
         },
+        ...[model({ members: 3 }), model({ name: "n", members: 3 })].map(changed => ({
+            guards: `aborting requests because the table asks for ${changed.members} hosts of ${changed.name}`,
+            given: {
+                hosts: [
+                    host("a1", { report: { ...ready, load: { ...load, running: 1 } } }),
+                    host("a2", { report: ready }),
+                ],
+                state: owned("a1", "a2"),
+                models: [changed],
+                groups: [{ ...planned, retiringMilliseconds: 3_000 }],
+            },
+            actions: [],
+        })),
         {
             guards: "keeping a group that has drained",
             given: {
