Planner: in a continued term accepted orders count on

Callers: nothing seen. made a planner forget what engines had stated at each new fencing token, also for a domain that it planned without a break, so that a join that an engine had just accepted did not count until the next report.

--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -26,8 +26,9 @@
     /** Records a report or its absence; returns whether the report is newer than the known state. */
     recordReport(target: Target, report: EngineReport | undefined, now: number): boolean;
     /**
-     * Begins a term of planning for hosts. Another planner may have changed since what their engines stated before, so that they must
-     * state it anew. `isContinued` is whether this daemon planned for them until now, so that it has observed whether they respond.
+     * Begins a term of planning for hosts. If it is not continued, another planner may have changed since what their engines stated, so
+     * that they must state it anew. If it is, orders that were accepted before count on, but no earlier statement shows that a group
+     * lacks a member.
      */
     beginTerm(targets: readonly Target[], isContinued: boolean, now: number): void;
     /** Requires a statement of the engine that shows its state at `since` or later. */
@@ -245,19 +246,16 @@
     }
 
     beginTerm(targets: readonly Target[], isContinued: boolean, now: number): void {
-        targets.forEach(target => {
-            const record = this.records.get(target.id);
-            if (record !== undefined && record.entry.startedAt === target.startedAt) {
-                record.missedReports = isContinued ? record.missedReports : 0;
-                record.unregisteredSince = isContinued ? record.unregisteredSince : undefined;
-                record.entryAt = now;
-                record.engine = undefined;
-                record.statedAt = undefined;
-                record.requiredSince = undefined;
-                record.effectDueAt = 0;
-                record.awaitsChange = false;
-            }
+        const records = targets.flatMap(({ id, startedAt }) => {
+            const record = this.records.get(id);
+            return record === undefined || record.entry.startedAt !== startedAt ? [] : [record];
         });
+        records.forEach(record => {
+            record.statedAt = undefined;
+        });
+        if (!isContinued) {
+            records.forEach(record => forgetEngine(record, now));
+        }
     }
 
     requireStatement(id: string, since: number): void {
@@ -369,6 +367,17 @@
 /** Orders that change the group of an engine, so that none of them is accepted without being counted. */
 const CERTAINLY_COUNTED: ReadonlySet<EngineOrder["kind"]> = new Set(["join", "leave"]);
 
+/** Forgets what the engine stated, and whether it responds. */
+function forgetEngine(record: HostRecord, now: number): void {
+    record.entryAt = now;
+    record.engine = undefined;
+    record.requiredSince = undefined;
+    record.effectDueAt = 0;
+    record.awaitsChange = false;
+    record.missedReports = 0;
+    record.unregisteredSince = undefined;
+}
+
 /** Returns whether a report that is requested now would be the statement that is required. */
 function isStatementDue({ statedAt, requiredSince }: HostRecord, now: number): boolean {
     return requiredSince !== undefined && (statedAt ?? Number.NEGATIVE_INFINITY) < requiredSince
