--- a/packages/core/src/engines/assessment.ts
+++ b/packages/core/src/engines/assessment.ts
@@ -30,14 +30,17 @@
     return hosts.filter(({ target }) => !settled.has(target.id));
 }
 
-/** Assesses a group by the state of its hosts, the orders in progress, and the statements that are still required of hosts. */
+/**
+ * Assesses a group by the state of the hosts of its domain, the orders in progress, and the statements that are still required. `hosts`
+ * are those of the input by id.
+ */
 export function assessGroup(
     group: EngineGroup,
     requiredStatements: readonly RequiredStatement[],
+    hosts: ReadonlyMap<string, EngineHost>,
     input: DomainPlanInput,
     pending: PendingOperations,
 ): AssessedGroup {
-    const hosts = new Map(input.hosts.map(host => [host.target.id, host]));
     const isLost = (id: string): boolean => hosts.get(id)?.lost ?? true;
     const willNotJoin = (id: string): boolean => isLost(id) || hosts.get(id)?.target.draining === true;
     const isHeadLost = group.head !== undefined && isLost(group.head.id);
--- a/packages/core/src/engines/planner.ts
+++ b/packages/core/src/engines/planner.ts
@@ -83,7 +83,7 @@
     const hosts = new Map(input.hosts.map(host => [host.target.id, host]));
     const loose = looseHosts(collected, input.hosts);
     return collected.map(group =>
-        assessGroup(group, seen.requiredStatements(group, hosts, loose, input.now), input, pending)
+        assessGroup(group, seen.requiredStatements(group, hosts, loose, input.now), hosts, input, pending)
     );
 }
 
--- a/packages/core/src/engines/seengroups.ts
+++ b/packages/core/src/engines/seengroups.ts
@@ -63,8 +63,7 @@
             !host.lost && !present.has(host.target.id) && !hasLeft(host, group)
             && (host.statedAt ?? Number.NEGATIVE_INFINITY) < since;
         const candidates = formerMembers?.filter(id => !present.has(id)).map(id => hosts.get(id)) ?? loose;
-        const isShown = formerMembers !== undefined
-            && candidates.some(host => host === undefined || host.lost || !isSilent(host));
+        const isShown = formerMembers !== undefined && candidates.some(host => host === undefined || !isSilent(host));
         return isShown
             ? []
             : candidates.flatMap(host => host !== undefined && isSilent(host) ? [{ host: host.target.id, since }] : []);
--- a/packages/daemon/src/engines/hostrecords.ts
+++ b/packages/daemon/src/engines/hostrecords.ts
@@ -59,7 +59,7 @@
     /** When the entry changed last. */
     entryAt: number;
     knownSince: number;
-    /** Absent until the engine has stated its state to this daemon in the present term. */
+    /** Absent until the engine has stated its state to this daemon since it plans the domain without a break. */
     engine?: KnownEngine;
     /** Latest time at which the engine certainly had the known state; absent if that is not known. */
     statedAt?: number;
