Evacuation of a data centre: its targets get no requests until the operator takes it back

Change: the operators' topic decodes evacuations beside the configuration; statements with their position in the log are merged and stated in every message between daemons; serving targets and groups leave the data centre out, the planner takes no groups apart there. Types of the relay's state have a file of their own, the planner's log of choices too.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./engines/starvation.js";
 export * from "./engines/statedgroups.js";
 export * from "./engines/types.js";
+export * from "./evacuation/evacuations.js";
 export * from "./group.js";
 export * from "./groups/confirm.js";
 export * from "./groups/constants.js";
--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -8,7 +8,6 @@
     type EngineOrder,
     type EngineProfile,
     type GrantedReassignment,
-    type GroupChoice,
     type Service,
     type Target,
 } from "@damaskvale/core";
@@ -16,11 +15,12 @@
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PartitionAssignment } from "../ports/registry.js";
-import type { RelayState, ReportedMembership } from "../relay/state.js";
+import type { RelayState, ReportedMembership } from "../relay/statetypes.js";
 import type { PartitionLease } from "../tasks/partitionlease.js";
 import { type BackgroundTasks, createBackgroundTasks } from "./backgroundtasks.js";
+import { type ChoiceLog, createChoiceLog } from "./choicelog.js";
 import { createEpochs, type Epochs } from "./epochs.js";
-import { fleetKey, isNetworkPartitioned, roundDemand } from "./fleet.js";
+import { fleetKey, isNetworkPartitioned } from "./fleet.js";
 import { countGroupsByModel, createFleetViews, type FleetView, type FleetViews } from "./fleetviews.js";
 import { createHostRecords, reportFromSameProcess } from "./hostrecords.js";
 import { membershipDiffers } from "./knownengine.js";
@@ -29,6 +29,7 @@
 import { createPlanningTerms, type OwnHosts } from "./planningterms.js";
 import { createReassignments, type Reassignments } from "./reassignments.js";
 import { createServingNotice, type ServingNotice } from "./servingnotice.js";
+import { usableFleet } from "./usablefleet.js";
 
 /** Collaborators of the planner. */
 export interface EnginePlannerParts {
@@ -42,6 +43,8 @@
     readonly trafficSeen: () => boolean;
     /** Demand meter of a service. */
     readonly demandOf: (service: string) => DemandMeter;
+    /** Whether the targets of a data centre get no requests. */
+    readonly isEvacuated: (dataCentre: string) => boolean;
     /** Delay between two registry reads. */
     readonly registryDelayMilliseconds: () => number;
     /** Called with memberships that an engine reported and that the registry does not show yet. */
@@ -98,8 +101,7 @@
         }
     });
     private readonly loads = createLoadRateLimiter();
-    /** Last logged choice of groups, by service and domain. */
-    private readonly loggedChoices = new Map<string, string>();
+    private readonly choiceLog: ChoiceLog;
     private readonly reassignments: Reassignments;
     private readonly views: FleetViews;
     private readonly epochs: Epochs;
@@ -111,6 +113,7 @@
     private timer: NodeJS.Timeout | undefined;
 
     constructor(private readonly parts: EnginePlannerParts) {
+        this.choiceLog = createChoiceLog(parts.log);
         this.reassignments = createReassignments(parts);
         this.servingNotice = createServingNotice(parts.onMembership);
         this.views = createFleetViews(parts.state, parts.partitionCount);
@@ -184,11 +187,11 @@
         const ownHosts = this.describeHosts(domains, view);
         const ownTargets = new Map([...ownHosts].map(([domain, hosts]) => [domain, hosts.map(({ target }) => target)]));
         const groupsByModel = countGroupsByModel(view, ownTargets, engine.models);
-        const reassignments = this.reassignments.update(service, engine, {
-            hostsByDomain: view.hostsByDomain,
-            ownHosts,
-            groupsByModel,
-        });
+        const reassignments = this.reassignments.update(
+            service,
+            engine,
+            usableFleet(view, ownHosts, engine, this.parts.isEvacuated),
+        );
         ownHosts.forEach((hosts, domain) =>
             this.planDomain({
                 domain,
@@ -251,7 +254,7 @@
             now,
         });
         requiredStatements.forEach(({ host, since }) => this.records.requireStatement(host, since));
-        this.logChoice(service.name, domain, choice);
+        this.choiceLog.record(service.name, domain, choice);
         if (reassignment !== undefined) {
             this.reassignments.recordOrders(service.name, reassignment, orders);
         }
@@ -285,29 +288,6 @@
         };
     }
 
-    /** Logs a choice of groups if there were free hosts and it differs from the last logged choice. */
-    private logChoice(service: string, domain: string, choice: GroupChoice | undefined): void {
-        if (choice === undefined || choice.free.count === 0) {
-            return;
-        }
-        const models = choice.demands.map(({ profile: { name }, demand, groups, holders }) => ({
-            name,
-            demand: roundDemand(demand),
-            groups,
-            holders,
-            chosen: choice.newGroups.get(name),
-        }));
-        const seen = JSON.stringify([
-            choice.free.count,
-            models.map(({ name, holders, chosen }) => [name, holders, chosen]),
-        ]);
-        const key = fleetKey(service, domain);
-        if (this.loggedChoices.get(key) !== seen) {
-            this.loggedChoices.set(key, seen);
-            this.parts.log.emit("groupsChosen", { domain, ...choice.free, models });
-        }
-    }
-
     /** Takes a load from the rate limiter, and remembers the epoch of a join. */
     private recordOrder(target: Target, order: EngineOrder): void {
         if (this.parts.trafficSeen() && "model" in order && !target.stagedModels.includes(order.model)) {
--- a/packages/daemon/src/engines/epochs.ts
+++ b/packages/daemon/src/engines/epochs.ts
@@ -2,7 +2,7 @@
  * Epochs of new groups: each is above all that this daemon knows of, also after the change of an owner. A host may have seen
  * a higher epoch, of a group that no longer exists; it then refuses to join, and the epochs are raised.
  */
-import type { RelayState } from "../relay/state.js";
+import type { RelayState } from "../relay/statetypes.js";
 
 /** Epochs of one planner. */
 export interface Epochs {
--- a/packages/daemon/src/engines/fleetviews.ts
+++ b/packages/daemon/src/engines/fleetviews.ts
@@ -1,6 +1,6 @@
 /** Hosts of engine services by domain, computed once for all planning rounds until the registry changes again. */
 import { collectGroups, countCompleteGroups, groupBy, type ModelProfile, type Target } from "@damaskvale/core";
-import type { RelayState } from "../relay/state.js";
+import type { RelayState } from "../relay/statetypes.js";
 import { partitionOf } from "./fleet.js";
 
 /** Hosts of one service. */
@@ -71,6 +71,18 @@
     return new Map(models.map(({ name }) => [name, counts.reduce((sum, groups) => sum + (groups.get(name) ?? 0), 0)]));
 }
 
+/** Returns a view without the fabric domains for which a condition holds. */
+export function withoutDomains(
+    { hostsByDomain, groupsByDomain }: FleetView,
+    isLeftOut: (hosts: readonly Target[]) => boolean,
+): FleetView {
+    const isKept = (domain: string): boolean => !isLeftOut(hostsByDomain.get(domain) ?? []);
+    return {
+        hostsByDomain: new Map([...hostsByDomain].filter(([domain]) => isKept(domain))),
+        groupsByDomain: new Map([...groupsByDomain].filter(([domain]) => isKept(domain))),
+    };
+}
+
 function countGroups(hosts: readonly Target[], models: readonly ModelProfile[]): ReadonlyMap<string, number> {
     return countCompleteGroups(collectGroups(hosts, models));
 }
--- a/packages/daemon/src/engines/servingnotice.ts
+++ b/packages/daemon/src/engines/servingnotice.ts
@@ -1,6 +1,6 @@
 /** Tells the other daemons which groups of the own domains began to serve; they would see it only in their next read. */
 import type { Target } from "@damaskvale/core";
-import type { ReportedMembership } from "../relay/state.js";
+import type { ReportedMembership } from "../relay/statetypes.js";
 
 /** Notice of groups that serve. */
 export interface ServingNotice {
--- a/packages/daemon/src/engines/tests/acceptedjoins.test.ts
+++ b/packages/daemon/src/engines/tests/acceptedjoins.test.ts
@@ -8,7 +8,8 @@
 } from "@damaskvale/core";
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { createRelayState, type RelayState } from "../../relay/state.js";
+import { createRelayState } from "../../relay/state.js";
+import type { RelayState } from "../../relay/statetypes.js";
 import { type EnginePlanner, startEnginePlanner } from "../engineplanner.js";
 
 /** Longer than a model may be without a group before groups of others are taken apart for it. */
@@ -100,6 +101,7 @@
                 engine.models.forEach(({ name }) => demand.record(name, 1, performance.now()));
                 return demand;
             },
+            isEvacuated: () => false,
             registryDelayMilliseconds: () => 0,
             onMembership: reported => state.applyMembership(reported),
         });
--- a/packages/daemon/src/engines/tests/engineplanner.test.ts
+++ b/packages/daemon/src/engines/tests/engineplanner.test.ts
@@ -4,7 +4,8 @@
 import { expect } from "chai";
 import type { OrderResult } from "../../ports/enginecontrol.js";
 import type { EventFields } from "../../ports/eventlog.js";
-import { createRelayState, type RelayState } from "../../relay/state.js";
+import { createRelayState } from "../../relay/state.js";
+import type { RelayState } from "../../relay/statetypes.js";
 import { type EnginePlanner, startEnginePlanner } from "../engineplanner.js";
 
 const engine = {
@@ -108,6 +109,7 @@
             },
             trafficSeen: () => true,
             demandOf: () => createDemandMeter(),
+            isEvacuated: () => false,
             registryDelayMilliseconds: () => 0,
             onMembership: ({ host }) => void announced.push(host),
         });
--- a/packages/daemon/src/engines/tests/planneddomain.ts
+++ b/packages/daemon/src/engines/tests/planneddomain.ts
@@ -8,7 +8,8 @@
 } from "@damaskvale/core";
 import { type Clock as FakeClock, install } from "@sinonjs/fake-timers";
 import type { EngineReport, OrderGuard, OrderResult } from "../../ports/enginecontrol.js";
-import { createRelayState, type RelayState } from "../../relay/state.js";
+import { createRelayState } from "../../relay/state.js";
+import type { RelayState } from "../../relay/statetypes.js";
 import { type EnginePlanner, startEnginePlanner } from "../engineplanner.js";
 
 const JOIN_MILLISECONDS = 200;
@@ -221,6 +222,7 @@
             },
             trafficSeen: () => true,
             demandOf: () => createDemandMeter(),
+            isEvacuated: () => false,
             registryDelayMilliseconds: () => 0,
             onMembership: reported => this.state.applyMembership(reported),
         });
--- /dev/null
+++ b/packages/daemon/src/engines/usablefleet.ts
@@ -0,0 +1,23 @@
+/** The part of a fleet whose groups may get requests. */
+import type { EngineHost, EngineProfile } from "@damaskvale/core";
+import { countGroupsByModel, type FleetView, withoutDomains } from "./fleetviews.js";
+import type { ObservedFleet } from "./reassignments.js";
+
+/** Returns the fleet without evacuated domains, whose groups get no requests and are kept for their return. */
+export function usableFleet(
+    view: FleetView,
+    ownHosts: ReadonlyMap<string, readonly EngineHost[]>,
+    { models }: EngineProfile,
+    isEvacuated: (dataCentre: string) => boolean,
+): ObservedFleet {
+    const usable = withoutDomains(view, hosts => hosts.some(({ dataCentre }) => isEvacuated(dataCentre)));
+    const ownUsable = new Map([...ownHosts].filter(([domain]) => usable.hostsByDomain.has(domain)));
+    const ownTargets = new Map(
+        [...ownUsable].map(([domain, hosts]) => [domain, hosts.map(({ target }) => target)]),
+    );
+    return {
+        hostsByDomain: usable.hostsByDomain,
+        ownHosts: ownUsable,
+        groupsByModel: countGroupsByModel(usable, ownTargets, models),
+    };
+}
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -221,6 +221,20 @@
         "A topic is read anew because an answer of the platform's store belongs to another era.",
     ),
     targetsChanged: define(420, "info", "A target was registered, started again, drains, lapsed or was removed."),
+    evacuationBegan: define(428, "warn", "The evacuation of a data centre began; its targets get no requests."),
+    evacuationEnded: define(429, "info", "The evacuation of a data centre ended."),
+    evacuationUnreadable: define(
+        431,
+        "warn",
+        "The value of an evacuation is not readable; the evacuation is in force.",
+        "Write an empty object as the value.",
+    ),
+    evacuationUnknown: define(
+        430,
+        "warn",
+        "An evacuated data centre has no target and no daemon.",
+        "Check the name in the operators' log.",
+    ),
     engineOrdered: define(421, "info", "An order was given to an engine."),
     engineReported: define(422, "info", "The state of an engine was read from the engine itself."),
     domainFenced: define(
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -35,6 +35,7 @@
 export type * from "./relay/platformports.js";
 export * from "./relay/servercall.js";
 export * from "./relay/state.js";
+export type * from "./relay/statetypes.js";
 export * from "./relay/targetavailability.js";
 export * from "./relay/targetconnections.js";
 export * from "./relay/targetrates.js";
--- a/packages/daemon/src/peers/configurationmessage.ts
+++ b/packages/daemon/src/peers/configurationmessage.ts
@@ -1,8 +1,7 @@
-/** Versions of the configuration that a collector read, as a message for the daemons that report to it. */
-import type { RelayConfiguration } from "@damaskvale/core";
+/** What operators published and a collector read, as a message for the daemons that report to it. */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { z } from "zod";
-import type { ConfigurationTopic, TopicRange } from "../ports/registry.js";
+import type { ConfigurationTopic, OperatorRecord, TopicChange, TopicRange } from "../ports/registry.js";
 
 /** Schema of a range of configuration changes, whose values are the store's, compressed. */
 export const configurationRangeSchema = z.object({
@@ -20,10 +19,12 @@
 /** Larger than any configuration that the store takes as one record. */
 const MAXIMUM_BYTES = 4_194_304;
 
-/** Encodes a range; returns `undefined` if it is empty, too large, or lacks the encoded value of a change. */
-export function encodeConfigurationRange(range: TopicRange<RelayConfiguration>): ConfigurationRangeMessage | undefined {
+/** Encodes a range; returns `undefined` if it is empty, too large, or lacks the encoded value of a configuration. */
+export function encodeConfigurationRange(range: TopicRange<OperatorRecord>): ConfigurationRangeMessage | undefined {
     const { fromOffset, nextOffset, era, changes } = range;
-    if (changes.length === 0 || changes.some(({ value, encoded }) => value !== undefined && encoded === undefined)) {
+    const isUnencoded = ({ value, encoded }: TopicChange<OperatorRecord>): boolean =>
+        value?.kind === "configuration" && encoded === undefined;
+    if (changes.length === 0 || changes.some(isUnencoded)) {
         return undefined;
     }
     const compressed = changes.map(({ key, encoded }) => ({ key, encoded: encoded && deflateRawSync(encoded) }));
@@ -35,7 +36,7 @@
 export function decodeConfigurationRange(
     { fromOffset, nextOffset, era, changes }: ConfigurationRangeMessage,
     topic: Pick<ConfigurationTopic, "decode">,
-): TopicRange<RelayConfiguration> {
+): TopicRange<OperatorRecord> {
     const decoded = changes.flatMap(({ key, encoded }) =>
         topic.decode(key, encoded && inflateRawSync(encoded, { maxOutputLength: MAXIMUM_BYTES }))
     );
--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -23,6 +23,9 @@
     ageMilliseconds: z.number().nonnegative(),
 };
 
+/** Data centre, whether it is evacuated, era of the store, offset. */
+const evacuationsSchema = z.array(z.tuple([z.string(), z.boolean(), z.number(), z.number()]));
+
 /** What most messages contain: the sender, and what it knows from any source. */
 const commonFields = {
     daemon: z.string(),
@@ -39,6 +42,8 @@
     leaving: z.array(z.object(statementFields)).default([]),
     /** Absent if there is nothing to report. */
     quarantine: quarantineSchema.optional(),
+    /** Evacuations of data centres. Absent if none is known, and in messages of daemons of earlier versions. */
+    evacuations: evacuationsSchema.optional(),
 };
 
 const countSchema = z.number().nonnegative();
--- a/packages/daemon/src/peers/knowledge.ts
+++ b/packages/daemon/src/peers/knowledge.ts
@@ -1,5 +1,5 @@
 /** What daemons tell each other in every message: statements of targets, quarantined parts, the configuration in force. */
-import type { LeavingStatement, QuarantineReport, StatedLimit } from "@damaskvale/core";
+import type { EvacuationStatement, LeavingStatement, QuarantineReport, StatedLimit } from "@damaskvale/core";
 import type { CommonFields } from "./exchangemessage.js";
 import { decodeQuarantine, encodeQuarantine } from "./quarantinemessage.js";
 
@@ -19,6 +19,10 @@
     readonly hasQuarantineUpdates: () => boolean;
     /** Called with what another daemon knows. */
     readonly onQuarantine: (report: QuarantineReport, daemon: string) => void;
+    /** Evacuations of data centres that this daemon knows. */
+    readonly evacuations: () => readonly EvacuationStatement[];
+    /** Called with each evacuation that another daemon knows. */
+    readonly onEvacuation: (statement: EvacuationStatement, daemon: string) => void;
     /** Version of the configuration in force on this daemon, 0 if there is none. */
     readonly configurationVersion: () => number;
     /** Newest version that this daemon knows of, also if it has not read it yet. */
@@ -43,12 +47,13 @@
         limits: parts.limits().map(limit => withAge(limit, now)),
         leaving: parts.leaving().map(statement => withAge(statement, now)),
         quarantine: includesQuarantine ? encodeQuarantine(parts.quarantine(), now) : undefined,
+        evacuations: encodeEvacuations(parts.evacuations()),
     };
 }
 
 /** Takes over the fields that every message has. */
 export function applyKnowledge(message: CommonFields, parts: KnowledgeParts, now: number): void {
-    const { daemon, configurationVersion, limits, leaving, quarantine } = message;
+    const { daemon, configurationVersion, limits, leaving, quarantine, evacuations } = message;
     limits.forEach(({ ageMilliseconds, ...limit }) => parts.onLimit({ ...limit, statedAt: now - ageMilliseconds }));
     leaving.forEach(({ ageMilliseconds, ...process }) =>
         parts.onLeaving({ ...process, statedAt: now - ageMilliseconds }, daemon)
@@ -56,11 +61,20 @@
     if (quarantine !== undefined) {
         parts.onQuarantine(decodeQuarantine(quarantine, now), daemon);
     }
+    evacuations?.forEach(([dataCentre, evacuated, era, offset]) =>
+        parts.onEvacuation({ dataCentre, evacuated, era, offset }, daemon)
+    );
     if (configurationVersion > parts.configurationVersion()) {
         parts.onNewerConfiguration(configurationVersion);
     }
 }
 
+function encodeEvacuations(statements: readonly EvacuationStatement[]): CommonFields["evacuations"] {
+    return statements.length === 0
+        ? undefined
+        : statements.map(({ dataCentre, evacuated, era, offset }) => [dataCentre, evacuated, era, offset]);
+}
+
 /** Replaces the time of a statement by its age. */
 function withAge<Statement extends LeavingStatement>(
     { statedAt, ...statement }: Statement,
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -4,10 +4,10 @@
  * supersedes the previous one of its kind, so that messages need neither retransmission nor ordering, and there is no
  * connection that could go dead unnoticed.
  */
-import { createCollectorChooser, type RelayConfiguration, type Target } from "@damaskvale/core";
+import { createCollectorChooser, type Target } from "@damaskvale/core";
 import { createSocket, type Socket } from "node:dgram";
-import type { TopicRange } from "../ports/registry.js";
-import type { ReportedMembership } from "../relay/state.js";
+import type { OperatorRecord, TopicRange } from "../ports/registry.js";
+import type { ReportedMembership } from "../relay/statetypes.js";
 import { createCollector } from "./collector.js";
 import { encodeConfigurationRange } from "./configurationmessage.js";
 import {
@@ -119,7 +119,7 @@
         ranges.forEach(part => this.send({ kind: "targets", daemon, range: encodeTargetRange(part) }, members));
     }
 
-    passOnConfiguration(range: TopicRange<RelayConfiguration>): void {
+    passOnConfiguration(range: TopicRange<OperatorRecord>): void {
         const message = this.collectorRank() === 0 ? encodeConfigurationRange(range) : undefined;
         if (message !== undefined) {
             this.send({ kind: "configuration", daemon: this.parts.self.daemon, range: message }, this.otherMembers());
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -1,10 +1,10 @@
 /** The exchange between daemons as the rest of the daemon sees it, and its collaborators. */
-import type { LoadTracker, RelayConfiguration, StatedLoads, Target } from "@damaskvale/core";
+import type { LoadTracker, StatedLoads, Target } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
-import type { TopicRange } from "../ports/registry.js";
-import type { ReportedMembership } from "../relay/state.js";
+import type { OperatorRecord, TopicRange } from "../ports/registry.js";
+import type { ReportedMembership } from "../relay/statetypes.js";
 import type { ConfigurationRangeMessage } from "./configurationmessage.js";
 import type { DaemonList } from "./daemonlist.js";
 import type { HeadSuspicion } from "./exchangemessage.js";
@@ -66,7 +66,7 @@
     /** Passes registry changes that this daemon read on to those that report to it, if it is a collector. */
     passOnTargets(range: TopicRange<Target>): void;
     /** Passes versions of the configuration on to those that report to this daemon, if it is the first collector. */
-    passOnConfiguration(range: TopicRange<RelayConfiguration>): void;
+    passOnConfiguration(range: TopicRange<OperatorRecord>): void;
     /** Place of this daemon among the collectors of its data centre, from 0; `undefined` if it is none. */
     collectorRank(): number | undefined;
     stop(): void;
--- a/packages/daemon/src/ports/registry.ts
+++ b/packages/daemon/src/ports/registry.ts
@@ -50,10 +50,16 @@
 /** Registered targets by id. */
 export type TargetTopic = KeyedTopic<Target>;
 
-/** The configuration, under a single key. Its changes keep their encoded values. */
-export interface ConfigurationTopic extends KeyedTopic<RelayConfiguration> {
+/** What operators publish under one key. */
+export type OperatorRecord =
+    | { readonly kind: "configuration"; readonly configuration: RelayConfiguration; }
+    /** A key of its own for each evacuated data centre; the evacuation ends when it is removed. */
+    | { readonly kind: "evacuation"; readonly dataCentre: string; readonly evacuated: boolean; };
+
+/** What operators publish. Its changes keep their encoded values. */
+export interface ConfigurationTopic extends KeyedTopic<OperatorRecord> {
     /** Decodes a change that another daemon read; a value that cannot be decoded is logged and counts as none. */
-    decode(key: string, encoded: Uint8Array | undefined): TopicChange<RelayConfiguration>[];
+    decode(key: string, encoded: Uint8Array | undefined): TopicChange<OperatorRecord>[];
 }
 
 /** Partitions that the platform assigned to this daemon, with the fencing token of the assignment. */
--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -5,7 +5,7 @@
 import { closeAfterCaller } from "./lingering.js";
 import { closeAfterParserErrors } from "./parsererrors.js";
 import { inOrder, type RequestHandler } from "./requestorder.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 
 /** Least limit of the HTTP parser; the configured limit is checked against the parsed headers. */
 const PARSER_HEADER_BYTES = 65_536;
--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -8,7 +8,7 @@
 import type { RequestHandler } from "./requestorder.js";
 import { writeInternalError, writeRefusal, writeShutdown } from "./responses.js";
 import { drain, shutdownTimesOf } from "./shutdown.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 
 /** Collaborators and addresses of the listeners. */
 export interface ListenerParts {
--- a/packages/daemon/src/relay/membershipnotice.ts
+++ b/packages/daemon/src/relay/membershipnotice.ts
@@ -1,6 +1,6 @@
 /** Applies memberships that engines reported, and passes on those that concern callers. */
 import type { GroupMembership } from "@damaskvale/core";
-import type { RelayState, ReportedMembership } from "./state.js";
+import type { RelayState, ReportedMembership } from "./statetypes.js";
 
 /** Creates a receiver of reported memberships; `broadcast` sends one to all other daemons at once. */
 export function createMembershipNotice(
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -16,7 +16,7 @@
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
 import type { RequestQuarantine } from "./requestquarantine.js";
 import type { StalledHeads } from "./stalledheads.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 import type { TargetAvailability } from "./targetavailability.js";
 import type { TargetConnections } from "./targetconnections.js";
 import type { TargetReachability } from "./targetreachability.js";
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -11,6 +11,7 @@
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
+import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
 import { createRoster, type Roster } from "../peers/roster.js";
@@ -23,7 +24,8 @@
 import { createDaemonMetrics, type DaemonMetrics } from "./metrics.js";
 import type { PlatformPorts, RelaySettings } from "./platformports.js";
 import { createRequestQuarantine, type RequestQuarantine } from "./requestquarantine.js";
-import { createRelayState, type RelayState } from "./state.js";
+import { createRelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 import { createTargetAvailability, type TargetAvailability } from "./targetavailability.js";
 import { createTargetChangeLog } from "./targetchangelog.js";
 import { createTargetConnections, type TargetConnections } from "./targetconnections.js";
@@ -45,6 +47,7 @@
     /** Returns a random number in [0, 1). */
     readonly random: () => number;
     readonly state: RelayState;
+    readonly evacuations: EvacuationState;
     readonly loadTracker: LoadTracker;
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
@@ -75,7 +78,10 @@
 ): { readonly shared: SharedParts; readonly metrics: DaemonMetrics; readonly output: BoundedOutput; } {
     const output = createBoundedOutput(STANDARD_OUTPUT);
     const bunyanLog = createLog(settings, output);
-    const state = createRelayState(createTargetChangeLog(() => metrics.log));
+    const state = createRelayState(
+        createTargetChangeLog(() => metrics.log),
+        dataCentre => evacuations.isEvacuated(dataCentre),
+    );
     const metrics = createDaemonMetrics(bunyanLog, {
         requestsInProgress,
         linesDropped: output.dropped,
@@ -86,11 +92,19 @@
         unreadableStatements: () => availability.unreadableStatements(),
         slowTargets: () => speeds.slowTargets().length,
         quarantinedParts: () => requestQuarantine.quarantined().length,
+        evacuatedDataCentres: () => evacuations.count(),
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
     const daemonParts = createDaemonParts(settings);
     const { daemons, otherDaemons } = daemonParts;
+    const evacuations = createEvacuationState({
+        clock: systemClock,
+        log: metrics.log,
+        isKnownDataCentre: dataCentre =>
+            [...state.targets(), ...daemons.all()].some(member => member.dataCentre === dataCentre),
+    });
+    evacuations.onChange(() => state.applyEvacuations());
     const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
@@ -117,6 +131,7 @@
         log: metrics.log,
         random: Math.random,
         state,
+        evacuations,
         loadTracker: createLoadTracker(),
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
--- a/packages/daemon/src/relay/slowtargetshandler.ts
+++ b/packages/daemon/src/relay/slowtargetshandler.ts
@@ -1,7 +1,7 @@
 /** Lists the slow targets for operators: `GET /slow-targets`, slowest first. */
 import type { SharedSpeeds } from "../peers/sharedspeeds.js";
 import type { OperatorHandler } from "./metrics.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 
 const LIST_PATH = "/slow-targets";
 
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -1,7 +1,6 @@
 /** Current configuration and targets, indexed for the request path. */
 import {
     createRouteLookup,
-    type GroupMembership,
     orderStatements,
     type RelayConfiguration,
     type RouteLookup,
@@ -10,66 +9,11 @@
     type Target,
 } from "@damaskvale/core";
 import type { TopicChange } from "../ports/registry.js";
+import type { RelayState, ReportedMembership, TargetChangeKind, TargetChangeListener } from "./statetypes.js";
 import { keepDraining, keepNewerFields, keepReportedGroup, withLeftEpoch } from "./targetentries.js";
 import { createTargetIndexes } from "./targetindexes.js";
 import { createWriteNumbers } from "./writenumbers.js";
 
-/** Group membership of a host that was reported by its engine or another daemon, not by the registry. */
-export interface ReportedMembership {
-    readonly host: string;
-    /** Start time of the process that reported it, as in its registry entry. */
-    readonly startedAt?: number;
-    readonly model?: string;
-    readonly membership?: GroupMembership;
-    /** Epoch of the group that the host has left if it is in none; absent if it is unknown. */
-    readonly leftEpoch?: number;
-}
-
-/** Kinds of logged target changes. Changes of load and membership are not logged. */
-export type TargetChangeKind = "registered" | "restarted" | "draining" | "removed" | "lapsed" | "forgotten";
-
-/** Called for each logged change, with the new state of the target, or its last state if it was dropped or lapsed. */
-export type TargetChangeListener = (kind: TargetChangeKind, target: Target) => void;
-
-/** Current state. Values are replaced, never mutated. */
-export interface RelayState {
-    /** Undefined until the first configuration is applied. */
-    lookup(): RouteLookup | undefined;
-    /** Registered targets, and hosts whose entry lapsed recently. */
-    targets(): readonly Target[];
-    targetById(id: string): Target | undefined;
-    /** Known targets of a service; the same array until something changes. */
-    targetsOf(service: string): readonly Target[];
-    /** Registered targets of a service that are not draining. */
-    servingTargets(service: string): readonly Target[];
-    /** Groups of an engine service that accept requests for a model. */
-    servingGroups(service: string, model: string): readonly ServingGroup[];
-    /** Number of groups of all services that accept requests. */
-    countServingGroups(): number;
-    /** Applies a configuration unless the same or a newer version is in force; returns whether it was applied. */
-    applyConfiguration(configuration: RelayConfiguration): boolean;
-    applyTargets(changes: readonly TopicChange<Target>[]): void;
-    /**
-     * Applies a membership unless a later one is known. It holds until the registry shows another entry of the process, or the
-     * same one some time later.
-     */
-    applyMembership(reported: ReportedMembership): void;
-    /**
-     * Marks a process of a target as draining, because it says so itself. No entry of the same process lifts this. Returns
-     * whether the target is known as this process.
-     */
-    drain(process: StatedProcess): boolean;
-    /** Drops a host whose entry lapsed; does nothing while the host is registered. */
-    forget(id: string): void;
-    /**
-     * Replaces all targets. With `isRestored`, the entries come from an older copy of the store: what is known of a process
-     * is kept where its entry is older, and a missing entry counts as removed only if it is not written again in time.
-     */
-    replaceTargets(targets: readonly Target[], isRestored?: boolean): void;
-    /** Registers a listener that is called after each change. */
-    onChange(listener: () => void): void;
-}
-
 /**
  * How long a target still counts as registered after its entry was removed without a draining notice. Entries that lapse
  * during a store outage return within about two seconds.
@@ -85,9 +29,12 @@
 /** A registry write that a network partition delayed may arrive this long after its process was replaced. */
 const DROPPED_RETENTION_MILLISECONDS = 60_000;
 
-/** Creates an empty state. */
-export function createRelayState(onTargetChange: TargetChangeListener = () => undefined): RelayState {
-    return new RelayStateTask(onTargetChange);
+/** Creates an empty state; `isEvacuated` returns whether the targets of a data centre get no requests. */
+export function createRelayState(
+    onTargetChange: TargetChangeListener = () => undefined,
+    isEvacuated: (dataCentre: string) => boolean = () => false,
+): RelayState {
+    return new RelayStateTask(onTargetChange, isEvacuated);
 }
 
 class RelayStateTask implements RelayState {
@@ -101,6 +48,7 @@
     private readonly indexes = createTargetIndexes({
         targets: () => this.targetsById.values(),
         services: () => this.routeLookup?.configuration.services ?? [],
+        isEvacuated: dataCentre => this.isEvacuated(dataCentre),
     });
     /** Ids of the hosts whose entries lapsed. */
     private readonly lapsedTargets = new Set<string>();
@@ -116,7 +64,10 @@
     private readonly leavingTargets = new Set<string>();
     private readonly listeners: (() => void)[] = [];
 
-    constructor(private readonly onTargetChange: TargetChangeListener) {}
+    constructor(
+        private readonly onTargetChange: TargetChangeListener,
+        private readonly isEvacuated: (dataCentre: string) => boolean,
+    ) {}
 
     lookup(): RouteLookup | undefined {
         return this.routeLookup;
@@ -135,7 +86,8 @@
     }
 
     servingTargets(service: string): readonly Target[] {
-        return this.indexes.targetsOf(service).filter(target => !target.draining && target.registered);
+        return this.indexes.targetsOf(service)
+            .filter(target => !target.draining && target.registered && !this.isEvacuated(target.dataCentre));
     }
 
     servingGroups(service: string, model: string): readonly ServingGroup[] {
@@ -162,6 +114,10 @@
         }
     }
 
+    applyEvacuations(): void {
+        this.notifyListeners();
+    }
+
     replaceTargets(latest: readonly Target[], isRestored = false): void {
         const ids = new Set(latest.map(target => target.id));
         const missing = [...this.targetsById.keys()].filter(id => !ids.has(id));
--- a/packages/daemon/src/relay/storefollowers.ts
+++ b/packages/daemon/src/relay/storefollowers.ts
@@ -2,13 +2,13 @@
  * Follows what the store holds: the configuration, the targets and the daemons. Daemons of a data centre share the reads: those
  * that hear a collector learn of changes from it, and read only what it tells them of.
  */
-import type { RelayConfiguration, Target } from "@damaskvale/core";
+import type { LogPosition, Target } from "@damaskvale/core";
 import { type ConfigurationRangeMessage, decodeConfigurationRange } from "../peers/configurationmessage.js";
 import type { LoadExchange } from "../peers/loadexchangeparts.js";
 import { startPresence } from "../peers/presence.js";
 import { MOST_DAEMONS_AT_ONCE } from "../peers/sendschedule.js";
 import { createUnknownDaemons } from "../peers/unknowndaemons.js";
-import type { ConfigurationTopic, TopicChange, TopicRange } from "../ports/registry.js";
+import type { ConfigurationTopic, OperatorRecord, TopicChange, TopicPage, TopicRange } from "../ports/registry.js";
 import { type FedTopicFollower, followTopic, type TopicFollower } from "../tasks/followtopic.js";
 import {
     type ConfigurationReader,
@@ -159,16 +159,10 @@
 function followConfiguration(
     shared: SharedParts,
     topic: ConfigurationTopic,
-    onRead: (range: TopicRange<RelayConfiguration>) => void,
+    onRead: (range: TopicRange<OperatorRecord>) => void,
     isUnconfirmed: () => boolean,
-): FedTopicFollower<RelayConfiguration> {
-    const { settings, ports, log, random, state } = shared;
-    const apply = (changes: readonly TopicChange<RelayConfiguration>[]): void =>
-        changes.forEach(({ value }) => {
-            if (value !== undefined && state.applyConfiguration(value)) {
-                log.emit("configurationApplied", { configurationVersion: value.version });
-            }
-        });
+): FedTopicFollower<OperatorRecord> {
+    const { settings, ports, log, random } = shared;
     return followTopic({
         topic,
         log,
@@ -180,12 +174,44 @@
                 settings.configurationMilliseconds,
             ),
         pauseMilliseconds: () => CONFIGURATION_READ_DELAY_MILLISECONDS,
-        replace: apply,
-        apply,
+        replace: (changes, ...[, page]) => replaceOperatorRecords(shared, changes, page),
+        apply: (changes, page) => applyOperatorRecords(shared, changes, page),
         onRead,
     });
 }
 
+/** Takes over a read of all newest values. Evacuations come first, so that none is unknown once callers are served. */
+function replaceOperatorRecords(
+    shared: SharedParts,
+    changes: readonly TopicChange<OperatorRecord>[],
+    page: TopicPage<OperatorRecord>,
+): void {
+    const evacuated = changes.flatMap(({ value }) => value?.kind === "evacuation" ? [value.dataCentre] : []);
+    shared.evacuations.replaceAll(evacuated, lastPositionOf(page));
+    applyOperatorRecords(shared, changes.filter(({ value }) => value?.kind !== "evacuation"), page);
+}
+
+function applyOperatorRecords(
+    { log, state, evacuations }: SharedParts,
+    changes: readonly TopicChange<OperatorRecord>[],
+    page: TopicPage<OperatorRecord>,
+): void {
+    changes.forEach(({ value }) => {
+        if (value?.kind === "evacuation") {
+            const { dataCentre, evacuated } = value;
+            evacuations.merge({ dataCentre, evacuated, ...lastPositionOf(page) });
+        }
+        else if (value !== undefined && state.applyConfiguration(value.configuration)) {
+            log.emit("configurationApplied", { configurationVersion: value.configuration.version });
+        }
+    });
+}
+
+/** Returns the position of the last record of a page. A page has only the newest value of each key up to there. */
+function lastPositionOf({ era, nextOffset }: TopicPage<OperatorRecord>): LogPosition {
+    return { era, offset: nextOffset - 1 };
+}
+
 /** Returns the delay between two registry reads in milliseconds. */
 function registryReadDelay({ daemons, settings }: SharedParts, isCollector: boolean): number {
     return isCollector
--- a/packages/daemon/src/relay/targetavailability.ts
+++ b/packages/daemon/src/relay/targetavailability.ts
@@ -15,7 +15,7 @@
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RestStatement, TargetStatements } from "../ports/relayprotocol.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 import { createTargetRates, type SentRequest, type TargetRates } from "./targetrates.js";
 import { createUnreadableStatements, type UnreadableStatements } from "./unreadablestatements.js";
 
--- a/packages/daemon/src/relay/targetchangelog.ts
+++ b/packages/daemon/src/relay/targetchangelog.ts
@@ -1,7 +1,7 @@
 /** Logs changes of targets: one event for each change, or one for each kind when many targets change at once. */
 import { groupBy, type Target } from "@damaskvale/core";
 import type { EventLog } from "../ports/eventlog.js";
-import type { TargetChangeKind, TargetChangeListener } from "./state.js";
+import type { TargetChangeKind, TargetChangeListener } from "./statetypes.js";
 
 /** More changes than this at once are logged together, as when a daemon starts and reads the whole registry. */
 const MOST_SINGLE_EVENTS = 10;
--- a/packages/daemon/src/relay/targetindexes.ts
+++ b/packages/daemon/src/relay/targetindexes.ts
@@ -1,5 +1,12 @@
 /** Targets by service and the groups that serve. They are computed when they are first asked for after a change. */
-import { collectServingGroups, groupBy, type Service, type ServingGroup, type Target } from "@damaskvale/core";
+import {
+    collectServingGroups,
+    type EngineProfile,
+    groupBy,
+    type Service,
+    type ServingGroup,
+    type Target,
+} from "@damaskvale/core";
 
 /** Indexes of the known targets. */
 export interface TargetIndexes {
@@ -16,6 +23,7 @@
 export interface IndexedState {
     readonly targets: () => Iterable<Target>;
     readonly services: () => readonly Service[];
+    readonly isEvacuated: (dataCentre: string) => boolean;
 }
 
 interface ComputedIndexes {
@@ -42,13 +50,13 @@
     };
 }
 
-function computeIndexes({ targets, services }: IndexedState): ComputedIndexes {
+function computeIndexes({ targets, services, isEvacuated }: IndexedState): ComputedIndexes {
     const targetsByService = groupBy([...targets()], target => target.service);
     const servingByService = new Map(
         services().flatMap(({ name, engine }) =>
             engine === undefined
                 ? []
-                : [[name, collectServingGroups(targetsByService.get(name) ?? [], engine.models)] as const]
+                : [[name, collectUsableGroups(targetsByService.get(name) ?? [], engine, isEvacuated)] as const]
         ),
     );
     const servingByModel = new Map(
@@ -57,6 +65,19 @@
     return { targetsByService, servingByService, servingByModel };
 }
 
+/** Returns the groups that accept requests and have no host in an evacuated data centre. */
+function collectUsableGroups(
+    targets: readonly Target[],
+    { models }: EngineProfile,
+    isEvacuated: IndexedState["isEvacuated"],
+): readonly ServingGroup[] {
+    const evacuated = new Set(
+        targets.filter(({ dataCentre }) => isEvacuated(dataCentre)).map(({ membership }) => membership?.group),
+    );
+    return collectServingGroups(targets, models)
+        .filter(({ head }) => !isEvacuated(head.dataCentre) && !evacuated.has(head.membership?.group));
+}
+
 function groupByModel(groups: readonly ServingGroup[]): Map<string, ServingGroup[]> {
     return groupBy(groups.filter(({ model }) => model !== undefined), ({ model = "" }) => model);
 }
--- a/packages/daemon/src/relay/targetliveness.ts
+++ b/packages/daemon/src/relay/targetliveness.ts
@@ -2,7 +2,7 @@
 import type { Target } from "@damaskvale/core";
 import { reportFromSameProcess } from "../engines/hostrecords.js";
 import type { EngineControl } from "../ports/enginecontrol.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 
 /**
  * Returns what asks a target for its report. A target that is known to leave counts as answering: it may close its port while
--- a/packages/daemon/src/relay/tests/callerfixture.ts
+++ b/packages/daemon/src/relay/tests/callerfixture.ts
@@ -6,7 +6,8 @@
 import { Worker } from "node:worker_threads";
 import { type Listeners, startListeners } from "../lifecycle.js";
 import type { Relay } from "../relay.js";
-import { createRelayState, type RelayState } from "../state.js";
+import { createRelayState } from "../state.js";
+import type { RelayState } from "../statetypes.js";
 
 type Limits = RelayConfiguration["limits"];
 
--- a/packages/daemon/src/relay/tests/membershipnotice.test.ts
+++ b/packages/daemon/src/relay/tests/membershipnotice.test.ts
@@ -2,7 +2,7 @@
 import type { GroupMembership, Target } from "@damaskvale/core";
 import { expect } from "chai";
 import { createMembershipNotice } from "../membershipnotice.js";
-import type { ReportedMembership } from "../state.js";
+import type { ReportedMembership } from "../statetypes.js";
 
 const membership = (state: GroupMembership["state"], rank = 0): GroupMembership => ({
     group: "group-1",
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -16,6 +16,7 @@
             unreadableStatements: () => 8,
             slowTargets: () => 9,
             quarantinedParts: () => 4,
+            evacuatedDataCentres: () => 1,
             storeEra: () => 6,
             storeErasIgnored: () => 8,
         });
@@ -43,6 +44,7 @@
             "damaskvale_resting_targets 6",
             "damaskvale_unreadable_statements 8",
             "damaskvale_slow_targets 9",
+            "damaskvale_evacuated_data_centres 1",
             "damaskvale_quarantined_parts 4",
             "damaskvale_store_era_changes_total 1",
             "damaskvale_store_era 6",
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -34,6 +34,7 @@
             unreadableStatements: () => 0,
             slowTargets: () => 0,
             quarantinedParts: () => 1,
+            evacuatedDataCentres: () => 1,
             storeEra: () => 0,
             storeErasIgnored: () => 0,
         });
--- a/packages/daemon/src/relay/tests/state.test.ts
+++ b/packages/daemon/src/relay/tests/state.test.ts
@@ -2,7 +2,8 @@
 import type { RelayConfiguration, Target } from "@damaskvale/core";
 import { type Clock, install } from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { createRelayState, type RelayState } from "../state.js";
+import { createRelayState } from "../state.js";
+import type { RelayState } from "../statetypes.js";
 
 const target = (id: string, fields: Partial<Target> = {}): Target => ({
     id,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -16,7 +16,7 @@
 import { createSlowTargetsHandler } from "./slowtargetshandler.js";
 import { type StallDetector, startStallDetector } from "./stalldetector.js";
 import { createStalledHeads } from "./stalledheads.js";
-import type { RelayState } from "./state.js";
+import type { RelayState } from "./statetypes.js";
 import { configurationReader, startStoreFollowers, type StoreFollowers } from "./storefollowers.js";
 import { logStoreEra } from "./storerestore.js";
 import { createTargetConnections } from "./targetconnections.js";
@@ -174,6 +174,7 @@
         engines: ports.engines(log),
         trafficSeen: budgets.hasRequests,
         demandOf: shared.demandOf,
+        isEvacuated: shared.evacuations.isEvacuated.bind(shared.evacuations),
         registryDelayMilliseconds: () => collectorReadDelayMilliseconds(settings.drainNoticeMilliseconds),
         onMembership: createMembershipNotice(state, exchange.broadcastMembership.bind(exchange)),
     });
@@ -204,7 +205,7 @@
     suspect: (head: string) => void,
 ): LoadExchange {
     const { settings, clock, log, state, loadTracker, startedAt, statedLoads, roster, daemons } = shared;
-    const { availability, requestQuarantine, reachability } = shared;
+    const { availability, evacuations, requestQuarantine, reachability } = shared;
     const suspicions = createSuspicions();
     const exchange = startLoadExchange({
         clock,
@@ -220,6 +221,8 @@
         onMembership: reported => state.applyMembership(reported),
         onTargets: followers.offerTargets,
         onConfiguration: followers.offerConfiguration,
+        evacuations: () => evacuations.statements(),
+        onEvacuation: (statement, daemon) => evacuations.merge(statement, daemon),
         limits: () => availability.limits(),
         onLimit: limit => availability.mergeLimit(limit),
         leaving: () => availability.leaving(),
@@ -247,6 +250,7 @@
         },
     });
     availability.onChange(() => exchange.broadcastKnowledge());
+    evacuations.onChange(() => exchange.broadcastKnowledge());
     requestQuarantine.onUpdate(() => exchange.broadcastQuarantine());
     return exchange;
 }
--- a/packages/daemon/src/tasks/followtopic.ts
+++ b/packages/daemon/src/tasks/followtopic.ts
@@ -15,8 +15,9 @@
      * Called with all keys that have values, at the start and after a gap. `isRestored` is set after the store came back
      * from an older copy; values that were written since may then be missing or older until they are written again.
      */
-    readonly replace: (changes: readonly TopicChange<Value>[], isRestored: boolean) => void;
-    readonly apply: (changes: readonly TopicChange<Value>[]) => void;
+    readonly replace: (changes: readonly TopicChange<Value>[], isRestored: boolean, page: TopicPage<Value>) => void;
+    /** Called with changes and the page or range that they are from. */
+    readonly apply: (changes: readonly TopicChange<Value>[], page: TopicPage<Value>) => void;
     /** How long a read waits for a change. A longer wait delays the detection of a silent connection. */
     readonly waitMilliseconds: () => number;
     /** Pause between two reads, which batches changes. */
@@ -102,7 +103,7 @@
         }
         if (range.nextOffset > position.offset) {
             this.moveTo(range);
-            this.options.apply(range.changes);
+            this.options.apply(range.changes, range);
         }
         this.pauseReads(pauseMilliseconds);
     }
@@ -193,7 +194,7 @@
     private async readOnce(): Promise<void> {
         if (this.position === undefined) {
             const page = await this.options.topic.readLatest();
-            this.options.replace(page.changes, this.lastEra !== undefined && page.era !== this.lastEra);
+            this.options.replace(page.changes, this.lastEra !== undefined && page.era !== this.lastEra, page);
             this.moveTo(page);
             return;
         }
@@ -223,7 +224,7 @@
         if (isCurrent) {
             this.moveTo(page);
             if (page.changes.length > 0) {
-                apply(page.changes);
+                apply(page.changes, page);
             }
         }
         onRead?.({ ...page, fromOffset: position.offset });
--- a/packages/proofs/src/fuzz/planner/daemon.ts
+++ b/packages/proofs/src/fuzz/planner/daemon.ts
@@ -57,6 +57,7 @@
             engines,
             trafficSeen: () => true,
             demandOf: () => this.demand,
+            isEvacuated: () => false,
             registryDelayMilliseconds: () => READ_INTERVAL_MILLISECONDS,
             onMembership: createMembershipNotice(this.state, broadcast),
         });
