--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -98,13 +98,7 @@
     });
     const daemonParts = createDaemonParts(settings);
     const { daemons, otherDaemons } = daemonParts;
-    const evacuations = createEvacuationState({
-        clock: systemClock,
-        log: metrics.log,
-        isKnownDataCentre: dataCentre =>
-            [...state.targets(), ...daemons.all()].some(member => member.dataCentre === dataCentre),
-    });
-    evacuations.onChange(() => state.applyEvacuations());
+    const evacuations = wireEvacuations(metrics.log, state, daemons);
     const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
@@ -144,6 +138,17 @@
     return { shared, metrics, output };
 }
 
+function wireEvacuations(log: EventLog, state: RelayState, daemons: DaemonList): EvacuationState {
+    const evacuations = createEvacuationState({
+        clock: systemClock,
+        log,
+        isKnownDataCentre: dataCentre =>
+            [...state.targets(), ...daemons.all()].some(member => member.dataCentre === dataCentre),
+    });
+    evacuations.onChange(() => state.applyEvacuations());
+    return evacuations;
+}
+
 function createDaemonParts(settings: RelaySettings): DaemonParts {
     const { daemon, dataCentre } = settings;
     const startedAt = systemClock.wall();
