--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -114,6 +114,8 @@
             onTargets: range => void offered.push(range),
             onConfiguration: range => void offeredConfigurations.push(range),
             onMembership: () => undefined,
+            evacuations: () => [],
+            onEvacuation: () => undefined,
             limits: () => [],
             onLimit: () => undefined,
             leaving: () => [{ target: "t", startedAt: 1, statedAt }],
@@ -336,7 +338,8 @@
             daemons.replace([SELF, { ...OTHER, linkMegabits: isFirstCollector ? 0 : 200 }]);
             sendReport(1, 0);
             await receiveFor(50);
-            const changes = [{ key: "config", value: {} as RelayConfiguration, encoded: Buffer.from("version 2") }];
+            const value = { kind: "configuration", configuration: {} as RelayConfiguration } as const;
+            const changes = [{ key: "config", value, encoded: Buffer.from("version 2") }];
             exchange.passOnConfiguration({ fromOffset: 4, nextOffset: 5, era: 1, changes });
             await receiveFor(50);
             expect(configurations.map(({ nextOffset }) => nextOffset)).to.deep.equal(isFirstCollector ? [5] : []);
