--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -63,15 +63,8 @@
     const leaving: { readonly statement: LeavingStatement; readonly daemon: string; }[] = [];
 
     beforeEach(async () => {
-        received.length = 0;
-        merged.length = 0;
-        leaving.length = 0;
-        malformed.length = 0;
-        targets.length = 0;
-        offered.length = 0;
-        heard.length = 0;
-        offeredConfigurations.length = 0;
-        configurations.length = 0;
+        [received, merged, leaving, malformed, targets, offered, heard, offeredConfigurations, configurations]
+            .forEach(recorded => recorded.splice(0));
         hasUpdates = false;
         configurationVersion = 0;
         newestConfiguration = 0;
