Evacuation: statements from before a read of all keys are ignored

A daemon that started after the end of an evacuation had read no record of it and kept none. A statement of the begin, from a daemon that was frozen or cut off since, then began the evacuation again on that daemon, and it passed it on; it lasted until a daemon that knew the end was heard.

The position of the latest read of all keys is kept. A statement about a data centre of which nothing is known is ignored if it is not later than that.

Measured: the new test in evacuations.test.ts failed before (the begin was taken over) and passes, with the 11 others.

--- a/packages/core/src/evacuation/evacuations.ts
+++ b/packages/core/src/evacuation/evacuations.ts
@@ -17,7 +17,10 @@
 
 /** Known evacuations. */
 export interface Evacuations {
-    /** Takes a statement over unless a later one is known; returns whether the state of the data centre changed. */
+    /**
+     * Takes a statement over unless a later one is known, or a later read of all evacuations lacked its data centre; returns
+     * whether the state of the data centre changed.
+     */
     merge(statement: EvacuationStatement): boolean;
     /**
      * Takes over a read of all evacuations at a position: the others that were known before it have ended. Returns the
@@ -37,6 +40,8 @@
 /** Creates an empty collection. */
 export function createEvacuations(): Evacuations {
     const known = new Map<string, EvacuationStatement>();
+    /** Position of the latest read of all evacuations; at it, data centres of which nothing is known are not evacuated. */
+    let readTo: LogPosition | undefined;
 
     const isEvacuated = (dataCentre: string): boolean => known.get(dataCentre)?.evacuated === true;
     const dropOldestEnded = (): void => {
@@ -48,7 +53,7 @@
     };
     const merge = (statement: EvacuationStatement): boolean => {
         const { dataCentre, evacuated } = statement;
-        const before = known.get(dataCentre);
+        const before = known.get(dataCentre) ?? readTo;
         if (before !== undefined && comparePositions(statement, before) <= 0) {
             return false;
         }
@@ -59,12 +64,15 @@
     };
     return {
         merge,
-        replaceAll: (evacuated, { era, offset }) => {
+        replaceAll: (evacuated, position) => {
+            const { era, offset } = position;
             const ended = [...known.keys()].filter(dataCentre => !evacuated.includes(dataCentre));
-            return [
+            const changes = [
                 ...evacuated.map(dataCentre => ({ dataCentre, evacuated: true, era, offset })),
                 ...ended.map(dataCentre => ({ dataCentre, evacuated: false, era, offset })),
             ].filter(merge);
+            readTo = readTo === undefined || comparePositions(position, readTo) > 0 ? position : readTo;
+            return changes;
         },
         isEvacuated,
         dataCentres: () => [...known.keys()].filter(isEvacuated).sort(),
--- a/packages/core/src/evacuation/tests/evacuations.test.ts
+++ b/packages/core/src/evacuation/tests/evacuations.test.ts
@@ -64,6 +64,16 @@
         expect(evacuations.replaceAll(["b"], { era: 0, offset: 5 })).to.deep.equal([statement("b", true, 5)]);
     });
 
+    // A daemon that starts after the end reads no trace of the evacuation; one that was frozen meanwhile still states it.
+    it("ignores the begin of an evacuation that a later read of all keys lacked, and takes over a later begin", () => {
+        const evacuations = createEvacuations();
+        evacuations.replaceAll([], { era: 1, offset: 8 });
+        expect([statement("b", true, 4, 1), statement("b", true, 90)].map(evacuations.merge)).to.deep.equal([false, false]);
+        expect(evacuations.dataCentres()).to.deep.equal([]);
+        evacuations.merge(statement("b", true, 9, 1));
+        expect(evacuations.dataCentres()).to.deep.equal(["b"]);
+    });
+
     it("bounds what is kept of names that are no longer evacuated", () => {
         const evacuations = createEvacuations();
         evacuations.merge(statement("real", true, 0));
