Evacuation: requests that waited for a connection are not sent to an evacuated target

A target was chosen before the evacuation and its connections were all in use, or the new one was not yet accepted: the request was sent as soon as there was a connection, up to its deadline later.

Both relays ask once more just before the first bytes are written. The attempt is cancelled, does not count, and another target is chosen; without one, the request is refused as not run. The connection that was about to be used is closed.

--- a/packages/core/src/evacuation/tests/evacuations.test.ts
+++ b/packages/core/src/evacuation/tests/evacuations.test.ts
@@ -68,7 +68,8 @@
     it("ignores the begin of an evacuation that a later read of all keys lacked, and takes over a later begin", () => {
         const evacuations = createEvacuations();
         evacuations.replaceAll([], { era: 1, offset: 8 });
-        expect([statement("b", true, 4, 1), statement("b", true, 90)].map(evacuations.merge)).to.deep.equal([false, false]);
+        const late = [statement("b", true, 4, 1), statement("b", true, 90)];
+        expect(late.map(evacuations.merge)).to.deep.equal([false, false]);
         expect(evacuations.dataCentres()).to.deep.equal([]);
         evacuations.merge(statement("b", true, 9, 1));
         expect(evacuations.dataCentres()).to.deep.equal(["b"]);
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -2,7 +2,7 @@
 import { choosePlainTarget, limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import { concludeObservation, createPlainAttempt, type PlainAttempt } from "./plainattempt.js";
-import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
+import { type CancelReason, EVACUATED, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
     breakOff,
@@ -129,6 +129,11 @@
             { method, path, headers, body: context.body, onNewConnection: !this.isRepeatable() },
             {
                 sent: () => {
+                    if (parts.state.isEvacuated(target.dataCentre)) {
+                        attempt.exchange?.cancel();
+                        this.attemptFailed(attempt, EVACUATED);
+                        return;
+                    }
                     attempt.sent = true;
                     observed.sent();
                 },
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -21,6 +21,9 @@
 /** Reasons to refuse a request that another daemon may be able to serve, if this one does not reach the targets. */
 const HANDED_OVER_REASONS: ReadonlySet<RefusalReason> = new Set(["no-group", "no-target", "not-run"]);
 
+/** Reason of an attempt that fails because the data centre was evacuated while the request waited for a connection. */
+export const EVACUATED = "evacuated";
+
 /** Lower statuses announce a response. Node takes 101 for a response although no request asks for another protocol. */
 const FINAL_STATUSES_FROM = 200;
 
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -66,7 +66,7 @@
 
     constructor(
         private readonly onTargetChange: TargetChangeListener,
-        private readonly isEvacuated: (dataCentre: string) => boolean,
+        readonly isEvacuated: (dataCentre: string) => boolean,
     ) {}
 
     lookup(): RouteLookup | undefined {
--- a/packages/daemon/src/relay/statetypes.ts
+++ b/packages/daemon/src/relay/statetypes.ts
@@ -35,6 +35,8 @@
     targetById(id: string): Target | undefined;
     /** Known targets of a service; the same array until something changes. */
     targetsOf(service: string): readonly Target[];
+    /** Whether the targets of a data centre get no requests. */
+    isEvacuated(dataCentre: string): boolean;
     /** Registered targets of a service that are not draining and whose data centre is not evacuated. */
     servingTargets(service: string): readonly Target[];
     /** Groups of an engine service that accept requests for a model, without those with a host of an evacuated data centre. */
--- a/packages/daemon/src/relay/streamattempt.ts
+++ b/packages/daemon/src/relay/streamattempt.ts
@@ -60,3 +60,10 @@
         isReleased: false,
     };
 }
+
+/** Records that the first bytes of the request are written to the target. */
+export function recordWritten(attempt: StreamAttempt): void {
+    attempt.sent = true;
+    attempt.written = true;
+    attempt.observed.sent();
+}
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -3,10 +3,10 @@
 import { joinBytes } from "../growingbuffer.js";
 import type { ResponseHead } from "../ports/relayprotocol.js";
 import type { StreamEvent } from "./eventsplitter.js";
-import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
+import { type EndDetails, EVACUATED, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import { exceedsUnstatedLength, type RefusalReason, writePaced, writeResponseHead } from "./responses.js";
-import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
+import { createStreamAttempt, recordWritten, type StreamAttempt } from "./streamattempt.js";
 import { describeCandidates, placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
@@ -148,11 +148,10 @@
             target.address,
             { method, path, headers, body: context.body, onNewConnection: false },
             parts.stalledHeads.receiverOf(attempt, {
-                sent: () => {
-                    attempt.sent = true;
-                    attempt.written = true;
-                    attempt.observed.sent();
-                },
+                sent: () =>
+                    parts.state.isEvacuated(target.dataCentre)
+                        ? this.abandon(attempt, EVACUATED)
+                        : recordWritten(attempt),
                 head: head => this.receiveHead(attempt, head),
                 data: chunk => this.receiveData(attempt, chunk),
                 ended: () => this.receiveEnd(attempt),
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -82,11 +82,22 @@
     readonly leavingTargets?: readonly string[];
     /** Retries that the budget allows. */
     readonly retries?: number;
+    /** Whether the targets of a data centre get no requests; all get some by default. */
+    readonly isEvacuated?: (dataCentre: string) => boolean;
 }
 
 /** Statements of a target that says nothing of itself. */
 export const noStatements: TargetStatements = { rate: { kind: "unlimited" }, rest: { kind: "none" }, leaving: false };
 
+/** Receiver of a response that does not matter. */
+export const noResponse: ResponseReceiver = {
+    sent: () => undefined,
+    head: () => undefined,
+    data: () => undefined,
+    ended: () => undefined,
+    failed: () => undefined,
+};
+
 /** Reachability of a daemon that reaches all targets. */
 export const reachesTargets: TargetReachability = {
     recordReached: () => undefined,
@@ -171,7 +182,7 @@
 /** Creates a fixture with one request. */
 export function createRelayFixture(options: RelayFixtureOptions): RelayFixture {
     const stream = options.kind === "stream";
-    const state = createRelayState();
+    const state = createRelayState(undefined, options.isEvacuated);
     const route: Route = {
         name: "route",
         hostname: "h",
