Evacuation: bound of what messages between daemons state

Each message contained all known evacuations, whose names are free text in the operators' log. One key of 65 kB, or some hundred of a thousand keys, made every message too large for a datagram, so that loads, limits and evacuations were no longer exchanged at all.

At most 64 statements with names of up to 100 characters are passed on, the latest first. Each daemon still obeys all that it reads itself. The list is computed once for each change instead of once for each message.

--- a/packages/core/src/evacuation/evacuations.ts
+++ b/packages/core/src/evacuation/evacuations.ts
@@ -30,18 +30,29 @@
     isEvacuated(dataCentre: string): boolean;
     /** Returns the evacuated data centres, in the order of their names. */
     dataCentres(): readonly string[];
-    /** Returns what is known, for other daemons. Evacuations that ended are included. */
+    /**
+     * Returns what is known, for other daemons; the same array until something changes. Evacuations that ended are included.
+     * Of many, the latest are returned; names that are too long for a data centre are left out.
+     */
     statements(): readonly EvacuationStatement[];
 }
 
 /** Ended evacuations that are kept and passed on. The names of data centres are free text in the log. */
 const MAXIMUM_ENDED = 32;
+/**
+ * Statements that are passed on, and the length of their names. Each message between daemons contains them, and has to fit into
+ * a datagram of 65,507 bytes with what else it states.
+ */
+const MAXIMUM_PASSED_ON = 64;
+const MAXIMUM_NAME_LENGTH = 100;
 
 /** Creates an empty collection. */
 export function createEvacuations(): Evacuations {
     const known = new Map<string, EvacuationStatement>();
     /** Position of the latest read of all evacuations; at it, data centres of which nothing is known are not evacuated. */
     let readTo: LogPosition | undefined;
+    /** What is passed on, until something changes. */
+    let passedOn: readonly EvacuationStatement[] | undefined;
 
     const isEvacuated = (dataCentre: string): boolean => known.get(dataCentre)?.evacuated === true;
     const dropOldestEnded = (): void => {
@@ -59,6 +70,7 @@
         }
         const wasEvacuated = isEvacuated(dataCentre);
         known.set(dataCentre, statement);
+        passedOn = undefined;
         dropOldestEnded();
         return wasEvacuated !== evacuated;
     };
@@ -76,10 +88,16 @@
         },
         isEvacuated,
         dataCentres: () => [...known.keys()].filter(isEvacuated).sort(),
-        statements: () => [...known.values()],
+        statements: () => passedOn ??= statementsToPassOn([...known.values()]),
     };
 }
 
+function statementsToPassOn(known: readonly EvacuationStatement[]): readonly EvacuationStatement[] {
+    return known.filter(({ dataCentre }) => dataCentre.length <= MAXIMUM_NAME_LENGTH)
+        .sort((left, right) => comparePositions(right, left))
+        .slice(0, MAXIMUM_PASSED_ON);
+}
+
 /** Returns a positive number if the first position is later, a negative one if it is earlier, otherwise 0. */
 function comparePositions(left: LogPosition, right: LogPosition): number {
     return left.era === right.era ? left.offset - right.offset : left.era - right.era;
--- a/packages/core/src/evacuation/tests/evacuations.test.ts
+++ b/packages/core/src/evacuation/tests/evacuations.test.ts
@@ -83,6 +83,17 @@
         expect(evacuations.isEvacuated("real")).to.equal(true);
     });
 
+    // A datagram of 65,507 bytes has to hold them; a message that does not fit is lost with all else that it states.
+    it("bounds what is passed on, whatever names the log has, and passes on a later evacuation", () => {
+        const evacuations = createEvacuations();
+        Array.from({ length: 1_000 }, (...[, index]) => evacuations.merge(statement(`x${index}`, true, index)));
+        evacuations.merge(statement("x".repeat(70_000), true, 1_000));
+        evacuations.merge(statement("real", true, 1_001));
+        expect(JSON.stringify(evacuations.statements()).length).to.be.below(16_000);
+        expect(evacuations.statements().map(({ dataCentre }) => dataCentre)).to.include("real");
+        expect(evacuations.dataCentres().length).to.equal(1_002);
+    });
+
     it("gives all daemons the same state, in whatever order and how often statements reach them", () => {
         const statements = fc.uniqueArray(
             fc.record({
