Planner: groups are counted once in each round while no data centre is evacuated

The fleet without evacuated domains counted the groups of the daemon's own domains a second time in each planning round, also without any evacuation.

The counts of all domains are used if none is left out.

A round runs every 100 ms.

--- a/packages/daemon/src/engines/engineplanner.ts
+++ b/packages/daemon/src/engines/engineplanner.ts
@@ -190,7 +190,7 @@
         const reassignments = this.reassignments.update(
             service,
             engine,
-            usableFleet(view, ownHosts, engine, this.parts.isEvacuated),
+            usableFleet(view, { ownHosts, groupsByModel }, engine, this.parts.isEvacuated),
         );
         ownHosts.forEach((hosts, domain) =>
             this.planDomain({
