Evacuation: a daemon that reaches evacuated targets only counts as cut off

The probes that decide whether a daemon is cut off went to all targets, and preferred hosts of any data centre. A daemon that was cut off from all targets in use, but not from evacuated ones, believed that it reached targets: it stated that it takes requests of other daemons, and each of its own had to meet a connection failure before it was handed over.

Evacuated targets are probed only if there are no others.

--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -6,7 +6,6 @@
     type DemandMeter,
     type LoadTracker,
     type StatedLoads,
-    type Target,
 } from "@damaskvale/core";
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
@@ -30,7 +29,7 @@
 import { createTargetChangeLog } from "./targetchangelog.js";
 import { createTargetConnections, type TargetConnections } from "./targetconnections.js";
 import { probeTarget } from "./targetprobe.js";
-import { startTargetReachability, type TargetReachability } from "./targetreachability.js";
+import { startTargetReachability, type TargetReachability, targetsToProbe } from "./targetreachability.js";
 
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
@@ -186,16 +185,10 @@
 
 function wireReachability(ports: PlatformPorts, state: RelayState, log: EventLog): TargetReachability {
     const engines = ports.engines(log);
-    // The report of an engine proves more than an accepted connection, behind which nothing may answer.
-    const probedTargets = (): readonly Target[] => {
-        const registered = state.targets().filter(target => target.registered && !target.draining);
-        const hosts = registered.filter(({ domain }) => domain !== undefined);
-        return hosts.length > 0 ? hosts : registered;
-    };
     return startTargetReachability({
         clock: systemClock,
         log,
-        targets: probedTargets,
+        targets: () => targetsToProbe(state),
         probe: target => probeTarget(target, engines, CONNECT_TIMEOUT_MILLISECONDS),
         random: Math.random,
     });
--- a/packages/daemon/src/relay/targetreachability.ts
+++ b/packages/daemon/src/relay/targetreachability.ts
@@ -2,6 +2,7 @@
 import { createReachability, type Target } from "@damaskvale/core";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
+import type { RelayState } from "./statetypes.js";
 
 /** Whether this daemon reaches targets, as the request path reports and asks. */
 export interface TargetReachability {
@@ -43,6 +44,16 @@
     return new TargetReachabilityTask(parts);
 }
 
+/** Returns the targets whose answers show whether this daemon reaches any to which it may send requests. */
+export function targetsToProbe(state: Pick<RelayState, "targets" | "isEvacuated">): readonly Target[] {
+    const registered = state.targets().filter(target => target.registered && !target.draining);
+    const inUse = registered.filter(({ dataCentre }) => !state.isEvacuated(dataCentre));
+    const probed = inUse.length > 0 ? inUse : registered;
+    // The report of an engine proves more than an accepted connection, behind which nothing may answer.
+    const hosts = probed.filter(({ domain }) => domain !== undefined);
+    return hosts.length > 0 ? hosts : probed;
+}
+
 class TargetReachabilityTask implements TargetReachability {
     private readonly belief;
     private readonly listeners: ReachabilityListener[] = [];
