--- a/packages/core/src/evacuation/tests/evacuations.test.ts
+++ b/packages/core/src/evacuation/tests/evacuations.test.ts
@@ -64,6 +64,17 @@
         expect(evacuations.replaceAll(["b"], { era: 0, offset: 5 })).to.deep.equal([statement("b", true, 5)]);
     });
 
+    // A daemon that starts after the end reads no trace of the evacuation; one that was frozen meanwhile still states it.
+    it("ignores the begin of an evacuation that a later read of all keys lacked, and takes over a later begin", () => {
+        const evacuations = createEvacuations();
+        evacuations.replaceAll([], { era: 1, offset: 8 });
+        const late = [statement("b", true, 4, 1), statement("b", true, 90)];
+        expect(late.map(evacuations.merge)).to.deep.equal([false, false]);
+        expect(evacuations.dataCentres()).to.deep.equal([]);
+        evacuations.merge(statement("b", true, 9, 1));
+        expect(evacuations.dataCentres()).to.deep.equal(["b"]);
+    });
+
     it("bounds what is kept of names that are no longer evacuated", () => {
         const evacuations = createEvacuations();
         evacuations.merge(statement("real", true, 0));
@@ -72,6 +83,17 @@
         expect(evacuations.isEvacuated("real")).to.equal(true);
     });
 
+    // A datagram of 65,507 bytes has to hold them; a message that does not fit is lost with all else that it states.
+    it("bounds what is passed on, whatever names the log has, and passes on a later evacuation", () => {
+        const evacuations = createEvacuations();
+        Array.from({ length: 1_000 }, (...[, index]) => evacuations.merge(statement(`x${index}`, true, index)));
+        evacuations.merge(statement("x".repeat(70_000), true, 1_000));
+        evacuations.merge(statement("real", true, 1_001));
+        expect(JSON.stringify(evacuations.statements()).length).to.be.below(16_000);
+        expect(evacuations.statements().map(({ dataCentre }) => dataCentre)).to.include("real");
+        expect(evacuations.dataCentres().length).to.equal(1_002);
+    });
+
     it("gives all daemons the same state, in whatever order and how often statements reach them", () => {
         const statements = fc.uniqueArray(
             fc.record({
