Cold targets: share, pacing and warm-up of a process as pure decisions

Cause: a target that has just started takes a limited number of requests within any one second from all daemons together; the division for stated rates allows more than this bound at once.

--- a/packages/core/src/engines/types.ts
+++ b/packages/core/src/engines/types.ts
@@ -41,6 +41,11 @@
     readonly busy: boolean;
     /** Number of the registry entry, which rises with each one that the process writes. */
     readonly entryNumber: number;
+    /**
+     * How long the process stays cold, counted from when the entry was read; 0 if the entry states that it is warm, absent if
+     * it states nothing.
+     */
+    readonly coldMilliseconds?: number;
     readonly membership?: GroupMembership;
     /** Epoch of the last group that the process is known to have left. */
     readonly leftEpoch?: number;
--- a/packages/core/src/routes/types.ts
+++ b/packages/core/src/routes/types.ts
@@ -1,4 +1,5 @@
 /** Types of the configuration by which requests are relayed to targets. */
+import type { ColdStart } from "../coldstart/coldshare.js";
 
 /**
  * How requests may be retried: a `repeatable` request may run more than once; a `once` request may run at most once for
@@ -86,6 +87,8 @@
     /** Maximum number of connections that one target accepts from all callers. */
     readonly maximumConnections: number;
     readonly engine?: EngineProfile;
+    /** Limit on the requests to targets that started lately; absent if there is none. */
+    readonly coldStart?: ColdStart;
 }
 
 /** A team and the keys that identify its requests. */
