Cold targets: configuration, settings, entries, pacing in the daemon

Cause: nothing kept requests from targets that have just started. The wait for a target includes its cold pace. Events 432 to 434 and the gauge damaskvale_cold_targets.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -235,6 +235,18 @@
         "An evacuated data centre has no target and no daemon.",
         "Check the name in the operators' log.",
     ),
+    targetsTurnedCold: define(
+        432,
+        "info",
+        "Targets turned cold: all daemons together keep to the request rate that the service states for cold targets.",
+    ),
+    targetsTurnedWarm: define(433, "info", "Targets turned warm; their load rises over the next second."),
+    coldTimeInvalid: define(
+        434,
+        "warn",
+        "The entry of a target states an invalid cold time: one that is no number counts as absent, a long one as 60 s.",
+        "Tell the operators of the target.",
+    ),
     engineOrdered: define(421, "info", "An order was given to an engine."),
     engineReported: define(422, "info", "The state of an engine was read from the engine itself."),
     domainFenced: define(
--- a/packages/daemon/src/peers/daemonlist.ts
+++ b/packages/daemon/src/peers/daemonlist.ts
@@ -13,15 +13,19 @@
     addressOf(daemon: string): string | undefined;
     /** Returns the number of daemons, including this one. */
     count(): number;
+    /** When the list was first read, in monotonic milliseconds; `undefined` until then. */
+    readAt(): number | undefined;
 }
 
 /** Creates the list of the daemon `self`, without any other daemon. */
-export function createDaemonList(self: DaemonPresence): DaemonList {
+export function createDaemonList(self: DaemonPresence, now: () => number = () => performance.now()): DaemonList {
     let others: readonly DaemonPresence[] = [];
+    let readAt: number | undefined;
     let all: readonly DaemonPresence[] = [self];
     let addresses: ReadonlyMap<string, string> = new Map();
     return {
         replace: daemons => {
+            readAt ??= now();
             others = daemons.filter(({ daemon }) => daemon !== self.daemon);
             all = [self, ...others];
             addresses = new Map(all.map(({ daemon, ip }) => [daemon, ip]));
@@ -30,5 +34,6 @@
         all: () => all,
         addressOf: daemon => addresses.get(daemon),
         count: () => others.length + 1,
+        readAt: () => readAt,
     };
 }
--- a/packages/daemon/src/peers/targetpages.ts
+++ b/packages/daemon/src/peers/targetpages.ts
@@ -31,6 +31,8 @@
     busy: z.boolean(),
     /** Number of the entry. The name is that of earlier versions, which require it. */
     orderSequence: z.number(),
+    /** Absent if the entry states nothing, and in messages of daemons of earlier versions. */
+    coldMilliseconds: z.number().nonnegative().optional().catch(undefined),
     membership: membershipSchema.optional(),
 });
 
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -25,6 +25,8 @@
     readonly slowTargets: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
+    /** Targets that are cold. */
+    readonly coldTargets: () => number;
     /** Data centres whose targets get no requests. */
     readonly evacuatedDataCentres: () => number;
     /** Era of the platform's store, 0 while no answer has stated one. */
@@ -126,6 +128,7 @@
         ["damaskvale_slow_targets", "Targets that are slower than their work should take.", values.slowTargets],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
         ["damaskvale_evacuated_data_centres", "Evacuated data centres.", values.evacuatedDataCentres],
+        ["damaskvale_cold_targets", "Targets that are cold.", values.coldTargets],
         ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
         ["damaskvale_store_eras_ignored", "Answers of the store that state no valid era.", values.storeErasIgnored],
     ];
--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -1,5 +1,5 @@
 /** Settings of the daemon on a platform, and the adapters that the platform provides. */
-import type { StoreEra } from "@damaskvale/core";
+import type { ColdStartTolerance, StoreEra } from "@damaskvale/core";
 import type { EngineControl } from "../ports/enginecontrol.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { PresenceTopic } from "../ports/presence.js";
@@ -28,6 +28,8 @@
     readonly retryAllowance: RetryAllowance;
     /** Whether engines refuse orders with a lower fencing token than the highest they have seen. */
     readonly enginesEnforceFencing: boolean;
+    /** How far the requests to a cold target may exceed its rate; absent if cold targets are not limited. */
+    readonly coldStartTolerance?: ColdStartTolerance;
 }
 
 /** Adapters that a platform provides. */
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -11,6 +11,7 @@
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
+import { type ColdTargets, createColdTargets } from "../coldstart/coldtargets.js";
 import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
@@ -92,6 +93,7 @@
         unreadableStatements: () => availability.unreadableStatements(),
         slowTargets: () => speeds.slowTargets().length,
         quarantinedParts: () => requestQuarantine.quarantined().length,
+        coldTargets: () => coldTargets.count(),
         evacuatedDataCentres: () => evacuations.count(),
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
@@ -99,6 +101,7 @@
     const daemonParts = createDaemonParts(settings);
     const { daemons, otherDaemons } = daemonParts;
     const evacuations = wireEvacuations(metrics.log, state, daemons);
+    const coldTargets = wireColdTargets(settings, metrics.log, { state, evacuations, daemons });
     const availability = createTargetAvailability({
         clock: systemClock,
         log: metrics.log,
@@ -106,6 +109,7 @@
         reachableDaemons: () => locate(otherDaemons(), daemons),
         knownDaemons: daemons.count,
         state,
+        coldTargets,
     });
     const requestQuarantine = createRequestQuarantine({
         clock: systemClock,
@@ -149,6 +153,23 @@
     return evacuations;
 }
 
+function wireColdTargets(
+    { daemon, coldStartTolerance }: RelaySettings,
+    log: EventLog,
+    parts: Pick<SharedParts, "state" | "evacuations" | "daemons">,
+): ColdTargets {
+    const coldTargets = createColdTargets({
+        ...parts,
+        clock: systemClock,
+        log,
+        self: daemon,
+        tolerance: coldStartTolerance,
+    });
+    parts.state.onChange(() => coldTargets.update());
+    parts.evacuations.onChange(() => coldTargets.update());
+    return coldTargets;
+}
+
 function createDaemonParts(settings: RelaySettings): DaemonParts {
     const { daemon, dataCentre } = settings;
     const startedAt = systemClock.wall();
--- a/packages/daemon/src/relay/targetavailability.ts
+++ b/packages/daemon/src/relay/targetavailability.ts
@@ -1,5 +1,6 @@
 /**
- * What targets say of themselves in their responses: their rate, how long they rest, and that they leave. Every way in
+ * What targets say of themselves in their responses: their rate, how long they rest, and that they leave; and whether they are
+ * cold. Every way in
  * which a request of a caller reaches a target asks here first: first sends, retries, resumed and moved streams, and
  * requests to plain targets. Targets that leave are marked as draining in the state, which offers them to nobody.
  */
@@ -12,6 +13,7 @@
     type StatedProcess,
     type Target,
 } from "@damaskvale/core";
+import type { ColdTargets } from "../coldstart/coldtargets.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { RestStatement, TargetStatements } from "../ports/relayprotocol.js";
@@ -61,6 +63,8 @@
     /** Number of all daemons, including this one. */
     readonly knownDaemons: () => number;
     readonly state: Pick<RelayState, "targetById" | "drain">;
+    /** Pace of requests to cold targets. */
+    readonly coldTargets?: Pick<ColdTargets, "waitMilliseconds" | "recordSent">;
 }
 
 /**
@@ -109,11 +113,13 @@
     waitMilliseconds(target: Target): number {
         const { id, startedAt } = target;
         const rest = this.rests.waitMilliseconds({ target: id, startedAt }, this.parts.clock.monotonic());
-        return Math.max(rest, this.rates.waitMilliseconds(target));
+        const cold = this.parts.coldTargets?.waitMilliseconds(target) ?? 0;
+        return Math.max(rest, this.rates.waitMilliseconds(target), cold);
     }
 
     recordSent(target: Target): void {
         this.rates.recordSent(target);
+        this.parts.coldTargets?.recordSent(target);
     }
 
     limits(): readonly StatedLimit[] {
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -17,6 +17,7 @@
             slowTargets: () => 9,
             quarantinedParts: () => 4,
             evacuatedDataCentres: () => 1,
+            coldTargets: () => 0,
             storeEra: () => 6,
             storeErasIgnored: () => 8,
         });
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -35,6 +35,7 @@
             slowTargets: () => 0,
             quarantinedParts: () => 1,
             evacuatedDataCentres: () => 1,
+            coldTargets: () => 0,
             storeEra: () => 0,
             storeErasIgnored: () => 0,
         });
