--- a/packages/daemon/src/peers/tests/targetpages.test.ts
+++ b/packages/daemon/src/peers/tests/targetpages.test.ts
@@ -37,6 +37,7 @@
     stagedModels: ["m"],
     busy: false,
     entryNumber: 7,
+    coldMilliseconds: 250,
 };
 
 describe("pages of registry entries", () => {
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -166,7 +166,6 @@
         tolerance: coldStartTolerance,
     });
     parts.state.onChange(() => coldTargets.update());
-    parts.evacuations.onChange(() => coldTargets.update());
     return coldTargets;
 }
 
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -17,7 +17,7 @@
             slowTargets: () => 9,
             quarantinedParts: () => 4,
             evacuatedDataCentres: () => 1,
-            coldTargets: () => 0,
+            coldTargets: () => 3,
             storeEra: () => 6,
             storeErasIgnored: () => 8,
         });
@@ -46,6 +46,7 @@
             "damaskvale_unreadable_statements 8",
             "damaskvale_slow_targets 9",
             "damaskvale_evacuated_data_centres 1",
+            "damaskvale_cold_targets 3",
             "damaskvale_quarantined_parts 4",
             "damaskvale_store_era_changes_total 1",
             "damaskvale_store_era 6",
