Bench: cold targets

Greatest second and unused part of the bound for 8, 76 and 195 daemons, by slope for 410, beside the division for stated rates and even shares; cost of a check, of a change of the state and of a share.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./adapters/pools.js";
 export * from "./adapters/serviceclient.js";
 export * from "./adapters/targetfaults.js";
+export * from "./coldstart/coldtargets.js";
 export * from "./dispatch/dispatcher.js";
 export * from "./dispatch/forwarder.js";
 export * from "./dispatch/options.js";
--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -1,4 +1,5 @@
 /** Registry of the benchmarks that `npm run bench` runs. */
+import { coldTargetsBench } from "./coldtargets/bench.js";
 import { configurationBench } from "./configuration.js";
 import { controlBench } from "./control/bench.js";
 import { erasBench } from "./eras/bench.js";
@@ -18,6 +19,7 @@
     limitsBench,
     retriesBench,
     targetLimitsBench,
+    coldTargetsBench,
     quarantineBench,
     erasBench,
     groupsBench,
