Cold targets: what was learned of a process does not count for the next one

Cause: suspicion, speed and times of responses are kept by target id, so that a new process began with those of the one before. Change: when another process runs under an id, this daemon forgets them; only where cold targets are limited. Result: tests of cold targets, speeds and route times pass.

--- a/packages/core/src/coldstart/warmup.ts
+++ b/packages/core/src/coldstart/warmup.ts
@@ -33,6 +33,8 @@
 export interface WarmUp {
     /** Records what is known of a target; returns the change if its process is now cold for another time than before. */
     observe(observation: ProcessObservation, coldStartMilliseconds: number, now: number): WarmUpChange | undefined;
+    /** Returns whether another process of a target was observed last. */
+    isRestarted(target: string, startedAt: number | undefined): boolean;
     /** Returns until when the target is cold; a time in the past if it is warm, and no time if it is not known. */
     coldUntil(target: string): number | undefined;
     /** Forgets the targets that were not seen for a minute; a process that returns sooner is known to be the same. */
@@ -78,6 +80,10 @@
                 wasCold: before > now,
             };
         },
+        isRestarted: (target, startedAt) => {
+            const known = processes.get(target);
+            return known !== undefined && known.observation.startedAt !== startedAt;
+        },
         coldUntil: target => processes.get(target)?.coldUntil,
         prune: (isKnown, now) =>
             [...processes.keys()].forEach(target => {
--- a/packages/core/src/placement/routetimes.ts
+++ b/packages/core/src/placement/routetimes.ts
@@ -12,6 +12,8 @@
      * route, or `undefined` while too little is known of them.
      */
     record(route: string, target: string, milliseconds: number, now: number): number | undefined;
+    /** Forgets a target, under whose id another process runs. */
+    forget(target: string): void;
 }
 
 /** Time after which an observation counts half. */
@@ -45,6 +47,7 @@
             targets.set(target, addLogarithm(known, logarithm));
             return expected === undefined ? undefined : Math.exp(logarithm - expected);
         },
+        forget: target => routes.forEach(targets => targets.delete(target)),
     };
 }
 
--- a/packages/core/src/placement/targetspeeds.ts
+++ b/packages/core/src/placement/targetspeeds.ts
@@ -28,6 +28,8 @@
     record(target: string, ratio: number, now: number): void;
     /** Returns the recent observations, relative to what this daemon observes of most targets. */
     sums(now: number): readonly SpeedSum[];
+    /** Forgets a target, under whose id another process runs. */
+    forget(target: string): void;
 }
 
 /** Time after which an observation counts half. */
@@ -71,6 +73,7 @@
                 logSum: logSum - usual * weight,
             }));
         },
+        forget: target => void sums.delete(target),
     };
 }
 
--- a/packages/core/src/placement/tests/routetimes.test.ts
+++ b/packages/core/src/placement/tests/routetimes.test.ts
@@ -52,4 +52,11 @@
             expect(result === undefined ? undefined : Math.round(result * 1_000) / 1_000).to.equal(ratio);
         })
     );
+
+    it("give nothing by what a process took that another one has replaced", () => {
+        const times = createRouteTimes();
+        ["y", "z"].forEach(target => times.record("r", target, 10, 0));
+        ["y", "z"].forEach(target => times.forget(target));
+        expect(times.record("r", "x", 80, 0)).to.equal(undefined);
+    });
 });
--- a/packages/daemon/src/coldstart/coldtargets.ts
+++ b/packages/daemon/src/coldstart/coldtargets.ts
@@ -32,6 +32,8 @@
     update(): void;
     /** Number of cold targets. */
     count(): number;
+    /** Registers a listener that is called with the id of a target under which another process runs than before. */
+    onRestarted(listener: (target: string) => void): void;
 }
 
 /** Collaborators of the cold targets. */
@@ -78,17 +80,25 @@
 const TIMER_MARGIN_MILLISECONDS = 2;
 const NO_DAEMONS: readonly DaemonPresence[] = [];
 
+/** Without a tolerance, no target is limited. */
+const unlimitedTargets: ColdTargets = {
+    waitMilliseconds: () => 0,
+    recordSent: () => undefined,
+    update: () => undefined,
+    count: () => 0,
+    onRestarted: () => undefined,
+};
+
 /** Creates the record of a daemon that knows no target. */
 export function createColdTargets(parts: ColdTargetsParts): ColdTargets {
-    return parts.tolerance === undefined
-        ? { waitMilliseconds: () => 0, recordSent: () => undefined, update: () => undefined, count: () => 0 }
-        : new ColdTargetsTask(parts, parts.tolerance);
+    return parts.tolerance === undefined ? unlimitedTargets : new ColdTargetsTask(parts, parts.tolerance);
 }
 
 class ColdTargetsTask implements ColdTargets {
     private readonly warmUp = createWarmUp();
     private readonly observed = new Map<string, ObservedTarget>();
     private readonly paced = new Map<string, PacedTarget>();
+    private readonly listeners: ((target: string) => void)[] = [];
     private prunedAt = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly parts: ColdTargetsParts, private readonly tolerance: ColdStartTolerance) {}
@@ -135,6 +145,10 @@
         return [...this.paced.values()].filter(({ coldUntil }) => coldUntil > now).length;
     }
 
+    onRestarted(listener: (target: string) => void): void {
+        this.listeners.push(listener);
+    }
+
     private now(): number {
         return this.parts.clock.monotonic();
     }
@@ -155,6 +169,9 @@
             paced.coldStart = coldStart;
         }
         const { id, startedAt, entryNumber, coldMilliseconds } = target;
+        if (this.warmUp.isRestarted(id, startedAt)) {
+            this.listeners.forEach(listener => listener(id));
+        }
         const change = this.warmUp.observe(
             { target: id, startedAt, entryNumber, coldMilliseconds, evacuationEndedAt },
             coldStart.milliseconds,
--- a/packages/daemon/src/coldstart/tests/coldtargets.test.ts
+++ b/packages/daemon/src/coldstart/tests/coldtargets.test.ts
@@ -237,6 +237,20 @@
         expect(daemon.coldTargets.count()).to.equal(0);
     });
 
+    it("are announced as started again, so that nothing learned of the process before counts, also after a gap", () => {
+        const daemon = createDaemon();
+        const restarted: string[] = [];
+        daemon.coldTargets.onRestarted(id => void restarted.push(id));
+        daemon.write({});
+        daemon.write({ entryNumber: 2, coldMilliseconds: 500 });
+        expect(restarted).to.deep.equal([]);
+        daemon.write({ entryNumber: 3, draining: true });
+        daemon.state.applyTargets([{ key: "t" }]);
+        daemon.advanceTo(20_000);
+        daemon.write({ startedAt: 2 });
+        expect(restarted).to.deep.equal(["t"]);
+    });
+
     it("are limited no more once a configuration states no limit", () => {
         const daemon = createDaemon();
         daemon.write({ coldMilliseconds: COLD_MILLISECONDS });
--- a/packages/daemon/src/peers/sharedspeeds.ts
+++ b/packages/daemon/src/peers/sharedspeeds.ts
@@ -42,6 +42,8 @@
     receiveStatement(slow: SlowTargetsMessage): void;
     /** Returns the observed time over the expected one for a target, 1 unless it is known to be slow. */
     slownessOf(target: string): number;
+    /** Forgets what this daemon knows of a target, under whose id another process runs. */
+    forget(target: string): void;
     /** Returns the targets that are known to be slow, slowest first. */
     slowTargets(): readonly SlowTarget[];
 }
@@ -109,6 +111,11 @@
         return this.current().get(target) ?? 1;
     }
 
+    forget(target: string): void {
+        this.observations.forget(target);
+        this.stated = { ...this.stated, value: new Map([...this.stated.value].filter(([name]) => name !== target)) };
+    }
+
     slowTargets(): readonly SlowTarget[] {
         return [...this.current()].map(([target, slowness]) => ({ target, slowness }))
             .sort((left, right) => right.slowness - left.slowness);
--- a/packages/daemon/src/peers/tests/sharedspeeds.test.ts
+++ b/packages/daemon/src/peers/tests/sharedspeeds.test.ts
@@ -33,6 +33,15 @@
         expect(member.slownessOf("sound")).to.equal(1);
     });
 
+    it("do not carry over to the next process of a target", () => {
+        const [collector, member] = [create(), create()];
+        collector.receiveReport("d1", slowReport());
+        [1, 2, 3].forEach(() => member.record("slow", 5));
+        member.receiveStatement(collector.state());
+        member.forget("slow");
+        expect([member.slownessOf("slow"), member.report()]).to.deep.equal([1, []]);
+    });
+
     it("end when no report and no statement comes any more", () => {
         const [collector, member] = [create(), create()];
         collector.receiveReport("d1", slowReport());
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -52,7 +52,7 @@
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
     /** How long plain targets take for the requests of this daemon. */
-    readonly routeTimes: RouteTimes;
+    readonly routeTimes: Pick<RouteTimes, "record">;
     readonly stalledHeads: StalledHeads;
     /** Resolves to whether the process of a target answers; never rejects. */
     readonly isTargetAlive: (target: Target) => Promise<boolean>;
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -53,6 +53,7 @@
     readonly budgets: ServiceRetryBudgets;
     readonly demandOf: (service: string) => DemandMeter;
     readonly availability: TargetAvailability;
+    readonly coldTargets: ColdTargets;
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
@@ -134,6 +135,7 @@
         budgets: createServiceRetryBudgets(settings.retryAllowance, daemons.count),
         demandOf: createDemandMeters(),
         availability,
+        coldTargets,
         requestQuarantine,
         reachability,
         speeds,
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -87,6 +87,7 @@
 
 function wireRelay(shared: SharedParts, headUnusable: (head: string) => void): Relay {
     const { settings, ports, clock, log, random, state, loadTracker, statedLoads, budgets, demandOf } = shared;
+    const routeTimes = createRouteTimes();
     const relay = createRelay({
         clock,
         log,
@@ -98,7 +99,7 @@
         requestQuarantine: shared.requestQuarantine,
         reachability: shared.reachability,
         speeds: shared.speeds,
-        routeTimes: createRouteTimes(),
+        routeTimes,
         stalledHeads: createStalledHeads({ clock, log, loadTracker }),
         isTargetAlive: createTargetLiveness(state, ports.engines(log)),
         headUnusable,
@@ -117,6 +118,11 @@
         port: peerPortOf(settings),
         choose: shared.handOverDaemons.choose,
     });
+    shared.coldTargets.onRestarted(target => {
+        loadTracker.clear(target);
+        shared.speeds.forget(target);
+        routeTimes.forget(target);
+    });
     shared.requestQuarantine.onQuarantined(part => relay.cancelWaiting(part));
     return relay;
 }
