Outlier detection, decisions: a plain target that fails a part of its requests gets few of them

Cause: a target that fails 45% of its requests with status 500 passes its health check and keeps its even share; requests that may run once cannot be retried. Change: faded numbers of requests and failures by process; targets with an excess over the soundest one are left out for most requests, unless the slots of the others would not suffice.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -34,6 +34,8 @@
 export * from "./membership/membership.js";
 export * from "./membership/rendezvous.js";
 export * from "./outcome.js";
+export * from "./outliers/failuresums.js";
+export * from "./outliers/outlieravoidance.js";
 export * from "./placement/limitshare.js";
 export * from "./placement/loadsums.js";
 export * from "./placement/loadtracker.js";
--- a/packages/core/src/placement/plaintarget.ts
+++ b/packages/core/src/placement/plaintarget.ts
@@ -1,7 +1,11 @@
-/** Chooses the plain target of a request, by the requests in progress that this daemon knows, data centre and speed. */
+/**
+ * Chooses the plain target of a request, by the requests in progress that this daemon knows, data centre and speed, and by the
+ * share of requests that targets fail where that is known.
+ */
+import { type OutlierCandidate, withoutOutliers } from "../outliers/outlieravoidance.js";
 
 /** A target that may be chosen. */
-export interface PlainTargetCandidate {
+export interface PlainTargetCandidate extends OutlierCandidate {
     readonly id: string;
     readonly dataCentre: string;
     /** Requests of this daemon in progress at the target. */
@@ -27,7 +31,8 @@
     dataCentre: string,
     random: () => number,
 ): string | undefined {
-    return candidates.filter(({ waitMilliseconds }) => waitMilliseconds === 0)
+    const ready = candidates.filter(({ waitMilliseconds }) => waitMilliseconds === 0);
+    return withoutOutliers(ready, random)
         .map(candidate => {
             const remoteCost = candidate.dataCentre === dataCentre ? 0 : REMOTE_COST;
             const queueCost = (candidate.inProgress + 1) * candidate.slowness ** SLOWNESS_EXPONENT;
