Outlier detection, daemon: failures are observed, shared by the collectors, and used in the choice

Cause: no daemon of a large fleet sees enough requests at one target to tell that it fails a part of them.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -187,6 +187,13 @@
         "Look at the host, and at the other members of its group, which is as slow as its slowest member.",
     ),
     targetNotSlow: define(349, "info", "The streams of a target no longer take longer than its work should."),
+    targetFailing: define(
+        350,
+        "warn",
+        "A plain target fails a part of its requests; while others are sound, it gets few.",
+        "Look at the target's own log; its health check may pass meanwhile.",
+    ),
+    targetNotFailing: define(351, "info", "A plain target no longer fails a part of its requests."),
     storeLost: define(
         220,
         "warn",
--- a/packages/daemon/src/peers/exchangemessage.ts
+++ b/packages/daemon/src/peers/exchangemessage.ts
@@ -2,6 +2,7 @@
 import type { LoadTracker, ReportedLoad, ReportIdentity } from "@damaskvale/core";
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
+import { failuresSchema } from "../outliers/sharedfailures.js";
 import { configurationRangeSchema } from "./configurationmessage.js";
 import { quarantineSchema } from "./quarantinemessage.js";
 import { slowTargetsSchema, speedsSchema } from "./sharedspeeds.js";
@@ -60,6 +61,8 @@
     loads: loadsSchema,
     /** What the daemon observed of the speed of targets. Absent in messages of daemons of earlier versions. */
     speeds: speedsSchema.default([]),
+    /** What the daemon observed of failures of plain targets. Absent where outliers are not detected, as below. */
+    failures: failuresSchema.optional(),
 });
 
 const statementSchema = z.object({
@@ -79,6 +82,8 @@
     configurationAgeMilliseconds: countSchema.optional(),
     /** Absent in messages of daemons of earlier versions. */
     slowTargets: slowTargetsSchema.default([]),
+    /** Sums over all data centres, for targets with failures. */
+    failures: failuresSchema.optional(),
 });
 
 const dataCentreSchema = z.object({
@@ -90,6 +95,8 @@
     members: membersSchema,
     /** What this data centre observed of its slow targets. Absent in messages of daemons of earlier versions. */
     speeds: speedsSchema.default([]),
+    /** Sums over this data centre. */
+    failures: failuresSchema.optional(),
 });
 
 const eventSchema = z.object({
--- a/packages/daemon/src/peers/loadexchange.ts
+++ b/packages/daemon/src/peers/loadexchange.ts
@@ -169,9 +169,10 @@
     }
 
     private sendReport(collectors: readonly string[]): void {
-        const { self, startedAt, loadTracker, statedLoads, takesRequests } = this.parts;
+        const { self, startedAt, loadTracker, statedLoads, failures, takesRequests } = this.parts;
         const loads = describeLoads(loadTracker);
-        if (!this.isDue("report", JSON.stringify([loads, collectors, takesRequests()]))) {
+        const content = [loads, collectors, takesRequests(), failures.recordedFailures()];
+        if (!this.isDue("report", JSON.stringify(content))) {
             return;
         }
         const sequence = this.sequence += 1;
@@ -183,6 +184,7 @@
             sequence,
             loads: encodeLoads(loads),
             speeds: this.parts.speeds.report(),
+            failures: failures.report(),
         };
         if (collectors.includes(self.daemon)) {
             this.receiveReport(report);
@@ -226,6 +228,7 @@
             roster: sendsRoster ? roster : undefined,
             configurationAgeMilliseconds: configurationAge,
             slowTargets: this.parts.speeds.state(),
+            failures: this.parts.failures.state(),
         };
         this.receiveStatement(statement);
         this.send(statement, this.otherMembers());
@@ -259,6 +262,7 @@
             sums,
             members: [...members],
             speeds: this.parts.speeds.reportToDataCentres(),
+            failures: this.parts.failures.reportToDataCentres(),
         }, receivers);
     }
 
@@ -336,18 +340,22 @@
         }
     }
 
-    private receiveReport({ daemon, startedAt, sequence, takesRequests, loads, speeds }: ReportMessage): void {
+    private receiveReport(
+        { daemon, startedAt, sequence, takesRequests, loads, speeds, failures }: ReportMessage,
+    ): void {
         const report = { daemon, startedAt, sequence, loads: decodeLoads(loads) };
         // A report that a later one has overtaken says nothing new.
         if (this.collector.receiveReport(report, takesRequests, this.now())) {
             this.parts.speeds.receiveReport(daemon, speeds);
+            this.parts.failures.receiveReport(daemon, failures);
         }
     }
 
-    private receiveDataCentre({ daemon, dataCentre, sums, members, speeds }: DataCentreMessage): void {
+    private receiveDataCentre({ daemon, dataCentre, sums, members, speeds, failures }: DataCentreMessage): void {
         const statement = { dataCentre, collector: daemon, sums: decodeLoads(sums), members };
         this.collector.receiveStatement(statement, this.now());
         this.parts.speeds.receiveDataCentre(dataCentre, speeds);
+        this.parts.failures.receiveDataCentre(dataCentre, failures);
     }
 
     private receiveStatement(message: StatementMessage): void {
@@ -367,6 +375,7 @@
             return;
         }
         speeds.receiveStatement(slowTargets);
+        this.parts.failures.receiveStatement(message.failures);
         if (daemon !== self.daemon) {
             onCollectorHeard(configurationAgeMilliseconds);
         }
--- a/packages/daemon/src/peers/loadexchangeparts.ts
+++ b/packages/daemon/src/peers/loadexchangeparts.ts
@@ -1,5 +1,6 @@
 /** The exchange between daemons as the rest of the daemon sees it, and its collaborators. */
 import type { LoadTracker, StatedLoads, Target } from "@damaskvale/core";
+import type { SharedFailures } from "../outliers/sharedfailures.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { DaemonPresence } from "../ports/presence.js";
@@ -29,6 +30,8 @@
     readonly roster: Roster;
     /** Shares what daemons observe of the speed of targets. */
     readonly speeds: SharedSpeeds;
+    /** Shares what daemons observe of failures of targets. */
+    readonly failures: SharedFailures;
     /** Called when another daemon suspects the head of a group. */
     readonly onSuspicion: (suspicion: HeadSuspicion, daemon: string) => void;
     /** Called with registry changes that a collector read. */
--- a/packages/daemon/src/peers/tests/loadexchange.test.ts
+++ b/packages/daemon/src/peers/tests/loadexchange.test.ts
@@ -12,6 +12,7 @@
 import { expect } from "chai";
 import { createSocket, type Socket } from "node:dgram";
 import type { AddressInfo } from "node:net";
+import { createSharedFailures, type FailuresMessage, type SharedFailures } from "../../outliers/sharedfailures.js";
 import type { TopicRange } from "../../ports/registry.js";
 import type { ConfigurationRangeMessage } from "../configurationmessage.js";
 import { createDaemonList, type DaemonList } from "../daemonlist.js";
@@ -20,7 +21,6 @@
     encodeExchangeMessage,
     type EventMessage,
     type KnowledgeMessage,
-    type ReportMessage,
     type StatementMessage,
     type TargetsMessage,
 } from "../exchangemessage.js";
@@ -29,6 +29,7 @@
 import { encodeQuarantine } from "../quarantinemessage.js";
 import { createRoster, type Roster } from "../roster.js";
 import { createSharedSpeeds, type SharedSpeeds } from "../sharedspeeds.js";
+import { reportOf } from "./reports.js";
 
 const STARTED_AT = 7;
 const LEAVING_AGE_MILLISECONDS = 500;
@@ -53,6 +54,7 @@
     let statedLoads: StatedLoads;
     let roster: Roster;
     let speeds: SharedSpeeds;
+    let failures: SharedFailures;
     let daemons: DaemonList;
     const merged: { readonly report: QuarantineReport; readonly daemon: string; }[] = [];
     const malformed: unknown[] = [];
@@ -92,6 +94,7 @@
         roster = createRoster();
         const clock = { monotonic: () => performance.now(), wall: () => 0 };
         speeds = createSharedSpeeds(clock, { emit: () => undefined });
+        failures = createSharedFailures(true, clock, { emit: () => undefined });
         exchange = startLoadExchange({
             clock,
             log: { emit: (...[, fields]) => void malformed.push(fields) },
@@ -103,6 +106,7 @@
             statedLoads,
             roster,
             speeds,
+            failures,
             onSuspicion: () => undefined,
             onTargets: range => void offered.push(range),
             onConfiguration: range => void offeredConfigurations.push(range),
@@ -213,23 +217,23 @@
         expect(roster.takesRequests(OTHER.daemon, performance.now())).to.equal(false);
     });
 
-    const reportOfOther = (sequence: number, inProgress: number): ReportMessage => ({
-        kind: "report",
-        daemon: OTHER.daemon,
-        configurationVersion: 0,
-        limits: [],
-        leaving: [],
-        startedAt: 1,
-        sequence,
-        takesRequests: true,
-        loads: [["t", inProgress, 50]],
-        speeds: [],
-    });
-    const sendReport = (sequence: number, inProgress: number): void => {
+    const sendReport = (sequence: number, inProgress: number, failed?: FailuresMessage): void => {
         const { port } = socket.address() as AddressInfo;
-        socket.send(encodeExchangeMessage(reportOfOther(sequence, inProgress)), port, SELF.ip);
+        const message = { ...reportOf(OTHER.daemon, sequence, inProgress), failures: failed };
+        socket.send(encodeExchangeMessage(message), port, SELF.ip);
     };
 
+    it("states the failures of targets that daemons report, and takes over the own statement", async () => {
+        sendReport(1, 0, [["t", 1, 8, 4]]);
+        await receiveFor(300);
+        const statements = received.flatMap(statement => statement.kind === "statement" ? [statement] : []);
+        expect(statements.at(-1)?.failures?.map(([target, startedAt]) => [target, startedAt])).to.deep.equal([[
+            "t",
+            1,
+        ]]);
+        expect(failures.failingTargets()).to.equal(1);
+    });
+
     it("states the sum of all newest reports to those that report, and counts each daemon once", async () => {
         loadTracker.sent("t", { promptTokens: 10, stream: true }, performance.now());
         sendReport(2, 3);
@@ -252,7 +256,7 @@
         const takes = (): boolean => roster.takesRequests(OTHER.daemon, performance.now());
         expect(takes()).to.equal(true);
         const { port } = socket.address() as AddressInfo;
-        const { daemon, configurationVersion, limits, leaving } = reportOfOther(2, 0);
+        const { daemon, configurationVersion, limits, leaving } = reportOf(OTHER.daemon, 2, 0);
         const common = { daemon, configurationVersion, limits, leaving, takesRequests: false };
         const event: EventMessage = { kind: "event", ...common, suspects: [], memberships: [] };
         socket.send(encodeExchangeMessage(event), port, SELF.ip);
@@ -310,7 +314,7 @@
     statements.forEach(({ name, linkOfSender, named, age, heard: expected }) =>
         it(`learns from a statement whether it comes from ${name}`, async () => {
             daemons.replace([SELF, { ...OTHER, linkMegabits: linkOfSender }]);
-            const { daemon, configurationVersion, limits, leaving: known } = reportOfOther(1, 0);
+            const { daemon, configurationVersion, limits, leaving: known } = reportOf(OTHER.daemon, 1, 0);
             const statement: StatementMessage = {
                 kind: "statement",
                 ...{ daemon, configurationVersion, limits, leaving: known, takesRequests: true },
@@ -359,7 +363,9 @@
     it("refuses a report with values that are no loads as a whole", async () => {
         const { port } = socket.address() as AddressInfo;
         const values = [-1, Number.NaN, Number.POSITIVE_INFINITY, "3"];
-        values.forEach(value => socket.send(encodeExchangeMessage(reportOfOther(2, value as number)), port, SELF.ip));
+        values.forEach(value =>
+            socket.send(encodeExchangeMessage(reportOf(OTHER.daemon, 2, value as number)), port, SELF.ip)
+        );
         await receiveFor(200);
         expect(malformed).to.have.length(values.length);
         expect(statedLoads.totalOf("t", performance.now()).inProgress).to.equal(0);
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -23,6 +23,8 @@
     readonly unreadableStatements: () => number;
     /** Targets whose streams take longer than their work should. */
     readonly slowTargets: () => number;
+    /** Plain targets that fail a part of their requests. */
+    readonly failingTargets: () => number;
     /** Prompt parts whose requests are refused. */
     readonly quarantinedParts: () => number;
     /** Data centres whose targets get no requests. */
@@ -124,6 +126,7 @@
         ["damaskvale_resting_targets", "Targets that want no requests for a time.", values.restingTargets],
         ["damaskvale_unreadable_statements", "Responses with an unreadable statement.", values.unreadableStatements],
         ["damaskvale_slow_targets", "Targets that are slower than their work should take.", values.slowTargets],
+        ["damaskvale_failing_targets", "Targets that fail a part of their requests.", values.failingTargets],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
         ["damaskvale_evacuated_data_centres", "Evacuated data centres.", values.evacuatedDataCentres],
         ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,7 +1,15 @@
 /** Relays a request to a plain target and returns the complete response. */
-import { choosePlainTarget, limitedRetryMilliseconds, type Target } from "@damaskvale/core";
+import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import { concludeObservation, createPlainAttempt, type PlainAttempt } from "./plainattempt.js";
+import {
+    chooseAmong,
+    recordAnswer,
+    recordFailure,
+    recordSpeed,
+    untriedTargets,
+    waitsOfTargets,
+} from "./plaintargets.js";
 import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
 import {
@@ -53,7 +61,7 @@
     private sendOrGiveUp(reason: RefusalReason, retryAfterMilliseconds: number): void {
         const { route } = this.context.admitted;
         const target = this.chooseTarget();
-        const waits = target === undefined ? this.waitsOfTargets() : [];
+        const waits = target === undefined ? waitsOfTargets(this.context, this.tried, this.sends, this.parts) : [];
         if (waits.length > 0 && waits.every(milliseconds => milliseconds > 0)) {
             this.giveUp("limited", limitedRetryMilliseconds(waits, this.parts.random));
             return;
@@ -74,32 +82,9 @@
         this.send(target);
     }
 
-    private untriedTargets(): readonly Target[] {
-        return this.parts.state.servingTargets(this.context.service).filter(({ id }) => !this.tried.includes(id));
-    }
-
-    /** Returns the waits for the targets that were not tried, or for all if there are none or the request was sent. */
-    private waitsOfTargets(): readonly number[] {
-        const untried = this.untriedTargets();
-        const targets = this.sends === 0 && untried.length > 0
-            ? untried
-            : this.parts.state.servingTargets(this.context.service);
-        return targets.map(target => this.parts.availability.waitMilliseconds(target));
-    }
-
     /** Returns the least loaded target that has not been tried and takes a request now. */
     private chooseTarget(): Target | undefined {
-        const untried = this.untriedTargets();
-        const { parts } = this;
-        const candidates = untried.map(target => ({
-            id: target.id,
-            dataCentre: target.dataCentre,
-            inProgress: parts.loadTracker.get(target.id)?.inProgress ?? 0,
-            waitMilliseconds: parts.availability.waitMilliseconds(target),
-            slowness: parts.speeds.slownessOf(target.id),
-        }));
-        const chosen = choosePlainTarget(candidates, parts.dataCentre, parts.random);
-        return untried.find(({ id }) => id === chosen);
+        return chooseAmong(untriedTargets(this.context, this.tried, this.parts), this.parts);
     }
 
     private send(target: Target): void {
@@ -217,7 +202,8 @@
             return;
         }
         concludeObservation(attempt);
-        this.recordSpeed(attempt);
+        recordAnswer(attempt, this.parts);
+        recordSpeed(attempt, this.context.admitted.route.name, this.parts);
         if (this.isFinished) {
             return;
         }
@@ -255,6 +241,7 @@
         const { head, decoded } = attempt;
         const reason = "ended inside an event";
         attempt.observed.connectionLost();
+        this.parts.failures.record(attempt.target, true);
         if (this.isFinished) {
             return;
         }
@@ -277,19 +264,6 @@
             }));
     }
 
-    /** Compares the time of a response with those of the other targets. Errors are often quicker. */
-    private recordSpeed({ target, sentAt, head }: PlainAttempt): void {
-        const { parts } = this;
-        if (head === undefined || head.status >= 400) {
-            return;
-        }
-        const now = parts.clock.monotonic();
-        const ratio = parts.routeTimes.record(this.context.admitted.route.name, target.id, now - sentAt, now);
-        if (ratio !== undefined) {
-            parts.speeds.record(target.id, ratio);
-        }
-    }
-
     private deliver(head: ResponseHead, decoded: DecodedResponse, body: Buffer): void {
         const { response, request } = this.context;
         const hasLength = head.delimited && request.method !== "HEAD";
@@ -317,6 +291,7 @@
 
     private receiveFailure(attempt: PlainAttempt, error: Error): void {
         this.recordConnectionFailure(attempt.target.id, attempt.sent, error);
+        recordFailure(attempt, error, this.parts);
         if (isLostConnection(error)) {
             attempt.observed.connectionLost();
         }
--- /dev/null
+++ b/packages/daemon/src/relay/plaintargets.ts
@@ -0,0 +1,74 @@
+/** Choice of the plain target of a request, and what the end of an attempt says about its target. */
+import { choosePlainTarget, type Target } from "@damaskvale/core";
+import type { PlainAttempt } from "./plainattempt.js";
+import type { RelayParts, RequestContext } from "./requestcontext.js";
+import { isLostConnection } from "./targetconnections.js";
+
+/** Returns the targets of the request's service that have not been tried for it. */
+export function untriedTargets(
+    { service }: RequestContext,
+    tried: readonly string[],
+    { state }: RelayParts,
+): readonly Target[] {
+    return state.servingTargets(service).filter(({ id }) => !tried.includes(id));
+}
+
+/** Returns the waits for the targets that were not tried, or for all if there are none or the request was sent. */
+export function waitsOfTargets(
+    context: RequestContext,
+    tried: readonly string[],
+    sends: number,
+    parts: RelayParts,
+): readonly number[] {
+    const untried = untriedTargets(context, tried, parts);
+    const targets = sends === 0 && untried.length > 0 ? untried : parts.state.servingTargets(context.service);
+    return targets.map(target => parts.availability.waitMilliseconds(target));
+}
+
+/** Returns the least loaded of the targets that takes a request now; one that fails many requests is chosen rarely. */
+export function chooseAmong(targets: readonly Target[], parts: RelayParts): Target | undefined {
+    const candidates = targets.map(target => {
+        const inProgress = parts.loadTracker.get(target.id)?.inProgress ?? 0;
+        const failureShare = parts.failures.shareOf(target);
+        return {
+            id: target.id,
+            dataCentre: target.dataCentre,
+            inProgress,
+            waitMilliseconds: parts.availability.waitMilliseconds(target),
+            slowness: parts.speeds.slownessOf(target.id),
+            failureShare,
+            totalInProgress: failureShare === undefined
+                ? undefined
+                : inProgress + parts.peerLoadOf(target.id).inProgress,
+            slots: target.slots,
+        };
+    });
+    const chosen = choosePlainTarget(candidates, parts.dataCentre, parts.random);
+    return targets.find(({ id }) => id === chosen);
+}
+
+/** Records whether a complete response is a failure of its target. One that says that the request has not run is neither. */
+export function recordAnswer({ target, head, decoded }: PlainAttempt, { failures }: RelayParts): void {
+    if (head !== undefined && decoded !== undefined && !decoded.notRun && !decoded.misdirected) {
+        failures.record(target, head.status >= 500);
+    }
+}
+
+/** Records the loss of a connection on which the request was sent as a failure of its target. */
+export function recordFailure({ target, sent }: PlainAttempt, error: Error, { failures }: RelayParts): void {
+    if (sent && isLostConnection(error)) {
+        failures.record(target, true);
+    }
+}
+
+/** Compares the time of a response with those of the other targets. Errors are often quicker. */
+export function recordSpeed({ target, sentAt, head }: PlainAttempt, route: string, parts: RelayParts): void {
+    if (head === undefined || head.status >= 400) {
+        return;
+    }
+    const now = parts.clock.monotonic();
+    const ratio = parts.routeTimes.record(route, target.id, now - sentAt, now);
+    if (ratio !== undefined) {
+        parts.speeds.record(target.id, ratio);
+    }
+}
--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -28,6 +28,8 @@
     readonly retryAllowance: RetryAllowance;
     /** Whether engines refuse orders with a lower fencing token than the highest they have seen. */
     readonly enginesEnforceFencing: boolean;
+    /** Whether plain targets that fail a part of their requests get fewer of them. */
+    readonly detectsOutliers?: boolean;
 }
 
 /** Adapters that a platform provides. */
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -10,6 +10,7 @@
     Target,
 } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
+import type { SharedFailures } from "../outliers/sharedfailures.js";
 import type { SharedSpeeds } from "../peers/sharedspeeds.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
@@ -51,6 +52,8 @@
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
+    /** Which part of their requests plain targets fail. */
+    readonly failures: SharedFailures;
     /** How long plain targets take for the requests of this daemon. */
     readonly routeTimes: RouteTimes;
     readonly stalledHeads: StalledHeads;
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -12,6 +12,7 @@
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
 import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
+import { createSharedFailures, type SharedFailures } from "../outliers/sharedfailures.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
 import { createRoster, type Roster } from "../peers/roster.js";
@@ -55,6 +56,7 @@
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
+    readonly failures: SharedFailures;
     readonly connections: TargetConnections;
 }
 
@@ -91,6 +93,7 @@
         restingTargets: () => availability.restingTargets(),
         unreadableStatements: () => availability.unreadableStatements(),
         slowTargets: () => speeds.slowTargets().length,
+        failingTargets: () => failures.failingTargets(),
         quarantinedParts: () => requestQuarantine.quarantined().length,
         evacuatedDataCentres: () => evacuations.count(),
         storeEra: () => ports.storeEra.current(),
@@ -117,6 +120,7 @@
     });
     const reachability = wireReachability(ports, state, metrics.log);
     const speeds = createSharedSpeeds(systemClock, metrics.log);
+    const failures = createSharedFailures(settings.detectsOutliers === true, systemClock, metrics.log);
     const shared: SharedParts = {
         ...daemonParts,
         settings,
@@ -133,6 +137,7 @@
         requestQuarantine,
         reachability,
         speeds,
+        failures,
         connections: createTargetConnections(TARGET_CONNECTIONS),
     };
     return { shared, metrics, output };
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -15,6 +15,7 @@
 } from "@damaskvale/core";
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
+import { createSharedFailures } from "../../outliers/sharedfailures.js";
 import { createSharedSpeeds } from "../../peers/sharedspeeds.js";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
@@ -263,6 +264,7 @@
             requestQuarantine,
             reachability: options.reachability ?? reachesTargets,
             speeds: createSharedSpeeds(clock, log),
+            failures: createSharedFailures(false, clock, log),
             routeTimes: createRouteTimes(),
             stalledHeads: createStalledHeads({ clock, log, loadTracker }),
             isTargetAlive: options.isTargetAlive ?? (() => Promise.resolve(true)),
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -33,6 +33,7 @@
             restingTargets: () => 0,
             unreadableStatements: () => 0,
             slowTargets: () => 0,
+            failingTargets: () => 0,
             quarantinedParts: () => 1,
             evacuatedDataCentres: () => 1,
             storeEra: () => 0,
