A status outside 200 to 599 is no answer, from any server

Cause: only the relays had a lower bound; 600 and 999 passed to callers, and an append that was answered 000 counted as refused although it may have been written. Change: targetconnections.ts, through which the relays, hand-overs, the store, orders and reports go, fails such an exchange; the check of the lower bound in relaytask.ts moves there. The product's own clients break such an exchange, and probes take it for no sound target. It counts as a failure in outlier detection.

--- a/packages/daemon/src/adapters/exchange.ts
+++ b/packages/daemon/src/adapters/exchange.ts
@@ -1,6 +1,7 @@
 /** One HTTP exchange with a target as a sequence of events. Failures state whether the request was written. */
 import type { Dispatcher } from "undici";
 import type { TargetFailure } from "../ports/engine.js";
+import { InvalidStatusError, isAboveStatusRange, isFinalStatus } from "../responsestatus.js";
 import { createEventQueue } from "./eventqueue.js";
 import type { TargetPools } from "./pools.js";
 
@@ -68,7 +69,11 @@
                 state.written = true;
             },
             onResponseStart: (from, status, headers) => {
-                if (status >= 200) {
+                if (isAboveStatusRange(status)) {
+                    stop({ kind: "broken", message: new InvalidStatusError(status).message });
+                    return;
+                }
+                if (isFinalStatus(status)) {
                     queue.push({ kind: "head", status, headers: flatHeaders(headers) });
                     pauseWhenFull(from, queue.size());
                 }
--- a/packages/daemon/src/adapters/pools.ts
+++ b/packages/daemon/src/adapters/pools.ts
@@ -1,5 +1,6 @@
 /** Connection pools to targets, one per origin, and health probes over separate connections. */
 import { Client, Pool } from "undici";
+import { isFinalStatus } from "../responsestatus.js";
 
 /** Pools of connections to targets. */
 export interface TargetPools {
@@ -7,7 +8,7 @@
     poolFor(origin: string): Pool;
     /** Closes the idle connections of an origin after one of its connections went silent; those in use may finish. */
     replace(origin: string): void;
-    /** Probes a target over a new connection. Any HTTP answer within the timeout counts as healthy. */
+    /** Probes a target over a new connection. Any HTTP answer within the timeout counts as healthy, whatever its status. */
     probe(origin: string, request: ProbeRequest): Promise<boolean>;
     close(): Promise<void>;
 }
@@ -72,7 +73,7 @@
                     reset: true,
                     signal: AbortSignal.timeout(request.timeoutMilliseconds),
                 });
-                return response.statusCode > 0;
+                return isFinalStatus(response.statusCode);
             }
             catch {
                 return false;
--- a/packages/daemon/src/relay/plaintargets.ts
+++ b/packages/daemon/src/relay/plaintargets.ts
@@ -1,5 +1,6 @@
 /** Choice of the plain target of a request, and what the end of an attempt says about its target. */
 import { choosePlainTarget, type Target } from "@damaskvale/core";
+import { InvalidStatusError } from "../responsestatus.js";
 import type { PlainAttempt } from "./plainattempt.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
 import { isLostConnection } from "./targetconnections.js";
@@ -54,9 +55,9 @@
     }
 }
 
-/** Records the loss of a connection on which the request was sent as a failure of its target. */
+/** Records the loss of a connection on which the request was sent, or a status of no answer, as a failure of its target. */
 export function recordFailure({ target, sent }: PlainAttempt, error: Error, { failures }: RelayParts): void {
-    if (sent && isLostConnection(error)) {
+    if (sent && (isLostConnection(error) || error instanceof InvalidStatusError)) {
         failures.record(target, true);
     }
 }
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -21,9 +21,6 @@
 /** Reasons to refuse a request that another daemon may be able to serve, if this one does not reach the targets. */
 const HANDED_OVER_REASONS: ReadonlySet<RefusalReason> = new Set(["no-group", "no-target", "not-run"]);
 
-/** Lower statuses announce a response. Node takes 101 for a response although no request asks for another protocol. */
-const FINAL_STATUSES_FROM = 200;
-
 /** Relay that can be ended from outside. */
 export interface StoppableRelay {
     /** Runs a step of the request; an error that it throws ends the request. */
@@ -204,25 +201,16 @@
             ...connections,
             send: (address, request, receiver) => {
                 this.isLatestSent = false;
-                const exchange = connections.send(address, request, {
+                return connections.send(address, request, {
                     sent: () => {
                         this.isLatestSent = true;
                         this.guard(() => receiver.sent());
                     },
-                    head: head =>
-                        this.guard(() => {
-                            if (head.status < FINAL_STATUSES_FROM) {
-                                exchange.cancel();
-                                receiver.failed(new Error("The target sent no final response."));
-                                return;
-                            }
-                            receiver.head(head);
-                        }),
+                    head: head => this.guard(() => receiver.head(head)),
                     data: chunk => this.guard(() => receiver.data(chunk)),
                     ended: () => this.guard(() => receiver.ended()),
                     failed: error => this.guard(() => receiver.failed(error)),
                 });
-                return exchange;
             },
         };
     }
--- a/packages/daemon/src/relay/targetconnections.ts
+++ b/packages/daemon/src/relay/targetconnections.ts
@@ -12,6 +12,7 @@
 import type { Socket } from "node:net";
 import { joinBytes } from "../growingbuffer.js";
 import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
+import { InvalidStatusError, isFinalStatus } from "../responsestatus.js";
 import { type BodyPace, createPieceRate, createReadPace } from "./readpace.js";
 
 /** A request as it is sent to a target. */
@@ -333,6 +334,11 @@
         this.answer = response;
         this.bytesRead = response.socket.bytesRead;
         const { statusCode: status = 0, headers } = response;
+        if (!isFinalStatus(status)) {
+            this.finish(() => this.receiver.failed(new InvalidStatusError(status)));
+            this.message.destroy();
+            return;
+        }
         const delimited = isDelimited(status, headers);
         this.receiver.head({ status, headers, delimited, onKeptConnection: this.message.reusedSocket });
         response.on("data", (chunk: Buffer) => {
--- a/packages/daemon/src/relay/tests/plainoutliers.test.ts
+++ b/packages/daemon/src/relay/tests/plainoutliers.test.ts
@@ -1,6 +1,7 @@
 /** Which ends of a request count as failures of its plain target, and that known failures decide which target gets a request. */
 import { expect } from "chai";
 import type { ResponseHead } from "../../ports/relayprotocol.js";
+import { InvalidStatusError } from "../../responsestatus.js";
 import { createPlainRelay } from "../plainrelay.js";
 import type { RelayParts } from "../requestcontext.js";
 import { createRelayFixture, type FakeSend, type RelayFixture, responseHeads } from "./fixture.js";
@@ -46,6 +47,10 @@
                 receiver.sent();
                 receiver.failed(reset);
             }, [true]],
+            ["count a status that no answer has", ({ receiver }) => {
+                receiver.sent();
+                receiver.failed(new InvalidStatusError(600));
+            }, [true]],
             [
                 "count no connection that is lost before the request was sent",
                 ({ receiver }) => receiver.failed(reset),
