Configuration check: damaskvale configuration check FILE

Cause: a configuration was checked only by the daemons that read it, after it was published; entries that never match and limits that contradict each other were not told at all.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,6 +59,8 @@
 export * from "./quarantine/types.js";
 export * from "./retry/attempt.js";
 export * from "./retry/budget.js";
+export * from "./routes/check.js";
+export * from "./routes/compare.js";
 export * from "./routes/lookup.js";
 export * from "./routes/types.js";
 export * from "./routing/options.js";
