--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -30,6 +30,8 @@
     readonly enginesEnforceFencing: boolean;
     /** How far the requests to a cold target may exceed its rate; absent if cold targets are not limited. */
     readonly coldStartTolerance?: ColdStartTolerance;
+    /** Whether plain targets that fail a part of their requests get fewer of them. */
+    readonly detectsOutliers?: boolean;
 }
 
 /** Adapters that a platform provides. */
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -12,6 +12,7 @@
 import { systemClock } from "../adapters/clock.js";
 import { type ColdTargets, createColdTargets } from "../coldstart/coldtargets.js";
 import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
+import { createSharedFailures, type SharedFailures } from "../outliers/sharedfailures.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
 import { createRoster, type Roster } from "../peers/roster.js";
@@ -56,6 +57,7 @@
     readonly requestQuarantine: RequestQuarantine;
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
+    readonly failures: SharedFailures;
     readonly connections: TargetConnections;
 }
 
@@ -92,6 +94,7 @@
         restingTargets: () => availability.restingTargets(),
         unreadableStatements: () => availability.unreadableStatements(),
         slowTargets: () => speeds.slowTargets().length,
+        failingTargets: () => failures.failingTargets(),
         quarantinedParts: () => requestQuarantine.quarantined().length,
         coldTargets: () => coldTargets.count(),
         evacuatedDataCentres: () => evacuations.count(),
@@ -111,16 +114,10 @@
         state,
         coldTargets,
     });
-    const requestQuarantine = createRequestQuarantine({
-        clock: systemClock,
-        log: metrics.log,
-        self: settings.daemon,
-        reachableDaemons: otherDaemons,
-        knownDaemons: daemons.count,
-        isCutOff: () => reachability.isCutOff(),
-    });
+    const requestQuarantine = wireQuarantine(settings, metrics.log, daemonParts, () => reachability.isCutOff());
     const reachability = wireReachability(ports, state, metrics.log);
     const speeds = createSharedSpeeds(systemClock, metrics.log);
+    const failures = createSharedFailures(settings.detectsOutliers === true, systemClock, metrics.log);
     const shared: SharedParts = {
         ...daemonParts,
         settings,
@@ -138,6 +135,7 @@
         requestQuarantine,
         reachability,
         speeds,
+        failures,
         connections: createTargetConnections(TARGET_CONNECTIONS),
     };
     return { shared, metrics, output };
@@ -154,6 +152,22 @@
     return evacuations;
 }
 
+function wireQuarantine(
+    { daemon }: RelaySettings,
+    log: EventLog,
+    { daemons, otherDaemons }: DaemonParts,
+    isCutOff: () => boolean,
+): RequestQuarantine {
+    return createRequestQuarantine({
+        clock: systemClock,
+        log,
+        self: daemon,
+        reachableDaemons: otherDaemons,
+        knownDaemons: daemons.count,
+        isCutOff,
+    });
+}
+
 function wireColdTargets(
     { daemon, coldStartTolerance }: RelaySettings,
     log: EventLog,
