--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -112,14 +112,7 @@
         state,
         coldTargets,
     });
-    const requestQuarantine = createRequestQuarantine({
-        clock: systemClock,
-        log: metrics.log,
-        self: settings.daemon,
-        reachableDaemons: otherDaemons,
-        knownDaemons: daemons.count,
-        isCutOff: () => reachability.isCutOff(),
-    });
+    const requestQuarantine = wireQuarantine(settings, metrics.log, daemonParts, () => reachability.isCutOff());
     const reachability = wireReachability(ports, state, metrics.log);
     const speeds = createSharedSpeeds(systemClock, metrics.log);
     const shared: SharedParts = {
@@ -155,6 +148,22 @@
     return evacuations;
 }
 
+function wireQuarantine(
+    { daemon }: RelaySettings,
+    log: EventLog,
+    { daemons, otherDaemons }: DaemonParts,
+    isCutOff: () => boolean,
+): RequestQuarantine {
+    return createRequestQuarantine({
+        clock: systemClock,
+        log,
+        self: daemon,
+        reachableDaemons: otherDaemons,
+        knownDaemons: daemons.count,
+        isCutOff,
+    });
+}
+
 function wireColdTargets(
     { daemon, coldStartTolerance }: RelaySettings,
     log: EventLog,
