--- a/packages/daemon/src/relay/plainattempt.ts
+++ b/packages/daemon/src/relay/plainattempt.ts
@@ -5,6 +5,9 @@
 import type { ObservedAttempt } from "./crashobserver.js";
 import type { TargetExchange } from "./targetconnections.js";
 
+/** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
+export const KEPT_BODY_BYTES = 262_144;
+
 /** One attempt at a plain target. */
 export interface PlainAttempt {
     readonly target: Target;
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -1,14 +1,17 @@
 /** Relays a request to a plain target and returns the complete response. */
 import { limitedRetryMilliseconds, type Target } from "@damaskvale/core";
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
-import { concludeObservation, createPlainAttempt, type PlainAttempt } from "./plainattempt.js";
+import { concludeObservation, createPlainAttempt, KEPT_BODY_BYTES, type PlainAttempt } from "./plainattempt.js";
 import {
     chooseAmong,
+    encodePlainRequest,
+    NO_TARGET_RETRY_AFTER_MILLISECONDS,
     recordAnswer,
     recordFailure,
     recordSpeed,
     untriedTargets,
     waitsOfTargets,
+    writeWholeResponse,
 } from "./plaintargets.js";
 import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
 import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
@@ -27,10 +30,6 @@
 
 /** `Retry-After` of a request that every target refused. */
 const REFUSED_RETRY_AFTER_MILLISECONDS = 300;
-/** `Retry-After` while no target of the service is registered. */
-const NO_TARGET_RETRY_AFTER_MILLISECONDS = 1_000;
-/** Body that is kept until it is complete, so that the request can be sent to another target if it is cut off. */
-const KEPT_BODY_BYTES = 262_144;
 
 /** A request in progress. */
 export interface PlainRelay extends StoppableRelay {
@@ -103,15 +102,9 @@
             attempt: this.sends,
             trialOf: this.trialOf,
         });
-        const { method, path } = context.request;
-        const headers = parts.protocol.encodeForTarget(context.request, {
-            target: target.id,
-            remainingMilliseconds: context.deadlineAt - now,
-            team: context.admitted.team?.name,
-        });
         attempt.exchange = parts.connections.send(
             target.address,
-            { method, path, headers, body: context.body, onNewConnection: !this.isRepeatable() },
+            encodePlainRequest(context, target, parts),
             {
                 sent: () => {
                     attempt.sent = true;
@@ -265,11 +258,7 @@
     }
 
     private deliver(head: ResponseHead, decoded: DecodedResponse, body: Buffer): void {
-        const { response, request } = this.context;
-        const hasLength = head.delimited && request.method !== "HEAD";
-        const length = hasLength ? ["Content-Length", String(body.length)] : [];
-        writeResponseHead(response, head, [...decoded.forwarded, ...length]);
-        response.end(body);
+        writeWholeResponse(this.context, head, decoded.forwarded, body);
         this.finish(`status ${head.status}`);
     }
 
--- a/packages/daemon/src/relay/plaintargets.ts
+++ b/packages/daemon/src/relay/plaintargets.ts
@@ -1,9 +1,14 @@
-/** Choice of the plain target of a request, and what the end of an attempt says about its target. */
+/** Choice of the plain target of a request, what it is sent, and what the end of an attempt says about it. */
 import { choosePlainTarget, type Target } from "@damaskvale/core";
+import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
 import { InvalidStatusError } from "../responsestatus.js";
 import type { PlainAttempt } from "./plainattempt.js";
 import type { RelayParts, RequestContext } from "./requestcontext.js";
-import { isLostConnection } from "./targetconnections.js";
+import { writeResponseHead } from "./responses.js";
+import { isLostConnection, type TargetRequest } from "./targetconnections.js";
+
+/** `Retry-After` while no target of the service is registered. */
+export const NO_TARGET_RETRY_AFTER_MILLISECONDS = 1_000;
 
 /** Returns the targets of the request's service that have not been tried for it. */
 export function untriedTargets(
@@ -48,6 +53,33 @@
     return targets.find(({ id }) => id === chosen);
 }
 
+/** Returns the request as it is sent to a target; one that is not repeatable goes on a new connection. */
+export function encodePlainRequest(
+    { request, body, deadlineAt, admitted }: RequestContext,
+    target: Target,
+    { protocol, clock }: RelayParts,
+): TargetRequest {
+    const headers = protocol.encodeForTarget(request, {
+        target: target.id,
+        remainingMilliseconds: deadlineAt - clock.monotonic(),
+        team: admitted.team?.name,
+    });
+    const onNewConnection = admitted.route.kind !== "repeatable";
+    return { method: request.method, path: request.path, headers, body, onNewConnection };
+}
+
+/** Sends the caller a response whose body has been received. */
+export function writeWholeResponse(
+    { request, response }: RequestContext,
+    head: ResponseHead,
+    forwarded: HeaderList,
+    body: Buffer,
+): void {
+    const hasLength = head.delimited && request.method !== "HEAD";
+    writeResponseHead(response, head, [...forwarded, ...hasLength ? ["Content-Length", String(body.length)] : []]);
+    response.end(body);
+}
+
 /** Records whether a complete response is a failure of its target. One that says that the request has not run is neither. */
 export function recordAnswer({ target, head, decoded }: PlainAttempt, { failures }: RelayParts): void {
     if (head !== undefined && decoded !== undefined && !decoded.notRun && !decoded.misdirected) {
