--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./admission/retryafter.js";
 export * from "./admission/shares.js";
 export * from "./admission/types.js";
+export * from "./callers/account.js";
 export * from "./claims/fold.js";
 export * from "./claims/state.js";
 export * from "./control/messages.js";
