Resources held for callers are bounded in all; input is parsed in pieces

Cause: Node's parser handles a whole read at once (thousands of pipelined requests or one-byte chunks), bodies were kept up to the limit by every caller, and large announced bodies were received before they were refused.

Change: packages/daemon/src/callers. The account of the core is applied to callers, other daemons and readers of the metrics. Input is parsed at most one head or 4 KiB at a time, 10 ms a turn of the event loop, and not beyond four open responses or while responses are untaken. Bodies reserve their memory before they are kept; without room the request is refused with 503 (it has not run) or the connection is closed. An announced body over the limit is refused at its head. Concurrent readers of the metrics share a rendering.

--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -259,6 +259,12 @@
         "info",
         "An entry shows an earlier membership than what its host's engine has stated, or none; the planner keeps the engine's statement.",
     ),
+    callersLimited: define(
+        605,
+        "warn",
+        "Callers were refused or held back, because they sent more than the daemon holds for them.",
+        "Look at the measure and the addresses; see docs/OPERATIONS.md, Callers that send too much.",
+    ),
     groupFormed: define(401, "info", "A replica group was formed."),
     groupDissolved: define(402, "info", "A replica group was dissolved."),
     groupTakenOver: define(403, "warn", "A replica group was taken over from a holder whose lease expired."),
--- a/packages/daemon/src/relay/body.ts
+++ b/packages/daemon/src/relay/body.ts
@@ -1,7 +1,8 @@
 /** Reads a caller's request into memory, within the limits of the configuration. */
 import type { CallerLimits } from "@damaskvale/core";
 import type { IncomingMessage } from "node:http";
-import { createGrowingBuffer } from "../growingbuffer.js";
+import { createBodyBuffer } from "../callers/bodybuffer.js";
+import { callerConnectionOf } from "../callers/callerconnection.js";
 
 /** Limits on the size of a request. */
 export type RequestLimits = Pick<CallerLimits, "headerBytes" | "bodyBytes">;
@@ -10,6 +11,8 @@
 export type BodyResult =
     | { readonly kind: "whole"; readonly body: Buffer; }
     | { readonly kind: "header-too-large" | "body-too-large"; }
+    /** There is no memory for the body, because other callers use it. */
+    | { readonly kind: "overloaded"; }
     /** The connection was closed before the end of the request. */
     | { readonly kind: "cut"; };
 
@@ -40,42 +43,119 @@
 }
 
 function readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyResult> {
-    return new Promise(resolve => {
-        const { socket } = request;
-        const body = createGrowingBuffer();
-        let bytesRead = socket.bytesRead;
-        let isTooLarge = false;
-        const end = (result: BodyResult): void => {
-            clearInterval(framingCheck);
-            resolve(result);
-        };
-        const refuse = (): void => {
-            isTooLarge = true;
-            body.take();
-            end({ kind: "body-too-large" });
-        };
-        const checkFraming = (): void => {
-            if (socket.bytesRead - bytesRead > MAXIMUM_FRAMING_BYTES) {
-                refuse();
-            }
-        };
+    return new Promise(resolve => new BodyReader(request, maximumBytes, resolve).start());
+}
+
+class BodyReader {
+    private readonly body = createBodyBuffer();
+    private readonly connection;
+    private bytesRead: number;
+    private isEnded = false;
+    /** Piece for which there is no room yet. */
+    private waiting: Buffer | undefined;
+    private framingCheck: NodeJS.Timeout | undefined;
+
+    constructor(
+        private readonly request: IncomingMessage,
+        private readonly maximumBytes: number,
+        private readonly resolve: (result: BodyResult) => void,
+    ) {
+        this.connection = callerConnectionOf(request.socket);
+        this.bytesRead = request.socket.bytesRead;
+    }
+
+    start(): void {
+        const { request } = this;
         // The parser reports no bytes that belong to no body, for example the leading zeros of a chunk's size.
-        const framingCheck = request.headers["transfer-encoding"] === undefined
-            ? undefined
-            : setInterval(checkFraming, FRAMING_CHECK_MILLISECONDS).unref();
-        request.on("data", (chunk: Buffer) => {
-            bytesRead = socket.bytesRead;
-            if (isTooLarge) {
-                return;
-            }
-            if (body.length() + chunk.length > maximumBytes) {
-                refuse();
+        if (request.headers["transfer-encoding"] !== undefined) {
+            this.framingCheck = setInterval(() => this.checkFraming(), FRAMING_CHECK_MILLISECONDS).unref();
+        }
+        request.on("data", (chunk: Buffer) => this.receive(chunk));
+        request.on("end", () => this.complete());
+        request.on("error", () => this.end({ kind: "cut" }));
+        request.on("close", () => this.end({ kind: "cut" }));
+        this.connection?.onDecision(request, decision => {
+            if (decision === "retry") {
+                this.retry();
                 return;
             }
-            body.append(chunk);
+            this.end({ kind: "overloaded" });
         });
-        request.on("end", () => end({ kind: "whole", body: body.take() }));
-        request.on("error", () => end({ kind: "cut" }));
-        request.on("close", () => end({ kind: "cut" }));
-    });
+        if (Number(request.headers["content-length"] ?? 0) > this.maximumBytes) {
+            this.end({ kind: "body-too-large" });
+        }
+    }
+
+    private receive(chunk: Buffer): void {
+        this.bytesRead = this.request.socket.bytesRead;
+        if (this.isEnded) {
+            return;
+        }
+        if (this.body.length() + chunk.length > this.maximumBytes) {
+            this.end({ kind: "body-too-large" });
+            return;
+        }
+        const capacity = this.body.capacityWith(chunk.length);
+        const reservation = this.connection?.reserveBody(this.request, capacity) ?? "granted";
+        if (this.isEnded) {
+            // The reservation was the one that there was no room for.
+            return;
+        }
+        if (reservation === "refused") {
+            this.end({ kind: "overloaded" });
+            return;
+        }
+        if (reservation === "wait") {
+            this.waiting = chunk;
+            this.connection?.setWaiting(this.request, true);
+            this.request.pause();
+            return;
+        }
+        this.body.append(chunk);
+        this.connection?.recordBody(this.request, chunk.length);
+    }
+
+    private retry(): void {
+        const chunk = this.waiting;
+        if (chunk === undefined) {
+            return;
+        }
+        this.waiting = undefined;
+        this.connection?.setWaiting(this.request, false);
+        this.receive(chunk);
+        if (this.waiting === undefined) {
+            this.request.resume();
+        }
+    }
+
+    private complete(): void {
+        if (!this.isEnded) {
+            const body = this.body.take();
+            this.connection?.completeBody(this.request, body.length);
+            this.end({ kind: "whole", body });
+        }
+    }
+
+    private end(result: BodyResult): void {
+        if (this.isEnded) {
+            return;
+        }
+        this.isEnded = true;
+        clearInterval(this.framingCheck);
+        this.body.clear();
+        if (result.kind !== "whole") {
+            this.connection?.releaseBody(this.request, result.kind);
+        }
+        if (this.waiting !== undefined) {
+            this.waiting = undefined;
+            this.request.resume();
+        }
+        this.resolve(result);
+    }
+
+    private checkFraming(): void {
+        if (this.request.socket.bytesRead - this.bytesRead > MAXIMUM_FRAMING_BYTES) {
+            this.end({ kind: "body-too-large" });
+        }
+    }
 }
--- a/packages/daemon/src/relay/callerserver.ts
+++ b/packages/daemon/src/relay/callerserver.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers. Its limits follow the configuration. */
 import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
+import type { CallerResources } from "../callers/callerresources.js";
 import { type ConnectionLimits, limitConnections } from "./connectionlimits.js";
 import { closeAfterCaller } from "./lingering.js";
 import { closeAfterParserErrors } from "./parsererrors.js";
@@ -14,6 +15,9 @@
 /** Callers reuse idle connections until shortly before the idle timeout, so the server keeps them open longer. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
 
+const BAD_REQUEST_STATUS = 400;
+const EXPECTATION_FAILED_STATUS = 417;
+
 /** The server and its connections. */
 export interface CallerServer {
     readonly server: Server;
@@ -21,12 +25,20 @@
 }
 
 /** Creates the server, which does not listen yet. */
-export function createCallerServer(state: RelayState, handle: RequestHandler): CallerServer {
+export function createCallerServer(
+    state: RelayState,
+    resources: CallerResources,
+    handle: RequestHandler,
+): CallerServer {
     const server = createServer({
         maxHeaderSize: PARSER_HEADER_BYTES,
         requestTimeout: 0,
         noDelay: true,
-    }, inOrder(handle));
+        // Node would answer such a request before those that precede it on its connection.
+        requireHostHeader: false,
+    }, inOrder(refuseInvalid(handle)));
+    server.on("checkExpectation", inOrder(refuseExpectation));
+    resources.protect(server);
     closeAfterParserErrors(server);
     server.on("connection", (socket: Socket) => {
         // Node calls it after the last response of a connection, and would close the connection for reading as well.
@@ -48,3 +60,19 @@
     });
     return { server, connections };
 }
+
+/** Denies requests without the header that names their host, which HTTP/1.1 requires. */
+function refuseInvalid(handle: RequestHandler): RequestHandler {
+    return (message, response, waitedMilliseconds) => {
+        if (message.httpVersion === "1.1" && message.headers.host === undefined) {
+            response.writeHead(BAD_REQUEST_STATUS, { Connection: "close" }).end();
+            return;
+        }
+        handle(message, response, waitedMilliseconds);
+    };
+}
+
+/** Denies requests that expect anything but `100-continue`. */
+function refuseExpectation(...[, response]: Parameters<RequestHandler>): void {
+    response.writeHead(EXPECTATION_FAILED_STATUS, { Connection: "close" }).end();
+}
--- a/packages/daemon/src/relay/connectionlimits.ts
+++ b/packages/daemon/src/relay/connectionlimits.ts
@@ -1,6 +1,7 @@
 /** Closes connections of callers that stay idle for longer than was stated to their caller, or whose request head is slow. */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { holdsInput } from "../callers/inputpacing.js";
 import { MAXIMUM_TIMER_MILLISECONDS } from "./timers.js";
 
 /** Applies the limits of the configuration to the connections of a server. */
@@ -230,7 +231,7 @@
 
 /** A connection whose end has been sent waits for its caller to close it, and takes no request. */
 function hasNoRequest({ socket, openResponses, openBodies }: Connection): boolean {
-    return socket.writable && openResponses === 0 && openBodies === 0;
+    return socket.writable && openResponses === 0 && openBodies === 0 && !holdsInput(socket);
 }
 
 /** Returns whether bytes have been read that belong to no request whose head is complete. */
--- a/packages/daemon/src/relay/lifecycle.ts
+++ b/packages/daemon/src/relay/lifecycle.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listenOn } from "../front/server.js";
 import type { EventLog } from "../ports/eventlog.js";
+import { type CallerResources, createCallerResources } from "../callers/callerresources.js";
 import { createCallerServer } from "./callerserver.js";
 import { createReadinessServer } from "./readiness.js";
 import type { Relay } from "./relay.js";
@@ -21,6 +22,8 @@
     readonly readinessListen: string;
     /** How requests of other daemons are taken; absent if none are. */
     readonly daemons?: DaemonListenerParts;
+    /** Memory that is held for callers; absent for the share of the default memory. */
+    readonly callerResources?: CallerResources;
     /** Time from the signal until the platform kills the process. */
     readonly shutdownMilliseconds: number;
 }
@@ -36,6 +39,7 @@
 /** Requests of other daemons in progress above which further ones are refused, so that the own callers are served. */
 const MAXIMUM_TAKEN_REQUESTS = 128;
 const TAKEN_RETRY_AFTER_MILLISECONDS = 500;
+const DEFAULT_MEMORY_MEGABYTES = 350;
 
 /** Running listeners. */
 export interface Listeners {
@@ -50,6 +54,7 @@
 /** Starts the listeners. */
 export async function startListeners(parts: ListenerParts): Promise<Listeners> {
     const { log, relay, state } = parts;
+    const resources = parts.callerResources ?? createCallerResources(DEFAULT_MEMORY_MEGABYTES, log);
     let draining = false;
     let stopped = false;
     let cutOff = 0;
@@ -71,7 +76,7 @@
             writeInternalError(response, true);
         });
     };
-    const callers = createCallerServer(state, handleWith((...request) => relay.handle(...request)));
+    const callers = createCallerServer(state, resources, handleWith((...request) => relay.handle(...request)));
     const endAll = (): void => {
         stopped = true;
         cutOff = relay.inProgress();
@@ -88,7 +93,7 @@
         listenOn(readinessServer, parts.readinessListen),
         ...(parts.daemons === undefined
             ? []
-            : [listenOn(createDaemonServer(parts, parts.daemons, handleWith), parts.daemons.listen)]),
+            : [listenOn(createDaemonServer(parts, resources, parts.daemons, handleWith), parts.daemons.listen)]),
     ]);
 
     return {
@@ -110,12 +115,14 @@
 /** Creates the server for requests that other daemons hand over. Connections from other addresses are closed. */
 function createDaemonServer(
     { log, relay, state }: ListenerParts,
+    resources: CallerResources,
     { isDaemonAddress }: DaemonListenerParts,
     handleWith: (handle: Handle) => RequestHandler,
 ): Server {
     let taken = 0;
     const { server } = createCallerServer(
         state,
+        resources,
         handleWith(async (request, response, waitedMilliseconds) => {
             if (taken >= MAXIMUM_TAKEN_REQUESTS) {
                 writeRefusal(response, "full", TAKEN_RETRY_AFTER_MILLISECONDS);
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -27,6 +27,10 @@
     readonly quarantinedParts: () => number;
     /** Data centres whose targets get no requests. */
     readonly evacuatedDataCentres: () => number;
+    /** Bytes that are held for callers. */
+    readonly callerBytes: () => number;
+    /** Connections of callers, of other daemons and of readers of the metrics. */
+    readonly callerConnections: () => number;
     /** Era of the platform's store, 0 while no answer has stated one. */
     readonly storeEra: () => number;
     /** Answers of the store whose statement of the era was missing, lower or unreadable. */
@@ -40,8 +44,8 @@
 export interface DaemonMetrics {
     /** Event log that counts each event before it forwards it. */
     readonly log: EventLog;
-    /** Serves the metrics at `IP:PORT` under every path that `handle` does not respond to. */
-    serve(listen: string, handle?: OperatorHandler): Promise<Server>;
+    /** Serves the metrics at `IP:PORT` under every path that `handle` does not respond to; `protect` limits its callers. */
+    serve(listen: string, handle?: OperatorHandler, protect?: (server: Server) => void): Promise<Server>;
     /** Returns the metrics in the Prometheus text format. */
     text(): Promise<string>;
 }
@@ -66,10 +70,23 @@
         "damaskvale_store_era_changes_total",
         "Times that the platform's store came back from an older copy.",
     );
+    const limitedCallers = count(
+        "damaskvale_callers_limited_total",
+        "Callers that were refused, closed or held back, by measure.",
+        ["measure"],
+    );
     const duration = histogram("damaskvale_request_milliseconds", "Time from a request to its end.", registers);
     const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
     addGauges(values, registers);
 
+    // Requests that arrive together share one rendering, which takes some milliseconds.
+    let rendering: Promise<string> | undefined;
+    const render = (): Promise<string> =>
+        rendering ??= new Promise(resolve => setImmediate(resolve)).then(() => {
+            rendering = undefined;
+            return registry.metrics();
+        });
+
     const observe: Partial<Record<EventName, (fields: EventFields) => void>> = {
         requestEnded: fields => {
             requests.inc({ outcome: String(fields["outcome"]) });
@@ -79,6 +96,7 @@
             }
         },
         requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
+        callersLimited: fields => limitedCallers.inc({ measure: String(fields["measure"]) }, Number(fields["count"])),
         storeEraRose: () => eraChanges.inc(),
         engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
         staleMembership: fields => staleMemberships.inc({ source: String(fields["knownFrom"]) }),
@@ -92,18 +110,19 @@
             },
         },
         text: () => registry.metrics(),
-        serve: async (listen, handle) => {
+        serve: async (listen, handle, protect) => {
             const server = createServer((request, response) => {
                 if (handle?.(request, response) === true) {
                     return;
                 }
-                registry.metrics()
+                render()
                     .then(text => response.writeHead(200, { "Content-Type": registry.contentType }).end(text))
                     .catch((error: unknown) => {
                         log.emit("metricsFailed", { error });
                         response.writeHead(500).end();
                     });
             });
+            protect?.(server);
             await listenOn(server, listen);
             return server;
         },
@@ -126,6 +145,8 @@
         ["damaskvale_slow_targets", "Targets that are slower than their work should take.", values.slowTargets],
         ["damaskvale_quarantined_parts", "Prompt parts whose requests are refused.", values.quarantinedParts],
         ["damaskvale_evacuated_data_centres", "Evacuated data centres.", values.evacuatedDataCentres],
+        ["damaskvale_caller_bytes", "Memory that is held for callers, in bytes.", values.callerBytes],
+        ["damaskvale_caller_connections", "Connections to the daemon's listeners.", values.callerConnections],
         ["damaskvale_store_era", "Era of the platform's store.", values.storeEra],
         ["damaskvale_store_eras_ignored", "Answers of the store that state no valid era.", values.storeErasIgnored],
     ];
--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -14,6 +14,8 @@
     readonly ip: string;
     /** Capacity of this host's network link in Mbit/s, if it is known. */
     readonly linkMegabits?: number;
+    /** Memory of the daemon; its share that is held for callers follows from it. */
+    readonly memoryMegabytes: number;
     /** First and last port of the range for messages between daemons. */
     readonly internalPorts: readonly number[];
     readonly callerListen: string;
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -43,6 +43,8 @@
 
 /** `Retry-After` while this daemon has no configuration. */
 const NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 500;
+/** `Retry-After` of a request whose body there is no memory for; the callers that hold it are closed within a second or two. */
+const OVERLOADED_RETRY_AFTER_MILLISECONDS = 2_000;
 /** The remaining time is stated to targets in whole milliseconds. */
 const LEAST_REMAINING_MILLISECONDS = 1;
 /** Timeout of a request if neither the caller nor the route sets one. */
@@ -108,13 +110,17 @@
             const configured = mayHandOver ? this.parts.state.lookup()?.configuration.limits : undefined;
             const limits = configured ?? UNCONFIGURED_LIMITS[mayHandOver ? "caller" : "daemon"];
             const read = await readWithinLimits(message, limits);
-            if (read.kind === "body-too-large") {
+            if (read.kind === "body-too-large" || read.kind === "overloaded") {
                 response.setHeader("Connection", "close");
             }
             if (read.kind === "body-too-large" && limits === UNCONFIGURED_LIMITS.caller) {
                 // A configuration may allow this body, so that it is not denied.
                 this.refuseUnconfigured(response, request, text => endAfterRequest(response, text));
             }
+            else if (read.kind === "overloaded") {
+                const end: EndOfResponse = text => endAfterRequest(response, text);
+                writeRefusal(response, "overloaded", OVERLOADED_RETRY_AFTER_MILLISECONDS, end);
+            }
             else if (read.kind === "body-too-large" || read.kind === "header-too-large") {
                 this.deny(response, read.kind, { requestId: request.id });
             }
--- a/packages/daemon/src/relay/responses.ts
+++ b/packages/daemon/src/relay/responses.ts
@@ -29,6 +29,7 @@
     | "quarantined"
     | "cut-off"
     | "shutdown"
+    | "overloaded"
     | "internal";
 
 /** Why a request fails although a target may have run it. */
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -11,6 +11,7 @@
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
+import { type CallerResources, createCallerResources } from "../callers/callerresources.js";
 import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
 import { createDaemonList, type DaemonList } from "../peers/daemonlist.js";
 import { createHandOverDaemons, type HandOverDaemons } from "../peers/handoverdaemons.js";
@@ -56,6 +57,7 @@
     readonly reachability: TargetReachability;
     readonly speeds: SharedSpeeds;
     readonly connections: TargetConnections;
+    readonly callerResources: CallerResources;
 }
 
 /** What is known of the other daemons. */
@@ -93,9 +95,12 @@
         slowTargets: () => speeds.slowTargets().length,
         quarantinedParts: () => requestQuarantine.quarantined().length,
         evacuatedDataCentres: () => evacuations.count(),
+        callerBytes: () => callerResources.heldBytes(),
+        callerConnections: () => callerResources.connections(),
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
+    const callerResources = createCallerResources(settings.memoryMegabytes, metrics.log);
     const daemonParts = createDaemonParts(settings);
     const { daemons, otherDaemons } = daemonParts;
     const evacuations = wireEvacuations(metrics.log, state, daemons);
@@ -118,6 +123,7 @@
     const reachability = wireReachability(ports, state, metrics.log);
     const speeds = createSharedSpeeds(systemClock, metrics.log);
     const shared: SharedParts = {
+        callerResources,
         ...daemonParts,
         settings,
         ports,
--- a/packages/daemon/src/relay/tests/metrics.test.ts
+++ b/packages/daemon/src/relay/tests/metrics.test.ts
@@ -18,6 +18,8 @@
             quarantinedParts: () => 4,
             evacuatedDataCentres: () => 1,
             storeEra: () => 6,
+            callerBytes: () => 9,
+            callerConnections: () => 10,
             storeErasIgnored: () => 8,
         });
         log.emit("requestEnded", {
@@ -49,6 +51,8 @@
             "damaskvale_store_era_changes_total 1",
             "damaskvale_store_era 6",
             "damaskvale_store_eras_ignored 8",
+            "damaskvale_caller_bytes 9",
+            "damaskvale_caller_connections 10",
         ]);
         expect(lines.join("\n")).to.not.contain("r1").and.not.contain("i-1");
         expect(passed).to.deep.equal(["requestEnded", "engineOrdered", "staleMembership", "storeEraRose"]);
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -36,6 +36,8 @@
             quarantinedParts: () => 1,
             evacuatedDataCentres: () => 1,
             storeEra: () => 0,
+            callerBytes: () => 0,
+            callerConnections: () => 0,
             storeErasIgnored: () => 0,
         });
         const handler = createQuarantineHandler({
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -54,6 +54,7 @@
         log,
         relay,
         state: shared.state,
+        callerResources: shared.callerResources,
         daemons: {
             listen: `${settings.ip}:${peerPortOf(settings)}`,
             isDaemonAddress: shared.handOverDaemons.isDaemonAddress,
@@ -67,6 +68,7 @@
         await metrics.serve(
             settings.metricsListen,
             (request, response) => handlers.some(handle => handle(request, response)),
+            server => shared.callerResources.protect(server),
         );
     }
     log.emit("daemonStarted", { daemon: settings.daemon });
