Bodies that wait for room displace the one that stands still; pieces of bodies are used again

Cause: with bodies waiting below the wait mark nothing was closed, so that they waited without end (unit test). Freed pieces stay until garbage is collected.

The metrics' rendering is a function of its own.

--- a/packages/core/src/callers/account.ts
+++ b/packages/core/src/callers/account.ts
@@ -51,7 +51,7 @@
 }
 
 /** Share of the memory that is held for callers; the rest is that of the process, of targets and of other daemons. */
-const MEMORY_SHARE = 0.2;
+const MEMORY_SHARE = 0.16;
 /** A single body within the usual limit of 4 MiB fits twice, since it is copied once when it is whole. */
 const LEAST_BYTES = 16_777_216;
 const WAIT_SHARE = 0.875;
@@ -126,8 +126,13 @@
             change(id, { bodyBytes: bytes });
             return "granted";
         },
-        nextToClose: (now, mostBytes = bounds.bytes) =>
-            total > mostBytes || entries.size > bounds.connections ? worstOf(entries, now) : undefined,
+        nextToClose: (now, mostBytes = bounds.bytes) => {
+            if (entries.size > bounds.connections) {
+                return worstOf(entries, now, 0);
+            }
+            // An idle connection would give no memory back.
+            return total > mostBytes ? worstOf(entries, now, CONNECTION_BYTES) : undefined;
+        },
         totalBytes: () => total,
         connections: () => entries.size,
         bytesOf: id => {
@@ -138,12 +143,13 @@
 }
 
 /** Returns the connection with the largest product of what it holds and of the time for which it has made no progress. */
-function worstOf<Id>(entries: ReadonlyMap<Id, Entry>, now: number): Id | undefined {
+function worstOf<Id>(entries: ReadonlyMap<Id, Entry>, now: number, moreThanBytes: number): Id | undefined {
     let worst: Id | undefined;
     let highest = 0;
     entries.forEach((entry, id) => {
-        const score = costOf(entry) * (now - entry.progressAt + LEAST_STALL_MILLISECONDS);
-        if (score > highest && mayClose(entry, now)) {
+        const cost = costOf(entry);
+        const score = cost * (now - entry.progressAt + LEAST_STALL_MILLISECONDS);
+        if (score > highest && cost > moreThanBytes && mayClose(entry, now)) {
             highest = score;
             worst = id;
         }
--- a/packages/daemon/src/callers/bodybuffer.ts
+++ b/packages/daemon/src/callers/bodybuffer.ts
@@ -17,6 +17,21 @@
 const FIRST_PIECE_BYTES = 1_024;
 const LARGEST_PIECE_BYTES = 262_144;
 
+/** Pieces that are kept for further bodies: 8 MiB. Node frees a piece only when garbage is collected, tens of megabytes later. */
+const MOST_FREE_PIECES = 32;
+const freePieces: Buffer[] = [];
+
+function takePiece(bytes: number): Buffer {
+    const free = bytes === LARGEST_PIECE_BYTES ? freePieces.pop() : undefined;
+    return free ?? Buffer.allocUnsafeSlow(bytes);
+}
+
+function freePiece(piece: Buffer): void {
+    if (piece.length === LARGEST_PIECE_BYTES && freePieces.length < MOST_FREE_PIECES) {
+        freePieces.push(piece);
+    }
+}
+
 /** Creates an empty buffer. */
 export function createBodyBuffer(): BodyBuffer {
     let pieces: Buffer[] = [];
@@ -26,11 +41,15 @@
         Math.max(missing, Math.min(LARGEST_PIECE_BYTES, Math.max(FIRST_PIECE_BYTES, capacity)));
     const capacityWith = (bytes: number): number =>
         used + bytes <= capacity ? capacity : capacity + nextPieceBytes(used + bytes - capacity);
-    const clear = (): void => {
+    const forget = (): void => {
         pieces = [];
         capacity = 0;
         used = 0;
     };
+    const clear = (): void => {
+        pieces.forEach(freePiece);
+        forget();
+    };
     return {
         length: () => used,
         capacityWith,
@@ -38,7 +57,7 @@
             let offset = 0;
             while (offset < bytes.length) {
                 if (used === capacity) {
-                    const piece = Buffer.allocUnsafeSlow(nextPieceBytes(bytes.length - offset));
+                    const piece = takePiece(nextPieceBytes(bytes.length - offset));
                     pieces.push(piece);
                     capacity += piece.length;
                 }
@@ -50,11 +69,15 @@
         },
         take: () => {
             const [first] = pieces;
-            const whole = pieces.length === 1 && first !== undefined
-                ? first.subarray(0, used)
-                : Buffer.concat(pieces, used);
+            if (pieces.length === 1 && first !== undefined) {
+                // The piece belongs to the body from now on.
+                const body = first.subarray(0, used);
+                forget();
+                return body;
+            }
+            const joined = Buffer.concat(pieces, used);
             clear();
-            return whole;
+            return joined;
         },
         clear,
     };
--- a/packages/daemon/src/callers/callerresources.ts
+++ b/packages/daemon/src/callers/callerresources.ts
@@ -31,14 +31,12 @@
     readonly account: CallerAccount<TrackedConnection>;
     private readonly pacing = createInputPacing();
     private readonly tracked = new Map<Socket, TrackedConnection>();
-    private readonly waitBytes: number;
     private readonly mostConnections: number;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(memoryMegabytes: number, readonly notices: CallerNotices) {
         const bounds = callerBoundsFor(memoryMegabytes);
         this.account = createCallerAccount(bounds);
-        this.waitBytes = bounds.waitBytes;
         this.mostConnections = bounds.connections;
     }
 
@@ -94,8 +92,10 @@
         const now = performance.now();
         this.tracked.forEach(connection => connection.observe(now));
         const waiting = [...this.tracked.values()].filter(connection => connection.isWaiting());
+        if (waiting.some(connection => connection.hasWaitedSince(now - SWEEP_MILLISECONDS))) {
+            this.account.nextToClose(now, 0)?.giveUp("closed-for-memory");
+        }
         if (waiting.length > 0) {
-            this.account.nextToClose(now, this.waitBytes)?.giveUp("closed-for-memory");
             waiting.forEach(connection => connection.retry());
         }
         this.enforce();
@@ -108,7 +108,8 @@
     receivedBytes: number;
     /** Received bytes from which on it has made progress again. */
     nextProgressBytes: number;
-    isWaiting: boolean;
+    /** Time from which on it waits for room. */
+    waitingSince?: number;
     isWhole: boolean;
     decide?: (decision: "retry" | "give-up") => void;
 }
@@ -202,18 +203,25 @@
     }
 
     setWaiting(message: IncomingMessage, isWaiting: boolean): void {
-        this.bodyOf(message).isWaiting = isWaiting;
-        if (!isWaiting) {
-            this.input?.continue();
+        const body = this.bodyOf(message);
+        if (isWaiting) {
+            body.waitingSince ??= performance.now();
+            return;
         }
+        body.waitingSince = undefined;
+        this.input?.continue();
     }
 
     isWaiting(): boolean {
-        return [...this.bodies.values()].some(body => body.isWaiting);
+        return [...this.bodies.values()].some(body => body.waitingSince !== undefined);
+    }
+
+    hasWaitedSince(time: number): boolean {
+        return [...this.bodies.values()].some(({ waitingSince }) => waitingSince !== undefined && waitingSince <= time);
     }
 
     retry(): void {
-        [...this.bodies.values()].filter(body => body.isWaiting).forEach(body => body.decide?.("retry"));
+        [...this.bodies.values()].filter(body => body.waitingSince !== undefined).forEach(body => body.decide?.("retry"));
     }
 
     /** Notices what the caller has taken of its responses. */
@@ -257,7 +265,6 @@
             reservedBytes: 0,
             receivedBytes: 0,
             nextProgressBytes: 0,
-            isWaiting: false,
             isWhole: false,
         };
         this.bodies.set(message, body);
--- a/packages/daemon/src/relay/body.ts
+++ b/packages/daemon/src/relay/body.ts
@@ -121,9 +121,9 @@
             return;
         }
         this.waiting = undefined;
-        this.connection?.setWaiting(this.request, false);
         this.receive(chunk);
         if (this.waiting === undefined) {
+            this.connection?.setWaiting(this.request, false);
             this.request.resume();
         }
     }
@@ -143,13 +143,14 @@
         this.isEnded = true;
         clearInterval(this.framingCheck);
         this.body.clear();
-        if (result.kind !== "whole") {
-            this.connection?.releaseBody(this.request, result.kind);
-        }
         if (this.waiting !== undefined) {
             this.waiting = undefined;
+            this.connection?.setWaiting(this.request, false);
             this.request.resume();
         }
+        if (result.kind !== "whole") {
+            this.connection?.releaseBody(this.request, result.kind);
+        }
         this.resolve(result);
     }
 
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -79,13 +79,7 @@
     const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
     addGauges(values, registers);
 
-    // Requests that arrive together share one rendering, which takes some milliseconds.
-    let rendering: Promise<string> | undefined;
-    const render = (): Promise<string> =>
-        rendering ??= new Promise(resolve => setImmediate(resolve)).then(() => {
-            rendering = undefined;
-            return registry.metrics();
-        });
+    const render = createRendering(registry);
 
     const observe: Partial<Record<EventName, (fields: EventFields) => void>> = {
         requestEnded: fields => {
@@ -129,6 +123,16 @@
     };
 }
 
+/** Returns a function that renders the metrics. Requests that arrive together share one rendering, which takes milliseconds. */
+function createRendering(registry: Registry): () => Promise<string> {
+    let rendering: Promise<string> | undefined;
+    return () =>
+        rendering ??= new Promise(resolve => setImmediate(resolve)).then(() => {
+            rendering = undefined;
+            return registry.metrics();
+        });
+}
+
 function histogram(name: string, help: string, registers: Registry[]): Histogram {
     return new Histogram({ name, help, buckets: DURATION_BUCKETS_MILLISECONDS, registers });
 }
