--- a/packages/daemon/src/callers/inputpacing.ts
+++ b/packages/daemon/src/callers/inputpacing.ts
@@ -31,8 +31,11 @@
 
 /** Some 680 chunks of one byte, which take one to two milliseconds on a small host. */
 const PIECE_BYTES = 4_096;
-/** Parsing in one turn of the event loop, after which timers and other connections have their turn. */
-const TURN_MILLISECONDS = 10;
+/**
+ * Parsing in one turn of the event loop, after which timers and other connections have their turn. Node accepts one connection a
+ * turn, so that long turns keep callers from connecting.
+ */
+const TURN_MILLISECONDS = 4;
 /** A read of this size is followed by others at once. */
 const FULL_READ_BYTES = 65_536;
 const END_OF_HEAD = Buffer.from("\r\n\r\n");
@@ -53,6 +56,8 @@
 /** Connections that wait for the event loop, in the order in which they came. */
 class ParsingTurns {
     private readonly waiting = new Set<PacedInputTask>();
+    /** Those of which little waits, as of ordinary requests; they come before the others. */
+    private readonly waitingForLittle = new Set<PacedInputTask>();
     private endsAt = 0;
     private isScheduled = false;
 
@@ -67,12 +72,14 @@
     }
 
     enqueue(input: PacedInputTask): void {
-        this.waiting.add(input);
+        this.remove(input);
+        (input.waitsForLittle() ? this.waitingForLittle : this.waiting).add(input);
         this.schedule();
     }
 
     remove(input: PacedInputTask): void {
         this.waiting.delete(input);
+        this.waitingForLittle.delete(input);
     }
 
     private schedule(): void {
@@ -84,17 +91,28 @@
 
     private run(): void {
         this.isScheduled = false;
-        if (this.waiting.size === 0) {
+        if (this.waiting.size + this.waitingForLittle.size === 0) {
             return;
         }
         this.endsAt = performance.now() + TURN_MILLISECONDS;
         // Reads that follow in this turn share its time.
         this.schedule();
-        for (const input of [...this.waiting]) {
+        const [first] = this.waiting;
+        this.parse([...this.waitingForLittle]);
+        if (first !== undefined) {
+            // Small inputs without end must not keep the others waiting.
+            this.waiting.delete(first);
+            first.parseOnce();
+        }
+        this.parse([...this.waiting]);
+    }
+
+    private parse(inputs: readonly PacedInputTask[]): void {
+        for (const input of inputs) {
             if (performance.now() >= this.endsAt) {
                 return;
             }
-            this.waiting.delete(input);
+            this.remove(input);
             input.parseOnce();
         }
     }
@@ -144,11 +162,15 @@
     }
 
     continue(): void {
-        if (this.heldBytes > 0 && !this.isParsing) {
+        if (this.heldBytes > 0 && !this.isParsing && !this.isPausedByOthers) {
             this.turns.enqueue(this);
         }
     }
 
+    waitsForLittle(): boolean {
+        return this.heldBytes <= PIECE_BYTES;
+    }
+
     /** Parses one piece of what waits, if the rules allow it, and reads on if nothing does. */
     parseOnce(): void {
         if (this.isPausedByOthers || this.socket.destroyed) {
