--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -10,6 +10,7 @@
 import { type BoundedOutput, createBoundedOutput } from "../adapters/boundedoutput.js";
 import { createBunyanLog } from "../adapters/bunyanlog.js";
 import { systemClock } from "../adapters/clock.js";
+import { type CallerResources, createCallerResources } from "../callers/callerresources.js";
 import { type ColdTargets, createColdTargets } from "../coldstart/coldtargets.js";
 import { createEvacuationState, type EvacuationState } from "../evacuation/evacuationstate.js";
 import { createSharedFailures, type SharedFailures } from "../outliers/sharedfailures.js";
@@ -59,6 +60,7 @@
     readonly speeds: SharedSpeeds;
     readonly failures: SharedFailures;
     readonly connections: TargetConnections;
+    readonly callerResources: CallerResources;
 }
 
 /** What is known of the other daemons. */
@@ -98,9 +100,12 @@
         quarantinedParts: () => requestQuarantine.quarantined().length,
         coldTargets: () => coldTargets.count(),
         evacuatedDataCentres: () => evacuations.count(),
+        callerBytes: () => callerResources.heldBytes(),
+        callerConnections: () => callerResources.connections(),
         storeEra: () => ports.storeEra.current(),
         storeErasIgnored: () => ports.storeEra.ignoredStatements(),
     });
+    const callerResources = createCallerResources(settings.memoryMegabytes, metrics.log);
     const daemonParts = createDaemonParts(settings);
     const { daemons, otherDaemons } = daemonParts;
     const evacuations = wireEvacuations(metrics.log, state, daemons);
@@ -119,6 +124,7 @@
     const speeds = createSharedSpeeds(systemClock, metrics.log);
     const failures = createSharedFailures(settings.detectsOutliers === true, systemClock, metrics.log);
     const shared: SharedParts = {
+        callerResources,
         ...daemonParts,
         settings,
         ports,
--- a/packages/daemon/src/relay/tests/quarantinehandler.test.ts
+++ b/packages/daemon/src/relay/tests/quarantinehandler.test.ts
@@ -38,6 +38,8 @@
             evacuatedDataCentres: () => 1,
             coldTargets: () => 0,
             storeEra: () => 0,
+            callerBytes: () => 0,
+            callerConnections: () => 0,
             storeErasIgnored: () => 0,
         });
         const handler = createQuarantineHandler({
