Small reads skip the turns; the account changes its entries in place

Cause: a request cost 46 to 51 us more of processor time than without the account, an immediate for each read among it.

--- a/packages/core/src/callers/account.ts
+++ b/packages/core/src/callers/account.ts
@@ -94,9 +94,9 @@
     const change = (id: Id, changes: Partial<Entry>): void => {
         const entry = entries.get(id);
         if (entry !== undefined) {
-            const changed = { ...entry, ...changes };
-            total += costOf(changed) - costOf(entry);
-            entries.set(id, changed);
+            const before = costOf(entry);
+            Object.assign(entry, changes);
+            total += costOf(entry) - before;
         }
     };
     const close = (id: Id): void => {
--- a/packages/daemon/src/callers/inputpacing.ts
+++ b/packages/daemon/src/callers/inputpacing.ts
@@ -71,6 +71,11 @@
         return now < this.endsAt;
     }
 
+    /** Whether no connection waits, so that a small read costs no more than it would without turns. */
+    isIdle(): boolean {
+        return !this.isScheduled;
+    }
+
     enqueue(input: PacedInputTask): void {
         this.remove(input);
         (input.waitsForLittle() ? this.waitingForLittle : this.waiting).add(input);
@@ -121,6 +126,8 @@
 class PacedInputTask implements PacedInput {
     private held: Buffer[] = [];
     private heldBytes = 0;
+    /** Number of bytes that was last stated to the rules. */
+    private statedHeldBytes = 0;
     private readonly parse: (bytes: Buffer) => void;
     private readonly resumeSocket: () => Socket;
     private readonly pauseSocket: () => Socket;
@@ -193,7 +200,10 @@
         }
         this.held.push(bytes);
         this.heldBytes += bytes.length;
-        while (this.heldBytes > 0 && !this.isPausedByOthers && this.turns.hasTime() && this.parseNext()) {
+        const isFree = this.heldBytes <= PIECE_BYTES && this.turns.isIdle();
+        while (
+            this.heldBytes > 0 && !this.isPausedByOthers && (isFree || this.turns.hasTime()) && this.parseNext()
+        ) {
             // Goes on until the read is parsed, or another part or the rules stop it.
         }
         this.settle();
@@ -206,7 +216,10 @@
 
     /** Reads on if everything is parsed, and otherwise not until then. */
     private settle(): void {
-        this.rules.onHeld(this.heldBytes);
+        if (this.heldBytes !== this.statedHeldBytes) {
+            this.statedHeldBytes = this.heldBytes;
+            this.rules.onHeld(this.heldBytes);
+        }
         if (this.socket.destroyed) {
             return;
         }
