Streams are admitted by priority while capacity is short

Change: a service whose routes state different priorities admits first attempts by the capacity of the next 480 ms, which goes to the most urgent demand first; what is not admitted waits for at most an eighth of its objective or is refused with a spread time to return; targets get Request-Priority. Retries, moved and resumed streams and trials of quarantined subjects are never held back. The stream relay is split.

--- a/packages/core/src/placement/place.ts
+++ b/packages/core/src/placement/place.ts
@@ -141,11 +141,18 @@
 }
 
 /** Returns the time of a pass with one more request, if the group is not slow. */
-function passMillisecondsOf({ inProgress }: PlacementCandidate, { engine, model }: PlacementInput): number {
+function passMillisecondsOf(
+    { inProgress }: Pick<PlacementCandidate, "inProgress">,
+    { engine, model }: Pick<PlacementInput, "engine" | "model">,
+): number {
     return decodeStepMilliseconds(engine, model, inProgress + 1) * engine.stepsPerPass;
 }
 
-function estimateFirstEvent(input: PlacementInput, candidate: PlacementCandidate): number {
+/** Returns the expected time to the first event of a request at a group, in milliseconds. */
+export function estimateFirstEvent(
+    input: Pick<PlacementInput, "engine" | "model" | "promptTokens">,
+    candidate: Pick<PlacementCandidate, "inProgress" | "pendingPromptTokens" | "slowness">,
+): number {
     const { engine, model, promptTokens } = input;
     const prefill = prefillMilliseconds(engine, model, candidate.pendingPromptTokens + promptTokens);
     return candidate.slowness * (prefill + 2 * passMillisecondsOf(candidate, input));
--- a/packages/core/src/routes/lookup.ts
+++ b/packages/core/src/routes/lookup.ts
@@ -1,4 +1,5 @@
 /** Looks up the route and the team of a request in one version of the configuration. */
+import { findPrioritizedServices } from "../shedding/priorities.js";
 import type { RelayConfiguration, Route, Service, Team } from "./types.js";
 
 /** Indexes of one version of the configuration. */
@@ -9,6 +10,8 @@
     /** Returns the team that a key belongs to. */
     findTeam(key: string): Team | undefined;
     findService(name: string): Service | undefined;
+    /** Whether the routes of the service state different priorities, so that its requests are admitted by priority. */
+    isPrioritized(service: string): boolean;
 }
 
 /** Why the configuration does not admit a request. */
@@ -32,6 +35,7 @@
     });
     const teams = new Map((configuration.teams ?? []).flatMap(team => team.keys.map(key => [key, team] as const)));
     const services = new Map(configuration.services.map(service => [service.name, service]));
+    const prioritized = findPrioritizedServices(configuration);
     return {
         configuration,
         findRoute: (hostname, path) => {
@@ -44,6 +48,7 @@
         },
         findTeam: key => teams.get(key),
         findService: name => services.get(name),
+        isPrioritized: service => prioritized.has(service),
     };
 }
 
--- a/packages/core/src/shedding/modelload.ts
+++ b/packages/core/src/shedding/modelload.ts
@@ -35,7 +35,7 @@
 const MIX_HALF_LIFE_MILLISECONDS = 8_000;
 const DECISION_HALF_LIFE_MILLISECONDS = 1_000;
 /** The rise of the load is measured over this time: with less, ordinary variation looks like a rise. */
-const RISE_WINDOW_MILLISECONDS = 900;
+const RISE_WINDOW_MILLISECONDS = 500;
 const LEAST_RISE_WINDOW_MILLISECONDS = 250;
 /** Loads of other daemons are up to this old; what arrives and ends meanwhile is not known yet. */
 export const HORIZON_MILLISECONDS = 480;
@@ -43,7 +43,7 @@
  * Share of the slots that can be used: daemons that choose from loads of this age fill some groups while others have free
  * slots, and a request that waits in an engine for a slot is late.
  */
-const USABLE_SHARE = 0.92;
+const USABLE_SHARE = 0.76;
 /** A rise faster than this many times the ends is an effect of what is newly known, not of arrivals. */
 const MOST_RISE = 2;
 /** Number of admitted requests with which the share of the admitted begins. */
@@ -81,7 +81,8 @@
     forecast({ slots, inProgress, slotMilliseconds }: ModelCapacity, now: number): LoadForecast {
         const freedPerSecond = inProgress / slotMilliseconds * 1_000;
         const risePerSecond = this.riseOf(inProgress, slots, now);
-        const admittedPerSecond = freedPerSecond + Math.max(-1, Math.min(MOST_RISE, risePerSecond / (freedPerSecond || 1)))
+        const admittedPerSecond = freedPerSecond
+            + Math.max(-1, Math.min(MOST_RISE, risePerSecond / (freedPerSecond || 1)))
                 * freedPerSecond;
         const arrivingPerSecond = admittedPerSecond / this.admittedShare(now);
         const seconds = HORIZON_MILLISECONDS / 1_000;
--- a/packages/core/src/shedding/priorities.ts
+++ b/packages/core/src/shedding/priorities.ts
@@ -21,5 +21,7 @@
             prioritiesByService.set(service, priorities.add(clampPriority(priority)));
         })
     );
-    return new Set([...prioritiesByService].filter(([, priorities]) => priorities.size > 1).map(([service]) => service));
+    return new Set(
+        [...prioritiesByService].filter(([, priorities]) => priorities.size > 1).map(([service]) => service),
+    );
 }
--- a/packages/core/src/shedding/returntimes.ts
+++ b/packages/core/src/shedding/returntimes.ts
@@ -2,8 +2,10 @@
 
 /** Input of one return time. */
 export interface ReturnInput {
-    /** Slots of the groups that serve, over the time for which a request occupies one. */
-    readonly slotsPerSecond: number;
+    /** Slots of the groups that serve. */
+    readonly slots: number;
+    /** Time for which a request of mean length occupies a slot, in milliseconds. */
+    readonly slotMilliseconds: number;
     /** Number of daemons, which share what becomes free. */
     readonly daemons: number;
     readonly random: () => number;
@@ -17,15 +19,15 @@
     observe(arrivingPerSecond: number, isShort: boolean, now: number): void;
 }
 
-/** Bounds of the return time. */
-const LEAST_RETURN_MILLISECONDS = 500;
+/** In the time of so many answers of mean length, every slot becomes free, and what arrived in a burst has ended. */
+const LEAST_RETURN_ANSWERS = 2;
 const MOST_RETURN_MILLISECONDS = 10_000;
 /** A shortage without a refusal for this long has ended. */
 const SHORTAGE_GAP_MILLISECONDS = 2_000;
 /** Least share of the capacity that is expected to be left for returning callers. */
 const LEAST_SPARE_SHARE = 0.1;
-/** Callers return within this many times the computed time. */
-const SPREAD = 0.5;
+/** Callers return spread over this many times the computed time, so that those refused together do not return together. */
+const SPREAD = 1;
 /** The usual rate of arrivals is that of this time, so that a burst of seconds changes it little. */
 const USUAL_HALF_LIFE_MILLISECONDS = 20_000;
 
@@ -39,7 +41,9 @@
 
     const recordUsual = (perSecond: number, now: number): void => {
         const weight = 1 - 0.5 ** (Math.max(0, now - usualAt) / USUAL_HALF_LIFE_MILLISECONDS);
-        usualPerSecond = usualPerSecond === undefined ? perSecond : usualPerSecond + weight * (perSecond - usualPerSecond);
+        usualPerSecond = usualPerSecond === undefined
+            ? perSecond
+            : usualPerSecond + weight * (perSecond - usualPerSecond);
         usualAt = now;
     };
 
@@ -54,12 +58,13 @@
                 lastShortAt = now;
             }
         },
-        reserve: ({ slotsPerSecond, daemons, random }, now) => {
+        reserve: ({ slots, slotMilliseconds, daemons, random }, now) => {
+            const slotsPerSecond = slots / slotMilliseconds * 1_000;
             const usualSpare = slotsPerSecond - (usualPerSecond ?? slotsPerSecond);
             const spare = Math.max(LEAST_SPARE_SHARE * slotsPerSecond, usualSpare) / Math.max(1, daemons);
             // Nothing says how long a shortage will last; one that has lasted a time lasts about as long again.
             const lasted = now - (shortSince ?? now);
-            const earliest = now + Math.max(LEAST_RETURN_MILLISECONDS, lasted);
+            const earliest = now + Math.max(LEAST_RETURN_ANSWERS * slotMilliseconds, lasted);
             const at = Math.min(now + MOST_RETURN_MILLISECONDS, Math.max(earliest, nextAt));
             nextAt = at + (spare > 0 ? 1_000 / spare : MOST_RETURN_MILLISECONDS);
             return Math.ceil((at - now) * (1 + SPREAD * random()));
--- a/packages/core/src/shedding/tests/playedengine.ts
+++ b/packages/core/src/shedding/tests/playedengine.ts
@@ -1,7 +1,7 @@
 /** Groups of a played engine: slots, prefill one after another, decoding together, and a queue for requests without a slot. */
 import { decodeStepMilliseconds, prefillMilliseconds } from "../../placement/place.js";
-import type { EngineProfile, ModelProfile } from "../../routes/types.js";
 import { engine as largeEngine, model } from "../../placement/tests/largefleet.js";
+import type { EngineProfile, ModelProfile } from "../../routes/types.js";
 
 export { model };
 
--- a/packages/core/src/shedding/tests/playedfleet.ts
+++ b/packages/core/src/shedding/tests/playedfleet.ts
@@ -132,17 +132,21 @@
             }
         };
         const attempt = (at: number, isReturn: boolean): void =>
-            this.decide({
-                ...{ kind, promptTokens, outputTokens, arrivedAt: at, isReturn, draw: this.random() },
-                daemon: Math.floor(this.random() * DAEMONS),
-                end: (outcome, heldTooLong) => record(outcome, heldTooLong, isReturn),
-            }, at, (delay, heldTooLong) => {
-                if (isReturn) {
-                    record("refused", heldTooLong, true);
-                    return;
-                }
-                this.returns.push({ at: at + delay, start: later => attempt(later, true) });
-            });
+            this.decide(
+                {
+                    ...{ kind, promptTokens, outputTokens, arrivedAt: at, isReturn, draw: this.random() },
+                    daemon: Math.floor(this.random() * DAEMONS),
+                    end: (outcome, heldTooLong) => record(outcome, heldTooLong, isReturn),
+                },
+                at,
+                (delay, heldTooLong) => {
+                    if (isReturn) {
+                        record("refused", heldTooLong, true);
+                        return;
+                    }
+                    this.returns.push({ at: at + delay, start: later => attempt(later, true) });
+                },
+            );
         attempt(now, false);
     }
 
@@ -249,7 +253,9 @@
             group.waiting = [];
             streams.forEach(stream => {
                 this.count(stream.daemon, index, -1);
-                const candidates = this.candidatesOf(stream.daemon).filter(({ inProgress }) => inProgress < engine.slots);
+                const candidates = this.candidatesOf(stream.daemon).filter(({ inProgress }) =>
+                    inProgress < engine.slots
+                );
                 const chosen = candidates[Math.floor(this.random() * candidates.length)];
                 if (chosen !== undefined) {
                     this.count(stream.daemon, Number(chosen.head), 1);
--- a/packages/core/src/shedding/tests/playedloads.ts
+++ b/packages/core/src/shedding/tests/playedloads.ts
@@ -20,7 +20,10 @@
     }));
 }
 
-function playedLoad(name: string, load: Pick<PlayedLoad, "kinds" | "loss"> & { readonly groups?: number; }): PlayedLoad {
+function playedLoad(
+    name: string,
+    load: Pick<PlayedLoad, "kinds" | "loss"> & { readonly groups?: number; },
+): PlayedLoad {
     return {
         name,
         groups: GROUPS,
@@ -33,6 +36,9 @@
 /** The usual load, with which nothing should be refused. */
 export const usualLoad = playedLoad("usual load", { kinds: kinds(0, 1, 0) });
 
+/** Steady load that fills three slots in four. */
+export const heavyLoad = playedLoad("heavy load without a disturbance", { kinds: kinds(0, 1, 0), groups: 33 });
+
 /** Loads that exceed the capacity. */
 export const shortLoads: readonly PlayedLoad[] = [
     playedLoad("burst of 1.7 for 4 s", { kinds: kinds(0, 1.7, 4) }),
--- a/packages/core/src/shedding/tests/playedpolicies.ts
+++ b/packages/core/src/shedding/tests/playedpolicies.ts
@@ -1,10 +1,15 @@
 /** Policies of admission that are compared on played loads. */
 import { requestWorkMilliseconds } from "../../engines/demand.js";
-import { decodeStepMilliseconds, type Placement, type PlacementCandidate, prefillMilliseconds } from "../../placement/place.js";
+import {
+    decodeStepMilliseconds,
+    type Placement,
+    type PlacementCandidate,
+    prefillMilliseconds,
+} from "../../placement/place.js";
 import { createModelAdmission, type GroupsSeen } from "../modeladmission.js";
 import { createModelLoad } from "../modelload.js";
 import { createReturnTimes } from "../returntimes.js";
-import { type EngineOrder, engine, model } from "./playedengine.js";
+import { engine, type EngineOrder, model } from "./playedengine.js";
 import { DAEMONS, DEADLINE_MILLISECONDS, type PlayedAttempt } from "./playedfleet.js";
 
 /** What a policy decides on. */
@@ -42,7 +47,7 @@
         / requestWorkMilliseconds(engine, model, meanTokens);
 }
 
-function groupsSeen(candidates: readonly PlacementCandidate[], promptTokens: number): GroupsSeen {
+function groupsSeen(candidates: readonly PlacementCandidate[], promptTokens: number): Omit<GroupsSeen, "workRatio"> {
     const firstEvent = (requests: number): number =>
         prefillMilliseconds(engine, model, promptTokens)
         + 2 * decodeStepMilliseconds(engine, model, requests + 1) * engine.stepsPerPass;
@@ -53,7 +58,6 @@
         slotMilliseconds,
         firstEventMilliseconds: counts.length === 0 ? undefined : firstEvent(Math.min(...counts)),
         leastFirstEventMilliseconds: firstEvent(0),
-        daemons: DAEMONS,
     };
 }
 
@@ -71,7 +75,10 @@
 /** Decides by a limit on the rank of the request, from the same forecast and with the same return times as the chosen policy. */
 function createRankedPolicy(
     random: () => number,
-    isAdmitted: (input: PolicyInput, chances: { readonly common: number; readonly capacity: number; readonly demand: readonly number[]; }) => boolean,
+    isAdmitted: (
+        input: PolicyInput,
+        chances: { readonly common: number; readonly capacity: number; readonly demand: readonly number[]; },
+    ) => boolean,
 ): PlayedPolicy {
     const load = createModelLoad();
     const returns = createReturnTimes();
@@ -92,7 +99,7 @@
         returnMilliseconds: (_placement, candidates, now) => {
             const { slots } = groupsSeen(candidates, 0);
             return returns.reserve(
-                { slotsPerSecond: slots / slotMilliseconds * 1_000, daemons: DAEMONS, random },
+                { slots, slotMilliseconds, daemons: DAEMONS, random },
                 now,
             );
         },
@@ -134,23 +141,26 @@
 export const chosenPolicy: PolicyFactory = {
     order: "priority",
     create: random => {
-        const admission = createModelAdmission();
+        const admission = createModelAdmission(() => DAEMONS, random);
         return {
             recordArrival: ({ kind }, now) => admission.recordArrival(kind.priority, now),
             decide: ({ attempt, candidates, now, waitLeft }) => {
                 const elapsed = now - attempt.arrivedAt;
-                return admission.decide({
-                    priority: attempt.kind.priority,
-                    draw: attempt.draw,
-                    workRatio: workRatioOf(attempt),
-                    objectiveLeftMilliseconds: attempt.kind.objectiveMilliseconds - elapsed,
-                    deadlineLeftMilliseconds: DEADLINE_MILLISECONDS - elapsed,
-                    waitLeftMilliseconds: waitLeft,
-                }, groupsSeen(candidates, attempt.promptTokens), now);
+                return admission.decide(
+                    {
+                        priority: attempt.kind.priority,
+                        draw: attempt.draw,
+                        objectiveLeftMilliseconds: attempt.kind.objectiveMilliseconds - elapsed,
+                        deadlineLeftMilliseconds: DEADLINE_MILLISECONDS - elapsed,
+                        waitLeftMilliseconds: waitLeft,
+                    },
+                    { ...groupsSeen(candidates, attempt.promptTokens), workRatio: workRatioOf(attempt) },
+                    now,
+                );
             },
             recordOutcome: (admitted, now) => admission.recordOutcome(admitted, now),
             returnMilliseconds: (_placement, candidates, now) =>
-                admission.reserveReturn(groupsSeen(candidates, 0), random, now),
+                admission.reserveReturn(groupsSeen(candidates, 0), now),
         };
     },
 };
--- a/packages/core/src/shedding/tests/playedtally.ts
+++ b/packages/core/src/shedding/tests/playedtally.ts
@@ -51,7 +51,9 @@
             return {
                 all: sharesOf(callers),
                 byPriority: new Map(
-                    priorities.map(priority => [priority, sharesOf(callers.filter(caller => caller.priority === priority))]),
+                    priorities.map(
+                        priority => [priority, sharesOf(callers.filter(caller => caller.priority === priority))],
+                    ),
                 ),
             };
         },
--- a/packages/daemon/src/events.ts
+++ b/packages/daemon/src/events.ts
@@ -220,6 +220,18 @@
         "info",
         "A topic is read anew because an answer of the platform's store belongs to another era.",
     ),
+    requestShed: define(
+        360,
+        "info",
+        "A request was refused because capacity is kept for others, or it could not be in time; it has not run.",
+        "If it lasts, add groups; see load shedding in docs/OPERATIONS.md.",
+    ),
+    priorityOutOfRange: define(
+        361,
+        "warn",
+        "A priority is not a whole number from 0 to 9; the nearest one is used.",
+        "Correct the route or the team.",
+    ),
     targetsChanged: define(420, "info", "A target was registered, started again, drains, lapsed or was removed."),
     evacuationBegan: define(428, "warn", "The evacuation of a data centre began; its targets get no requests."),
     evacuationEnded: define(429, "info", "The evacuation of a data centre ended."),
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -66,6 +66,16 @@
         "damaskvale_store_era_changes_total",
         "Times that the platform's store came back from an older copy.",
     );
+    const admissions = count(
+        "damaskvale_admissions_total",
+        "First attempts of services whose routes state different priorities, by decision and priority.",
+        ["decision", "priority"],
+    );
+    const queued = histogram(
+        "damaskvale_admission_queue_milliseconds",
+        "Time for which requests were queued.",
+        registers,
+    );
     const duration = histogram("damaskvale_request_milliseconds", "Time from a request to its end.", registers);
     const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
     addGauges(values, registers);
@@ -78,6 +88,16 @@
                 firstEvent.observe(fields["firstEventMilliseconds"]);
             }
         },
+        streamSent: ({ priority, queuedMilliseconds }) => {
+            if (typeof queuedMilliseconds === "number") {
+                admissions.inc({ decision: queuedMilliseconds > 0 ? "queue" : "serve", priority: String(priority) });
+                queued.observe(queuedMilliseconds);
+            }
+        },
+        requestShed: ({ priority, queuedMilliseconds }) => {
+            admissions.inc({ decision: "refuse", priority: String(priority) });
+            queued.observe(Number(queuedMilliseconds));
+        },
         requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
         storeEraRose: () => eraChanges.inc(),
         engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -3,7 +3,7 @@
 import type { DecodedResponse, ResponseHead } from "../ports/relayprotocol.js";
 import { concludeObservation, createPlainAttempt, type PlainAttempt } from "./plainattempt.js";
 import { type CancelReason, RelayTask, type StoppableRelay } from "./relaytask.js";
-import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
+import { type RelayParts, type RequestContext, requestLogFields, statedPriority } from "./requestcontext.js";
 import {
     breakOff,
     exceedsUnstatedLength,
@@ -123,6 +123,7 @@
             target: target.id,
             remainingMilliseconds: context.deadlineAt - now,
             team: context.admitted.team?.name,
+            priority: statedPriority(context),
         });
         attempt.exchange = parts.connections.send(
             target.address,
--- a/packages/daemon/src/relay/relaytask.ts
+++ b/packages/daemon/src/relay/relaytask.ts
@@ -86,6 +86,11 @@
     /** Cancels the attempt in progress, if there is one. */
     protected abstract cancelAttempt(reason: CancelReason): void;
 
+    /** Refuses a request that has not been sent at its deadline; returns whether it did. */
+    protected refuseUnsent(): boolean {
+        return false;
+    }
+
     /** Returns what the log says of a refusal besides its reason. */
     protected describeRefusal(...[]: [reason: RefusalReason]): EndDetails {
         return {};
@@ -249,7 +254,7 @@
     }
 
     private expire(): void {
-        if (this.isFinished) {
+        if (this.isFinished || this.refuseUnsent()) {
             return;
         }
         this.cancelAttempt("deadline");
--- a/packages/daemon/src/relay/requestcontext.ts
+++ b/packages/daemon/src/relay/requestcontext.ts
@@ -1,19 +1,21 @@
 /** Context of one admitted request, and the collaborators that the relays share. */
-import type {
-    AdmittedRoute,
-    DemandMeter,
-    LoadTracker,
-    RetryBudget,
-    RouteLookup,
-    RouteTimes,
-    SlidingMaximum,
-    Target,
+import {
+    type AdmittedRoute,
+    clampPriority,
+    type DemandMeter,
+    type LoadTracker,
+    type RetryBudget,
+    type RouteLookup,
+    type RouteTimes,
+    type SlidingMaximum,
+    type Target,
 } from "@damaskvale/core";
 import type { ServerResponse } from "node:http";
 import type { SharedSpeeds } from "../peers/sharedspeeds.js";
 import type { Clock } from "../ports/clock.js";
 import type { EventLog } from "../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol } from "../ports/relayprotocol.js";
+import type { StreamAdmission } from "../shedding/streamadmission.js";
 import type { RequestQuarantine } from "./requestquarantine.js";
 import type { StalledHeads } from "./stalledheads.js";
 import type { RelayState } from "./statetypes.js";
@@ -65,6 +67,8 @@
     readonly recentGroupCounts: SlidingMaximum;
     /** Demand meter of a service. */
     readonly demandOf: (service: string) => DemandMeter;
+    /** Admission of first attempts by priority. */
+    readonly admission: StreamAdmission;
     /** Retry budget of a service. */
     readonly budgetOf: (service: string) => RetryBudget;
     /** Returns a random number in [0, 1). */
@@ -79,3 +83,8 @@
         configurationVersion: lookup.configuration.version,
     };
 }
+
+/** Returns the priority that targets are told; none for a service whose routes all have the same. */
+export function statedPriority({ admitted, lookup, service }: RequestContext): number | undefined {
+    return lookup.isPrioritized(service) ? clampPriority(admitted.priority) : undefined;
+}
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -1,5 +1,8 @@
 /** Places streaming requests on groups, using the load that this daemon knows for each group serving the model. */
 import {
+    decodeStepMilliseconds,
+    estimateFirstEvent,
+    type GroupsSeen,
     type Placement,
     type PlacementCandidate,
     placeRequest,
@@ -42,6 +45,34 @@
         : REFUSED_RETRY_AFTER_MILLISECONDS;
 }
 
+/**
+ * Returns what is known of the groups for a request, for its admission; `undefined` if none takes requests at all, so that
+ * the placement says why.
+ */
+export function groupsSeen(context: RequestContext, parts: RelayParts): GroupsSeen | undefined {
+    const { service, request, lookup } = context;
+    const engine = lookup.findService(service)?.engine;
+    const model = engine?.models.find(profile => profile.name === request.model);
+    const healthy = candidatesOf(context, parts).filter(({ suspected }) => !suspected);
+    if (engine === undefined || model === undefined || healthy.every(isWaiting)) {
+        return undefined;
+    }
+    const mean = { prompt: engine.meanPromptTokens, answer: engine.meanOutputTokens };
+    const work = { prompt: request.promptTokens, answer: request.expectedOutputTokens ?? engine.meanOutputTokens };
+    const firstEvents = healthy
+        .filter(candidate => !isWaiting(candidate) && candidate.inProgress < engine.slots)
+        .map(candidate => estimateFirstEvent({ engine, model, promptTokens: request.promptTokens }, candidate));
+    const idle = { inProgress: 0, pendingPromptTokens: 0, slowness: 1 };
+    return {
+        slots: engine.slots * healthy.length,
+        inProgress: healthy.reduce((sum, { inProgress }) => sum + inProgress, 0),
+        slotMilliseconds: decodeStepMilliseconds(engine, model, engine.slots) * engine.meanOutputTokens,
+        workRatio: requestWorkMilliseconds(engine, model, work) / requestWorkMilliseconds(engine, model, mean),
+        firstEventMilliseconds: firstEvents.length === 0 ? undefined : Math.min(...firstEvents),
+        leastFirstEventMilliseconds: estimateFirstEvent({ engine, model, promptTokens: request.promptTokens }, idle),
+    };
+}
+
 /** Adds the work of a request to the demand for its model, whether or not it can be served. */
 export function recordDemand({ request, service, lookup }: RequestContext, { clock, demandOf }: RelayParts): void {
     const engine = lookup.findService(service)?.engine;
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -1,13 +1,13 @@
 /** Relays an event stream from the head of a group, and resumes it at another group if the route allows it. */
 import type { PlacedRequest } from "@damaskvale/core";
-import { joinBytes } from "../growingbuffer.js";
 import type { ResponseHead } from "../ports/relayprotocol.js";
-import type { StreamEvent } from "./eventsplitter.js";
-import { type EndDetails, RelayTask, type StoppableRelay } from "./relaytask.js";
-import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
-import { exceedsUnstatedLength, type RefusalReason, writePaced, writeResponseHead } from "./responses.js";
+import { AdmittedRelayTask } from "../shedding/admittedrelay.js";
+import type { EndDetails, StoppableRelay } from "./relaytask.js";
+import { type RelayParts, type RequestContext, requestLogFields, statedPriority } from "./requestcontext.js";
 import { createStreamAttempt, type StreamAttempt } from "./streamattempt.js";
-import { describeCandidates, placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
+import { StreamDelivery } from "./streamdelivery.js";
+import { placeStream, recordDemand, refusedRetryMilliseconds } from "./streamplacement.js";
+import { recordProgress, releaseAttempt } from "./streamprogress.js";
 import { isLostConnection, isRefusedConnection } from "./targetconnections.js";
 
 /** A stream in progress, as the stall detector sees it. */
@@ -27,16 +27,16 @@
     return new StreamRelayTask(context, parts, onEnded);
 }
 
-class StreamRelayTask extends RelayTask implements StreamRelay {
+class StreamRelayTask extends AdmittedRelayTask implements StreamRelay {
     private attempt: StreamAttempt | undefined;
-    private lastEventId: number | undefined;
+    private readonly delivery: StreamDelivery;
     private firstEventAt: number | undefined;
     /** Whether an attempt ended after an event, so that the caller may have the whole stream. */
     private mayBeWhole = false;
 
     constructor(context: RequestContext, parts: RelayParts, onEnded: () => void) {
         super(context, parts, onEnded);
-        this.lastEventId = context.request.lastEventId;
+        this.delivery = new StreamDelivery(context.response, context.request.lastEventId);
         context.response.on("drain", () => {
             this.attempt?.observed.paused();
             this.attempt?.pauses.interrupt();
@@ -48,7 +48,7 @@
         this.parts.budgetOf(this.context.service).recordFirstAttempt(this.parts.clock.monotonic());
         if (!this.giveUpIfQuarantined()) {
             recordDemand(this.context, this.parts);
-            this.sendOrGiveUp();
+            this.admitOrSend();
         }
     }
 
@@ -71,7 +71,7 @@
                 ...requestLogFields(this.context),
                 from: stalled.head,
                 to: placement.head,
-                lastEventId: this.lastEventId,
+                lastEventId: this.delivery.lastEventId,
             });
             this.send(placement);
         }
@@ -79,7 +79,13 @@
 
     cancelIfWaiting(subject: string): void {
         const { attempt } = this;
-        if (attempt === undefined || attempt.started || attempt.isPassthrough || this.trialOf === subject) {
+        if (
+            this.endQueued(subject)
+            || attempt === undefined
+            || attempt.started
+            || attempt.isPassthrough
+            || this.trialOf === subject
+        ) {
             return;
         }
         if (this.context.subjects.includes(subject) && this.isQuarantined()) {
@@ -101,7 +107,7 @@
         return (route.resumable || !mayHaveRun) && this.sends < route.maximumAttempts;
     }
 
-    private sendOrGiveUp(): void {
+    protected sendOrGiveUp(): void {
         const placement = placeStream(this.context, this.parts, this.tried);
         if (placement.kind === "refused") {
             this.giveUp(placement.reason, placement.retryAfterMilliseconds);
@@ -122,6 +128,7 @@
             return;
         }
         const now = parts.clock.monotonic();
+        const priority = statedPriority(context);
         const observed = parts.requestQuarantine.observe(target, context.subjects);
         const attempt = createStreamAttempt(target, observed, { sentAt: now, passMilliseconds });
         this.attempt = attempt;
@@ -133,15 +140,18 @@
             ...requestLogFields(context),
             target: headId,
             attempt: this.sends,
-            lastEventId: this.lastEventId,
+            lastEventId: this.delivery.lastEventId,
             inProgressThere: parts.loadTracker.get(headId)?.inProgress,
             trialOf: this.trialOf,
+            priority,
+            queuedMilliseconds: priority === undefined ? undefined : this.queuedMilliseconds,
         });
         const headers = parts.protocol.encodeForTarget(context.request, {
             target: headId,
             remainingMilliseconds: context.deadlineAt - now,
             team: context.admitted.team?.name,
-            lastEventId: this.lastEventId,
+            lastEventId: this.delivery.lastEventId,
+            priority,
         });
         const { method, path } = context.request;
         attempt.exchange = parts.connections.send(
@@ -189,22 +199,13 @@
         attempt.opening = { head, headers: decoded.forwarded };
     }
 
-    /**
-     * Writes the head of a response unless the caller has one. It waits for the first bytes of the body, which would be
-     * sent together with it anyway, so that a failure before them can still be answered with a status.
-     */
-    private openResponse({ opening }: StreamAttempt): void {
-        const { response } = this.context;
-        if (!response.headersSent && opening !== undefined) {
-            writeResponseHead(response, opening.head, opening.headers);
-        }
-    }
-
     private receiveData(attempt: StreamAttempt, chunk: Buffer): void {
         const now = this.parts.clock.monotonic();
         this.parts.reachability.recordReached();
         if (attempt.isPassthrough) {
-            this.passThrough(attempt, chunk);
+            if (!this.delivery.passThrough(attempt, chunk)) {
+                this.abandon(attempt, "body-too-long");
+            }
             return;
         }
         const events = attempt.splitter.push(chunk);
@@ -214,16 +215,10 @@
         }
         const withContent = events.filter(({ hasContent }) => hasContent).length;
         if (withContent > 0) {
-            this.recordProgress(attempt, withContent, now);
-        }
-        const delivered: Buffer[] = [];
-        const inOrder = events.every(event => this.accept(event, delivered));
-        if (delivered.length > 0) {
-            this.openResponse(attempt);
-            // Thousands of tiny events may arrive together, and a write costs far more than an event.
-            writePaced(this.context.response, joinBytes(delivered), attempt.exchange);
+            this.firstEventAt ??= now;
+            recordProgress(this.context, this.parts, attempt, { events: withContent, at: now });
         }
-        if (!inOrder) {
+        if (!this.delivery.deliver(attempt, events)) {
             this.abandon(attempt, "event-missing");
             return;
         }
@@ -234,45 +229,6 @@
         attempt.exchange?.pauseFor(attempt.eventRate.read(events.length, chunk.length, now));
     }
 
-    private passThrough(attempt: StreamAttempt, chunk: Buffer): void {
-        attempt.passedThroughBytes += chunk.length;
-        if (exceedsUnstatedLength(attempt.opening?.head, attempt.passedThroughBytes)) {
-            this.abandon(attempt, "body-too-long");
-            return;
-        }
-        this.openResponse(attempt);
-        writePaced(this.context.response, chunk, attempt.exchange);
-    }
-
-    private recordProgress(attempt: StreamAttempt, events: number, now: number): void {
-        const { context, parts } = this;
-        if (!attempt.started) {
-            attempt.started = true;
-            this.firstEventAt ??= now;
-            parts.loadTracker.started(attempt.head, context.request.promptTokens, now);
-        }
-        parts.loadTracker.progressed(attempt.head, now);
-        attempt.observed.progressed();
-        const slowness = attempt.pauses.record(events, now);
-        if (slowness !== undefined) {
-            parts.speeds.record(attempt.head, slowness);
-        }
-    }
-
-    /** Adds an event to those for the caller unless it has it already. Returns false if an earlier event is missing. */
-    private accept({ id, bytes }: StreamEvent, delivered: Buffer[]): boolean {
-        const last = this.lastEventId ?? 0;
-        if (id !== undefined && id <= last) {
-            return true;
-        }
-        if (id !== undefined && id > last + 1) {
-            return false;
-        }
-        this.lastEventId = id ?? this.lastEventId;
-        delivered.push(bytes);
-        return true;
-    }
-
     private receiveEnd(attempt: StreamAttempt): void {
         const isDelimited = attempt.opening?.head.delimited !== false;
         const isNothingLeft = this.mayBeWhole && isDelimited;
@@ -317,7 +273,7 @@
             attempt.observed.completed();
         }
         this.release(attempt);
-        this.openResponse(attempt);
+        this.delivery.open(attempt);
         this.context.response.end();
         this.finish("complete");
     }
@@ -351,7 +307,7 @@
             target: attempt.head,
             reason,
             sent: attempt.sent,
-            lastEventId: this.lastEventId,
+            lastEventId: this.delivery.lastEventId,
         });
         if (attempt.isPassthrough || !this.mayRetry()) {
             this.giveUp("not-run", refusedRetryMilliseconds(this.context, this.parts));
@@ -363,21 +319,14 @@
     }
 
     private release(attempt: StreamAttempt): void {
-        if (!attempt.isReleased) {
-            attempt.isReleased = true;
-            attempt.observed.dropped();
-            this.parts.loadTracker.ended(attempt.head, this.context.request.promptTokens, attempt.started);
-        }
+        releaseAttempt(this.context, this.parts, attempt);
         if (this.attempt === attempt) {
             this.attempt = undefined;
         }
     }
 
-    protected override describeRefusal(reason: RefusalReason): EndDetails {
-        return reason === "quarantined" ? {} : { groups: describeCandidates(this.context, this.parts) };
-    }
-
     protected cancelAttempt(): void {
+        this.leaveQueue();
         const { attempt } = this;
         if (attempt !== undefined) {
             this.release(attempt);
@@ -388,7 +337,7 @@
     protected override finish(outcome: string, details: EndDetails = {}): void {
         this.parts.stalledHeads.release(this.context);
         super.finish(outcome, {
-            lastEventId: this.lastEventId,
+            lastEventId: this.delivery.lastEventId,
             ...details,
             firstEventMilliseconds: this.firstEventAt === undefined ? undefined : this.elapsed(this.firstEventAt),
         });
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -18,6 +18,7 @@
 import { createSharedSpeeds } from "../../peers/sharedspeeds.js";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
+import { createStreamAdmission } from "../../shedding/streamadmission.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRequestQuarantine, type RequestQuarantine } from "../requestquarantine.js";
 import { createStalledHeads } from "../stalledheads.js";
@@ -272,6 +273,7 @@
             recentGroupCounts: createSlidingMaximum(10_000),
             demandOf: () => demand,
             budgetOf: () => budget,
+            admission: createStreamAdmission({ clock, log, random: () => 0, knownDaemons: () => 1 }),
             random: () => 0,
         },
         context: {
@@ -338,6 +340,9 @@
         headersSent: false,
         destroyed: false,
         writableLength: 0,
+        req: { complete: true },
+        getHeaderNames: () => [],
+        setHeader: () => undefined,
         writeHead: (status: number, headers: readonly string[]) => {
             caller.status = status;
             caller.headers = headers;
--- a/packages/daemon/src/relay/wire.ts
+++ b/packages/daemon/src/relay/wire.ts
@@ -3,6 +3,7 @@
 import { type EnginePlanner, startEnginePlanner } from "../engines/engineplanner.js";
 import { startLoadExchange } from "../peers/loadexchange.js";
 import type { LoadExchange } from "../peers/loadexchangeparts.js";
+import { createStreamAdmission } from "../shedding/streamadmission.js";
 import { type PartitionLease, startPartitionLease } from "../tasks/partitionlease.js";
 import { isConfigurationWatcher } from "./configurationwait.js";
 import { type Listeners, startListeners } from "./lifecycle.js";
@@ -107,6 +108,7 @@
         recentGroupCounts: createSlidingMaximum(GROUP_COUNT_WINDOW_MILLISECONDS),
         demandOf,
         budgetOf: budgets.of,
+        admission: createStreamAdmission({ clock, log, random, knownDaemons: shared.daemons.count }),
         random,
     }, {
         connections: createTargetConnections({
--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -10,6 +10,7 @@
 import { pathBench } from "./path/bench.js";
 import { quarantineBench } from "./quarantine/bench.js";
 import { routingBench } from "./routing/bench.js";
+import { sheddingBench } from "./shedding/bench.js";
 import type { Bench } from "./types.js";
 
 /** All benchmarks, in the order in which they run. */
@@ -18,6 +19,7 @@
     limitsBench,
     retriesBench,
     targetLimitsBench,
+    sheddingBench,
     quarantineBench,
     erasBench,
     groupsBench,
