--- a/packages/core/src/shedding/tests/playedfleet.ts
+++ b/packages/core/src/shedding/tests/playedfleet.ts
@@ -187,7 +187,7 @@
             return;
         }
         policy.recordOutcome(false, now);
-        const delay = policy.returnMilliseconds(placement, candidates, now);
+        const delay = policy.returnMilliseconds({ placement, candidates, now });
         refuse?.(delay, now - attempt.arrivedAt > attempt.kind.objectiveMilliseconds / 8 + STEP_MILLISECONDS);
     }
 
--- a/packages/core/src/shedding/tests/playedpolicies.ts
+++ b/packages/core/src/shedding/tests/playedpolicies.ts
@@ -20,17 +20,20 @@
     readonly waitLeft: number;
 }
 
+/** A refusal; `placement` is that of the placement if that refused the request. */
+export interface PlayedRefusal {
+    readonly placement: Placement | undefined;
+    readonly candidates: readonly PlacementCandidate[];
+    readonly now: number;
+}
+
 /** Policy of one daemon. */
 export interface PlayedPolicy {
     recordArrival(attempt: PlayedAttempt, now: number): void;
     decide(input: PolicyInput): { readonly kind: "serve" | "wait" | "refuse"; };
     recordOutcome(admitted: boolean, now: number): void;
-    /** Time after which a refused caller returns; `placement` is the refusal of the placement if that refused it. */
-    returnMilliseconds(
-        placement: Placement | undefined,
-        candidates: readonly PlacementCandidate[],
-        now: number,
-    ): number;
+    /** Time after which a refused caller returns. */
+    returnMilliseconds(refusal: PlayedRefusal): number;
 }
 
 /** How the daemons of a fleet decide, and in which order its engines give slots. */
@@ -68,7 +71,7 @@
         recordArrival: () => undefined,
         decide: () => ({ kind: "serve" }),
         recordOutcome: () => undefined,
-        returnMilliseconds: placement => placement?.kind === "refused" ? placement.retryAfterMilliseconds : 0,
+        returnMilliseconds: ({ placement }) => placement?.kind === "refused" ? placement.retryAfterMilliseconds : 0,
     }),
 };
 
@@ -96,7 +99,7 @@
             return { kind: admitted ? "serve" : "refuse" };
         },
         recordOutcome: (admitted, now) => load.recordDecision(admitted, now),
-        returnMilliseconds: (_placement, candidates, now) => {
+        returnMilliseconds: ({ candidates, now }) => {
             const { slots } = groupsSeen(candidates, 0);
             return returns.reserve(
                 { slots, slotMilliseconds, daemons: DAEMONS, random },
@@ -159,8 +162,7 @@
                 );
             },
             recordOutcome: (admitted, now) => admission.recordOutcome(admitted, now),
-            returnMilliseconds: (_placement, candidates, now) =>
-                admission.reserveReturn(groupsSeen(candidates, 0), now),
+            returnMilliseconds: ({ candidates, now }) => admission.reserveReturn(groupsSeen(candidates, 0), now),
         };
     },
 };
--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -4,6 +4,7 @@
 import type { EventName } from "../events.js";
 import { listenOn } from "../front/server.js";
 import type { EventFields, EventLog } from "../ports/eventlog.js";
+import { createAdmissionMetrics } from "../shedding/admissionmetrics.js";
 
 /** Values of the gauges, read when the metrics are collected. */
 export interface GaugeSources {
@@ -66,16 +67,6 @@
         "damaskvale_store_era_changes_total",
         "Times that the platform's store came back from an older copy.",
     );
-    const admissions = count(
-        "damaskvale_admissions_total",
-        "First attempts of services whose routes state different priorities, by decision and priority.",
-        ["decision", "priority"],
-    );
-    const queued = histogram(
-        "damaskvale_admission_queue_milliseconds",
-        "Time for which requests were queued.",
-        registers,
-    );
     const duration = histogram("damaskvale_request_milliseconds", "Time from a request to its end.", registers);
     const firstEvent = histogram("damaskvale_first_event_milliseconds", "Time to the first event.", registers);
     addGauges(values, registers);
@@ -88,16 +79,7 @@
                 firstEvent.observe(fields["firstEventMilliseconds"]);
             }
         },
-        streamSent: ({ priority, queuedMilliseconds }) => {
-            if (typeof queuedMilliseconds === "number") {
-                admissions.inc({ decision: queuedMilliseconds > 0 ? "queue" : "serve", priority: String(priority) });
-                queued.observe(queuedMilliseconds);
-            }
-        },
-        requestShed: ({ priority, queuedMilliseconds }) => {
-            admissions.inc({ decision: "refuse", priority: String(priority) });
-            queued.observe(Number(queuedMilliseconds));
-        },
+        ...createAdmissionMetrics(registers),
         requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
         storeEraRose: () => eraChanges.inc(),
         engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
--- a/packages/proofs/src/bench/shedding/bench.ts
+++ b/packages/proofs/src/bench/shedding/bench.ts
@@ -48,7 +48,7 @@
 export const sheddingBench: Bench = {
     name: "shedding",
     run: ({ seed, quick }) => {
-        const seeds = Array.from({ length: quick ? 1 : SEEDS }, (_, index) => seed + index);
+        const seeds = Array.from({ length: quick ? 1 : SEEDS }, () => seed).map((first, index) => first + index);
         const figures = [usualLoad, heavyLoad, ...shortLoads].flatMap(load =>
             policies.flatMap(([subject, policy]) => {
                 const results = seeds.map(each => playFleet(load, policy, each));
