Forecast of the load ignores what a daemon newly learns of

Cause: a daemon that starts learns of all requests in progress at once, which looked like a burst of three times the usual rate and refused requests for half a second. Change: a step that no arrivals explain begins the measurement anew. Test: modelload.test.ts.

--- a/packages/core/src/shedding/modelload.ts
+++ b/packages/core/src/shedding/modelload.ts
@@ -46,6 +46,9 @@
 const USABLE_SHARE = 0.76;
 /** A rise faster than this many times the ends is an effect of what is newly known, not of arrivals. */
 const MOST_RISE = 2;
+/** Loads of other daemons arrive in steps of up to this time, and small loads vary by some requests. */
+const STEP_MILLISECONDS = 240;
+const VARIATION_REQUESTS = 12;
 /** Number of admitted requests with which the share of the admitted begins. */
 const PRIOR_DECISIONS = 2;
 const LEAST_ADMITTED_SHARE = 0.3;
@@ -78,12 +81,14 @@
         this.decidedAt = now;
     }
 
-    forecast({ slots, inProgress, slotMilliseconds }: ModelCapacity, now: number): LoadForecast {
+    forecast(known: ModelCapacity, now: number): LoadForecast {
+        const { slots, inProgress, slotMilliseconds } = known;
         const freedPerSecond = inProgress / slotMilliseconds * 1_000;
-        const risePerSecond = this.riseOf(inProgress, slots, now);
-        const admittedPerSecond = freedPerSecond
-            + Math.max(-1, Math.min(MOST_RISE, risePerSecond / (freedPerSecond || 1)))
-                * freedPerSecond;
+        const risePerSecond = this.riseOf(known, now);
+        const admittedPerSecond = Math.min(
+            (1 + MOST_RISE) * freedPerSecond,
+            Math.max(0, freedPerSecond + risePerSecond),
+        );
         const arrivingPerSecond = admittedPerSecond / this.admittedShare(now);
         const seconds = HORIZON_MILLISECONDS / 1_000;
         const total = this.mix.reduce((sum, count) => sum + count, 0);
@@ -102,11 +107,18 @@
         return Math.max(LEAST_ADMITTED_SHARE, share);
     }
 
-    /** Returns by how much the requests in progress rise in a second; 0 after a change of the groups. */
-    private riseOf(inProgress: number, slots: number, now: number): number {
-        this.samples = this.samples.filter(sample =>
-            now - sample.at < RISE_WINDOW_MILLISECONDS && sample.slots === slots
-        );
+    /** Returns by how much the requests in progress rise in a second; 0 after a change of the groups or of what is known. */
+    private riseOf({ slots, inProgress, slotMilliseconds }: ModelCapacity, now: number): number {
+        const last = this.samples.at(-1);
+        if (last !== undefined) {
+            // A daemon that starts, or hears others again, learns of requests that did not just arrive.
+            const rate = (MOST_RISE + 1) * Math.min(last.inProgress, inProgress) / slotMilliseconds;
+            const mostChange = VARIATION_REQUESTS + rate * (now - last.at + STEP_MILLISECONDS);
+            const isContinuous = Math.abs(inProgress - last.inProgress) <= mostChange;
+            this.samples = this.samples.filter(sample =>
+                isContinuous && sample.slots === slots && now - sample.at < RISE_WINDOW_MILLISECONDS
+            );
+        }
         const oldest = this.samples[0];
         this.samples.push({ at: now, inProgress, slots });
         return oldest === undefined || now - oldest.at < LEAST_RISE_WINDOW_MILLISECONDS
