--- a/packages/daemon/src/relay/metrics.ts
+++ b/packages/daemon/src/relay/metrics.ts
@@ -4,6 +4,7 @@
 import type { EventName } from "../events.js";
 import { listenOn } from "../front/server.js";
 import type { EventFields, EventLog } from "../ports/eventlog.js";
+import { createAdmissionMetrics } from "../shedding/admissionmetrics.js";
 
 /** Values of the gauges, read when the metrics are collected. */
 export interface GaugeSources {
@@ -82,6 +83,7 @@
                 firstEvent.observe(fields["firstEventMilliseconds"]);
             }
         },
+        ...createAdmissionMetrics(registers),
         requestDenied: fields => requests.inc({ outcome: String(fields["reason"]) }),
         storeEraRose: () => eraChanges.inc(),
         engineOrdered: fields => orders.inc({ kind: String(fields["kind"]), result: String(fields["result"]) }),
--- a/packages/daemon/src/relay/plainrelay.ts
+++ b/packages/daemon/src/relay/plainrelay.ts
@@ -11,7 +11,7 @@
     waitsOfTargets,
 } from "./plaintargets.js";
 import { type CancelReason, EVACUATED, RelayTask, type StoppableRelay } from "./relaytask.js";
-import { type RelayParts, type RequestContext, requestLogFields } from "./requestcontext.js";
+import { type RelayParts, type RequestContext, requestLogFields, statedPriority } from "./requestcontext.js";
 import {
     breakOff,
     exceedsUnstatedLength,
@@ -108,6 +108,7 @@
             target: target.id,
             remainingMilliseconds: context.deadlineAt - now,
             team: context.admitted.team?.name,
+            priority: statedPriority(context),
         });
         attempt.exchange = parts.connections.send(
             target.address,
--- a/packages/proofs/src/bench/index.ts
+++ b/packages/proofs/src/bench/index.ts
@@ -11,6 +11,7 @@
 import { pathBench } from "./path/bench.js";
 import { quarantineBench } from "./quarantine/bench.js";
 import { routingBench } from "./routing/bench.js";
+import { sheddingBench } from "./shedding/bench.js";
 import type { Bench } from "./types.js";
 
 /** All benchmarks, in the order in which they run. */
@@ -20,6 +21,7 @@
     retriesBench,
     targetLimitsBench,
     coldTargetsBench,
+    sheddingBench,
     quarantineBench,
     erasBench,
     groupsBench,
