Admission and placement of a request use the same list of groups

Cause: the list was made twice for each first attempt, most of the cost of both. Change: it is passed on.

--- a/packages/core/src/shedding/modelload.ts
+++ b/packages/core/src/shedding/modelload.ts
@@ -69,8 +69,10 @@
     recordArrival(priority: number, now: number): void {
         const factor = 0.5 ** ((now - this.mixedAt) / MIX_HALF_LIFE_MILLISECONDS);
         this.mix.forEach((count, index) => {
-            this.mix[index] = count * factor + (index === clampPriority(priority) ? 1 : 0);
+            this.mix[index] = count * factor;
         });
+        const index = clampPriority(priority);
+        this.mix[index] = (this.mix[index] ?? 0) + 1;
         this.mixedAt = now;
     }
 
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -14,14 +14,18 @@
 /** `Retry-After` of a request that every group refused. */
 const REFUSED_RETRY_AFTER_MILLISECONDS = 800;
 
-/** Places a request on a group that has not been tried for it. */
-export function placeStream(context: RequestContext, parts: RelayParts, tried: readonly string[]): Placement {
+/** Places a request on a group that has not been tried for it; `candidates` are those of this moment, if they are known. */
+export function placeStream(
+    context: RequestContext,
+    parts: RelayParts,
+    tried: readonly string[],
+    candidates: readonly PlacementCandidate[] = candidatesOf(context, parts),
+): Placement {
     const engine = context.lookup.findService(context.service)?.engine;
     const model = engine?.models.find(profile => profile.name === context.request.model);
     if (engine === undefined || model === undefined) {
         return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_AFTER_MILLISECONDS };
     }
-    const candidates = candidatesOf(context, parts);
     const healthyCount = candidates.filter(({ suspected }) => !suspected).length;
     const now = parts.clock.monotonic();
     return placeRequest({
@@ -49,11 +53,13 @@
  * Returns what is known of the groups for a request, for its admission; `undefined` if none takes requests at all, so that
  * the placement says why.
  */
-export function groupsSeen(context: RequestContext, parts: RelayParts): GroupsSeen | undefined {
-    const { service, request, lookup } = context;
+export function groupsSeen(
+    { service, request, lookup }: RequestContext,
+    candidates: readonly PlacementCandidate[],
+): GroupsSeen | undefined {
     const engine = lookup.findService(service)?.engine;
     const model = engine?.models.find(profile => profile.name === request.model);
-    const healthy = candidatesOf(context, parts).filter(({ suspected }) => !suspected);
+    const healthy = candidates.filter(({ suspected }) => !suspected);
     if (engine === undefined || model === undefined || healthy.every(isWaiting)) {
         return undefined;
     }
@@ -99,7 +105,8 @@
     return waitMilliseconds > 0;
 }
 
-function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
+/** Returns the groups that may serve a request, with what is known of them now. */
+export function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
     return parts.state.servingGroups(service, request.model ?? "").map(group => toPlacementCandidate(group, parts));
 }
 
--- a/packages/daemon/src/relay/streamrelay.ts
+++ b/packages/daemon/src/relay/streamrelay.ts
@@ -108,7 +108,7 @@
     }
 
     protected sendOrGiveUp(): void {
-        const placement = placeStream(this.context, this.parts, this.tried);
+        const placement = this.place();
         if (placement.kind === "refused") {
             this.giveUp(placement.reason, placement.retryAfterMilliseconds);
             return;
--- a/packages/daemon/src/shedding/admittedrelay.ts
+++ b/packages/daemon/src/shedding/admittedrelay.ts
@@ -1,7 +1,8 @@
 /** Base class of relays whose first attempt is admitted, so that the request may wait in this daemon. */
+import type { Placement, PlacementCandidate } from "@damaskvale/core";
 import { type EndDetails, RelayTask } from "../relay/relaytask.js";
 import type { RefusalReason } from "../relay/responses.js";
-import { describeCandidates, groupsSeen } from "../relay/streamplacement.js";
+import { candidatesOf, describeCandidates, groupsSeen, placeStream } from "../relay/streamplacement.js";
 import type { QueuedRequest } from "./streamadmission.js";
 
 /** Relay of a request that is sent once it is admitted. */
@@ -11,6 +12,9 @@
     /** The request while it waits; it has not been sent then. */
     private queued: QueuedRequest | undefined;
 
+    /** Groups as they were known to the decision by which the request is being admitted. */
+    private decidedOn: readonly PlacementCandidate[] | undefined;
+
     /** Sends the request for the first time, or gives up. */
     protected abstract sendOrGiveUp(): void;
 
@@ -22,7 +26,10 @@
             return;
         }
         this.queued = parts.admission.admit(context, {
-            groups: () => groupsSeen(context, parts),
+            groups: () => {
+                this.decidedOn = candidatesOf(context, parts);
+                return groupsSeen(context, this.decidedOn);
+            },
             serve: queuedMilliseconds =>
                 this.guard(() => {
                     this.queued = undefined;
@@ -37,8 +44,16 @@
         });
     }
 
+    /** Places the request at a group that was not tried. */
+    protected place(): Placement {
+        const candidates = this.decidedOn;
+        this.decidedOn = undefined;
+        return placeStream(this.context, this.parts, this.tried, candidates);
+    }
+
     /** Takes the request out of the queue because it ends in another way. */
     protected leaveQueue(): void {
+        this.decidedOn = undefined;
         this.queued?.drop();
         this.queued = undefined;
     }
