--- a/packages/daemon/src/relay/plaintargets.ts
+++ b/packages/daemon/src/relay/plaintargets.ts
@@ -3,7 +3,7 @@
 import type { HeaderList, ResponseHead } from "../ports/relayprotocol.js";
 import { InvalidStatusError } from "../responsestatus.js";
 import type { PlainAttempt } from "./plainattempt.js";
-import type { RelayParts, RequestContext } from "./requestcontext.js";
+import { type RelayParts, type RequestContext, statedPriority } from "./requestcontext.js";
 import { writeResponseHead } from "./responses.js";
 import { isLostConnection, type TargetRequest } from "./targetconnections.js";
 
@@ -55,14 +55,16 @@
 
 /** Returns the request as it is sent to a target; one that is not repeatable goes on a new connection. */
 export function encodePlainRequest(
-    { request, body, deadlineAt, admitted }: RequestContext,
+    context: RequestContext,
     target: Target,
     { protocol, clock }: RelayParts,
 ): TargetRequest {
+    const { request, body, deadlineAt, admitted } = context;
     const headers = protocol.encodeForTarget(request, {
         target: target.id,
         remainingMilliseconds: deadlineAt - clock.monotonic(),
         team: admitted.team?.name,
+        priority: statedPriority(context),
     });
     const onNewConnection = admitted.route.kind !== "repeatable";
     return { method: request.method, path: request.path, headers, body, onNewConnection };
--- a/packages/daemon/src/relay/platformports.ts
+++ b/packages/daemon/src/relay/platformports.ts
@@ -34,6 +34,8 @@
     readonly coldStartTolerance?: ColdStartTolerance;
     /** Whether plain targets that fail a part of their requests get fewer of them. */
     readonly detectsOutliers?: boolean;
+    /** Whether streams are admitted by priority while capacity is short. */
+    readonly admitsByPriority?: boolean;
 }
 
 /** Adapters that a platform provides. */
--- a/packages/daemon/src/relay/sharedparts.ts
+++ b/packages/daemon/src/relay/sharedparts.ts
@@ -82,12 +82,12 @@
     requestsInProgress: () => number,
 ): { readonly shared: SharedParts; readonly metrics: DaemonMetrics; readonly output: BoundedOutput; } {
     const output = createBoundedOutput(STANDARD_OUTPUT);
-    const bunyanLog = createLog(settings, output);
     const state = createRelayState(
         createTargetChangeLog(() => metrics.log),
         dataCentre => evacuations.isEvacuated(dataCentre),
+        settings.admitsByPriority === true,
     );
-    const metrics = createDaemonMetrics(bunyanLog, {
+    const metrics = createDaemonMetrics(createLog(settings, output), {
         requestsInProgress,
         linesDropped: output.dropped,
         configurationVersion: () => state.lookup()?.configuration.version ?? 0,
--- a/packages/daemon/src/relay/state.ts
+++ b/packages/daemon/src/relay/state.ts
@@ -29,12 +29,16 @@
 /** A registry write that a network partition delayed may arrive this long after its process was replaced. */
 const DROPPED_RETENTION_MILLISECONDS = 60_000;
 
-/** Creates an empty state; `isEvacuated` returns whether the targets of a data centre get no requests. */
+/**
+ * Creates an empty state; `isEvacuated` returns whether the targets of a data centre get no requests, and `admitsByPriority`
+ * is whether different priorities of the routes of a service have an effect.
+ */
 export function createRelayState(
     onTargetChange: TargetChangeListener = () => undefined,
     isEvacuated: (dataCentre: string) => boolean = () => false,
+    admitsByPriority = true,
 ): RelayState {
-    return new RelayStateTask(onTargetChange, isEvacuated);
+    return new RelayStateTask(onTargetChange, isEvacuated, admitsByPriority);
 }
 
 class RelayStateTask implements RelayState {
@@ -67,6 +71,7 @@
     constructor(
         private readonly onTargetChange: TargetChangeListener,
         readonly isEvacuated: (dataCentre: string) => boolean,
+        private readonly admitsByPriority: boolean,
     ) {}
 
     lookup(): RouteLookup | undefined {
@@ -102,7 +107,7 @@
         if (this.routeLookup !== undefined && configuration.version <= this.routeLookup.configuration.version) {
             return false;
         }
-        this.routeLookup = createRouteLookup(configuration);
+        this.routeLookup = createRouteLookup(configuration, this.admitsByPriority);
         this.notifyListeners();
         return true;
     }
--- a/packages/daemon/src/relay/streamplacement.ts
+++ b/packages/daemon/src/relay/streamplacement.ts
@@ -1,5 +1,8 @@
 /** Places streaming requests on groups, using the load that this daemon knows for each group serving the model. */
 import {
+    decodeStepMilliseconds,
+    estimateFirstEvent,
+    type GroupsSeen,
     type Placement,
     type PlacementCandidate,
     placeRequest,
@@ -11,14 +14,18 @@
 /** `Retry-After` of a request that every group refused. */
 const REFUSED_RETRY_AFTER_MILLISECONDS = 800;
 
-/** Places a request on a group that has not been tried for it. */
-export function placeStream(context: RequestContext, parts: RelayParts, tried: readonly string[]): Placement {
+/** Places a request on a group that has not been tried for it; `candidates` are those of this moment, if they are known. */
+export function placeStream(
+    context: RequestContext,
+    parts: RelayParts,
+    tried: readonly string[],
+    candidates: readonly PlacementCandidate[] = candidatesOf(context, parts),
+): Placement {
     const engine = context.lookup.findService(context.service)?.engine;
     const model = engine?.models.find(profile => profile.name === context.request.model);
     if (engine === undefined || model === undefined) {
         return { kind: "refused", reason: "no-group", retryAfterMilliseconds: REFUSED_RETRY_AFTER_MILLISECONDS };
     }
-    const candidates = candidatesOf(context, parts);
     const healthyCount = candidates.filter(({ suspected }) => !suspected).length;
     const now = parts.clock.monotonic();
     return placeRequest({
@@ -42,6 +49,36 @@
         : REFUSED_RETRY_AFTER_MILLISECONDS;
 }
 
+/**
+ * Returns what is known of the groups for a request, for its admission; `undefined` if none takes requests at all, so that
+ * the placement says why.
+ */
+export function groupsSeen(
+    { service, request, lookup }: RequestContext,
+    candidates: readonly PlacementCandidate[],
+): GroupsSeen | undefined {
+    const engine = lookup.findService(service)?.engine;
+    const model = engine?.models.find(profile => profile.name === request.model);
+    const healthy = candidates.filter(({ suspected }) => !suspected);
+    if (engine === undefined || model === undefined || healthy.every(isWaiting)) {
+        return undefined;
+    }
+    const mean = { prompt: engine.meanPromptTokens, answer: engine.meanOutputTokens };
+    const work = { prompt: request.promptTokens, answer: request.expectedOutputTokens ?? engine.meanOutputTokens };
+    const firstEvents = healthy
+        .filter(candidate => !isWaiting(candidate) && candidate.inProgress < engine.slots)
+        .map(candidate => estimateFirstEvent({ engine, model, promptTokens: request.promptTokens }, candidate));
+    const idle = { inProgress: 0, pendingPromptTokens: 0, slowness: 1 };
+    return {
+        slots: engine.slots * healthy.length,
+        inProgress: healthy.reduce((sum, { inProgress }) => sum + inProgress, 0),
+        slotMilliseconds: decodeStepMilliseconds(engine, model, engine.slots) * engine.meanOutputTokens,
+        workRatio: requestWorkMilliseconds(engine, model, work) / requestWorkMilliseconds(engine, model, mean),
+        firstEventMilliseconds: firstEvents.length === 0 ? undefined : Math.min(...firstEvents),
+        leastFirstEventMilliseconds: estimateFirstEvent({ engine, model, promptTokens: request.promptTokens }, idle),
+    };
+}
+
 /** Adds the work of a request to the demand for its model, whether or not it can be served. */
 export function recordDemand({ request, service, lookup }: RequestContext, { clock, demandOf }: RelayParts): void {
     const engine = lookup.findService(service)?.engine;
@@ -68,7 +105,8 @@
     return waitMilliseconds > 0;
 }
 
-function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
+/** Returns the groups that may serve a request, with what is known of them now. */
+export function candidatesOf({ service, request }: RequestContext, parts: RelayParts): PlacementCandidate[] {
     return parts.state.servingGroups(service, request.model ?? "").map(group => toPlacementCandidate(group, parts));
 }
 
--- a/packages/daemon/src/relay/tests/fixture.ts
+++ b/packages/daemon/src/relay/tests/fixture.ts
@@ -19,6 +19,7 @@
 import { createSharedSpeeds } from "../../peers/sharedspeeds.js";
 import type { EventLog } from "../../ports/eventlog.js";
 import type { CallerRequest, RelayProtocol, ResponseHead, TargetStatements } from "../../ports/relayprotocol.js";
+import { createStreamAdmission } from "../../shedding/streamadmission.js";
 import type { RelayParts, RequestContext } from "../requestcontext.js";
 import { createRequestQuarantine, type RequestQuarantine } from "../requestquarantine.js";
 import { createStalledHeads } from "../stalledheads.js";
@@ -285,6 +286,7 @@
             recentGroupCounts: createSlidingMaximum(10_000),
             demandOf: () => demand,
             budgetOf: () => budget,
+            admission: createStreamAdmission({ clock, log, random: () => 0, knownDaemons: () => 1 }),
             random: () => 0,
         },
         context: {
@@ -351,6 +353,9 @@
         headersSent: false,
         destroyed: false,
         writableLength: 0,
+        req: { complete: true },
+        getHeaderNames: () => [],
+        setHeader: () => undefined,
         writeHead: (status: number, headers: readonly string[]) => {
             caller.status = status;
             caller.headers = headers;
