Test of endless targets: measure the peak memory of the relay's process alone

The maximum that resourceUsage returns includes the memory of the parent at the start of the process, here mocha's, which more unit tests have made larger: with a parent of 300 MB it says 297,960 KiB where the process itself peaks at 39,264. Change: VmHWM of the process; the bound stays.

--- a/packages/daemon/src/relay/tests/relayprocess.ts
+++ b/packages/daemon/src/relay/tests/relayprocess.ts
@@ -1,4 +1,5 @@
 /** Process that relays requests to targets whose ports are in the paths, and reports its memory and processor time. */
+import { readFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createPlainRelay } from "../plainrelay.js";
@@ -10,11 +11,17 @@
 
 const connections = createTargetConnections({ connectionsPerTarget: 4, connectTimeoutMilliseconds: 500 });
 
+/** Peak of this process alone: the maximum that `process.resourceUsage()` returns includes its parent's memory at the start. */
+function peakMemoryKibibytes(): number {
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(readFileSync("/proc/self/status", "utf8"))?.[1]);
+}
+
 const server = createServer((request, response) => {
     const [, kind, port] = (request.url ?? "").split("/");
     if (kind === "usage") {
-        const { maxRSS, userCPUTime, systemCPUTime } = process.resourceUsage();
-        response.end(JSON.stringify({ kibibytes: maxRSS, milliseconds: (userCPUTime + systemCPUTime) / 1_000 }));
+        const { userCPUTime, systemCPUTime } = process.resourceUsage();
+        const milliseconds = (userCPUTime + systemCPUTime) / 1_000;
+        response.end(JSON.stringify({ kibibytes: peakMemoryKibibytes(), milliseconds }));
         return;
     }
     const fixture = createRelayFixture({ kind: kind === "stream" ? "stream" : "once", targets: ["a"] });
