Review cases 6 and 7: answers without a length within the site's dose

Cause: all answers of the servers had no length, which is more than the site's dose of 0.05. Change: one answer in twenty has none; the others have chunks.

--- a/review/common-2/engine.mjs
+++ b/review/common-2/engine.mjs
@@ -9,10 +9,8 @@
     /** Number of events of an answer, and the pause between two. */
     events = 40,
     eventMilliseconds = 100,
-    /** Whether answers have neither a length nor chunks. */
-    isUnframed = false,
-    /** Status with which the head fails each request after it has run, without saying that it has not. */
-    failsWith,
+    /** One in so many answers has neither a length nor chunks. */
+    unframedEach = Number.POSITIVE_INFINITY,
 } = JSON.parse(options);
 const JOIN_MILLISECONDS = 60;
 const OPEN_MILLISECONDS = 40;
@@ -26,6 +24,7 @@
 let highestToken = 0;
 let highestEpoch = 0;
 let running = 0;
+let runs = 0;
 let heartbeats = 0;
 let address = "";
 
@@ -132,12 +131,9 @@
         endClosing();
     });
     headers["Response-Stamp"] = `${id}.${requestId}`;
-    if (failsWith !== undefined) {
-        response.writeHead(failsWith, headers).end("failed");
-        tell("answered", { requestId, status: failsWith });
-        return;
-    }
-    if (isUnframed) {
+    runs += 1;
+    if (runs % unframedEach === 0) {
+        tell("unframed", { requestId });
         response.useChunkedEncodingByDefault = false;
         response.shouldKeepAlive = false;
     }
--- a/review/common-2/engines.mjs
+++ b/review/common-2/engines.mjs
@@ -29,7 +29,7 @@
 
 /** Starts an engine; its entry is removed some seconds after the process has ended. */
 export async function startEngine(deployment, { id, service, domain = "d1", ...options }) {
-    const engine = { id, entry: undefined, ran: [], answered: [], wrote: new Map() };
+    const engine = { id, entry: undefined, ran: [], answered: [], wrote: new Map(), unframed: [] };
     const handlers = {
         entry: ({ entry }) => {
             engine.entry = entry;
@@ -40,6 +40,10 @@
             engine.ran.push(requestId);
         },
         wrote: ({ requestId, written }) => engine.wrote.set(requestId, written),
+        unframed: ({ requestId }) => {
+            deployment.note(`${id} answers ${requestId} without a length`);
+            engine.unframed.push(requestId);
+        },
         answered: ({ requestId, status }) => {
             deployment.note(`${id} has answered ${requestId} with ${status}`);
             engine.answered.push(requestId);
--- a/review/common-2/plainservers.mjs
+++ b/review/common-2/plainservers.mjs
@@ -5,8 +5,8 @@
 const HEARTBEAT_MILLISECONDS = 1_200;
 
 /** Starts a server process and writes its entry again and again, as servers do, until it has ended. */
-export async function startServer(deployment, { id, service, behavior = "sound" }) {
-    const server = { id, address: "", ran: [], answered: [], wrote: new Map(), state: "ready" };
+export async function startServer(deployment, { id, service, behavior = "sound", slots = 6 }) {
+    const server = { id, address: "", ran: [], answered: [], wrote: new Map(), unframed: [], state: "ready" };
     const handlers = {
         listens: ({ address }) => {
             server.address = address;
@@ -16,6 +16,10 @@
             server.ran.push(requestId);
         },
         wrote: ({ requestId, written }) => server.wrote.set(requestId, written),
+        unframed: ({ requestId }) => {
+            deployment.note(`${id} answers ${requestId} without a length`);
+            server.unframed.push(requestId);
+        },
         answered: ({ requestId, status }) => {
             deployment.note(`${id} has answered ${requestId} with ${status}`);
             server.answered.push(requestId);
@@ -35,7 +39,7 @@
             address: server.address,
             zone: "hall",
             version: "v1",
-            slots: 6,
+            slots,
             state: server.state,
             coldRemainingMs: 0,
             sequence,
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -1,6 +1,5 @@
 /**
- * Plain server as a process. Its answers have no length and end with their connection if the path says `unframed`. It tells
- * the test by lines on its output where it listens, what it runs and what it answers.
+ * Plain server as a process. It tells the test by lines on its output where it listens, what it runs and what it answers.
  */
 import { once } from "node:events";
 import { createServer } from "node:http";
@@ -9,6 +8,9 @@
 const PIECES = 5;
 const PIECE_MILLISECONDS = 200;
 const WORK_MILLISECONDS = 300;
+/** The largest dose of the site: x = 0.05 of the answers. */
+const UNFRAMED_EACH = 20;
+let runs = 0;
 
 const tell = (kind, fields) => process.stdout.write(`${JSON.stringify({ kind, ...fields })}\n`);
 
@@ -25,10 +27,14 @@
     working: (requestId, headers, response) => {
         setTimeout(() => behaviors.sound(requestId, headers, response), WORK_MILLISECONDS);
     },
-    /** The answer states no length and ends with its connection. */
-    unframed: (requestId, headers, response) => {
-        response.useChunkedEncodingByDefault = false;
-        response.shouldKeepAlive = false;
+    /** The answer arrives in pieces. One in `UNFRAMED_EACH` states no length and ends with its connection. */
+    pieces: (requestId, headers, response) => {
+        runs += 1;
+        if (runs % UNFRAMED_EACH === 0) {
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+            tell("unframed", { requestId });
+        }
         response.writeHead(200, headers);
         let written = 0;
         const timer = setInterval(() => {
