Review case 6: answers without a length at the killed server alone

Cause: all three servers sent some, more than the half of the servers that the site gives. Change: one of three does; the case names its record, and waits until the machines are in touch, as the others do.

--- a/review/common-2/deployment.mjs
+++ b/review/common-2/deployment.mjs
@@ -10,6 +10,9 @@
 const ROOT = join(import.meta.dirname, "..", "..");
 const WAIT_MILLISECONDS = 30_000;
 const LONGEST_CASE_MILLISECONDS = 110_000;
+/** `stableWindowMs` of the settings: a machine is in touch that long after its start. */
+const STABLE_WINDOW_MILLISECONDS = 3_000;
+const STABLE_MARGIN_MILLISECONDS = 500;
 
 /** Whether the disruption of the case takes place. */
 export const TROUBLE = process.env.TROUBLE !== "0";
@@ -44,8 +47,9 @@
     lines = [];
     directory = mkdtempSync(join(tmpdir(), "damaskvale-review-"));
 
-    constructor(folder) {
-        this.folder = folder;
+    /** `recordPath` is the file to which the record is written. */
+    constructor(recordPath) {
+        this.recordPath = recordPath;
         this.startedAt = performance.now();
     }
 
@@ -55,7 +59,7 @@
     }
 
     writeRecord() {
-        writeFileSync(join(this.folder, "record.txt"), `${this.lines.join("\n")}\n`);
+        writeFileSync(this.recordPath, `${this.lines.join("\n")}\n`);
     }
 
     /** Starts a program of Node.js; `onLine` gets the lines of its output. */
@@ -134,6 +138,12 @@
         return daemon;
     }
 
+    /** Waits until the machines of the daemons are in touch. */
+    async waitUntilInTouch() {
+        await sleep(STABLE_WINDOW_MILLISECONDS + STABLE_MARGIN_MILLISECONDS);
+        this.note("the machines are in touch");
+    }
+
     async end() {
         [...this.children].forEach(child => child.kill("SIGKILL"));
         await Promise.all([...this.children].map(child => child.ended));
@@ -186,15 +196,15 @@
             ...route,
         })),
         services: services.map(service => ({ healthPath: "/health", maxConnections: 110, ...service })),
-        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 10_000, idleTimeoutMs: 10_000 },
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         tenants: [],
         ...others,
     };
 }
 
 /** Runs a case: `play` returns the violations of the rule. The process exits with 1, 0, or 2 if the case could not run. */
-export async function runCase(folder, play) {
-    const deployment = new Deployment(folder);
+export async function runCase(recordPath, play) {
+    const deployment = new Deployment(recordPath);
     let code = 2;
     const limit = setTimeout(() => {
         deployment.note("The case did not end in time.");
--- a/review/common-2/engine.mjs
+++ b/review/common-2/engine.mjs
@@ -9,8 +9,8 @@
     /** Number of events of an answer, and the pause between two. */
     events = 40,
     eventMilliseconds = 100,
-    /** One in so many answers has neither a length nor chunks. */
-    unframedEach = Number.POSITIVE_INFINITY,
+    /** One in so many answers has neither a length nor chunks, once the test has asked for it by SIGUSR1. */
+    unframedEach = 20,
 } = JSON.parse(options);
 const JOIN_MILLISECONDS = 60;
 const OPEN_MILLISECONDS = 40;
@@ -25,6 +25,7 @@
 let highestEpoch = 0;
 let running = 0;
 let runs = 0;
+let spoilsAnswers = false;
 let heartbeats = 0;
 let address = "";
 
@@ -131,8 +132,8 @@
         endClosing();
     });
     headers["Response-Stamp"] = `${id}.${requestId}`;
-    runs += 1;
-    if (runs % unframedEach === 0) {
+    runs += spoilsAnswers ? 1 : 0;
+    if (spoilsAnswers && runs % unframedEach === 0) {
         tell("unframed", { requestId });
         response.useChunkedEncodingByDefault = false;
         response.shouldKeepAlive = false;
@@ -179,6 +180,9 @@
     tellEntry();
     setInterval(tellEntry, 1_200);
 });
+process.on("SIGUSR1", () => {
+    spoilsAnswers = true;
+});
 // The test asks by this signal for the notice that the server leaves.
 process.on("SIGUSR2", () => {
     state = "draining";
--- a/review/common-2/server.mjs
+++ b/review/common-2/server.mjs
@@ -17,6 +17,21 @@
 /** The whole body of the answer to a request. */
 const pieceOf = (requestId, index) => `${requestId} piece ${index + 1} of ${PIECES};`;
 
+function writePieces(requestId, headers, response) {
+    response.writeHead(200, headers);
+    let written = 0;
+    const timer = setInterval(() => {
+        response.write(pieceOf(requestId, written));
+        written += 1;
+        tell("wrote", { requestId, written });
+        if (written === PIECES) {
+            clearInterval(timer);
+            response.end();
+            tell("answered", { requestId, status: 200 });
+        }
+    }, PIECE_MILLISECONDS);
+}
+
 const behaviors = {
     sound: (requestId, headers, response) => {
         response.writeHead(200, headers);
@@ -27,26 +42,17 @@
     working: (requestId, headers, response) => {
         setTimeout(() => behaviors.sound(requestId, headers, response), WORK_MILLISECONDS);
     },
-    /** The answer arrives in pieces. One in `UNFRAMED_EACH` states no length and ends with its connection. */
-    pieces: (requestId, headers, response) => {
+    /** The answer arrives in pieces. */
+    pieces: (requestId, headers, response) => writePieces(requestId, headers, response),
+    /** The same; one answer in `UNFRAMED_EACH` states no length and ends with its connection. */
+    unframed: (requestId, headers, response) => {
         runs += 1;
         if (runs % UNFRAMED_EACH === 0) {
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
             tell("unframed", { requestId });
         }
-        response.writeHead(200, headers);
-        let written = 0;
-        const timer = setInterval(() => {
-            response.write(pieceOf(requestId, written));
-            written += 1;
-            tell("wrote", { requestId, written });
-            if (written === PIECES) {
-                clearInterval(timer);
-                response.end();
-                tell("answered", { requestId, status: 200 });
-            }
-        }, PIECE_MILLISECONDS);
+        writePieces(requestId, headers, response);
     },
 };
 
